--- /dev/null
+++ b/cmd/slatewayd/main.go
@@ -0,0 +1,4 @@
+// Command slatewayd is slateway's daemon.
+package main
+
+func main() {}
--- /dev/null
+++ b/internal/archtest/imports_test.go
@@ -0,0 +1,73 @@
+package archtest_test
+
+import (
+	"go/ast"
+	"go/parser"
+	"go/token"
+	"path/filepath"
+	"slices"
+	"strconv"
+	"strings"
+	"testing"
+)
+
+// decisionPackages hold deterministic aggregates: no clock, socket, file or
+// random source of their own, so that a recorded trace replays to one outcome.
+var decisionPackages = []string{"quorum", "team", "job", "claim", "upstream", "route", "member", "order"}
+
+// forbiddenCalls read the clock or the shared random source.
+var forbiddenCalls = []string{
+	"time.Now", "time.Since", "time.Until", "time.After", "time.AfterFunc", "time.Sleep", "time.NewTimer", "time.NewTicker",
+	"rand.Int", "rand.IntN", "rand.Intn", "rand.Float64", "rand.Perm", "rand.Shuffle", "uuid.New", "uuid.NewString",
+}
+
+// forbidden are the packages that would bring I/O or nondeterminism in.
+var forbidden = []string{"net", "net/http", "os", "io/fs", "crypto/rand", "sync", "syscall", "log"}
+
+func TestDecisionPackagesDoNoIO(t *testing.T) {
+	for _, name := range decisionPackages {
+		files, err := filepath.Glob(filepath.Join("..", name, "*.go"))
+		if err != nil {
+			t.Fatal(err)
+		}
+		for _, file := range files {
+			if !strings.HasSuffix(file, "_test.go") {
+				checkFile(t, file)
+			}
+		}
+	}
+}
+
+func checkFile(t *testing.T, file string) {
+	t.Helper()
+	tree, err := parser.ParseFile(token.NewFileSet(), file, nil, parser.SkipObjectResolution)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, imported := range tree.Imports {
+		path, err := strconv.Unquote(imported.Path.Value)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if slices.Contains(forbidden, path) {
+			t.Errorf("%s imports %s: a decision package takes time, messages and randomness as input", file, path)
+		}
+	}
+	ast.Inspect(tree, func(node ast.Node) bool {
+		switch node := node.(type) {
+		case *ast.GoStmt:
+			t.Errorf("%s starts a goroutine: a decision package is driven by its shell", file)
+		case *ast.SelectorExpr:
+			checkSelector(t, file, node)
+		}
+		return true
+	})
+}
+
+func checkSelector(t *testing.T, file string, selector *ast.SelectorExpr) {
+	t.Helper()
+	owner, ok := selector.X.(*ast.Ident)
+	if ok && slices.Contains(forbiddenCalls, owner.Name+"."+selector.Sel.Name) {
+		t.Errorf("%s uses %s.%s: time and randomness are inputs", file, owner.Name, selector.Sel.Name)
+	}
+}
--- /dev/null
+++ b/internal/codec/codec.go
@@ -0,0 +1,76 @@
+// Package codec encodes the project's own records: log entries, snapshots and
+// the messages between its processes.
+//
+// All of them are CBOR (RFC 8949) in the deterministic core encoding, so equal
+// values have equal bytes on every replica and a checksum can compare them.
+package codec
+
+import (
+	"fmt"
+
+	"github.com/fxamacker/cbor/v2"
+)
+
+// maxElements bounds arrays and maps in a decoded record. It is above the
+// largest part of a batch job and far below what would exhaust memory.
+const maxElements = 1 << 20
+
+// maxNesting bounds the depth of a decoded record; the deepest of ours is 9.
+const maxNesting = 32
+
+var (
+	encMode = mustEncMode()
+	decMode = mustDecMode()
+)
+
+func mustEncMode() cbor.EncMode {
+	options := cbor.CoreDetEncOptions()
+	options.Time = cbor.TimeUnixMicro
+	mode, err := options.EncMode()
+	if err != nil {
+		panic(fmt.Sprintf("codec: encoder options: %v", err))
+	}
+	return mode
+}
+
+func mustDecMode() cbor.DecMode {
+	mode, err := cbor.DecOptions{
+		DupMapKey:        cbor.DupMapKeyEnforcedAPF,
+		MaxArrayElements: maxElements,
+		MaxMapPairs:      maxElements,
+		MaxNestedLevels:  maxNesting,
+	}.DecMode()
+	if err != nil {
+		panic(fmt.Sprintf("codec: decoder options: %v", err))
+	}
+	return mode
+}
+
+// Marshal encodes v. It fails only for types that CBOR cannot express, such as
+// channels and functions.
+func Marshal(v any) ([]byte, error) {
+	data, err := encMode.Marshal(v)
+	if err != nil {
+		return nil, fmt.Errorf("encode %T: %w", v, err)
+	}
+	return data, nil
+}
+
+// MustMarshal encodes a value of one of the project's own types, which always
+// encode. A failure is a defect of the program and panics.
+func MustMarshal(v any) []byte {
+	data, err := Marshal(v)
+	if err != nil {
+		panic(err)
+	}
+	return data
+}
+
+// Unmarshal decodes data into v. Unknown fields are ignored, so that an older
+// process reads the records of a newer one.
+func Unmarshal(data []byte, v any) error {
+	if err := decMode.Unmarshal(data, v); err != nil {
+		return fmt.Errorf("decode %T: %w", v, err)
+	}
+	return nil
+}
