Decide agreement without I/O

A Raft-like log: pre-vote, check-quorum, learners, one membership change at a time, read barriers, transfer. Leader reads are confirmed by a round of heartbeats; a lease in ticks was ruled out because a frozen process does not count its ticks and would serve old state after it resumes.

--- /dev/null
+++ b/internal/quorum/quorum_test.go
@@ -0,0 +1,199 @@
+package quorum
+
+import (
+	"maps"
+	"math/rand"
+	"slices"
+	"testing"
+)
+
+// bench is a group whose messages the test delivers by hand.
+type bench struct {
+	nodes map[ID]*Node
+	// applied are the data that each member applied, in order.
+	applied map[ID][]string
+	queue   []Message
+	reads   map[ID][]ReadState
+	cut     map[ID]bool
+}
+
+func testConfig(id ID) Config {
+	random := rand.New(rand.NewSource(int64(id)))
+	return Config{
+		ID: id, ElectionTicks: 10, HeartbeatTicks: 2, MaxAppendBytes: 1 << 10, MaxInflight: 4,
+		Rand: random.Intn,
+	}
+}
+
+func newBench(t *testing.T, ids ...ID) *bench {
+	t.Helper()
+	b := &bench{nodes: map[ID]*Node{}, applied: map[ID][]string{}, reads: map[ID][]ReadState{}, cut: map[ID]bool{}}
+	members := make([]Member, len(ids))
+	for i, id := range ids {
+		members[i] = Member{ID: id}
+	}
+	for _, id := range ids {
+		node, err := New(testConfig(id), Restored{Snapshot: Bootstrap(NewMembership(members...))})
+		if err != nil {
+			t.Fatal(err)
+		}
+		b.nodes[id] = node
+	}
+	return b
+}
+
+func (b *bench) ids() []ID { return slices.Sorted(maps.Keys(b.nodes)) }
+
+// settle works until no member has anything left to do.
+func (b *bench) settle() {
+	for busy := true; busy; {
+		busy = false
+		for _, id := range b.ids() {
+			node := b.nodes[id]
+			outbox := node.TakeOutbox()
+			b.queue = append(b.queue, outbox.Messages...)
+			b.reads[id] = append(b.reads[id], outbox.Reads...)
+			for _, to := range outbox.Snapshots {
+				meta, _ := node.MetaAt(node.Applied())
+				b.queue = append(b.queue, Message{Type: MsgSnapshot, From: id, To: to, Term: node.Term(), Snapshot: &meta})
+			}
+			if ready, ok := node.Ready(); ok {
+				busy = true
+				b.queue = append(b.queue, ready.AfterSync...)
+				for _, entry := range ready.Committed {
+					if entry.Kind == EntryNormal {
+						b.applied[id] = append(b.applied[id], string(entry.Data))
+					}
+				}
+				node.Advance()
+			}
+		}
+		sent := b.queue
+		b.queue = nil
+		for _, m := range sent {
+			busy = true
+			if node := b.nodes[m.To]; node != nil && !b.cut[m.To] && !b.cut[m.From] {
+				node.Step(m)
+			}
+		}
+	}
+}
+
+func (b *bench) tick(count int) {
+	for range count {
+		for _, id := range b.ids() {
+			b.nodes[id].Tick()
+		}
+		b.settle()
+	}
+}
+
+func (b *bench) leader(t *testing.T) *Node {
+	t.Helper()
+	for range 100 {
+		for id, node := range b.nodes {
+			if node.IsLeader() && !b.cut[id] {
+				return node
+			}
+		}
+		b.tick(1)
+	}
+	t.Fatal("no leader after 100 ticks")
+	return nil
+}
+
+func (b *bench) propose(t *testing.T, data string) {
+	t.Helper()
+	if _, _, err := b.leader(t).Propose([]byte(data)); err != nil {
+		t.Fatal(err)
+	}
+	b.settle()
+}
+
+func TestGroupCommitsAndElectsAgain(t *testing.T) {
+	b := newBench(t, 1, 2, 3)
+	b.propose(t, "a")
+	first := b.leader(t)
+	b.cut[first.config.ID] = true
+	b.tick(25)
+	b.propose(t, "b")
+	if first.IsLeader() {
+		t.Error("the leader that was cut off has not stepped down")
+	}
+	b.cut = map[ID]bool{}
+	b.tick(25)
+	for id := range b.nodes {
+		if got := b.applied[id]; len(got) != 2 || got[0] != "a" || got[1] != "b" {
+			t.Errorf("member %v applied %v", id, got)
+		}
+	}
+}
+
+func TestSingleMemberLeads(t *testing.T) {
+	b := newBench(t, 1)
+	b.propose(t, "a")
+	if err := b.leader(t).Read(7); err != nil {
+		t.Fatal(err)
+	}
+	b.settle()
+	if len(b.applied[1]) != 1 || len(b.reads[1]) != 1 {
+		t.Errorf("applied %v, reads %v", b.applied[1], b.reads[1])
+	}
+}
+
+// A disk is lost. Its VM comes back with a blank one, joins as a learner and
+// takes the old member's place; then a second VM is lost. Everything that was
+// acknowledged must be there and the group must go on.
+func TestSecondLossRightAfterRepair(t *testing.T) {
+	b := newBench(t, 1, 2, 3)
+	b.propose(t, "a")
+	leader := b.leader(t)
+	lost := ID(1)
+	if leader.config.ID == lost {
+		lost = 2
+	}
+	delete(b.nodes, lost)
+	blank, err := New(testConfig(9), Restored{})
+	if err != nil {
+		t.Fatal(err)
+	}
+	b.nodes[9] = blank
+	change := func(c Change) {
+		t.Helper()
+		if _, err := leader.ProposeChange(c); err != nil {
+			t.Fatal(err)
+		}
+		b.settle()
+		b.tick(4)
+	}
+	change(Change{Kind: AddLearner, Member: Member{ID: 9}})
+	change(Change{Kind: Promote, Member: Member{ID: 9}})
+	change(Change{Kind: Remove, Member: Member{ID: lost}})
+	if got := leader.Status().Tolerance; got != 1 {
+		t.Errorf("tolerance after the repair is %d", got)
+	}
+	delete(b.nodes, leader.config.ID)
+	b.tick(25)
+	b.propose(t, "b")
+	b.tick(3)
+	if got := b.applied[9]; len(got) == 0 || got[len(got)-1] != "b" {
+		t.Errorf("the new member applied %v", got)
+	}
+}
+
+func TestTransfer(t *testing.T) {
+	b := newBench(t, 1, 2, 3)
+	b.propose(t, "a")
+	old := b.leader(t)
+	to := ID(1)
+	if old.config.ID == to {
+		to = 2
+	}
+	if err := old.Transfer(to); err != nil {
+		t.Fatal(err)
+	}
+	b.settle()
+	if !b.nodes[to].IsLeader() {
+		t.Error("leadership has not moved")
+	}
+}
--- /dev/null
+++ b/internal/quorum/status.go
@@ -0,0 +1,50 @@
+package quorum
+
+// Status is what a member knows of its group.
+type Status struct {
+	ID      ID
+	Role    Role
+	Leader  ID
+	Term    uint64
+	Commit  uint64
+	Applied uint64
+	Last    uint64 // last index of the log
+	Members []MemberStatus
+	// The following are known to the leader only.
+	Reachable int // voters that answer and hold, or are taking, the log
+	// Tolerance is how many of the reachable voters may be lost, one after the
+	// other, before the group stops taking changes.
+	Tolerance int
+}
+
+// MemberStatus is a leader's view of a member. Others know only the Member.
+type MemberStatus struct {
+	Member
+	Match     uint64
+	IdleTicks int // since the member was last heard
+	State     ProgressState
+	Reachable bool
+}
+
+// Status gives the member's view of its group.
+func (n *Node) Status() Status {
+	s := Status{
+		ID: n.config.ID, Role: n.role, Leader: n.leader, Term: n.term,
+		Commit: n.log.commit, Applied: n.log.applied, Last: n.log.lastIndex(),
+	}
+	for _, member := range n.Membership().Members {
+		view := MemberStatus{Member: member}
+		if p := n.progress[member.ID]; p != nil {
+			view.Match, view.IdleTicks, view.State = p.match, p.idle, p.state
+			view.Reachable = member.ID == n.config.ID || p.idle < n.config.ElectionTicks && p.state == Replicating
+		}
+		if view.Reachable && !member.Learner {
+			s.Reachable++
+		}
+		s.Members = append(s.Members, view)
+	}
+	if n.role == Leader {
+		s.Tolerance = s.Reachable - n.Membership().Majority()
+	}
+	return s
+}
