Host replicated groups on one VM

A new group is begun by one member only, once all initial members have answered that they hold none, so that a disk that comes back blank never begins a second one; it joins as a learner instead.

--- a/internal/quorum/node.go
+++ b/internal/quorum/node.go
@@ -358,6 +358,9 @@
 	return SnapshotMeta{Index: index, Term: term, Membership: n.log.membershipAt(index)}, ok
 }
 
+// SnapshotMeta gives the place of this member's newest snapshot.
+func (n *Node) SnapshotMeta() SnapshotMeta { return n.log.snapshot }
+
 // Membership gives the membership in force: the newest in the log.
 func (n *Node) Membership() Membership { return n.log.membership() }
 
--- a/internal/quorum/replication.go
+++ b/internal/quorum/replication.go
@@ -210,13 +210,17 @@
 	n.respond(m, Message{Type: MsgAppendResponse, Index: meta.Index})
 }
 
-// ReportSnapshot ends a transfer that TakeOutbox asked for. The member's
-// acknowledgement, if it arrived, has ended it already.
-func (n *Node) ReportSnapshot(to ID) {
+// Installing says whether a snapshot that was accepted waits for Ready.
+func (n *Node) Installing() bool { return n.installed != nil }
+
+// ReportSnapshot ends a transfer that TakeOutbox asked for: the snapshot at
+// index has arrived, or none has if index is zero.
+func (n *Node) ReportSnapshot(to ID, index uint64) {
 	p := n.progress[to]
 	if n.role != Leader || p == nil || p.state != Snapshotting {
 		return
 	}
 	p.probe()
+	p.next = max(p.next, index+1)
 	n.sendAppend(to)
 }
--- /dev/null
+++ b/internal/replica/bootstrap.go
@@ -0,0 +1,240 @@
+package replica
+
+import (
+	"context"
+	"fmt"
+	"path/filepath"
+	"slices"
+	"time"
+
+	"go.uber.org/zap"
+
+	"slateway.example/slateway/internal/quorum"
+	"slateway.example/slateway/internal/rpc"
+)
+
+const (
+	helloInterval = 300 * time.Millisecond
+	helloTimeout  = time.Second
+)
+
+// helloRequest introduces a member that is in no group yet.
+type helloRequest struct {
+	Member quorum.Member `cbor:"1,keyasint"`
+	// Blank says that the member holds nothing of any group.
+	Blank bool `cbor:"2,keyasint,omitempty"`
+}
+
+// helloResponse says who answers and what it knows of the groups.
+type helloResponse struct {
+	Member quorum.Member `cbor:"1,keyasint"`
+	// HasGroups says that the answering member holds a group's membership.
+	HasGroups bool `cbor:"2,keyasint,omitempty"`
+	// Initial is the membership that the groups began with, if known here.
+	Initial *quorum.Membership `cbor:"3,keyasint,omitempty"`
+	// Current is the membership of group 0 as known here.
+	Current quorum.Membership `cbor:"4,keyasint"`
+	Voters  []string          `cbor:"5,keyasint"` // VMs of its settings, sorted
+}
+
+func (h *Host) loadInitial() error {
+	var record initialRecord
+	found, err := readRecord(filepath.Join(h.config.Folder, initialFile), &record)
+	if err != nil || !found {
+		return err
+	}
+	if record.Groups != h.config.Groups {
+		return fmt.Errorf("the settings name %d groups, the data folder holds %d; the number cannot be changed", h.config.Groups, record.Groups)
+	}
+	h.initial = &record
+	return nil
+}
+
+func (h *Host) initialMembership() *quorum.Membership {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.initial == nil {
+		return nil
+	}
+	return &h.initial.Membership
+}
+
+func (h *Host) anyBlank() bool {
+	return slices.ContainsFunc(h.groups, (*group).blank)
+}
+
+func (h *Host) hasGroups() bool {
+	if h.initialMembership() != nil {
+		return true
+	}
+	return slices.ContainsFunc(h.groups, func(g *group) bool { return !g.blank() })
+}
+
+func (h *Host) currentMembership() quorum.Membership {
+	g := h.groups[0]
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.node.Membership()
+}
+
+func (h *Host) voterNames() []string {
+	names := make([]string, len(h.config.Voters))
+	for i, voter := range h.config.Voters {
+		names[i] = voter.VM
+	}
+	slices.Sort(names)
+	return names
+}
+
+func (h *Host) member() quorum.Member {
+	return quorum.Member{ID: h.self.ID, VM: h.self.VM, Address: h.self.Address}
+}
+
+func (h *Host) serveHello(_ context.Context, request *helloRequest) (*helloResponse, error) {
+	if err := h.stopped(); err != nil {
+		return nil, err
+	}
+	if request.Blank {
+		h.noteCandidate(request.Member)
+	}
+	return &helloResponse{
+		Member: h.member(), HasGroups: h.hasGroups(), Initial: h.initialMembership(),
+		Current: h.currentMembership(), Voters: h.voterNames(),
+	}, nil
+}
+
+// runJoin brings a blank member into the groups: by bootstrap when they do not
+// exist anywhere, else by making itself known as a replacement.
+func (h *Host) runJoin() {
+	ticker := time.NewTicker(helloInterval)
+	defer ticker.Stop()
+	for h.anyBlank() {
+		answers := h.helloAll()
+		initial, ok := decideInitial(h.member(), h.config.Voters, answers)
+		if ok && !h.hasGroups() {
+			if err := h.adoptInitial(initial); err != nil {
+				h.fail(err)
+				return
+			}
+			break
+		}
+		select {
+		case <-h.ctx.Done():
+			return
+		case <-ticker.C:
+		}
+	}
+	h.logger.Info("member of the groups", zap.Stringer("id", h.self.ID))
+}
+
+func (h *Host) helloAll() []helloResponse {
+	addresses := map[string]bool{}
+	for _, voter := range h.config.Voters {
+		if voter.VM != h.self.VM {
+			addresses[voter.Address] = true
+		}
+	}
+	results := make(chan *helloResponse, len(addresses))
+	request := helloRequest{Member: h.member(), Blank: true}
+	for address := range addresses {
+		go func() { results <- h.hello(address, request) }()
+	}
+	var answers []helloResponse
+	for range addresses {
+		if answer := <-results; answer != nil {
+			answers = append(answers, *answer)
+		}
+	}
+	h.helloOthers(addresses, answers, request)
+	return answers
+}
+
+// helloOthers introduces this member to those that have joined since the
+// settings were written; one of them may lead.
+func (h *Host) helloOthers(asked map[string]bool, answers []helloResponse, request helloRequest) {
+	for _, answer := range answers {
+		for _, member := range answer.Current.Members {
+			if member.VM == h.self.VM || asked[member.Address] {
+				continue
+			}
+			asked[member.Address] = true
+			h.hello(member.Address, request)
+		}
+	}
+}
+
+func (h *Host) hello(address string, request helloRequest) *helloResponse {
+	ctx, cancel := context.WithTimeout(h.ctx, helloTimeout)
+	defer cancel()
+	answer, err := rpc.Call(ctx, h.transport.client, address, procedureHello, &request)
+	if err != nil {
+		return nil
+	}
+	return answer
+}
+
+// decideInitial says with which membership a blank member begins, if it may.
+//
+// One member only, the first of the settings' list by name, chooses it, and
+// only when every other one has answered and none holds a group. So a disk that
+// was lost and comes back blank can never begin a second group beside the one
+// that the others hold: any of them would have to say that it has none. The
+// others take over the choice, which they find by asking, if it names them by
+// their disk; a disk that was replaced after the choice is not named, and joins
+// as a replacement.
+func decideInitial(self quorum.Member, voters []Voter, answers []helloResponse) (quorum.Membership, bool) {
+	members := []quorum.Member{self}
+	names := make([]string, len(voters))
+	for i, voter := range voters {
+		names[i] = voter.VM
+	}
+	slices.Sort(names)
+	for _, answer := range answers {
+		if answer.Initial != nil {
+			_, named := answer.Initial.Find(self.ID)
+			return *answer.Initial, named
+		}
+		if answer.HasGroups {
+			return quorum.Membership{}, false
+		}
+		if slices.Contains(names, answer.Member.VM) && slices.Equal(names, answer.Voters) {
+			members = append(members, answer.Member)
+		}
+	}
+	answered := map[string]bool{}
+	for _, member := range members {
+		answered[member.VM] = true
+	}
+	return quorum.NewMembership(members...), self.VM == names[0] && len(answered) == len(names)
+}
+
+// adoptInitial syncs the membership before the first vote can be given.
+func (h *Host) adoptInitial(initial quorum.Membership) error {
+	record := initialRecord{Groups: h.config.Groups, Membership: initial}
+	if err := writeRecord(filepath.Join(h.config.Folder, initialFile), record); err != nil {
+		return err
+	}
+	h.mu.Lock()
+	h.initial = &record
+	h.mu.Unlock()
+	for _, g := range h.groups {
+		if err := g.adoptInitial(); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// adoptInitial begins the group unless its leader was faster.
+func (g *group) adoptInitial() error {
+	if !g.blank() {
+		return nil
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if err := g.begin(&recovered{}); err != nil {
+		return err
+	}
+	g.flush()
+	return nil
+}
--- /dev/null
+++ b/internal/replica/config.go
@@ -0,0 +1,118 @@
+package replica
+
+import (
+	"fmt"
+	"net/http"
+	"time"
+
+	"go.uber.org/zap"
+
+	"slateway.example/slateway/internal/wal"
+)
+
+// Voter is an initial member of the groups as the settings name it. Its disk is
+// learned when the group is bootstrapped.
+type Voter struct {
+	VM      string
+	Address string // peer address, IP and port
+}
+
+// Config of a Host. Zero values of the optional fields take the defaults.
+type Config struct {
+	VM      string
+	Address string // where the other members reach this one, IP and port
+	Folder  string // data folder of this VM; nobody else writes to it
+	// Voters are the initial members, the same list on every VM. A VM that is
+	// not among them is a spare: it joins only in place of a lost member.
+	Voters []Voter
+	Groups uint32
+	// NewMachine makes the state machine of a group, which keeps its files in
+	// folder. Restore is called before anything else.
+	NewMachine func(group uint32, folder string) (Machine, error)
+
+	Tick           time.Duration // 50 ms
+	HeartbeatTicks int           // 2
+	ElectionTicks  int           // 12; elections start after 12 to 24 ticks
+
+	SnapshotEntries uint64 // entries between snapshots of a group; 10,000
+	SnapshotBytes   int64  // bytes of entries between them; 16 MiB
+	MaxProposals    int    // waiting in one group; 8,192
+	TransferRate    int64  // bytes a second of snapshots sent; 32 MiB
+
+	// ReplaceAfter is how long a voter must be unheard before a blank disk of
+	// its VM, or a spare, takes its place. Zero leaves it to the operator.
+	ReplaceAfter time.Duration
+
+	Logger *zap.Logger
+	Client *http.Client // for calls to the other members
+	WAL    wal.Options
+}
+
+const (
+	defaultTick            = 50 * time.Millisecond
+	defaultHeartbeatTicks  = 2
+	defaultElectionTicks   = 12
+	defaultSnapshotEntries = 10_000
+	defaultSnapshotBytes   = 16 << 20
+	defaultMaxProposals    = 8_192
+	defaultTransferRate    = 32 << 20
+
+	maxAppendBytes  = 512 << 10
+	maxInflight     = 16
+	maxProposalSize = 4 << 20
+	// keptEntries stay in memory behind a snapshot, for members that lag a
+	// little, so that they need no transfer.
+	keptEntries = 1_000
+)
+
+func (c Config) withDefaults() Config {
+	setDefault(&c.Tick, defaultTick)
+	setDefault(&c.HeartbeatTicks, defaultHeartbeatTicks)
+	setDefault(&c.ElectionTicks, defaultElectionTicks)
+	setDefault(&c.SnapshotEntries, defaultSnapshotEntries)
+	setDefault(&c.SnapshotBytes, defaultSnapshotBytes)
+	setDefault(&c.MaxProposals, defaultMaxProposals)
+	setDefault(&c.TransferRate, defaultTransferRate)
+	if c.Logger == nil {
+		c.Logger = zap.NewNop()
+	}
+	if c.Client == nil {
+		c.Client = &http.Client{Transport: &http.Transport{
+			MaxIdleConnsPerHost: 4,
+			IdleConnTimeout:     time.Minute,
+			DisableCompression:  true,
+		}}
+	}
+	return c
+}
+
+func setDefault[T comparable](value *T, fallback T) {
+	var zero T
+	if *value == zero {
+		*value = fallback
+	}
+}
+
+func (c Config) validate() error {
+	switch {
+	case c.VM == "" || c.Address == "" || c.Folder == "":
+		return fmt.Errorf("replica: VM name, peer address and data folder must be set")
+	case c.Groups == 0 || c.NewMachine == nil:
+		return fmt.Errorf("replica: at least one group and its state machine must be set")
+	case len(c.Voters) == 0:
+		return fmt.Errorf("replica: the list of initial voters is empty")
+	}
+	seen := map[string]bool{}
+	for _, voter := range c.Voters {
+		if seen[voter.VM] {
+			return fmt.Errorf("replica: VM %s stands twice in the list of initial voters", voter.VM)
+		}
+		seen[voter.VM] = true
+	}
+	return nil
+}
+
+// electionTimeout is the shortest time without a leader before an election.
+func (c Config) electionTimeout() time.Duration {
+	return time.Duration(c.ElectionTicks) * c.Tick
+}
--- a/internal/replica/errors.go
+++ b/internal/replica/errors.go
@@ -67,3 +67,33 @@
 func (e *OverloadedError) Error() string {
 	return fmt.Sprintf("group %d has %d proposals waiting; ask again later", e.Group, e.Limit)
 }
+
+// As lets the API errors be found by errors.As: services pass errors of this
+// package on unchanged.
+func (e *NotLeaderError) As(target any) bool {
+	return setAPIError(target, apierr.New(apierr.Unavailable, ReasonNotLeader, "ask the keeper that leads the group", "%s", e.Error()))
+}
+
+// As gives the API error; the change may have been made.
+func (e *OutcomeUnknownError) As(target any) bool {
+	known := apierr.New(apierr.Unavailable, ReasonOutcomeUnknown, "send the change again with the same ID", "%s", e.Error())
+	return setAPIError(target, known.WithRan(apierr.RanUnknown))
+}
+
+// As gives the API error.
+func (e *StoppedError) As(target any) bool {
+	return setAPIError(target, apierr.New(apierr.Unavailable, ReasonStopped, "ask another keeper", "%s", e.Error()))
+}
+
+// As gives the API error.
+func (e *OverloadedError) As(target any) bool {
+	return setAPIError(target, apierr.New(apierr.Overloaded, ReasonOverloaded, "come back later", "%s", e.Error()))
+}
+
+func setAPIError(target any, known *apierr.Error) bool {
+	wanted, ok := target.(**apierr.Error)
+	if ok {
+		*wanted = known
+	}
+	return ok
+}
--- /dev/null
+++ b/internal/replica/host.go
@@ -0,0 +1,306 @@
+package replica
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net/http"
+	"os"
+	"path/filepath"
+	"sync"
+	"time"
+
+	"go.uber.org/zap"
+
+	"slateway.example/slateway/internal/quorum"
+	"slateway.example/slateway/internal/rpc"
+	"slateway.example/slateway/internal/wal"
+)
+
+var errLeadershipLost = errors.New("leadership was lost while the change was in progress")
+
+// Host holds the replicated groups of one VM. It is a Proposer.
+type Host struct {
+	config    Config
+	logger    *zap.Logger
+	self      Member
+	lock      *os.File
+	log       *wal.Log
+	transport *transport
+	groups    []*group
+	pacer     *pacer
+
+	ctx    context.Context
+	cancel context.CancelFunc
+	wait   sync.WaitGroup
+	done   chan struct{}
+	once   sync.Once
+
+	mu         sync.Mutex
+	initial    *initialRecord
+	candidates map[quorum.ID]candidate
+	failure    error
+	ended      bool
+}
+
+var _ Proposer = (*Host)(nil)
+
+// Open recovers the groups from the data folder. The caller mounts the host's
+// calls, listens, and then calls Start.
+func Open(config Config) (*Host, error) {
+	config = config.withDefaults()
+	if err := config.validate(); err != nil {
+		return nil, err
+	}
+	lock, err := lockFolder(config.Folder)
+	if err != nil {
+		return nil, err
+	}
+	h := &Host{
+		config: config, logger: config.Logger, lock: lock,
+		done: make(chan struct{}), candidates: map[quorum.ID]candidate{},
+		pacer: newPacer(config.TransferRate),
+	}
+	h.ctx, h.cancel = context.WithCancel(context.Background())
+	if err := h.recover(); err != nil {
+		h.cancel()
+		_ = lock.Close()
+		return nil, err
+	}
+	return h, nil
+}
+
+func (h *Host) recover() error {
+	folder := h.config.Folder
+	disk, err := loadDisk(folder)
+	if err != nil {
+		return err
+	}
+	h.self = Member{ID: memberID(h.config.VM, disk), VM: h.config.VM, Address: h.config.Address}
+	h.transport = newTransport(h.config, h.self)
+	if err := h.loadInitial(); err != nil {
+		return err
+	}
+	found := make([]recovered, h.config.Groups)
+	h.log, err = wal.Open(filepath.Join(folder, logFolder), h.config.WAL, func(record wal.Record) error {
+		if record.Group >= h.config.Groups {
+			return fmt.Errorf("the log holds group %d, the settings name %d groups; the number cannot be changed", record.Group, h.config.Groups)
+		}
+		return found[record.Group].take(record)
+	})
+	if err != nil {
+		return err
+	}
+	for id := range h.config.Groups {
+		g, err := openGroup(h, id)
+		if err == nil {
+			err = g.begin(&found[id])
+		}
+		if err != nil {
+			return errors.Join(err, h.log.Close())
+		}
+		h.groups = append(h.groups, g)
+	}
+	return nil
+}
+
+// Mount adds the calls of the other members to mux.
+func (h *Host) Mount(mux *http.ServeMux) {
+	rpc.Handle(mux, procedureMessages, maxBody, h.serveMessages)
+	rpc.Handle(mux, procedureChunk, maxBody, h.serveChunk)
+	rpc.Handle(mux, procedureHello, maxBody, h.serveHello)
+	rpc.Handle(mux, procedureReplace, maxBody, h.serveReplace)
+	rpc.Handle(mux, procedureStatus, maxBody, h.serveStatus)
+}
+
+func (h *Host) serveMessages(_ context.Context, b *batch) (*ack, error) {
+	if err := h.stopped(); err != nil {
+		return nil, err
+	}
+	h.transport.hear(b.From, b.Address)
+	for _, e := range b.Envelopes {
+		if e.Group < uint32(len(h.groups)) {
+			h.groups[e.Group].step(e.Message)
+		}
+	}
+	return &ack{}, nil
+}
+
+// Start begins to take part. The host's calls are being served by now.
+func (h *Host) Start() {
+	for _, g := range h.groups {
+		h.wait.Go(func() { g.run(h.ctx.Done()) })
+		g.signal()
+	}
+	h.wait.Go(h.runTicks)
+	h.wait.Go(h.runJoin)
+	h.wait.Go(h.runReplacement)
+}
+
+// spawn runs fn until the host stops, which waits for it.
+func (h *Host) spawn(fn func()) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if !h.ended {
+		h.wait.Go(fn)
+	}
+}
+
+func (h *Host) runTicks() {
+	ticker := time.NewTicker(h.config.Tick)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-h.ctx.Done():
+			return
+		case <-ticker.C:
+			for _, g := range h.groups {
+				g.tick()
+			}
+		}
+	}
+}
+
+// Propose implements Proposer.
+func (h *Host) Propose(ctx context.Context, group uint32, data []byte) ([]byte, error) {
+	if group >= uint32(len(h.groups)) || len(data) > maxProposalSize {
+		return nil, fmt.Errorf("propose %d bytes to group %d: no such group or over %d bytes", len(data), group, maxProposalSize)
+	}
+	return h.groups[group].propose(ctx, data)
+}
+
+// ReadBarrier implements Proposer.
+func (h *Host) ReadBarrier(ctx context.Context, group uint32) error {
+	if group >= uint32(len(h.groups)) {
+		return fmt.Errorf("read barrier: no group %d", group)
+	}
+	return h.groups[group].readBarrier(ctx)
+}
+
+// Leader implements Proposer.
+func (h *Host) Leader(group uint32) (Member, bool) {
+	if group >= uint32(len(h.groups)) {
+		return Member{}, false
+	}
+	g := h.groups[group]
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.leader()
+}
+
+// Groups implements Proposer.
+func (h *Host) Groups() uint32 { return uint32(len(h.groups)) }
+
+// Self gives this VM's own member.
+func (h *Host) Self() Member { return h.self }
+
+// Done is closed when the host has stopped; Err then tells whether a failure
+// of its disk was the cause.
+func (h *Host) Done() <-chan struct{} { return h.done }
+
+// Err gives the failure that stopped the host, nil if there was none.
+func (h *Host) Err() error {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.failure
+}
+
+func (h *Host) stopped() error {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if !h.ended {
+		return nil
+	}
+	return &StoppedError{Cause: h.failure}
+}
+
+// fail stops the host for good. A member whose disk does not keep what was
+// written must not vote or acknowledge any more; the others go on without it.
+func (h *Host) fail(cause error) {
+	h.logger.Error("replica host stops", zap.Error(cause))
+	h.mu.Lock()
+	if h.failure == nil && !h.ended {
+		h.failure = cause
+	}
+	h.mu.Unlock()
+	go h.shutdown()
+}
+
+// Stop ends the host and returns when its files are closed. Leadership is
+// handed over first where another voter holds the whole log.
+func (h *Host) Stop() {
+	h.handOver()
+	h.shutdown()
+}
+
+func (h *Host) shutdown() {
+	h.once.Do(func() {
+		h.mu.Lock()
+		h.ended = true
+		h.mu.Unlock()
+		h.cancel()
+		h.transport.stop()
+		h.wait.Wait()
+		h.failWaiting()
+		err := errors.Join(h.log.Close(), h.lock.Close())
+		if err != nil {
+			h.logger.Warn("close the data folder", zap.Error(err))
+		}
+		close(h.done)
+	})
+	<-h.done
+}
+
+func (h *Host) failWaiting() {
+	for _, g := range h.groups {
+		g.mu.Lock()
+		g.failProposals(&StoppedError{Cause: h.Err()})
+		for id, waiting := range g.reads {
+			waiting.done <- &StoppedError{Cause: h.Err()}
+			delete(g.reads, id)
+		}
+		g.mu.Unlock()
+	}
+}
+
+// handOver transfers the leadership of each group that this VM leads and waits
+// for it, an election timeout at most.
+func (h *Host) handOver() {
+	deadline := time.Now().Add(h.config.electionTimeout())
+	for _, g := range h.groups {
+		g.transferAway()
+	}
+	for h.leadsAny() && time.Now().Before(deadline) {
+		time.Sleep(h.config.Tick / 2)
+	}
+}
+
+func (h *Host) leadsAny() bool {
+	for _, g := range h.groups {
+		g.mu.Lock()
+		leads := g.node.IsLeader() && g.node.Membership().Voters() > 1
+		g.mu.Unlock()
+		if leads {
+			return true
+		}
+	}
+	return false
+}
+
+// transferAway asks the reachable voter with the most of the log to lead.
+func (g *group) transferAway() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	var best quorum.MemberStatus
+	for _, member := range g.node.Status().Members {
+		if member.Reachable && !member.Learner && member.ID != g.host.self.ID && member.Match >= best.Match {
+			best = member
+		}
+	}
+	if best.ID == quorum.None {
+		return
+	}
+	if err := g.node.Transfer(best.ID); err == nil {
+		g.flush()
+	}
+}
--- /dev/null
+++ b/internal/replica/replacement.go
@@ -0,0 +1,281 @@
+package replica
+
+import (
+	"context"
+	"fmt"
+	"slices"
+	"time"
+
+	"go.uber.org/zap"
+
+	"slateway.example/slateway/internal/apierr"
+	"slateway.example/slateway/internal/quorum"
+	"slateway.example/slateway/internal/rpc"
+)
+
+const (
+	// reconcileInterval also paces repairs: one membership change of one group
+	// in each.
+	reconcileInterval = 250 * time.Millisecond
+	// candidateTTL is how long a blank member counts after it was heard.
+	candidateTTL = 3 * time.Second
+)
+
+// ReasonNoCandidate is the reason of a replacement that has nobody to put in.
+const ReasonNoCandidate apierr.Reason = "no_blank_member"
+
+// candidate is a blank member that waits to be taken in.
+type candidate struct {
+	member quorum.Member
+	heard  time.Time
+}
+
+// replacement is an operator's order to put New in the place of Old.
+type replacement struct {
+	Old quorum.ID     `cbor:"1,keyasint"`
+	New quorum.Member `cbor:"2,keyasint"`
+}
+
+func (h *Host) noteCandidate(member quorum.Member) {
+	member.Learner = false
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.candidates[member.ID] = candidate{member: member, heard: time.Now()}
+}
+
+// freshCandidates gives the blank members heard lately, in order of ID.
+func (h *Host) freshCandidates() []quorum.Member {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	var members []quorum.Member
+	for id, c := range h.candidates {
+		if time.Since(c.heard) > candidateTTL {
+			delete(h.candidates, id)
+			continue
+		}
+		members = append(members, c.member)
+	}
+	return quorum.NewMembership(members...).Members
+}
+
+// repairView is what the next step of a repair depends on.
+type repairView struct {
+	members    []quorum.MemberStatus
+	candidates []quorum.Member
+	target     int // voters that the group should have
+	lostTicks  int // unheard for as long, a member is lost; 0: never by itself
+	request    *replacement
+}
+
+// nextChange gives the next membership change of a repair. It keeps no state
+// of its own: after a change of leader the next one goes on from the members.
+//
+// A new member joins as a learner, counts once it holds the whole log, and only
+// then does the old one leave. The other order would leave two voters of three,
+// without one to spare, for as long as the transfer takes.
+func nextChange(v repairView) (quorum.Change, bool) {
+	voters := 0
+	for _, member := range v.members {
+		if member.Learner {
+			return v.finishLearner(member)
+		}
+		voters++
+	}
+	if old, ok := v.surplus(voters); ok {
+		return quorum.Change{Kind: quorum.Remove, Member: old}, true
+	}
+	if v.request != nil {
+		if v.has(v.request.Old) && !v.has(v.request.New.ID) {
+			return quorum.Change{Kind: quorum.AddLearner, Member: v.request.New}, true
+		}
+		return quorum.Change{}, false
+	}
+	for _, member := range v.members {
+		if !v.lost(member) {
+			continue
+		}
+		if blank, ok := v.replacementFor(member); ok {
+			return quorum.Change{Kind: quorum.AddLearner, Member: blank}, true
+		}
+	}
+	return quorum.Change{}, false
+}
+
+func (v repairView) finishLearner(learner quorum.MemberStatus) (quorum.Change, bool) {
+	if v.lost(learner) {
+		return quorum.Change{Kind: quorum.Remove, Member: learner.Member}, true
+	}
+	return quorum.Change{Kind: quorum.Promote, Member: learner.Member}, learner.Reachable
+}
+
+// surplus gives the voter that a new one has replaced.
+func (v repairView) surplus(voters int) (quorum.Member, bool) {
+	if v.request != nil && v.has(v.request.New.ID) {
+		for _, member := range v.members {
+			if member.ID == v.request.Old {
+				return member.Member, true
+			}
+		}
+	}
+	if voters <= v.target {
+		return quorum.Member{}, false
+	}
+	for _, member := range v.members {
+		if v.lost(member) {
+			return member.Member, true
+		}
+	}
+	return quorum.Member{}, false
+}
+
+func (v repairView) has(id quorum.ID) bool {
+	return slices.ContainsFunc(v.members, func(m quorum.MemberStatus) bool { return m.ID == id })
+}
+
+func (v repairView) lost(member quorum.MemberStatus) bool {
+	return v.lostTicks > 0 && member.IdleTicks >= v.lostTicks
+}
+
+// replacementFor prefers a blank disk of the lost member's own VM, else takes a
+// spare VM that has no member yet.
+func (v repairView) replacementFor(lost quorum.MemberStatus) (quorum.Member, bool) {
+	for _, blank := range v.candidates {
+		if blank.VM == lost.VM {
+			return blank, true
+		}
+	}
+	for _, blank := range v.candidates {
+		taken := slices.ContainsFunc(v.members, func(m quorum.MemberStatus) bool { return m.VM == blank.VM })
+		if !taken {
+			return blank, true
+		}
+	}
+	return quorum.Member{}, false
+}
+
+func (h *Host) runReplacement() {
+	ticker := time.NewTicker(reconcileInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-h.ctx.Done():
+			return
+		case <-ticker.C:
+			h.reconcile()
+		}
+	}
+}
+
+// reconcile makes one change in one of the groups that this VM leads.
+func (h *Host) reconcile() {
+	view := repairView{
+		candidates: h.freshCandidates(),
+		target:     len(h.config.Voters),
+		lostTicks:  int(h.config.ReplaceAfter / h.config.Tick),
+	}
+	for _, g := range h.groups {
+		if g.reconcile(view) {
+			return
+		}
+	}
+}
+
+func (g *group) reconcile(view repairView) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if !g.node.IsLeader() {
+		return false
+	}
+	view.members = g.node.Status().Members
+	view.request = g.request
+	if g.request != nil && !view.has(g.request.Old) && view.has(g.request.New.ID) {
+		g.request = nil
+	}
+	change, ok := nextChange(view)
+	if !ok {
+		return false
+	}
+	if _, err := g.node.ProposeChange(change); err != nil {
+		return false
+	}
+	g.host.logger.Info("membership change", zap.Uint32("group", g.id), zap.Uint8("kind", uint8(change.Kind)),
+		zap.Stringer("member", change.Member.ID), zap.String("vm", change.Member.VM))
+	g.flush()
+	return true
+}
+
+// replaceRequest asks the leader of a group to replace a member.
+type replaceRequest struct {
+	Group uint32 `cbor:"1,keyasint"`
+	OldVM string `cbor:"2,keyasint"`
+	NewVM string `cbor:"3,keyasint"`
+}
+
+// ReplaceMember orders, in every group, that the member on oldVM be replaced by
+// the blank disk that waits on newVM; the two may be the same VM. It returns
+// once the leaders have taken the order; Status shows how far it is. A leader
+// that fails meanwhile forgets it: order again.
+func (h *Host) ReplaceMember(ctx context.Context, oldVM, newVM string) error {
+	for id := range h.Groups() {
+		request := replaceRequest{Group: id, OldVM: oldVM, NewVM: newVM}
+		leader, ok := h.Leader(id)
+		if !ok {
+			return &NotLeaderError{Group: id}
+		}
+		if leader.ID == h.self.ID {
+			if _, err := h.serveReplace(ctx, &request); err != nil {
+				return err
+			}
+			continue
+		}
+		if _, err := rpc.Call(ctx, h.transport.client, leader.Address, procedureReplace, &request); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (h *Host) serveReplace(_ context.Context, request *replaceRequest) (*ack, error) {
+	if request.Group >= uint32(len(h.groups)) {
+		return nil, fmt.Errorf("no group %d", request.Group)
+	}
+	candidates := h.freshCandidates()
+	g := h.groups[request.Group]
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if !g.node.IsLeader() {
+		return nil, g.notLeader()
+	}
+	return &ack{}, g.orderReplacement(request, candidates)
+}
+
+// orderReplacement is idempotent: a group in which the new disk has taken the
+// place already needs no order.
+func (g *group) orderReplacement(request *replaceRequest, candidates []quorum.Member) error {
+	members := g.node.Membership().Members
+	onNew := func(m quorum.Member) bool { return m.VM == request.NewVM }
+	blank := slices.IndexFunc(candidates, onNew)
+	var old, fresh *quorum.Member
+	for i, member := range members {
+		switch {
+		case blank >= 0 && member.ID == candidates[blank].ID, member.VM == request.NewVM && member.Learner:
+			fresh = &members[i]
+		case member.VM == request.OldVM && old == nil:
+			old = &members[i]
+		}
+	}
+	if fresh == nil && blank >= 0 {
+		fresh = &candidates[blank]
+	}
+	switch {
+	case old == nil && fresh != nil:
+		return nil
+	case old == nil:
+		return apierr.New(apierr.NotFound, "no_member", "see the list of members", "group %d has no member on VM %s", g.id, request.OldVM)
+	case fresh == nil:
+		return apierr.New(apierr.Conflict, ReasonNoCandidate, "start its daemon with an empty data folder first",
+			"no blank member on VM %s has been heard", request.NewVM)
+	}
+	g.request = &replacement{Old: old.ID, New: *fresh}
+	return nil
+}
--- /dev/null
+++ b/internal/replica/status.go
@@ -0,0 +1,98 @@
+package replica
+
+import (
+	"context"
+
+	"slateway.example/slateway/internal/quorum"
+	"slateway.example/slateway/internal/rpc"
+)
+
+// MemberStatus is one member of a group.
+type MemberStatus struct {
+	ID      quorum.ID `cbor:"1,keyasint"`
+	VM      string    `cbor:"2,keyasint"`
+	Address string    `cbor:"3,keyasint"`
+	Learner bool      `cbor:"4,keyasint,omitempty"` // holds no vote until it has the whole log
+	// Match and Reachable are known to the leader only.
+	Match     uint64 `cbor:"5,keyasint,omitempty"` // last entry it has synced
+	Reachable bool   `cbor:"6,keyasint,omitempty"`
+}
+
+// GroupStatus is the state of a group as one VM sees it.
+type GroupStatus struct {
+	Group   uint32         `cbor:"1,keyasint"`
+	Leader  quorum.ID      `cbor:"2,keyasint,omitempty"` // zero: unknown
+	Leads   bool           `cbor:"3,keyasint,omitempty"` // this VM leads; the last two fields count only then
+	Term    uint64         `cbor:"4,keyasint"`
+	Commit  uint64         `cbor:"5,keyasint"`
+	Applied uint64         `cbor:"6,keyasint"`
+	Members []MemberStatus `cbor:"7,keyasint"`
+	// IsMember is false for a blank member and for one that was removed; the
+	// latter joins again only with an empty data folder.
+	IsMember      bool   `cbor:"8,keyasint,omitempty"`
+	SnapshotIndex uint64 `cbor:"9,keyasint,omitempty"`
+	SnapshotBytes int    `cbor:"10,keyasint,omitempty"`
+	// VotersReachable are the voters that answer and follow the log; Tolerance
+	// is how many of them may be lost before changes stop.
+	VotersReachable int `cbor:"11,keyasint,omitempty"`
+	Tolerance       int `cbor:"12,keyasint,omitempty"`
+}
+
+// Status gives the groups as this VM sees them.
+func (h *Host) Status() []GroupStatus {
+	statuses := make([]GroupStatus, len(h.groups))
+	for i, g := range h.groups {
+		statuses[i] = g.view()
+	}
+	return statuses
+}
+
+func (g *group) view() GroupStatus {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	s := g.node.Status()
+	status := GroupStatus{
+		Group: g.id, Leader: s.Leader, Leads: s.Role == quorum.Leader, Term: s.Term, Commit: s.Commit, Applied: g.applied,
+		SnapshotIndex: g.status.snapshotIndex, SnapshotBytes: g.status.snapshotBytes,
+		VotersReachable: s.Reachable, Tolerance: s.Tolerance,
+	}
+	for _, m := range s.Members {
+		status.IsMember = status.IsMember || m.ID == s.ID
+		status.Members = append(status.Members, MemberStatus{
+			ID: m.ID, VM: m.VM, Address: m.Address, Learner: m.Learner, Match: m.Match, Reachable: m.Reachable,
+		})
+	}
+	return status
+}
+
+type statusRequest struct{}
+
+type statusResponse struct {
+	Groups []GroupStatus `cbor:"1,keyasint"`
+}
+
+func (h *Host) serveStatus(context.Context, *statusRequest) (*statusResponse, error) {
+	return &statusResponse{Groups: h.Status()}, nil
+}
+
+// LeaderStatus gives the groups as their leaders see them; a group whose leader
+// cannot be asked is given as this VM sees it.
+func (h *Host) LeaderStatus(ctx context.Context) []GroupStatus {
+	statuses := h.Status()
+	asked := map[string]*statusResponse{}
+	for i := range statuses {
+		leader, ok := h.Leader(uint32(i))
+		if !ok || leader.ID == h.self.ID {
+			continue
+		}
+		answer, known := asked[leader.Address]
+		if !known {
+			answer, _ = rpc.Call(ctx, h.transport.client, leader.Address, procedureStatus, &statusRequest{})
+			asked[leader.Address] = answer
+		}
+		if answer != nil && i < len(answer.Groups) && answer.Groups[i].Leads {
+			statuses[i] = answer.Groups[i]
+		}
+	}
+	return statuses
+}
--- /dev/null
+++ b/internal/replica/transport.go
@@ -0,0 +1,199 @@
+package replica
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"go.uber.org/zap"
+
+	"slateway.example/slateway/internal/quorum"
+	"slateway.example/slateway/internal/rpc"
+)
+
+// Calls between hosts.
+const (
+	procedureMessages rpc.Procedure[batch, ack]                    = "/slateway.replica/Messages"
+	procedureChunk    rpc.Procedure[chunk, ack]                    = "/slateway.replica/Chunk"
+	procedureHello    rpc.Procedure[helloRequest, helloResponse]   = "/slateway.replica/Hello"
+	procedureReplace  rpc.Procedure[replaceRequest, ack]           = "/slateway.replica/Replace"
+	procedureStatus   rpc.Procedure[statusRequest, statusResponse] = "/slateway.replica/Status"
+)
+
+// maxBody bounds the body of one call in bytes: an entry of maximal size and
+// the rest of its batch.
+const maxBody = 16 << 20
+
+// Bounds of what waits for one member, in messages and in bytes of one call.
+const (
+	maxQueued     = 4096
+	maxBatchBytes = 1 << 20
+)
+
+type ack struct{}
+
+// envelope is a message and the group that it belongs to.
+type envelope struct {
+	Group   uint32         `cbor:"1,keyasint"`
+	Message quorum.Message `cbor:"2,keyasint"`
+}
+
+// batch carries the messages of all groups between two hosts.
+type batch struct {
+	From      quorum.ID  `cbor:"1,keyasint"`
+	Address   string     `cbor:"2,keyasint"` // of the sender, to answer at
+	Envelopes []envelope `cbor:"3,keyasint"`
+}
+
+func (e *envelope) size() int {
+	size := 64
+	for i := range e.Message.Entries {
+		size += len(e.Message.Entries[i].Data) + 32
+	}
+	return size
+}
+
+// transport sends the messages of all groups, in one call at a time per member.
+// A lost batch is no harm: the decisions send anew.
+type transport struct {
+	client  *rpc.Client
+	self    Member
+	timeout time.Duration
+	logger  *zap.Logger
+
+	mu    sync.Mutex
+	peers map[string]*peer // by address
+	// heard holds the addresses that members gave in their calls. A blank
+	// member learns from it where to answer before it has any membership.
+	heard   map[quorum.ID]string
+	stopped bool
+	wait    sync.WaitGroup
+	ctx     context.Context
+	cancel  context.CancelFunc
+}
+
+type peer struct {
+	queue []envelope
+	wake  chan struct{}
+}
+
+func newTransport(config Config, self Member) *transport {
+	ctx, cancel := context.WithCancel(context.Background())
+	return &transport{
+		client: rpc.NewClient(config.Client), self: self, logger: config.Logger,
+		// A connection may go silent for good. Half an election timeout leaves
+		// time for a heartbeat on a fresh one before the members elect anew; a
+		// call that is given up closes its HTTP/1 connection.
+		timeout: config.electionTimeout() / 2,
+		peers:   map[string]*peer{}, heard: map[quorum.ID]string{}, ctx: ctx, cancel: cancel,
+	}
+}
+
+// send queues messages; those to members without an address are dropped.
+func (t *transport) send(group uint32, members quorum.Membership, messages []quorum.Message) {
+	if len(messages) == 0 {
+		return
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, m := range messages {
+		address := t.address(members, m.To)
+		if address == "" || t.stopped {
+			continue
+		}
+		p := t.peer(address)
+		if len(p.queue) >= maxQueued {
+			continue
+		}
+		p.queue = append(p.queue, envelope{Group: group, Message: m})
+		select {
+		case p.wake <- struct{}{}:
+		default:
+		}
+	}
+}
+
+func (t *transport) address(members quorum.Membership, to quorum.ID) string {
+	if address := t.heard[to]; address != "" {
+		return address
+	}
+	member, _ := members.Find(to)
+	return member.Address
+}
+
+func (t *transport) addressOf(members quorum.Membership, to quorum.ID) string {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.address(members, to)
+}
+
+// hear notes where a member can be answered.
+func (t *transport) hear(id quorum.ID, address string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.heard[id] = address
+}
+
+// peer gives the sender to an address. The mutex is held.
+func (t *transport) peer(address string) *peer {
+	p := t.peers[address]
+	if p == nil {
+		p = &peer{wake: make(chan struct{}, 1)}
+		t.peers[address] = p
+		t.wait.Go(func() { t.run(address, p) })
+	}
+	return p
+}
+
+func (t *transport) run(address string, p *peer) {
+	reachable := true
+	for {
+		select {
+		case <-t.ctx.Done():
+			return
+		case <-p.wake:
+		}
+		for {
+			next := t.take(p)
+			if len(next.Envelopes) == 0 {
+				break
+			}
+			err := t.call(address, &next)
+			if (err == nil) != reachable {
+				reachable = err == nil
+				t.logger.Info("member", zap.String("address", address), zap.Bool("reachable", reachable), zap.Error(err))
+			}
+		}
+	}
+}
+
+func (t *transport) call(address string, next *batch) error {
+	ctx, cancel := context.WithTimeout(t.ctx, t.timeout)
+	defer cancel()
+	_, err := rpc.Call(ctx, t.client, address, procedureMessages, next)
+	return err
+}
+
+func (t *transport) take(p *peer) batch {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	size, count := 0, 0
+	for i := range p.queue {
+		size += p.queue[i].size()
+		if count > 0 && size > maxBatchBytes {
+			break
+		}
+		count++
+	}
+	taken := p.queue[:count:count]
+	p.queue = append([]envelope(nil), p.queue[count:]...)
+	return batch{From: t.self.ID, Address: t.self.Address, Envelopes: taken}
+}
+
+func (t *transport) stop() {
+	t.mu.Lock()
+	t.stopped = true
+	t.mu.Unlock()
+	t.cancel()
+	t.wait.Wait()
+}
