Replace lost disks and show the tolerance that is left

A blank disk joins as a learner, counts once it holds the whole log, and only then the old member leaves. Cause of the mended fault: the tolerance counted a removal that the leader had appended but nobody else had. It is now the lesser of the tolerances under the committed and the appended membership.

--- a/internal/quorum/quorum_test.go
+++ b/internal/quorum/quorum_test.go
@@ -181,6 +181,32 @@
 	}
 }
 
+// An operator sees that a repair is complete and takes the next VM down, which
+// leads. It had appended the removal of the old member but nobody else had it:
+// the two that are left count four members and elect no one. The tolerance
+// shown must stay at zero until the removal is committed.
+func TestToleranceCountsUncommittedRemoval(t *testing.T) {
+	b := newBench(t, 1, 2, 3, 4)
+	b.propose(t, "a")
+	leader := b.leader(t)
+	lost := ID(1)
+	if leader.config.ID == lost {
+		lost = 2
+	}
+	b.cut[lost] = true
+	b.tick(20)
+	if _, err := leader.ProposeChange(Change{Kind: Remove, Member: Member{ID: lost}}); err != nil {
+		t.Fatal(err)
+	}
+	if got := leader.Status().Tolerance; got != 0 {
+		t.Errorf("tolerance is %d before the removal is committed", got)
+	}
+	b.settle()
+	if got := leader.Status().Tolerance; got != 1 {
+		t.Errorf("tolerance is %d after the removal", got)
+	}
+}
+
 func TestTransfer(t *testing.T) {
 	b := newBench(t, 1, 2, 3)
 	b.propose(t, "a")
--- a/internal/quorum/status.go
+++ b/internal/quorum/status.go
@@ -36,7 +36,7 @@
 		view := MemberStatus{Member: member}
 		if p := n.progress[member.ID]; p != nil {
 			view.Match, view.IdleTicks, view.State = p.match, p.idle, p.state
-			view.Reachable = member.ID == n.config.ID || p.idle < n.config.ElectionTicks && p.state == Replicating
+			view.Reachable = member.ID == n.config.ID || p.follows(n.config.ElectionTicks)
 		}
 		if view.Reachable && !member.Learner {
 			s.Reachable++
@@ -44,7 +44,25 @@
 		s.Members = append(s.Members, view)
 	}
 	if n.role == Leader {
-		s.Tolerance = s.Reachable - n.Membership().Majority()
+		s.Tolerance = n.tolerance()
 	}
 	return s
 }
+
+// tolerance counts under both memberships while a change is not committed. If
+// this leader is lost then, the others may never have seen the change: they
+// still need a majority of the old members, among them perhaps a lost one.
+func (n *Node) tolerance() int {
+	return min(n.toleranceOf(n.Membership()), n.toleranceOf(n.log.membershipAt(n.log.commit)))
+}
+
+func (n *Node) toleranceOf(m Membership) int {
+	following := 0
+	for _, member := range m.Members {
+		p := n.progress[member.ID]
+		if !member.Learner && (member.ID == n.config.ID || p != nil && p.follows(n.config.ElectionTicks)) {
+			following++
+		}
+	}
+	return following - m.Majority()
+}
--- a/internal/replica/host_test.go
+++ b/internal/replica/host_test.go
@@ -1,7 +1,16 @@
 package replica
 
 import (
+	"context"
+	"errors"
+	"fmt"
+	"os"
+	"sync"
+	"sync/atomic"
 	"testing"
+	"time"
+
+	"slateway.example/slateway/internal/wal"
 )
 
 // The VM that leads is lost right after it acknowledged a change. Another one
@@ -20,3 +29,185 @@
 	c.expect(lost, "first")
 	c.expect(lost, "second")
 }
+
+// A partition cuts the leader off without closing a connection. Operators still
+// talk to it: its reads and changes must fail instead of showing old state or
+// hanging, and it must give up its office, while the others go on. When the
+// partition heals, its own change that nobody acknowledged is gone.
+func TestLeaderIsIsolatedSilently(t *testing.T) {
+	c := start(t, 3, 3, nil)
+	c.change("first")
+	isolated := c.leader()
+	isolated.silent.set(true)
+	ctx, cancel := context.WithTimeout(context.Background(), patience)
+	defer cancel()
+	started := time.Now()
+	if err := isolated.host.ReadBarrier(ctx, 0); err == nil {
+		t.Error("a leader without a majority confirmed a read")
+	}
+	err := c.tryChange(isolated, "lost")
+	var unknown *OutcomeUnknownError
+	var elsewhere *NotLeaderError
+	if !errors.As(err, &unknown) && !errors.As(err, &elsewhere) {
+		t.Errorf("a leader without a majority answered %v", err)
+	}
+	if took := time.Since(started); took > patience/2 {
+		t.Errorf("it took %v to fail", took)
+	}
+	c.eventually("the isolated VM no longer leads", func() bool { return !isolated.host.Status()[0].Leads })
+	next := c.leader(isolated)
+	if err := c.tryChange(next, "second"); err != nil {
+		t.Fatal(err)
+	}
+	isolated.silent.set(false)
+	c.expect(isolated, "second")
+	if isolated.machines[0].times("lost") > 1 {
+		t.Error("the change was applied twice")
+	}
+}
+
+// A disk is lost and its VM starts with a blank one. The blank disk must not
+// begin a second group, must not vote as the old member, and takes its place
+// only with the whole log. Right after that a second VM is lost: everything
+// acknowledged is there and the group goes on.
+func TestSecondLossRightAfterReplacement(t *testing.T) {
+	c := start(t, 3, 3, func(config *Config) {
+		config.ReplaceAfter = time.Second
+		config.SnapshotEntries = 50
+	})
+	for i := range 120 {
+		c.change(fmt.Sprint("before-", i))
+	}
+	lost := c.others(c.leader())[0]
+	old := lost.host.Self().ID
+	lost.kill()
+	if err := os.RemoveAll(lost.folder); err != nil {
+		t.Fatal(err)
+	}
+	c.restart(lost)
+	fresh := lost.host.Self().ID
+	if fresh == old {
+		t.Fatal("the blank disk has the identity of the old one")
+	}
+	c.eventually("the repair is complete", func() bool {
+		s := c.leader().host.Status()[0]
+		voters := map[string]bool{}
+		for _, m := range s.Members {
+			voters[m.ID.String()] = !m.Learner
+		}
+		return len(s.Members) == 3 && voters[fresh.String()] && s.Tolerance == 1
+	})
+	second := c.leader()
+	second.kill()
+	c.change("after")
+	for i := range 120 {
+		c.expect(lost, fmt.Sprint("before-", i))
+	}
+	c.expect(lost, "after")
+}
+
+// An operator replaces a member by hand, onto a spare VM.
+func TestOperatorReplacesMember(t *testing.T) {
+	c := start(t, 4, 3, nil)
+	c.change("first")
+	spare := c.vms[3]
+	lost := c.others(c.leader())[0]
+	lost.kill()
+	c.eventually("the order is taken", func() bool {
+		return c.leader().host.ReplaceMember(context.Background(), lost.name, spare.name) == nil
+	})
+	c.eventually("the spare votes and the lost VM is gone", func() bool {
+		s := c.leader().host.Status()[0]
+		return len(s.Members) == 3 && s.Tolerance == 1
+	})
+	c.expect(spare, "first")
+}
+
+// All VMs restart after a thousand changes, over several snapshots. Each change
+// is there once, in files and in memory.
+func TestAllRestartAfterThousandChanges(t *testing.T) {
+	c := start(t, 3, 3, func(config *Config) { config.SnapshotEntries = 300 })
+	var wait sync.WaitGroup
+	for worker := range 20 {
+		wait.Go(func() {
+			for i := range 50 {
+				c.change(fmt.Sprintf("%d-%d", worker, i))
+			}
+		})
+	}
+	wait.Wait()
+	for _, v := range c.vms {
+		v.kill()
+	}
+	for _, v := range c.vms {
+		c.restart(v)
+	}
+	for _, v := range c.vms {
+		for worker := range 20 {
+			for i := range 50 {
+				c.expect(v, fmt.Sprintf("%d-%d", worker, i))
+			}
+		}
+	}
+	c.change("after")
+}
+
+// The disk under the leader reports one failed sync, then works again. What it
+// holds is uncertain: the VM must stop for good and the others go on with all
+// that was acknowledged.
+func TestSyncErrorStopsTheMember(t *testing.T) {
+	var failing atomic.Pointer[string]
+	c := start(t, 3, 3, func(config *Config) {
+		name := config.VM
+		config.WAL.Create = func(path string) (wal.File, error) {
+			file, err := os.OpenFile(path, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+			return failSync{file, func() bool {
+				target := failing.Load()
+				return target != nil && *target == name
+			}}, err
+		}
+	})
+	c.change("first")
+	bad := c.leader()
+	failing.Store(&bad.name)
+	_ = c.tryChange(bad, "second")
+	failing.Store(nil)
+	<-bad.host.Done()
+	if bad.host.Err() == nil {
+		t.Error("the failed disk is not reported")
+	}
+	var stopped *StoppedError
+	if err := c.tryChange(bad, "third"); !errors.As(err, &stopped) {
+		t.Errorf("a stopped member answered %v", err)
+	}
+	c.change("fourth")
+	for _, v := range c.others(bad) {
+		c.expect(v, "first")
+		c.expect(v, "fourth")
+	}
+}
+
+// All VMs start for the first time and one loses its disk before the group has
+// begun, while another is down. Neither the blank disk nor the rest may begin a
+// group of their own; with all of them back there is one group.
+func TestBootstrapWaitsForAll(t *testing.T) {
+	c := start(t, 3, 3, func(config *Config) {})
+	c.change("first")
+	for _, v := range c.vms {
+		v.kill()
+	}
+	first := c.vms[0] // chooses the initial membership
+	if err := os.RemoveAll(first.folder); err != nil {
+		t.Fatal(err)
+	}
+	c.restart(first)
+	c.restart(c.vms[1])
+	time.Sleep(5 * helloInterval)
+	if first.host.hasGroups() && len(first.host.Status()[0].Members) == 0 || first.host.Status()[0].Leads {
+		t.Error("a blank disk began a group while others hold one")
+	}
+	c.restart(c.vms[2])
+	c.change("second")
+	c.expect(c.vms[1], "first")
+	c.expect(c.vms[2], "first")
+}
