--- /dev/null
+++ b/internal/apierr/http.go
@@ -0,0 +1,75 @@
+package apierr
+
+import (
+	"encoding/json"
+	"math"
+	"net/http"
+	"strconv"
+	"time"
+)
+
+// Body is the JSON body of an error answer: the shape that OpenAI clients read,
+// with the project's fields beside it.
+type Body struct {
+	Error BodyError `json:"error"`
+}
+
+// BodyError is the error object of a Body.
+type BodyError struct {
+	Message      string `json:"message"`
+	Type         string `json:"type"` // the kind
+	Code         Reason `json:"code"` // the reason, where OpenAI clients look
+	Reason       Reason `json:"reason"`
+	Ran          Ran    `json:"ran"`
+	RetryAfterMS int64  `json:"retry_after_ms,omitempty"`
+	Remedy       string `json:"remedy,omitempty"`
+}
+
+// JSON gives the body of the error answer.
+func (e *Error) JSON() []byte {
+	body := Body{Error: BodyError{
+		Message:      e.Message,
+		Type:         string(e.Kind),
+		Code:         e.Reason,
+		Reason:       e.Reason,
+		Ran:          e.Ran,
+		RetryAfterMS: e.RetryAfter.Milliseconds(),
+		Remedy:       e.Remedy,
+	}}
+	data, err := json.Marshal(body)
+	if err != nil {
+		panic(err) // strings and a number always encode
+	}
+	return data
+}
+
+// WriteHTTP answers a request with the error: status by kind, a Retry-After
+// header in whole seconds if asking again may help, and the JSON body.
+func WriteHTTP(w http.ResponseWriter, err error) {
+	known := From(err)
+	header := w.Header()
+	header.Set("Content-Type", "application/json")
+	if known.RetryAfter > 0 {
+		seconds := math.Ceil(known.RetryAfter.Seconds())
+		header.Set("Retry-After", strconv.Itoa(int(seconds)))
+	}
+	w.WriteHeader(known.Kind.HTTPStatus())
+	_, _ = w.Write(known.JSON())
+}
+
+// ParseHTTP rebuilds an Error from the body of an error answer; nil
+// when the body is not one.
+func ParseHTTP(data []byte) *Error {
+	var body Body
+	if json.Unmarshal(data, &body) != nil || body.Error.Reason == "" {
+		return nil
+	}
+	return &Error{
+		Kind:       Kind(body.Error.Type),
+		Reason:     body.Error.Reason,
+		Message:    body.Error.Message,
+		Remedy:     body.Error.Remedy,
+		Ran:        body.Error.Ran,
+		RetryAfter: time.Duration(body.Error.RetryAfterMS) * time.Millisecond,
+	}
+}
--- /dev/null
+++ b/internal/gate/proxy/assemble.go
@@ -0,0 +1,92 @@
+package proxy
+
+import (
+	"encoding/json"
+	"net/http"
+)
+
+// answerMeta is what a stream told beside its text.
+type answerMeta struct {
+	id      string
+	created int64
+	model   string
+	finish  string
+	usage   json.RawMessage
+}
+
+func (m *answerMeta) take(e *event) {
+	if m.id == "" {
+		m.id, m.created, m.model = e.chunk.ID, e.chunk.Created, e.chunk.Model
+	}
+	if len(e.chunk.Usage) > 0 && string(e.chunk.Usage) != "null" {
+		m.usage = e.chunk.Usage
+	}
+	for _, choice := range e.chunk.Choices {
+		if choice.FinishReason != nil {
+			m.finish = *choice.FinishReason
+		}
+	}
+}
+
+// completion is a whole answer in the OpenAI protocol.
+type completion struct {
+	ID      string             `json:"id"`
+	Object  string             `json:"object"`
+	Created int64              `json:"created"`
+	Model   string             `json:"model"`
+	Choices []completionChoice `json:"choices"`
+	Usage   json.RawMessage    `json:"usage,omitempty"`
+}
+
+type completionChoice struct {
+	Index        int                `json:"index"`
+	Message      *completionMessage `json:"message,omitempty"` // of a chat
+	Text         *string            `json:"text,omitempty"`    // of a completion
+	FinishReason string             `json:"finish_reason"`
+}
+
+type completionMessage struct {
+	Role    string `json:"role"`
+	Content string `json:"content"`
+}
+
+// usage counts the tokens when the engine did not report them.
+type usage struct {
+	CompletionTokens int `json:"completion_tokens"`
+	TotalTokens      int `json:"total_tokens"`
+}
+
+// assembled puts a streamed answer together for a caller that asked for a
+// plain one.
+func (f *flight) assembled() (*reply, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	text := f.text.String()
+	choice := completionChoice{FinishReason: f.meta.finish}
+	answer := completion{
+		ID:      f.meta.id,
+		Object:  "text_completion",
+		Created: f.meta.created,
+		Model:   f.meta.model,
+		Usage:   f.meta.usage,
+	}
+	if f.form.path == PathChat {
+		answer.Object = "chat.completion"
+		choice.Message = &completionMessage{Role: "assistant", Content: text}
+	} else {
+		choice.Text = &text
+	}
+	answer.Choices = []completionChoice{choice}
+	if answer.Usage == nil {
+		counted, err := json.Marshal(usage{CompletionTokens: f.tokens, TotalTokens: f.tokens})
+		if err != nil {
+			return nil, err
+		}
+		answer.Usage = counted
+	}
+	body, err := json.Marshal(answer)
+	if err != nil {
+		return nil, err
+	}
+	return &reply{status: http.StatusOK, header: http.Header{"Content-Type": {"application/json"}}, body: body}, nil
+}
--- /dev/null
+++ b/internal/gate/proxy/batch.go
@@ -0,0 +1,128 @@
+package proxy
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"slateway.example/slateway/internal/apierr"
+	"slateway.example/slateway/internal/route"
+	"slateway.example/slateway/internal/upstream"
+)
+
+// BatchItem is one item of a batch job.
+type BatchItem struct {
+	ID         string // unique among the items and requests in progress
+	Team       string
+	Service    string
+	Model      string
+	Version    string
+	Path       string // of the engine protocol; empty: PathChat
+	Plain      bool   // for a plain service: the body is posted to Path as it is
+	Body       []byte
+	Deadline   time.Time // zero: a day from now
+	Repeatable bool
+	Policy     route.Policy // zero: the router's own
+}
+
+// BatchOutcome says how an item ended.
+type BatchOutcome string
+
+// Outcomes of an item.
+const (
+	BatchDone   BatchOutcome = "done"    // Body holds the whole answer
+	BatchFailed BatchOutcome = "failed"  // Err holds the reason
+	BatchNotRun BatchOutcome = "not_run" // it may be given back and run elsewhere; Err says why
+)
+
+// BatchResult is the end of an item.
+type BatchResult struct {
+	Outcome BatchOutcome
+	Status  int    // the upstream's HTTP status, when done
+	Body    []byte // the upstream's answer, when done
+	Err     *apierr.Error
+}
+
+// defaultBatchTime is the deadline of an item that names none.
+const defaultBatchTime = 24 * time.Hour
+
+// RunBatch runs an item in the slots that online work leaves free and returns
+// when it has ended; it waits while there are none, and goes on by itself after
+// preemptions and failures that may be retried. When ctx ends, the item is
+// stopped and the error is ctx's.
+func (r *Router) RunBatch(ctx context.Context, item BatchItem) (BatchResult, error) {
+	s := r.find(item.Service)
+	if s == nil {
+		return BatchResult{Outcome: BatchNotRun, Err: unknownService(item.Service)}, nil
+	}
+	request := r.batchRequest(&item)
+	form := batchForm(&item)
+	request.Resumable = form.resumable()
+	flight := newFlight(s, request, form)
+	r.options.Metrics.Count(CountBatchStarted)
+	s.open(flight)
+	defer flight.attempts.Wait()
+	defer s.close(flight)
+	for !flight.isFinished() {
+		select {
+		case <-ctx.Done():
+			return BatchResult{Outcome: BatchNotRun}, ctx.Err()
+		case <-flight.wake:
+		}
+	}
+	return r.batchResult(flight), nil
+}
+
+func (r *Router) batchRequest(item *BatchItem) route.Request {
+	setDefault(&item.Path, PathChat)
+	if item.Deadline.IsZero() {
+		item.Deadline = time.Now().Add(defaultBatchTime)
+	}
+	setDefault(&item.Policy, r.options.Policy)
+	return route.Request{
+		ID:          item.ID,
+		Team:        item.Team,
+		Class:       route.Batch,
+		Model:       item.Model,
+		Version:     item.Version,
+		Deadline:    item.Deadline,
+		Fingerprint: upstream.FingerprintOf(item.Service, item.Body),
+		Repeatable:  item.Repeatable,
+		Policy:      item.Policy,
+	}
+}
+
+func batchForm(item *BatchItem) form {
+	if item.Plain {
+		header := http.Header{"Content-Type": {"application/json"}}
+		return serviceForm(http.MethodPost, item.Path, header, item.Body)
+	}
+	return engineForm(item.Path, item.Body, false)
+}
+
+func (f *flight) isFinished() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.finished
+}
+
+func (r *Router) batchResult(f *flight) BatchResult {
+	answer, err := f.outcome()
+	if err == nil {
+		r.options.Metrics.Count(CountBatchDone)
+		r.options.Metrics.Observe(MetricBatchItem, time.Since(f.started))
+		return BatchResult{Outcome: BatchDone, Status: answer.status, Body: answer.body}
+	}
+	if mayGiveBack(&f.request, err) {
+		return BatchResult{Outcome: BatchNotRun, Err: err}
+	}
+	return BatchResult{Outcome: BatchFailed, Err: err}
+}
+
+// mayGiveBack says whether an item that ended by err may be run elsewhere: the
+// cause lies with the gate or its upstreams for now, and running the item again
+// is allowed.
+func mayGiveBack(request *route.Request, err *apierr.Error) bool {
+	passing := err.Kind == apierr.Unavailable || err.Kind == apierr.Overloaded
+	return passing && (err.Ran == apierr.RanNo || request.Repeatable)
+}
--- /dev/null
+++ b/internal/gate/proxy/engine_test.go
@@ -0,0 +1,123 @@
+package proxy_test
+
+import (
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"time"
+
+	"slateway.example/slateway/internal/gate/proxy"
+	"slateway.example/slateway/internal/upstream"
+)
+
+// fakeEngine answers by the engine protocol: words "t1 t2 ... tN", one event
+// each. Its faults are set by the test.
+type fakeEngine struct {
+	server *httptest.Server
+	id     upstream.ReplicaID
+
+	mu        sync.Mutex
+	tokens    int           // length of an answer
+	pace      time.Duration // between tokens
+	breakAt   int           // close the connection before this token; 0: never
+	silentAt  int           // stop sending before this token and keep the connection; 0: never
+	otherID   bool          // echo another request's ID
+	served    int           // requests that arrived
+	resumedAt []int         // resume_from of those that asked to go on
+	stopped   int           // requests that ended before their last token
+}
+
+func newFakeEngine(id upstream.ReplicaID, tokens int, pace time.Duration) *fakeEngine {
+	e := &fakeEngine{id: id, tokens: tokens, pace: pace}
+	e.server = httptest.NewServer(e)
+	return e
+}
+
+func (e *fakeEngine) announcement() upstream.Announcement {
+	return upstream.Announcement{
+		Service: "wordroom", Kind: upstream.KindEngine, Replica: e.id, Incarnation: 1, Sequence: 1,
+		Address: strings.TrimPrefix(e.server.URL, "http://"), Place: "glas-a", VM: "vm-" + string(e.id),
+		Load: upstream.Load{Slots: 4, Ready: true}, CanResume: true,
+	}
+}
+
+func (e *fakeEngine) with(change func(*fakeEngine)) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	change(e)
+}
+
+func (e *fakeEngine) count(of func(*fakeEngine) int) func() int {
+	return func() int {
+		e.mu.Lock()
+		defer e.mu.Unlock()
+		return of(e)
+	}
+}
+
+func (e *fakeEngine) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if r.URL.Path == proxy.PathLoad {
+		fmt.Fprint(w, `{"running":0,"queued":0,"slots":4,"incarnation":1}`)
+		return
+	}
+	var body struct {
+		Slateway struct {
+			ResumeFrom int    `json:"resume_from"`
+			Prefix     string `json:"prefix"`
+		} `json:"slateway"`
+	}
+	_ = json.NewDecoder(r.Body).Decode(&body)
+	from := body.Slateway.ResumeFrom
+	e.with(func(e *fakeEngine) {
+		e.served++
+		if from > 0 {
+			e.resumedAt = append(e.resumedAt, from)
+		}
+	})
+	e.stream(w, r, from)
+}
+
+func (e *fakeEngine) stream(w http.ResponseWriter, r *http.Request, from int) {
+	echo := r.Header.Get(proxy.HeaderRequestID)
+	if e.otherID {
+		echo = "of-another-caller"
+	}
+	w.Header().Set(proxy.HeaderRequestID, echo)
+	w.Header().Set("Content-Type", "text/event-stream")
+	flusher := w.(http.Flusher)
+	flusher.Flush()
+	for token := from + 1; ; token++ {
+		e.mu.Lock()
+		last, breakAt, silentAt, pace := e.tokens, e.breakAt, e.silentAt, e.pace
+		e.mu.Unlock()
+		switch {
+		case token > last:
+			fmt.Fprint(w, "data: [DONE]\n\n")
+			return
+		case token == breakAt:
+			panic(http.ErrAbortHandler)
+		case token == silentAt:
+			<-r.Context().Done()
+		}
+		select {
+		case <-r.Context().Done():
+			e.with(func(e *fakeEngine) { e.stopped++ })
+			return
+		case <-time.After(pace):
+		}
+		fmt.Fprintf(w, "data: {\"id\":\"c\",\"model\":\"m\",\"choices\":[{\"delta\":{\"content\":\"t%d \"}}],\"slateway\":{\"token\":%d}}\n\n", token, token)
+		flusher.Flush()
+	}
+}
+
+// words is the text of the tokens up to last.
+func words(last int) string {
+	var text strings.Builder
+	for token := 1; token <= last; token++ {
+		fmt.Fprintf(&text, "t%d ", token)
+	}
+	return text.String()
+}
--- /dev/null
+++ b/internal/gate/proxy/event.go
@@ -0,0 +1,156 @@
+package proxy
+
+import (
+	"bufio"
+	"bytes"
+	"encoding/json"
+	"errors"
+	"io"
+)
+
+// event is one event of an engine's stream.
+type event struct {
+	raw   []byte // as it is passed on, with the empty line at its end
+	done  bool   // the last event: the answer is whole
+	token int    // tokens generated so far; 0 when the event has none
+	text  string
+	chunk chunk
+	err   json.RawMessage // the engine's error object
+}
+
+// repeats says whether the event tells what the first tokens told already:
+// the opening event of a resumed stream, or a token that came twice.
+func (e *event) repeats(tokens int) bool {
+	if tokens == 0 || e.done {
+		return false
+	}
+	if e.text == "" {
+		return !e.chunk.closes()
+	}
+	return e.token > 0 && e.token <= tokens
+}
+
+// chunk is the part of an event's data that the gate reads.
+type chunk struct {
+	ID      string          `json:"id"`
+	Created int64           `json:"created"`
+	Model   string          `json:"model"`
+	Choices []chunkChoice   `json:"choices"`
+	Usage   json.RawMessage `json:"usage"`
+	Error   json.RawMessage `json:"error"`
+	Gate    struct {
+		Token int `json:"token"`
+	} `json:"slateway"`
+}
+
+type chunkChoice struct {
+	Text  string `json:"text"`
+	Delta struct {
+		Content string `json:"content"`
+	} `json:"delta"`
+	FinishReason *string `json:"finish_reason"`
+}
+
+// closes says whether the chunk ends the text or reports its usage.
+func (c *chunk) closes() bool {
+	if len(c.Usage) > 0 && string(c.Usage) != "null" {
+		return true
+	}
+	for _, choice := range c.Choices {
+		if choice.FinishReason != nil {
+			return true
+		}
+	}
+	return false
+}
+
+var (
+	dataField  = []byte("data:")
+	doneMarker = []byte("[DONE]")
+)
+
+// Errors of a stream.
+var (
+	errTruncated = errors.New("the stream ended before its last event")
+	errMalformed = errors.New("the stream holds an event that is not one of the protocol")
+	errTooLong   = errors.New("the answer is longer than the gate holds")
+)
+
+// eventReader reads the events of a stream (server-sent events).
+type eventReader struct {
+	lines  *bufio.Reader
+	tokens int // counted here when the engine does not count
+}
+
+// readBuffer is the size of a stream's read buffer; most events are shorter.
+const readBuffer = 4096
+
+func newEventReader(body io.Reader) *eventReader {
+	return &eventReader{lines: bufio.NewReaderSize(body, readBuffer)}
+}
+
+// next reads the next event. A stream that ends before its last event gives
+// errTruncated.
+func (r *eventReader) next() (*event, error) {
+	var raw []byte
+	for {
+		line, err := r.lines.ReadBytes('\n')
+		if err != nil {
+			if errors.Is(err, io.EOF) {
+				err = errTruncated
+			}
+			return nil, err
+		}
+		content := bytes.TrimRight(line, "\r\n")
+		switch {
+		case len(content) > 0:
+			raw = append(raw, line...)
+		case len(raw) > 0:
+			return r.parse(append(raw, '\n'))
+		}
+	}
+}
+
+func (r *eventReader) parse(raw []byte) (*event, error) {
+	e := &event{raw: raw}
+	data := dataOf(raw)
+	if len(data) == 0 {
+		return e, nil // a comment that keeps the connection alive
+	}
+	if bytes.Equal(data, doneMarker) {
+		e.done = true
+		return e, nil
+	}
+	if err := json.Unmarshal(data, &e.chunk); err != nil {
+		return nil, errMalformed
+	}
+	e.err = e.chunk.Error
+	if len(e.chunk.Choices) > 0 {
+		e.text = e.chunk.Choices[0].Text + e.chunk.Choices[0].Delta.Content
+	}
+	e.token = r.tokenOf(e)
+	return e, nil
+}
+
+// tokenOf gives the engine's token count or, when it does not count, one for
+// each event with text.
+func (r *eventReader) tokenOf(e *event) int {
+	if e.chunk.Gate.Token > 0 {
+		return e.chunk.Gate.Token
+	}
+	if e.text == "" {
+		return 0
+	}
+	r.tokens++
+	return r.tokens
+}
+
+func dataOf(raw []byte) []byte {
+	var data []byte
+	for line := range bytes.Lines(raw) {
+		if after, found := bytes.CutPrefix(line, dataField); found {
+			data = append(data, bytes.TrimSpace(after)...)
+		}
+	}
+	return data
+}
--- /dev/null
+++ b/internal/gate/proxy/form.go
@@ -0,0 +1,103 @@
+package proxy
+
+import (
+	"encoding/json"
+	"net/http"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// form is how a request is sent to an upstream and answered to its caller.
+type form struct {
+	method string
+	path   string
+	header http.Header
+	body   []byte
+
+	engine bool // by the engine protocol; otherwise as a plain call
+	stream bool // the caller gets the answer as a stream of events
+	// assemble: the answer is asked for as a stream, to see its progress and
+	// to go on after a failure, and put together for the caller.
+	assemble bool
+	fields   map[string]json.RawMessage // of an engine's body
+}
+
+// plainOnly lists body fields whose answers the gate does not put together
+// from a stream; such requests are sent as they are, and start anew after a
+// failure.
+var plainOnly = []string{"n", "best_of", "tools", "tool_choice", "functions", "logprobs", "top_logprobs", "audio", "modalities", "echo"}
+
+// engineForm prepares a request in the OpenAI protocol.
+func engineForm(path string, body []byte, stream bool) form {
+	f := form{
+		method: http.MethodPost,
+		path:   path,
+		header: http.Header{"Content-Type": {"application/json"}},
+		body:   body,
+		engine: true,
+		stream: stream,
+	}
+	if json.Unmarshal(body, &f.fields) != nil {
+		f.fields = nil
+	}
+	f.assemble = !stream && f.simple()
+	return f
+}
+
+// simple says whether the answer is one text, which can be resumed.
+func (f *form) simple() bool {
+	if f.fields == nil || (f.path != PathChat && f.path != PathCompletions) {
+		return false
+	}
+	for _, name := range plainOnly {
+		if _, present := f.fields[name]; present {
+			return false
+		}
+	}
+	return true
+}
+
+// resumable says whether the answer may be continued by another replica.
+func (f *form) resumable() bool { return f.engine && f.simple() }
+
+// resumeField is what an engine needs to go on with a stream.
+type resumeField struct {
+	ResumeFrom int    `json:"resume_from"`
+	Prefix     string `json:"prefix"`
+}
+
+// bodyFor gives the body of an attempt that goes on after tokens, of which
+// prefix is the text; tokens is 0 for one from the start.
+func (f *form) bodyFor(tokens int, prefix string) ([]byte, error) {
+	if tokens == 0 && !f.assemble {
+		return f.body, nil
+	}
+	fields := make(map[string]any, len(f.fields)+2)
+	for name, value := range f.fields {
+		fields[name] = value
+	}
+	if f.assemble {
+		fields["stream"] = true
+	}
+	if tokens > 0 {
+		fields["slateway"] = resumeField{ResumeFrom: tokens, Prefix: prefix}
+	}
+	return json.Marshal(fields)
+}
+
+// prefixBytes is how much of a prompt decides its affinity: enough to tell
+// instructions apart, short enough that prompts that share them agree.
+const prefixBytes = 256
+
+// prefixHash hashes the start of the prompt; 0 when there is none.
+func (f *form) prefixHash() uint64 {
+	prompt := f.fields["messages"]
+	if prompt == nil {
+		prompt = f.fields["prompt"]
+	}
+	if prompt == nil {
+		return 0
+	}
+	model := xxhash.Sum64(f.fields["model"])
+	return max(1, xxhash.Sum64(prompt[:min(len(prompt), prefixBytes)])^model)
+}
--- /dev/null
+++ b/internal/gate/proxy/links.go
@@ -0,0 +1,124 @@
+package proxy
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"sync"
+	"syscall"
+	"time"
+
+	"slateway.example/slateway/internal/upstream"
+)
+
+// links holds the connections to upstreams: a pool for each replica, so that
+// the pool of one can be dropped when a connection of it has gone silent.
+type links struct {
+	dialer *net.Dialer
+	// fresh opens a connection for each request. Probes need one, to tell a
+	// silent connection from a dead replica; requests that may not be repeated
+	// need one, since a pooled connection that the upstream closes at the same
+	// moment leaves open whether the request ran.
+	fresh        *http.Transport
+	probeTimeout time.Duration
+
+	mu    sync.Mutex
+	pools map[upstream.ReplicaID]*http.Transport
+}
+
+// Sizes and times of a connection pool.
+const (
+	maxIdlePerReplica = 256
+	idleTimeout       = 30 * time.Second
+	keepAlive         = 15 * time.Second
+)
+
+func newLinks(o Options) *links {
+	l := &links{
+		dialer:       &net.Dialer{Timeout: o.DialTimeout, KeepAlive: keepAlive},
+		probeTimeout: o.ProbeTimeout,
+		pools:        make(map[upstream.ReplicaID]*http.Transport),
+	}
+	l.fresh = l.newTransport()
+	l.fresh.DisableKeepAlives = true
+	return l
+}
+
+func (l *links) newTransport() *http.Transport {
+	return &http.Transport{
+		DialContext:         l.dialer.DialContext,
+		MaxIdleConnsPerHost: maxIdlePerReplica,
+		IdleConnTimeout:     idleTimeout,
+		DisableCompression:  true,
+	}
+}
+
+func (l *links) pool(id upstream.ReplicaID) *http.Transport {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	pool := l.pools[id]
+	if pool == nil {
+		pool = l.newTransport()
+		l.pools[id] = pool
+	}
+	return pool
+}
+
+// reset drops a replica's pool: its idle connections are closed, and requests
+// that still use the old pool do not return theirs to the new one.
+func (l *links) reset(id upstream.ReplicaID) {
+	l.mu.Lock()
+	pool := l.pools[id]
+	delete(l.pools, id)
+	l.mu.Unlock()
+	if pool != nil {
+		pool.CloseIdleConnections()
+	}
+}
+
+func (l *links) close() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for _, pool := range l.pools {
+		pool.CloseIdleConnections()
+	}
+	l.fresh.CloseIdleConnections()
+}
+
+// probeResult says what a fresh connection to a replica found.
+type probeResult struct {
+	alive       bool // something answered by HTTP
+	refused     bool // the VM answers and no process listens
+	incarnation uint64
+}
+
+// maxProbeBytes bounds the answer that a probe reads.
+const maxProbeBytes = 4096
+
+// probe asks a replica for its load. Any HTTP answer shows a live process: a
+// frozen one still accepts connections, but never answers.
+func (l *links) probe(address string) probeResult {
+	ctx, cancel := context.WithTimeout(context.Background(), l.probeTimeout)
+	defer cancel()
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+PathLoad, nil)
+	if err != nil {
+		return probeResult{}
+	}
+	response, err := l.fresh.RoundTrip(request)
+	if err != nil {
+		return probeResult{refused: errors.Is(err, syscall.ECONNREFUSED)}
+	}
+	defer response.Body.Close()
+	data, err := io.ReadAll(io.LimitReader(response.Body, maxProbeBytes))
+	if err != nil {
+		return probeResult{}
+	}
+	var load struct {
+		Incarnation uint64 `json:"incarnation"`
+	}
+	_ = json.Unmarshal(data, &load) // plain services need not report a load
+	return probeResult{alive: true, incarnation: load.Incarnation}
+}
--- /dev/null
+++ b/internal/route/admission.go
@@ -0,0 +1,328 @@
+package route
+
+import (
+	"time"
+
+	"slateway.example/slateway/internal/apierr"
+	"slateway.example/slateway/internal/upstream"
+)
+
+// teamState is what one team has in this shard.
+type teamState struct {
+	inFlight int
+	bucket   tokenBucket
+}
+
+// Bounds of the time that a refused caller is told to wait.
+const (
+	minRetryAfter = 100 * time.Millisecond
+	maxRetryAfter = 30 * time.Second
+)
+
+func (in Arrive) apply(s *Shard) {
+	if _, exists := s.requests[in.Request.ID]; exists {
+		s.emit(Refuse{ID: in.Request.ID, Err: apierr.New(apierr.Conflict, ReasonDuplicateID,
+			"send each request under an ID of its own", "request %s is in progress", in.Request.ID)})
+		s.count(ReasonDuplicateID)
+		return
+	}
+	req := &request{Request: in.Request, arrived: s.at, next: First}
+	if err := s.admit(req); err != nil {
+		s.count(err.Reason)
+		s.emit(Refuse{ID: req.ID, Err: err})
+		return
+	}
+	s.requests[req.ID] = req
+	s.budget.offered()
+	if req.Class == Online {
+		s.team(req.Team).inFlight++
+	}
+	s.enqueue(req)
+	s.pump()
+}
+
+func (s *Shard) team(name string) *teamState {
+	state := s.teams[name]
+	if state == nil {
+		state = &teamState{}
+		s.teams[name] = state
+	}
+	return state
+}
+
+// admit refuses what cannot be answered in time, before any work is done.
+func (s *Shard) admit(req *request) *apierr.Error {
+	if !s.at.Before(req.Deadline) {
+		return deadlineError(req)
+	}
+	if err := s.checkStanding(req); err != nil {
+		return err
+	}
+	if req.Class == Batch {
+		return s.admitBatch(req)
+	}
+	known, ready := s.servable(req)
+	if known == 0 {
+		return apierr.New(apierr.Unavailable, ReasonNoUpstream,
+			"ask for a model that `slatectl upstream list` shows, or wait until a replica announces it",
+			"no replica has model %q version %q", req.Model, req.Version).WithRetryAfter(time.Second)
+	}
+	if err := s.checkTeam(req); err != nil {
+		return err
+	}
+	if ready == 0 {
+		return nil // waits for OutageWait at most: a probe may bring one back
+	}
+	return s.checkQueue(req)
+}
+
+func (s *Shard) checkTeam(req *request) *apierr.Error {
+	team := s.team(req.Team)
+	if limit := req.Limits.MaxInFlight; limit > 0 && team.inFlight >= limit {
+		return apierr.New(apierr.Overloaded, ReasonTeamInFlight,
+			"wait for answers before sending more, or ask the operator for a higher limit",
+			"team %s has %d requests in progress at this gate, its limit", req.Team, limit).
+			WithRetryAfter(s.retryAfter(1))
+	}
+	if req.Limits.Rate <= 0 {
+		return nil
+	}
+	if wait := team.bucket.take(s.at, req.Limits.Rate, req.Limits.Burst); wait > 0 {
+		return apierr.New(apierr.Overloaded, ReasonTeamRate,
+			"send more slowly, or ask the operator for a higher rate",
+			"team %s is over its rate of %g requests a second", req.Team, req.Limits.Rate).
+			WithRetryAfter(clampRetry(wait))
+	}
+	return nil
+}
+
+func (s *Shard) checkQueue(req *request) *apierr.Error {
+	waiting := s.waiting.len()
+	if waiting >= s.config.MaxQueue {
+		return apierr.New(apierr.Overloaded, ReasonQueueFull,
+			"come back after the time given", "%d requests wait at this gate, its limit", waiting).
+			WithRetryAfter(s.retryAfter(waiting))
+	}
+	wait := s.drain.wait(s.at, waiting)
+	if waiting > 0 && s.at.Add(wait).After(req.Deadline) {
+		return apierr.New(apierr.Overloaded, ReasonWaitTooLong,
+			"come back after the time given, or give a later deadline",
+			"the queue of %d requests takes about %s, longer than the deadline allows", waiting, wait.Round(time.Millisecond)).
+			WithRetryAfter(s.retryAfter(waiting))
+	}
+	return nil
+}
+
+// retryAfter tells when n requests will have drained at the measured rate.
+func (s *Shard) retryAfter(n int) time.Duration {
+	return clampRetry(s.drain.wait(s.at, n))
+}
+
+func clampRetry(d time.Duration) time.Duration {
+	return min(max(d, minRetryAfter), maxRetryAfter)
+}
+
+func deadlineError(req *request) *apierr.Error {
+	return apierr.New(apierr.Deadline, ReasonDeadline,
+		"send the request earlier or with a later deadline",
+		"the deadline %s has passed", req.Deadline.UTC().Format(time.RFC3339Nano)).WithRan(req.ran())
+}
+
+func (r *request) ran() apierr.Ran {
+	if r.maybeRan {
+		return apierr.RanUnknown
+	}
+	return apierr.RanNo
+}
+
+// enqueue puts a request among those that wait for a replica.
+func (s *Shard) enqueue(req *request) {
+	req.queuedAt = s.at
+	if req.Class == Batch {
+		s.batch.push(req)
+		return
+	}
+	s.waiting.push(req)
+}
+
+// maxPumpMisses bounds the waiting requests that one pass finds no replica for.
+const maxPumpMisses = 8
+
+// pump starts what can start, online before batch.
+func (s *Shard) pump() {
+	if s.waiting.len() > 0 {
+		s.waiting.takeReady(s.at, maxPumpMisses, s.startOnline)
+	}
+	if s.batch.len() > 0 {
+		s.batch.takeReady(s.at, maxPumpMisses, s.startBatch)
+	}
+}
+
+func (s *Shard) startOnline(req *request) startResult {
+	if !s.mayRunNow(req) {
+		return held
+	}
+	r := s.pick(req)
+	if r == nil && s.onlyAvoided(req) {
+		req.avoid = nil
+		r = s.pick(req)
+	}
+	switch {
+	case r != nil:
+		s.dispatch(req, r, req.next)
+		return started
+	case s.isSuspect(req):
+		return held
+	default:
+		return noRoom
+	}
+}
+
+// onlyAvoided says whether each replica that could take the request has failed
+// it before; one of them is then better than none.
+func (s *Shard) onlyAvoided(req *request) bool {
+	if len(req.avoid) == 0 {
+		return false
+	}
+	s.rebuild()
+	for _, list := range [...][]*replica{s.local, s.remote} {
+		for _, r := range list {
+			if s.mayServe(req, r) {
+				return false
+			}
+		}
+	}
+	return true
+}
+
+func (s *Shard) dispatch(req *request, r *replica, kind DispatchKind) {
+	s.nextAttempt++
+	a := &attempt{id: s.nextAttempt, req: req, on: r, started: s.at, progress: s.at, hedge: kind == Hedge}
+	s.attempts[a.id] = a
+	s.running[req.Fingerprint]++
+	req.live = append(req.live, a)
+	req.tried++
+	r.attempts = append(r.attempts, a)
+	s.countOn(r, req.Class, 1)
+	resume := req.tokens > 0 && req.Resumable && r.entry.CanResume
+	s.emit(Dispatch{ID: req.ID, Attempt: a.id, Kind: kind, Target: &r.entry.Announcement, Resume: resume})
+	if req.Class == Online {
+		s.makeWay(r)
+	}
+}
+
+func (s *Shard) countOn(r *replica, class Class, by int) {
+	if class == Online {
+		r.online += by
+	} else {
+		r.batch += by
+	}
+	s.noteOwn(r)
+}
+
+// end takes an attempt off its replica.
+func (s *Shard) end(a *attempt) {
+	delete(s.attempts, a.id)
+	if s.running[a.req.Fingerprint]--; s.running[a.req.Fingerprint] <= 0 {
+		delete(s.running, a.req.Fingerprint)
+	}
+	a.req.live = without(a.req.live, a)
+	a.on.attempts = without(a.on.attempts, a)
+	s.countOn(a.on, a.req.Class, -1)
+}
+
+func without(list []*attempt, a *attempt) []*attempt {
+	for i, other := range list {
+		if other == a {
+			copy(list[i:], list[i+1:])
+			list[len(list)-1] = nil
+			return list[:len(list)-1]
+		}
+	}
+	return list
+}
+
+// cancel stops an attempt.
+func (s *Shard) cancel(a *attempt, cause CancelCause) {
+	s.end(a)
+	s.count(ReasonCancelPrefix + apierr.Reason(cause))
+	s.emit(Cancel{ID: a.req.ID, Attempt: a.id, Cause: cause})
+}
+
+// forget ends all that is known of a request.
+func (s *Shard) forget(req *request, cause CancelCause) {
+	for len(req.live) > 0 {
+		s.cancel(req.live[0], cause)
+	}
+	s.waiting.remove(req)
+	s.batch.remove(req)
+	delete(s.requests, req.ID)
+	if req.Class == Online {
+		s.team(req.Team).inFlight--
+	}
+}
+
+// refuse gives a request its final answer.
+func (s *Shard) refuse(req *request, err *apierr.Error) {
+	s.forget(req, CancelAbandoned)
+	s.count(err.Reason)
+	s.emit(Refuse{ID: req.ID, Err: err})
+}
+
+func (in Abandon) apply(s *Shard) {
+	if req := s.requests[in.ID]; req != nil {
+		if req.awaiting != nil {
+			req.awaiting.orphans = append(req.awaiting.orphans, req.Fingerprint)
+		}
+		s.forget(req, CancelAbandoned)
+		s.pump()
+	}
+}
+
+func (in Progress) apply(s *Shard) {
+	a := s.attempts[in.Attempt]
+	if a == nil {
+		return
+	}
+	a.progress = s.at
+	a.answered = true
+	if in.Tokens > 0 && a.tokens == 0 {
+		s.firstToken.observe(s.at.Sub(a.started))
+		s.settle(a)
+	}
+	a.tokens = max(a.tokens, in.Tokens)
+	a.req.tokens = max(a.req.tokens, in.Tokens)
+	a.req.delivered = a.req.delivered || in.Delivered
+}
+
+// settle stops the other attempts of a request: the first to answer wins.
+func (s *Shard) settle(winner *attempt) {
+	for _, other := range append([]*attempt(nil), winner.req.live...) {
+		if other != winner {
+			s.cancel(other, CancelHedgeLost)
+		}
+	}
+}
+
+func (in Finished) apply(s *Shard) {
+	a := s.attempts[in.Attempt]
+	if a == nil {
+		return
+	}
+	req := a.req
+	a.on.failures = 0
+	s.end(a)
+	s.forget(req, CancelHedgeLost)
+	s.drain.observe(s.at)
+	s.clearStrikes(req)
+	s.pump()
+}
+
+func (s *Shard) clearStrikes(req *request) {
+	if s.strikes.Standing(s.at, req.Fingerprint) == upstream.StandingClear {
+		return
+	}
+	if cleared := s.strikes.Clear(req.Fingerprint); len(cleared) > 0 {
+		s.emit(Spread{Strikes: cleared})
+	}
+}
--- /dev/null
+++ b/internal/route/batch.go
@@ -0,0 +1,238 @@
+package route
+
+import (
+	"slices"
+
+	"github.com/cespare/xxhash/v2"
+
+	"slateway.example/slateway/internal/apierr"
+)
+
+// feederOf names the gate that feeds a replica with batch: of the live gates
+// in the replica's place, or of all if there is none, the one with the highest
+// rendezvous score. One feeder for each replica means that one gate knows all
+// batch on it, and that no two gates fill the same free slot.
+func (s *Shard) feederOf(r *replica) string {
+	if feeder := bestGate(s.gates, r.entry.Place, string(r.entry.Replica)); feeder != "" {
+		return feeder
+	}
+	if feeder := bestGate(s.gates, "", string(r.entry.Replica)); feeder != "" {
+		return feeder
+	}
+	return s.config.Self
+}
+
+// bestGate gives the gate with the highest score for the key; an empty place
+// stands for any.
+func bestGate(gates []Gate, place, key string) string {
+	best := ""
+	var bestScore uint64
+	for _, g := range gates {
+		if place != "" && g.Place != place {
+			continue
+		}
+		score := xxhash.Sum64String(g.ID + "\x00" + key)
+		if best == "" || score > bestScore {
+			best, bestScore = g.ID, score
+		}
+	}
+	return best
+}
+
+func (s *Shard) feeds(r *replica) bool { return r.feeder == s.config.Self }
+
+func (in GatesChanged) apply(s *Shard) {
+	s.gates = slices.Clone(in.Gates)
+	for _, r := range s.replicas {
+		r.feeder = s.feederOf(r)
+		if !s.feeds(r) {
+			s.preemptAll(r)
+		}
+	}
+	s.pump()
+}
+
+func (in Draining) apply(s *Shard) {
+	s.draining = true
+	for _, req := range slices.Clone(s.batch.list) {
+		s.refuse(req, drainingError(req))
+	}
+	for _, r := range s.replicas {
+		for _, a := range slices.Clone(r.attempts) {
+			if a.preemptible() {
+				s.refuse(a.req, drainingError(a.req))
+			}
+		}
+	}
+}
+
+func drainingError(req *request) *apierr.Error {
+	return apierr.New(apierr.Unavailable, ReasonDraining, "run the item through another gate",
+		"the gate is shutting down").WithRan(req.ran())
+}
+
+func (s *Shard) admitBatch(req *request) *apierr.Error {
+	if s.draining {
+		return drainingError(req)
+	}
+	return nil
+}
+
+// batchFree gives the slots of a replica that batch under the policy may take
+// now.
+//
+// Engines admit in the order of arrival, so that a batch request in an
+// engine's queue would hold up each online request behind it. Batch therefore
+// goes only where a slot is free, counting all that may be under way to it.
+func (s *Shard) batchFree(r *replica, policy Policy) int {
+	if !s.feeds(r) || !r.eligible() || r.entry.Leaving || s.at.Before(r.holdUntil) {
+		return 0
+	}
+	slots := s.slots(r)
+	return slots - policy.reserve(slots) - s.totalLoad(r)
+}
+
+// BatchRoom gives the number of batch items that could start now.
+func (s *Shard) BatchRoom(policy Policy) int {
+	if s.draining {
+		return 0
+	}
+	room := 0
+	for _, r := range s.replicas {
+		room += max(0, s.batchFree(r, policy))
+	}
+	return max(0, room-s.batch.len())
+}
+
+func (s *Shard) startBatch(req *request) startResult {
+	if !s.mayRunNow(req) {
+		return held
+	}
+	r := s.pickBatch(req)
+	if r == nil && s.onlyAvoided(req) {
+		req.avoid = nil
+		r = s.pickBatch(req)
+	}
+	switch {
+	case r != nil:
+		s.dispatch(req, r, req.next)
+		return started
+	case s.isSuspect(req):
+		return held
+	default:
+		return noRoom
+	}
+}
+
+// pickBatch chooses the fed replica with the most free slots, or the fewest if
+// the policy packs.
+func (s *Shard) pickBatch(req *request) *replica {
+	var best *replica
+	bestFree := 0
+	for _, r := range s.replicas {
+		free := s.batchFree(r, req.Policy)
+		if free <= 0 || !s.mayServe(req, r) || (s.isSuspect(req) && s.sharesTrial(r)) {
+			continue
+		}
+		if best == nil || (req.Policy.Pack && free < bestFree) || (!req.Policy.Pack && free > bestFree) {
+			best, bestFree = r, free
+		}
+	}
+	return best
+}
+
+// makeWay frees a slot for an online request that was just sent to r: by the
+// own batch there, or by a message to the gate that feeds it.
+func (s *Shard) makeWay(r *replica) {
+	if s.feeds(r) || r.batch > 0 {
+		s.yieldSlots(r)
+	}
+	if s.feeds(r) || s.config.Disabled.Yield {
+		return
+	}
+	if r.othersBatch > 0 || s.totalLoad(r) >= s.slots(r) {
+		s.emit(YieldTo{Gate: r.feeder, Replica: r.entry.Replica})
+	}
+}
+
+func (in YieldAsked) apply(s *Shard) {
+	r := s.replica(in.Replica)
+	if r == nil {
+		return
+	}
+	r.notices = append(r.notices, s.at)
+	s.yieldSlots(r)
+}
+
+// Queued comes when the load estimate was wrong: the replica was full although
+// it seemed to have room. One batch request gives way.
+func (in Queued) apply(s *Shard) {
+	a := s.attempts[in.Attempt]
+	if a == nil || a.req.Class == Batch {
+		return
+	}
+	s.count(ReasonBatchBehind)
+	if victim := s.victim(a.on); victim != nil {
+		s.preempt(victim)
+	}
+}
+
+// yieldSlots preempts batch on r until each batch request's policy has the
+// slots that it leaves to online work.
+func (s *Shard) yieldSlots(r *replica) {
+	if s.config.Disabled.Preempt {
+		return
+	}
+	for {
+		victim := s.victim(r)
+		if victim == nil || s.totalLoad(r) <= s.slots(r)-victim.req.Policy.reserve(s.slots(r)) {
+			return
+		}
+		s.preempt(victim)
+	}
+}
+
+// preemptible says whether an attempt may be stopped: an item that may not be
+// repeated runs to its end.
+func (a *attempt) preemptible() bool { return a.req.Class == Batch && a.req.Repeatable }
+
+// victim chooses the batch attempt to stop: those of the policy that leaves the
+// most slots first, then by the policy's rule.
+func (s *Shard) victim(r *replica) *attempt {
+	var worst *attempt
+	for _, a := range r.attempts {
+		if a.preemptible() && (worst == nil || s.yieldsBefore(a, worst)) {
+			worst = a
+		}
+	}
+	return worst
+}
+
+func (s *Shard) yieldsBefore(a, b *attempt) bool {
+	slots := a.on.entry.Slots
+	if mine, other := a.req.Policy.reserve(slots), b.req.Policy.reserve(slots); mine != other {
+		return mine > other
+	}
+	if a.req.Policy.Victim == VictimLeastWork && a.tokens != b.tokens {
+		return a.tokens < b.tokens
+	}
+	return a.id > b.id
+}
+
+// preempt stops a batch attempt; its item waits and goes on later.
+func (s *Shard) preempt(a *attempt) {
+	req := a.req
+	a.on.holdUntil = s.at.Add(req.Policy.Hold)
+	s.cancel(a, CancelPreempted)
+	req.tried-- // a preemption is not the item's failure
+	req.next = Resume
+	s.enqueue(req)
+}
+
+func (s *Shard) preemptAll(r *replica) {
+	for _, a := range slices.Clone(r.attempts) {
+		if a.preemptible() {
+			s.preempt(a)
+		}
+	}
+}
--- /dev/null
+++ b/internal/route/messages.go
@@ -0,0 +1,207 @@
+package route
+
+import (
+	"time"
+
+	"slateway.example/slateway/internal/apierr"
+	"slateway.example/slateway/internal/upstream"
+)
+
+// Class separates online requests from batch items.
+type Class string
+
+// Classes of requests.
+const (
+	Online Class = "online"
+	Batch  Class = "batch"
+)
+
+// AttemptID names one attempt of a request within a shard.
+type AttemptID uint64
+
+// Limits bound what one team may have in one service at one gate; zero fields
+// mean no limit.
+type Limits struct {
+	MaxInFlight int     `json:"max_in_flight,omitempty"` // requests admitted and not yet answered
+	Rate        float64 `json:"rate,omitempty"`          // requests a second
+	Burst       int     `json:"burst,omitempty"`         // requests at once within the rate
+}
+
+// Request is what the decisions need to know of a request.
+type Request struct {
+	ID          string               `json:"id"` // unique within the shard
+	Team        string               `json:"team"`
+	Class       Class                `json:"class"`
+	Model       string               `json:"model,omitempty"`
+	Version     string               `json:"version,omitempty"`
+	Deadline    time.Time            `json:"deadline"`
+	Fingerprint upstream.Fingerprint `json:"fingerprint"`
+	Prefix      uint64               `json:"prefix,omitempty"` // hash of the prompt's start; 0: no affinity
+	Repeatable  bool                 `json:"repeatable"`
+	Resumable   bool                 `json:"resumable"` // its stream can go on at a token on another replica
+	Limits      Limits               `json:"limits,omitempty"`
+	Policy      Policy               `json:"policy,omitempty"` // of batch items
+}
+
+// Gate is a live gate, as the choice of feeding gates needs it.
+type Gate struct {
+	ID    string `json:"id"`
+	Place string `json:"place"`
+}
+
+// FailureCause says how an attempt ended without an answer.
+type FailureCause string
+
+// Causes of a failed attempt.
+const (
+	// CauseNotSent: no byte of the request reached the replica, so that it was
+	// provably not run.
+	CauseNotSent FailureCause = "not_sent"
+	// CauseBroken: the connection ended before the whole answer.
+	CauseBroken FailureCause = "broken"
+	// CauseSilent: nothing arrived on the connection for too long.
+	CauseSilent FailureCause = "silent"
+	// CauseDied: the replica's process has ended.
+	CauseDied FailureCause = "died"
+	// CauseMismatch: the answer belonged to another request or was malformed.
+	CauseMismatch FailureCause = "mismatch"
+	// CauseStatus: the replica answered that it failed.
+	CauseStatus FailureCause = "status"
+	// CauseBusy: the replica answered that it takes no work now.
+	CauseBusy FailureCause = "busy"
+)
+
+// Input is something that happened. The types below are all there are.
+type Input interface{ apply(s *Shard) }
+
+// Inputs of a shard.
+type (
+	// Arrive says that a request has come and waits for its answer.
+	Arrive struct{ Request Request }
+	// Abandon says that the caller has left or the job was cancelled.
+	Abandon struct{ ID string }
+	// Progress says that something of the answer arrived; Tokens is the count so far.
+	Progress struct {
+		Attempt   AttemptID
+		Tokens    int
+		Delivered bool // the caller has received part of the answer
+	}
+	// Finished says that the whole answer arrived.
+	Finished struct{ Attempt AttemptID }
+	// Failed says that the attempt ended without its answer.
+	Failed struct {
+		Attempt AttemptID
+		Cause   FailureCause
+	}
+	// Queued says that by its own word the replica has put an
+	// online request in its queue.
+	Queued struct{ Attempt AttemptID }
+	// Announced carries a valid announcement, from the replica or by way of a gate.
+	Announced struct{ Announcement upstream.Announcement }
+	// Reported carries a load digest from another gate.
+	Reported struct{ Digest upstream.LoadDigest }
+	// Fed tells how much batch another gate runs on a replica.
+	Fed struct{ Feeding upstream.Feeding }
+	// Struck carries strikes from other gates.
+	Struck struct{ Strikes []upstream.Strike }
+	// Cached carries a cache event of a replica.
+	Cached struct{ Event upstream.CacheEvent }
+	// Probed is the answer to a Probe output. Refused means that the VM answered
+	// and no process listens; Incarnation is 0 when the replica did not say.
+	Probed struct {
+		Replica     upstream.ReplicaID
+		Alive       bool
+		Refused     bool
+		Incarnation uint64
+	}
+	// YieldAsked says that another gate has sent an online request to a replica that
+	// this gate feeds with batch.
+	YieldAsked struct{ Replica upstream.ReplicaID }
+	// GatesChanged lists the live gates, this one included.
+	GatesChanged struct{ Gates []Gate }
+	// Draining says that the gate stops taking batch work.
+	Draining struct{}
+	// Tick says that time has passed; due every 20 to 50 ms.
+	Tick struct{}
+)
+
+// Output is something that the shell has to do, in the order given.
+type Output interface{ output() }
+
+// DispatchKind says why an attempt is made.
+type DispatchKind string
+
+// Kinds of dispatch.
+const (
+	First  DispatchKind = "first"
+	Retry  DispatchKind = "retry"
+	Hedge  DispatchKind = "hedge"
+	Resume DispatchKind = "resume" // a preempted batch item goes on
+)
+
+// CancelCause says why an attempt is stopped.
+type CancelCause string
+
+// Causes of a cancel.
+const (
+	CancelPreempted CancelCause = "preempted"
+	CancelHedgeLost CancelCause = "hedge_lost"
+	CancelSilent    CancelCause = "silent"
+	CancelDied      CancelCause = "died"
+	CancelAbandoned CancelCause = "abandoned"
+	CancelDeadline  CancelCause = "deadline"
+	CancelSuspect   CancelCause = "suspect"
+	CancelDraining  CancelCause = "draining"
+)
+
+// Outputs of a shard.
+type (
+	// Dispatch asks to send the request to the replica.
+	Dispatch struct {
+		ID      string
+		Attempt AttemptID
+		Kind    DispatchKind
+		Target  *upstream.Announcement // read only
+		// Resume: continue at the token that the request has reached, instead
+		// of from the start.
+		Resume bool
+	}
+	// Cancel asks to stop the attempt and pass nothing more of it on.
+	Cancel struct {
+		ID      string
+		Attempt AttemptID
+		Cause   CancelCause
+	}
+	// Refuse asks to give the caller its final answer.
+	Refuse struct {
+		ID  string
+		Err *apierr.Error
+	}
+	// Probe asks to find out over a fresh connection whether the replica lives, and
+	// report Probed.
+	Probe struct {
+		Replica upstream.ReplicaID
+		Address string
+	}
+	// Reset asks to close the idle connections to the replica; one of them is silent.
+	Reset struct{ Replica upstream.ReplicaID }
+	// YieldTo asks to tell the gate that an online request went to the replica that
+	// it feeds.
+	YieldTo struct {
+		Gate    string
+		Replica upstream.ReplicaID
+	}
+	// Spread asks to tell all gates of these strikes before doing the outputs after it.
+	Spread struct{ Strikes []upstream.Strike }
+	// Count asks to add one to the counter of the reason.
+	Count struct{ Reason apierr.Reason }
+)
+
+func (Dispatch) output() {}
+func (Cancel) output()   {}
+func (Refuse) output()   {}
+func (Probe) output()    {}
+func (Reset) output()    {}
+func (YieldTo) output()  {}
+func (Spread) output()   {}
+func (Count) output()    {}
--- /dev/null
+++ b/internal/route/meter.go
@@ -0,0 +1,136 @@
+package route
+
+import "time"
+
+// meterWindow is the time over which a rate is measured.
+const meterWindow = time.Second
+
+// rateMeter measures a rate of events, averaged over the last few windows.
+type rateMeter struct {
+	windowStart time.Time
+	inWindow    int
+	rate        float64 // events a second; 0 until the first window has ended
+}
+
+func (m *rateMeter) observe(now time.Time) {
+	m.roll(now)
+	m.inWindow++
+}
+
+func (m *rateMeter) roll(now time.Time) {
+	if m.windowStart.IsZero() {
+		m.windowStart = now
+		return
+	}
+	elapsed := now.Sub(m.windowStart)
+	if elapsed < meterWindow {
+		return
+	}
+	latest := float64(m.inWindow) / elapsed.Seconds()
+	if m.rate == 0 {
+		m.rate = latest
+	} else {
+		m.rate = (m.rate + latest) / 2
+	}
+	m.windowStart = now
+	m.inWindow = 0
+}
+
+// wait estimates how long the nth of a queue waits; 0 when nothing is measured.
+func (m *rateMeter) wait(now time.Time, n int) time.Duration {
+	m.roll(now)
+	if m.rate <= 0 {
+		return 0
+	}
+	return time.Duration(float64(n) / m.rate * float64(time.Second))
+}
+
+// delayMeter estimates a high quantile of a delay as mean plus four deviations,
+// the way TCP estimates its retransmission timeout (RFC 6298).
+type delayMeter struct {
+	mean, deviation time.Duration
+}
+
+// Weights of a new sample, as shifts: an eighth and a quarter.
+const (
+	meanShift      = 3
+	deviationShift = 2
+	deviations     = 4
+)
+
+func (m *delayMeter) observe(d time.Duration) {
+	if m.mean == 0 {
+		m.mean = d
+		m.deviation = d / 2
+		return
+	}
+	m.deviation += ((m.mean - d).Abs() - m.deviation) >> deviationShift
+	m.mean += (d - m.mean) >> meanShift
+}
+
+func (m *delayMeter) high() time.Duration { return m.mean + deviations*m.deviation }
+
+// lowWater follows the lowest value of a count over a sliding time of one to
+// two windows.
+type lowWater struct {
+	start             time.Time
+	current, previous int
+}
+
+// observe takes in a value of the count and returns the lowest of the window.
+func (l *lowWater) observe(now time.Time, window time.Duration, value int) int {
+	switch elapsed := now.Sub(l.start); {
+	case l.start.IsZero() || elapsed >= 2*window:
+		l.current, l.previous, l.start = value, value, now
+	case elapsed >= window:
+		l.previous, l.current, l.start = l.current, value, now
+	}
+	l.current = min(l.current, value)
+	return min(l.current, l.previous)
+}
+
+// retryBudget allows retries as a share of the offered requests. Without it,
+// retries of a failing fleet would multiply the load that makes it fail.
+type retryBudget struct {
+	share, reserve, tokens float64
+}
+
+// startShare is the part of the reserve that a new budget has.
+const startShare = 0.2
+
+func newRetryBudget(share, reserve float64) retryBudget {
+	return retryBudget{share: share, reserve: reserve, tokens: reserve * startShare}
+}
+
+func (b *retryBudget) offered() { b.tokens = min(b.tokens+b.share, b.reserve) }
+
+// take spends a token if more than keep of them are left.
+func (b *retryBudget) take(keep float64) bool {
+	if b.tokens < keep+1 {
+		return false
+	}
+	b.tokens--
+	return true
+}
+
+// tokenBucket limits a team's rate.
+type tokenBucket struct {
+	last   time.Time
+	tokens float64
+}
+
+// take spends a token; if there is none it returns how long until there is.
+func (b *tokenBucket) take(now time.Time, rate float64, burst int) time.Duration {
+	limit := float64(max(burst, 1))
+	if b.last.IsZero() {
+		b.tokens = limit
+	} else {
+		b.tokens = min(limit, b.tokens+now.Sub(b.last).Seconds()*rate)
+	}
+	b.last = now
+	if b.tokens >= 1 {
+		b.tokens--
+		return 0
+	}
+	return time.Duration((1 - b.tokens) / rate * float64(time.Second))
+}
--- /dev/null
+++ b/internal/route/replica.go
@@ -0,0 +1,225 @@
+package route
+
+import (
+	"slices"
+	"strings"
+	"time"
+
+	"slateway.example/slateway/internal/upstream"
+)
+
+// health is what the gate believes of a replica's process.
+type health int
+
+const (
+	healthy health = iota
+	// suspect: an attempt failed or went silent. It gets no new work until a
+	// probe over a fresh connection has been answered.
+	suspect
+)
+
+// replica is one replica and the work that this gate has on it.
+type replica struct {
+	entry       *upstream.Entry
+	incarnation uint64 // of the process that the attempts run on
+	dead        bool   // that process is known to have ended
+	expired     bool   // no longer announced; kept until its attempts have ended
+	failures    int    // attempts in a row that the process answered with an error
+
+	attempts []*attempt // live, in the order of their start
+	online   int        // of them, online
+	batch    int        // of them, batch
+
+	ownLow      lowWater // lowest own count while the last report was under way
+	others      int      // requests of other gates, by the last report
+	othersBatch int      // batch among them, by the feeding gate's word
+	notices     []time.Time
+
+	fedBefore bool   // the last digest showed batch of this gate on it
+	feeder    string // the gate that feeds it with batch
+	holdUntil time.Time
+
+	health   health
+	probing  bool
+	probeAt  time.Time
+	probeGap time.Duration
+	orphans  []upstream.Fingerprint // of requests given up while they awaited the probe
+	rampFrom time.Time              // start of slow start; zero when over
+}
+
+func (r *replica) eligible() bool {
+	return r.entry.Ready && r.health == healthy && !r.expired
+}
+
+// slots gives the slots to use, fewer while the replica starts slowly: a
+// process that has just come back has cold caches and may fail again.
+func (s *Shard) slots(r *replica) int {
+	if r.rampFrom.IsZero() {
+		return r.entry.Slots
+	}
+	elapsed := s.at.Sub(r.rampFrom)
+	if elapsed >= s.config.SlowStart {
+		r.rampFrom = time.Time{}
+		return r.entry.Slots
+	}
+	share := float64(elapsed) / float64(s.config.SlowStart)
+	return max(1, int(share*float64(r.entry.Slots)))
+}
+
+// foreign estimates the requests that other gates have on the replica.
+//
+// A load report lags, so that a request that another gate has just sent is not
+// in it. The feeding gate is told of each such request by a notice; the notice
+// counts until a report must have it, so that batch never takes the slot that
+// the request is about to use.
+func (s *Shard) foreign(r *replica) int {
+	fresh := 0
+	for _, at := range r.notices {
+		if s.at.Sub(at) < s.config.ReportLag {
+			fresh++
+		}
+	}
+	return r.others + fresh
+}
+
+// onlineLoad estimates the online requests on the replica.
+func (s *Shard) onlineLoad(r *replica) int {
+	return r.online + max(0, s.foreign(r)-r.othersBatch)
+}
+
+// totalLoad estimates all requests on the replica.
+func (s *Shard) totalLoad(r *replica) int {
+	return r.online + r.batch + s.foreign(r)
+}
+
+// ratio is the online load as a share of the usable slots.
+func (s *Shard) ratio(r *replica) float64 {
+	return float64(s.onlineLoad(r)) / float64(s.slots(r))
+}
+
+// hasRoom says whether an online request may be sent now.
+func (s *Shard) hasRoom(r *replica) bool {
+	slots := s.slots(r)
+	extra := int(s.config.Overcommit * float64(slots))
+	return s.onlineLoad(r) < slots+extra
+}
+
+// observeReport works out the share of other gates in a new load report.
+func (s *Shard) observeReport(r *replica) {
+	own := len(r.attempts)
+	low := r.ownLow.observe(s.at, s.config.ReportLag, own)
+	r.others = max(0, r.entry.Running+r.entry.Queued-low)
+	r.notices = slices.DeleteFunc(r.notices, func(at time.Time) bool {
+		return s.at.Sub(at) >= s.config.ReportLag
+	})
+}
+
+// noteOwn keeps the low-water mark of the own count current; called at each
+// start and end of an attempt.
+func (s *Shard) noteOwn(r *replica) {
+	r.ownLow.observe(s.at, s.config.ReportLag, len(r.attempts))
+}
+
+func (in Announced) apply(s *Shard) {
+	change, err := s.table.Announce(s.at, in.Announcement)
+	if err != nil {
+		s.count(upstream.ReasonBadAnnouncement)
+		return
+	}
+	s.applyChange(in.Announcement.Replica, change)
+}
+
+func (in Reported) apply(s *Shard) {
+	change, err := s.table.Report(s.at, in.Digest)
+	if err != nil {
+		s.count(upstream.ReasonBadAnnouncement)
+		return
+	}
+	s.applyChange(in.Digest.Replica, change)
+}
+
+func (s *Shard) applyChange(id upstream.ReplicaID, change upstream.Change) {
+	switch change {
+	case upstream.ChangeNone:
+		s.count(upstream.ReasonStaleAnnouncement)
+		return
+	case upstream.ChangeJoin:
+		s.join(id)
+	case upstream.ChangeRestart:
+		s.restarted(s.replica(id))
+	}
+	r := s.replica(id)
+	s.observeReport(r)
+	s.stale = true
+	s.yieldSlots(r)
+	s.pump()
+}
+
+func (s *Shard) join(id upstream.ReplicaID) {
+	if r := s.replica(id); r != nil {
+		r.entry = s.table.Get(id)
+		r.expired = false
+		if r.entry.Incarnation > r.incarnation {
+			s.restarted(r)
+		}
+		return
+	}
+	r := &replica{entry: s.table.Get(id)}
+	r.incarnation = r.entry.Incarnation
+	i, _ := slices.BinarySearchFunc(s.replicas, id, func(r *replica, id upstream.ReplicaID) int {
+		return strings.Compare(string(r.entry.Replica), string(id))
+	})
+	s.replicas = slices.Insert(s.replicas, i, r)
+	r.feeder = s.feederOf(r)
+}
+
+// restarted handles a new incarnation: the old process is gone with what it
+// ran, and the new one starts slowly.
+func (s *Shard) restarted(r *replica) {
+	s.died(r)
+	r.incarnation = r.entry.Incarnation
+	s.recover(r)
+}
+
+// expire takes replicas out of use that have not been announced for too long.
+// Their attempts go on: the announcements may have been lost on their way while
+// the streams are in good order.
+func (s *Shard) expire() {
+	for _, gone := range s.table.Expire(s.at) {
+		s.replica(gone.Replica).expired = true
+		s.hints.Forget(gone.Replica)
+		s.stale = true
+		s.count(ReasonEntryExpired)
+	}
+	ended := func(r *replica) bool {
+		return r.expired && len(r.attempts) == 0 && !s.isAwaited(r)
+	}
+	s.replicas = slices.DeleteFunc(s.replicas, ended)
+}
+
+// rebuild lists the eligible replicas by distance.
+func (s *Shard) rebuild() {
+	if !s.stale {
+		return
+	}
+	s.stale = false
+	s.local = s.local[:0]
+	s.remote = s.remote[:0]
+	for _, r := range s.replicas {
+		switch {
+		case !r.eligible() || (r.entry.Leaving && !s.config.Disabled.Leaving):
+		case r.entry.Place == s.config.Place:
+			s.local = append(s.local, r)
+		default:
+			s.remote = append(s.remote, r)
+		}
+	}
+}
+
+func (in Cached) apply(s *Shard) { s.hints.Observe(in.Event) }
+
+func (in Fed) apply(s *Shard) {
+	if r := s.replica(in.Feeding.Replica); r != nil {
+		r.othersBatch = in.Feeding.Batch
+	}
+}
--- /dev/null
+++ b/internal/route/shard.go
@@ -0,0 +1,158 @@
+package route
+
+import (
+	"math/rand/v2"
+	"slices"
+	"strings"
+	"time"
+
+	"slateway.example/slateway/internal/apierr"
+	"slateway.example/slateway/internal/upstream"
+)
+
+// Shard decides for one service. It is not safe for concurrent use.
+type Shard struct {
+	config Config
+	rng    *rand.Rand
+	at     time.Time // the time of the current input
+
+	table   *upstream.Table
+	strikes *upstream.Strikes
+	hints   *upstream.CacheHints
+	gates   []Gate
+
+	replicas []*replica // in the order of their IDs
+	local    []*replica // eligible ones of the own place
+	remote   []*replica // eligible ones of other places
+	stale    bool       // local and remote must be rebuilt
+
+	requests map[string]*request
+	attempts map[AttemptID]*attempt
+	running  map[upstream.Fingerprint]int // live attempts by fingerprint
+	teams    map[string]*teamState
+	waiting  waitQueue // online requests without an attempt, by deadline
+	batch    waitQueue // batch items without an attempt, by deadline
+
+	budget      retryBudget
+	drain       rateMeter
+	firstToken  delayMeter
+	nextAttempt AttemptID
+	draining    bool
+
+	out []Output
+}
+
+// request is a request that has no final answer yet.
+type request struct {
+	Request
+	arrived   time.Time
+	live      []*attempt
+	tried     int
+	tokens    int  // reached by the attempts so far
+	delivered bool // the caller has part of the answer
+	maybeRan  bool // some attempt reached a replica
+	avoid     []upstream.ReplicaID
+	queuedAt  time.Time
+	notBefore time.Time
+	next      DispatchKind  // kind of the next dispatch
+	struck    bool          // a replica died while it ran
+	struckAt  int           // tokens reached at that time
+	awaiting  *replica      // a probe of it decides before the next attempt
+	since     time.Time     // when it began to await
+	verdict   *apierr.Error // its final answer, held back until then; nil: it is tried again
+}
+
+func (r *request) avoidReplica(id upstream.ReplicaID) {
+	if !slices.Contains(r.avoid, id) {
+		r.avoid = append(r.avoid, id)
+	}
+}
+
+// attempt is one try of a request on one replica.
+type attempt struct {
+	id       AttemptID
+	req      *request
+	on       *replica
+	started  time.Time
+	progress time.Time // when anything last arrived
+	answered bool      // something has arrived
+	tokens   int
+	hedge    bool
+}
+
+// NewShard makes a shard. The same config, seed and inputs give the same
+// outputs.
+func NewShard(config Config, rng *rand.Rand) *Shard {
+	config = config.WithDefaults()
+	return &Shard{
+		config:   config,
+		rng:      rng,
+		table:    upstream.NewTable(config.EntryLifetime),
+		strikes:  upstream.NewStrikes(config.StrikeLifetime),
+		hints:    upstream.NewCacheHints(),
+		requests: make(map[string]*request),
+		attempts: make(map[AttemptID]*attempt),
+		running:  make(map[upstream.Fingerprint]int),
+		teams:    make(map[string]*teamState),
+		budget:   newRetryBudget(config.RetryShare, config.RetryReserve),
+	}
+}
+
+// Step takes in what happened at now and returns what to do. The slice is
+// valid until the next Step.
+func (s *Shard) Step(now time.Time, in Input) []Output {
+	s.at = now
+	s.out = s.out[:0]
+	in.apply(s)
+	return s.out
+}
+
+func (s *Shard) emit(o Output) { s.out = append(s.out, o) }
+
+func (s *Shard) count(reason apierr.Reason) { s.emit(Count{Reason: reason}) }
+
+func (s *Shard) replica(id upstream.ReplicaID) *replica {
+	i, found := slices.BinarySearchFunc(s.replicas, id, func(r *replica, id upstream.ReplicaID) int {
+		return strings.Compare(string(r.entry.Replica), string(id))
+	})
+	if !found {
+		return nil
+	}
+	return s.replicas[i]
+}
+
+// Changes gives the digest of what changed after version since, with all
+// strikes and the batch that this gate feeds, and the version now.
+func (s *Shard) Changes(since uint64) (upstream.Digest, uint64) {
+	d, version := s.table.Changes(since)
+	d.Strikes = s.strikes.All()
+	for _, r := range s.replicas {
+		if r.batch > 0 || r.fedBefore {
+			d.Feeding = append(d.Feeding, upstream.Feeding{Replica: r.entry.Replica, Batch: r.batch})
+		}
+		r.fedBefore = r.batch > 0
+	}
+	return d, version
+}
+
+// ReplicaView is what a shard knows of one replica.
+type ReplicaView struct {
+	Entry         *upstream.Entry // read only, until the next Step
+	Suspect       bool
+	Online, Batch int // requests of this gate on it
+	Feeder        string
+}
+
+// Replicas lists all replicas in the order of their IDs.
+func (s *Shard) Replicas() []ReplicaView {
+	views := make([]ReplicaView, 0, len(s.replicas))
+	for _, r := range s.replicas {
+		if !r.expired {
+			views = append(views, ReplicaView{
+				Entry: r.entry, Suspect: r.health == suspect,
+				Online: r.online, Batch: r.batch, Feeder: r.feeder,
+			})
+		}
+	}
+	return views
+}
