--- a/internal/gate/proxy/options.go
+++ b/internal/gate/proxy/options.go
@@ -65,9 +65,10 @@
 	Policy  route.Policy // for BatchRoom and for items without their own
 	Metrics Metrics
 
-	// Yield tells another gate that an online request went to a replica that
-	// it feeds with batch. It must not block.
-	Yield func(gate, service string, replica upstream.ReplicaID)
+	// Yield sends a Usage to another gate, for its Router.Yield, and gives the
+	// answer to this Router's Fed. It must not block, and a newer Usage of the
+	// same replica replaces an older one that waits to be sent.
+	Yield func(gate string, u Usage)
 	// Spread tells the live gates of strikes and returns when they know or ctx
 	// has ended.
 	Spread func(ctx context.Context, service string, strikes []upstream.Strike)
@@ -107,7 +108,7 @@
 		o.Metrics = noMetrics{}
 	}
 	if o.Yield == nil {
-		o.Yield = func(string, string, upstream.ReplicaID) {}
+		o.Yield = func(string, Usage) {}
 	}
 	if o.Spread == nil {
 		o.Spread = func(context.Context, string, []upstream.Strike) {}
--- a/internal/route/admission.go
+++ b/internal/route/admission.go
@@ -207,7 +207,7 @@
 	resume := req.tokens > 0 && req.Resumable && r.entry.CanResume
 	s.emit(Dispatch{ID: req.ID, Attempt: a.id, Kind: kind, Target: &r.entry.Announcement, Resume: resume})
 	if req.Class == Online {
-		s.makeWay(r)
+		s.yieldSlots(r)
 	}
 }
 
@@ -217,7 +217,8 @@
 	} else {
 		r.batch += by
 	}
-	s.noteOwn(r)
+	s.noteKnown(r)
+	s.tellFeeder(r)
 }
 
 // end takes an attempt off its replica.
@@ -296,7 +297,12 @@
 }
 
 // settle stops the other attempts of a request: the first to answer wins.
+//
+// Without it two attempts would write into one answer, each with its own words.
 func (s *Shard) settle(winner *attempt) {
+	if s.config.Disabled.Settle {
+		return
+	}
 	for _, other := range append([]*attempt(nil), winner.req.live...) {
 		if other != winner {
 			s.cancel(other, CancelHedgeLost)
--- a/internal/route/batch.go
+++ b/internal/route/batch.go
@@ -39,7 +39,9 @@
 	return best
 }
 
-func (s *Shard) feeds(r *replica) bool { return r.feeder == s.config.Self }
+func (s *Shard) feeds(r *replica) bool {
+	return r.feeder == s.config.Self || s.config.Disabled.Feeder
+}
 
 func (in GatesChanged) apply(s *Shard) {
 	s.gates = slices.Clone(in.Gates)
@@ -48,6 +50,10 @@
 		if !s.feeds(r) {
 			s.preemptAll(r)
 		}
+		r.usage = slices.DeleteFunc(r.usage, func(u usage) bool { return !s.isLive(u.gate) })
+		if len(r.attempts) > 0 {
+			s.tellFeeder(r)
+		}
 	}
 	s.pump()
 }
@@ -141,29 +147,6 @@
 	return best
 }
 
-// makeWay frees a slot for an online request that was just sent to r: by the
-// own batch there, or by a message to the gate that feeds it.
-func (s *Shard) makeWay(r *replica) {
-	if s.feeds(r) || r.batch > 0 {
-		s.yieldSlots(r)
-	}
-	if s.feeds(r) || s.config.Disabled.Yield {
-		return
-	}
-	if r.othersBatch > 0 || s.totalLoad(r) >= s.slots(r) {
-		s.emit(YieldTo{Gate: r.feeder, Replica: r.entry.Replica})
-	}
-}
-
-func (in YieldAsked) apply(s *Shard) {
-	r := s.replica(in.Replica)
-	if r == nil {
-		return
-	}
-	r.notices = append(r.notices, s.at)
-	s.yieldSlots(r)
-}
-
 // Queued comes when the load estimate was wrong: the replica was full although
 // it seemed to have room. One batch request gives way.
 func (in Queued) apply(s *Shard) {
--- a/internal/route/config.go
+++ b/internal/route/config.go
@@ -43,7 +43,7 @@
 
 // Guards names protections that a test can switch off one by one.
 type Guards struct {
-	Leaving, Probe, Silence, Poison, Holder, Preempt, Yield, Budget, Retry bool
+	Leaving, Probe, Silence, Poison, Holder, Trial, Preempt, Yield, Feeder, Budget, Retry, Settle bool
 }
 
 // Defaults of Config.
--- a/internal/route/messages.go
+++ b/internal/route/messages.go
@@ -114,9 +114,13 @@
 		Refused     bool
 		Incarnation uint64
 	}
-	// YieldAsked says that another gate has sent an online request to a replica that
-	// this gate feeds with batch.
-	YieldAsked struct{ Replica upstream.ReplicaID }
+	// YieldAsked says how many requests another gate has on a replica that this
+	// gate feeds with batch.
+	YieldAsked struct {
+		Gate          string
+		Replica       upstream.ReplicaID
+		Online, Batch int
+	}
 	// GatesChanged lists the live gates, this one included.
 	GatesChanged struct{ Gates []Gate }
 	// Draining says that the gate stops taking batch work.
@@ -185,11 +189,12 @@
 	}
 	// Reset asks to close the idle connections to the replica; one of them is silent.
 	Reset struct{ Replica upstream.ReplicaID }
-	// YieldTo asks to tell the gate that an online request went to the replica that
-	// it feeds.
+	// YieldTo asks to tell the gate, at once, how many requests this gate has on
+	// the replica that it feeds.
 	YieldTo struct {
-		Gate    string
-		Replica upstream.ReplicaID
+		Gate          string
+		Replica       upstream.ReplicaID
+		Online, Batch int
 	}
 	// Spread asks to tell all gates of these strikes before doing the outputs after it.
 	Spread struct{ Strikes []upstream.Strike }
--- a/internal/route/meter.go
+++ b/internal/route/meter.go
@@ -70,23 +70,26 @@
 
 func (m *delayMeter) high() time.Duration { return m.mean + deviations*m.deviation }
 
-// lowWater follows the lowest value of a count over a sliding time of one to
+// highWater follows the highest value of a count over a sliding time of one to
 // two windows.
-type lowWater struct {
+type highWater struct {
 	start             time.Time
 	current, previous int
+	last              int
 }
 
-// observe takes in a value of the count and returns the lowest of the window.
-func (l *lowWater) observe(now time.Time, window time.Duration, value int) int {
-	switch elapsed := now.Sub(l.start); {
-	case l.start.IsZero() || elapsed >= 2*window:
-		l.current, l.previous, l.start = value, value, now
+// observe takes in a value of the count and returns the highest of the window.
+func (h *highWater) observe(now time.Time, window time.Duration, value int) int {
+	switch elapsed := now.Sub(h.start); {
+	case h.start.IsZero() || elapsed >= 2*window:
+		// The value before this one held until now.
+		h.previous, h.current, h.start = h.last, value, now
 	case elapsed >= window:
-		l.previous, l.current, l.start = l.current, value, now
+		h.previous, h.current, h.start = h.current, max(h.last, value), now
 	}
-	l.current = min(l.current, value)
-	return min(l.current, l.previous)
+	h.last = value
+	h.current = max(h.current, value)
+	return max(h.current, h.previous)
 }
 
 // retryBudget allows retries as a share of the offered requests. Without it,
--- a/internal/route/poison.go
+++ b/internal/route/poison.go
@@ -87,6 +87,9 @@
 // the other; so each suspect is tried on a replica of its own until it is past
 // the token at which its first replica died.
 func (s *Shard) sharesTrial(r *replica) bool {
+	if s.config.Disabled.Trial {
+		return false
+	}
 	for _, a := range r.attempts {
 		if s.isSuspect(a.req) && !a.pastTrial() {
 			return true
--- a/internal/route/replica.go
+++ b/internal/route/replica.go
@@ -30,10 +30,11 @@
 	online   int        // of them, online
 	batch    int        // of them, batch
 
-	ownLow      lowWater // lowest own count while the last report was under way
-	others      int      // requests of other gates, by the last report
-	othersBatch int      // batch among them, by the feeding gate's word
-	notices     []time.Time
+	usage       []usage   // of other gates, for the gate that feeds the replica
+	known       highWater // highest known count while the last report was under way
+	unaccounted int       // requests in the last report that are not known
+	othersBatch int       // batch of the feeding gate, by its word
+	toldAt      time.Time // when the feeding gate was last told of this gate's requests
 
 	fedBefore bool   // the last digest showed batch of this gate on it
 	feeder    string // the gate that feeds it with batch
@@ -68,23 +69,37 @@
 
 // foreign estimates the requests that other gates have on the replica.
 //
-// A load report lags, so that a request that another gate has just sent is not
-// in it. The feeding gate is told of each such request by a notice; the notice
-// counts until a report must have it, so that batch never takes the slot that
-// the request is about to use.
+// The feeding gate is told by each gate how many requests it has there, at once
+// when that changes; the replica's own reports lag, and serve it only to find
+// work that no gate accounts for. Had it to rely on the reports, batch would
+// take the slot that another gate's request is about to use. The other gates
+// only need an estimate for their picks, and take the report.
 func (s *Shard) foreign(r *replica) int {
-	fresh := 0
-	for _, at := range r.notices {
-		if s.at.Sub(at) < s.config.ReportLag {
-			fresh++
+	if !s.feeds(r) {
+		return r.unaccounted
+	}
+	online, batch := s.used(r)
+	return online + batch + r.unaccounted
+}
+
+// used sums what the other gates said they have on the replica.
+func (s *Shard) used(r *replica) (online, batch int) {
+	for _, u := range r.usage {
+		if s.at.Sub(u.at) < usageLifetime {
+			online += u.online
+			batch += u.batch
 		}
 	}
-	return r.others + fresh
+	return online, batch
 }
 
 // onlineLoad estimates the online requests on the replica.
 func (s *Shard) onlineLoad(r *replica) int {
-	return r.online + max(0, s.foreign(r)-r.othersBatch)
+	if s.feeds(r) {
+		online, _ := s.used(r)
+		return r.online + online + r.unaccounted
+	}
+	return r.online + max(0, r.unaccounted-r.othersBatch)
 }
 
 // totalLoad estimates all requests on the replica.
@@ -104,20 +119,18 @@
 	return s.onlineLoad(r) < slots+extra
 }
 
-// observeReport works out the share of other gates in a new load report.
+// observeReport works out which part of a new load report no gate accounts for.
+// The report lags, so it is set against the highest count of the time that it
+// may speak of: what is left was surely not this gate's.
 func (s *Shard) observeReport(r *replica) {
-	own := len(r.attempts)
-	low := r.ownLow.observe(s.at, s.config.ReportLag, own)
-	r.others = max(0, r.entry.Running+r.entry.Queued-low)
-	r.notices = slices.DeleteFunc(r.notices, func(at time.Time) bool {
-		return s.at.Sub(at) >= s.config.ReportLag
-	})
+	r.unaccounted = max(0, r.entry.Running+r.entry.Queued-s.noteKnown(r))
 }
 
-// noteOwn keeps the low-water mark of the own count current; called at each
-// start and end of an attempt.
-func (s *Shard) noteOwn(r *replica) {
-	r.ownLow.observe(s.at, s.config.ReportLag, len(r.attempts))
+// noteKnown keeps the high-water mark of the known requests current; called at
+// each change of them.
+func (s *Shard) noteKnown(r *replica) int {
+	online, batch := s.used(r)
+	return r.known.observe(s.at, s.config.ReportLag, len(r.attempts)+online+batch)
 }
 
 func (in Announced) apply(s *Shard) {
@@ -217,9 +230,3 @@
 }
 
 func (in Cached) apply(s *Shard) { s.hints.Observe(in.Event) }
-
-func (in Fed) apply(s *Shard) {
-	if r := s.replica(in.Feeding.Replica); r != nil {
-		r.othersBatch = in.Feeding.Batch
-	}
-}
--- /dev/null
+++ b/internal/route/usage.go
@@ -0,0 +1,71 @@
+package route
+
+import (
+	"slices"
+	"time"
+
+	"slateway.example/slateway/internal/upstream"
+)
+
+// usage is what another gate has on a replica that this gate feeds.
+type usage struct {
+	gate          string
+	online, batch int
+	at            time.Time // when it said so
+}
+
+// Times of the word between gates. It is sent at each change, and again for as
+// long as there is something to tell, so that one lost message does no harm.
+const (
+	usageRefresh  = time.Second
+	usageLifetime = 3500 * time.Millisecond
+)
+
+// tellFeeder tells the gate that feeds a replica how many requests this gate
+// has there. The feeding gate then stops batch, if the slots do not suffice:
+// an online request must not wait for one of its items to end.
+func (s *Shard) tellFeeder(r *replica) {
+	if s.feeds(r) || s.config.Disabled.Yield {
+		return
+	}
+	r.toldAt = s.at
+	s.emit(YieldTo{Gate: r.feeder, Replica: r.entry.Replica, Online: r.online, Batch: r.batch})
+}
+
+func (s *Shard) refreshUsage(r *replica) {
+	if len(r.attempts) > 0 && s.at.Sub(r.toldAt) >= usageRefresh {
+		s.tellFeeder(r)
+	}
+}
+
+func (in YieldAsked) apply(s *Shard) {
+	r := s.replica(in.Replica)
+	if r == nil {
+		return
+	}
+	word := usage{gate: in.Gate, online: in.Online, batch: in.Batch, at: s.at}
+	i := slices.IndexFunc(r.usage, func(u usage) bool { return u.gate == in.Gate })
+	if i < 0 {
+		r.usage = append(r.usage, word)
+	} else {
+		r.usage[i] = word
+	}
+	s.noteKnown(r)
+	s.yieldSlots(r)
+	s.pump()
+}
+
+func (in Fed) apply(s *Shard) {
+	if r := s.replica(in.Feeding.Replica); r != nil {
+		r.othersBatch = in.Feeding.Batch
+	}
+}
+
+// FedNow gives the batch that this gate has on a replica.
+func (s *Shard) FedNow(id upstream.ReplicaID) upstream.Feeding {
+	batch := 0
+	if r := s.replica(id); r != nil {
+		batch = r.batch
+	}
+	return upstream.Feeding{Replica: id, Batch: batch}
+}
