--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,7 @@
 # Targets for developers; .ci/run calls the same ones.
 GO ?= go
 
-.PHONY: build test race lint format demo generate
+.PHONY: build test lint format demo generate check-generated
 
 build:
 	$(GO) build -o bin/ ./cmd/...
@@ -18,3 +18,14 @@
 
 format:
 	$(GO) tool -modfile=tools/go.mod gofumpt -w $$(git ls-files -co --exclude-standard '*.go' | grep -v '^gen/')
+
+# generate rewrites gen/ from design/; the build does not need it. The client
+# side is left out: slatectl and client/ speak HTTP on their own.
+generate:
+	$(GO) tool goa gen slateway.example/slateway/design >/dev/null
+	rm -rf gen/http/cli gen/http/openapi.json gen/http/openapi.yaml gen/http/openapi3.yaml gen/http/*/client gen/*/client.go
+
+# check-generated fails when gen/ is not what design/ gives.
+check-generated: generate
+	@changed=$$(git status --porcelain -- gen); \
+	if [ -n "$$changed" ]; then echo "gen/ is not current (run make generate and commit it):"; echo "$$changed"; exit 1; fi
