--- /dev/null
+++ b/internal/settings/numbers.go
@@ -0,0 +1,82 @@
+package settings
+
+import (
+	"fmt"
+	"time"
+)
+
+// durationKeys are the keys whose values carry a unit.
+var durationKeys = func() []string {
+	var keys []string
+	for _, entry := range (&Settings{}).durations() {
+		keys = append(keys, entry.key)
+	}
+	return keys
+}()
+
+type durationEntry struct {
+	key   string
+	value time.Duration
+}
+
+func (s *Settings) durations() []durationEntry {
+	return []durationEntry{
+		{"member.heartbeat", s.Member.Heartbeat},
+		{"member.suspect_after", s.Member.SuspectAfter},
+		{"member.lost_after", s.Member.LostAfter},
+		{"quorum.heartbeat", s.Quorum.Heartbeat},
+		{"quorum.election", s.Quorum.Election},
+		{"config.lease", s.Config.Lease},
+		{"config.renew", s.Config.Renew},
+		{"directory.answer_lifetime", s.Directory.AnswerLifetime},
+		{"upstream.announce_interval", s.Upstream.AnnounceInterval},
+		{"upstream.expire_after", s.Upstream.ExpireAfter},
+		{"batch.lease", s.Batch.Lease},
+		{"batch.result_flush", s.Batch.ResultFlush},
+		{"batch.retention", s.Batch.Retention},
+		{"timeouts.dial", s.Timeouts.Dial},
+		{"timeouts.keeper_call", s.Timeouts.KeeperCall},
+		{"timeouts.request", s.Timeouts.Request},
+		{"timeouts.max_request", s.Timeouts.MaxRequest},
+		{"timeouts.stream_idle", s.Timeouts.StreamIdle},
+		{"timeouts.drain", s.Timeouts.Drain},
+	}
+}
+
+// shortestDuration is below any pace that a timer of the daemon can keep.
+const shortestDuration = time.Millisecond
+
+type countEntry struct {
+	key   string
+	value int
+}
+
+func (s *Settings) counts() []countEntry {
+	return []countEntry{
+		{"quorum.job_groups", s.Quorum.JobGroups},
+		{"quorum.snapshot_entries", s.Quorum.SnapshotEntries},
+		{"directory.max_entries", s.Directory.MaxEntries},
+		{"batch.lease_items", s.Batch.LeaseItems},
+		{"batch.max_attempts", s.Batch.MaxAttempts},
+		{"batch.result_group", s.Batch.ResultGroup},
+		{"limits.max_body_bytes", s.Limits.MaxBodyBytes},
+		{"limits.max_part_bytes", s.Limits.MaxPartBytes},
+		{"limits.max_item_bytes", s.Limits.MaxItemBytes},
+		{"limits.max_queue", s.Limits.MaxQueue},
+		{"limits.max_in_progress", s.Limits.MaxInProgress},
+		{"limits.max_peer_bytes", s.Limits.MaxPeerBytes},
+	}
+}
+
+func (s *Settings) checkNumbers(c *checker) {
+	for _, entry := range s.durations() {
+		if entry.value < shortestDuration {
+			c.add(entry.key, entry.value.String(), "too short", "set it to at least "+shortestDuration.String())
+		}
+	}
+	for _, entry := range s.counts() {
+		if entry.value < 1 {
+			c.add(entry.key, fmt.Sprint(entry.value), "must be positive", "set it to at least 1")
+		}
+	}
+}
--- /dev/null
+++ b/internal/settings/settings.go
@@ -0,0 +1,187 @@
+// Package settings reads the one TOML file of a daemon and checks it at start.
+//
+// Parse and Load report every problem they find, each in one line that names
+// the key, its value and the remedy. A key that the daemon does not know is a
+// problem too: a misspelt key must not leave a default silently in force.
+package settings
+
+import (
+	"slices"
+	"time"
+)
+
+// Role is a job that a VM's daemon does.
+type Role string
+
+// Roles of a daemon.
+const (
+	RoleGate   Role = "gate"   // takes requests and announcements, routes, runs batch items
+	RoleKeeper Role = "keeper" // holds replicated state on its disk
+)
+
+// Settings are the checked settings of one daemon.
+type Settings struct {
+	VM        VM        `toml:"vm"`
+	Listen    Addresses `toml:"listen"`
+	Advertise Addresses `toml:"advertise"`
+	Keepers   []Keeper  `toml:"keeper"`
+	Member    Member    `toml:"member"`
+	Quorum    Quorum    `toml:"quorum"`
+	Config    Config    `toml:"config"`
+	Directory Directory `toml:"directory"`
+	Upstream  Upstream  `toml:"upstream"`
+	Batch     Batch     `toml:"batch"`
+	Limits    Limits    `toml:"limits"`
+	Timeouts  Timeouts  `toml:"timeouts"`
+	Log       Log       `toml:"log"`
+}
+
+// VM identifies the machine that the daemon runs on.
+type VM struct {
+	Name       string `toml:"name"`        // unique in the fleet
+	Place      string `toml:"place"`       // data centre or zone
+	Region     string `toml:"region"`      // group of places
+	DataFolder string `toml:"data_folder"` // needed by keepers; an absolute path
+	Roles      []Role `toml:"roles"`       // default: gate
+}
+
+// Addresses are IP:port pairs, one for each kind of peer.
+type Addresses struct {
+	Callers   string `toml:"callers"`   // callers and upstreams
+	Operators string `toml:"operators"` // operators, metrics
+	Peers     string `toml:"peers"`     // the project's own processes; TCP and UDP
+}
+
+// Keeper is one of the keepers that the fleet starts with.
+type Keeper struct {
+	VM    string `toml:"vm"`
+	Peers string `toml:"peers"` // advertised peers address
+}
+
+// Member sets how VMs find each other and notice losses.
+type Member struct {
+	Seeds        []string      `toml:"seeds"`         // peers addresses; default: the keepers' ones
+	Heartbeat    time.Duration `toml:"heartbeat"`     // one probe round of a VM
+	SuspectAfter time.Duration `toml:"suspect_after"` // silence until a VM is suspected
+	LostAfter    time.Duration `toml:"lost_after"`    // suspicion until a VM counts as lost
+}
+
+// Quorum sets the pace of the keepers' agreement.
+type Quorum struct {
+	Heartbeat       time.Duration `toml:"heartbeat"`
+	Election        time.Duration `toml:"election"`         // leader silence until an election starts
+	JobGroups       int           `toml:"job_groups"`       // replicated groups that share the jobs
+	SnapshotEntries int           `toml:"snapshot_entries"` // log entries between snapshots
+}
+
+// Config sets how long a gate may serve under the configuration it holds.
+type Config struct {
+	Lease     time.Duration `toml:"lease"`      // serving time after the last confirmed contact with keepers
+	Renew     time.Duration `toml:"renew"`      // pace of renewal
+	WhenAlone WhenAlone     `toml:"when_alone"` // what a gate without a lease does
+}
+
+// WhenAlone is what a gate does when its configuration lease has run out.
+type WhenAlone string
+
+// Values of WhenAlone.
+const (
+	Refuse     WhenAlone = "refuse"      // answer that the request was not run
+	ServeStale WhenAlone = "serve_stale" // serve under the last revision, marked stale
+)
+
+// Directory sets the answers that tell callers where to connect.
+type Directory struct {
+	AnswerLifetime time.Duration `toml:"answer_lifetime"` // how long callers may keep an answer
+	MaxEntries     int           `toml:"max_entries"`     // gates named in one answer
+}
+
+// Upstream sets how announcements of upstreams age.
+type Upstream struct {
+	AnnounceInterval time.Duration `toml:"announce_interval"` // asked of upstreams
+	ExpireAfter      time.Duration `toml:"expire_after"`      // silence until a replica is dropped
+}
+
+// Batch sets how gates lease and run batch items.
+type Batch struct {
+	Lease       time.Duration `toml:"lease"`        // a gate's session with a job group
+	LeaseItems  int           `toml:"lease_items"`  // items asked for at once
+	MaxAttempts int           `toml:"max_attempts"` // tries of an item before it ends with its reason
+	ResultFlush time.Duration `toml:"result_flush"` // longest wait of a result for its group
+	ResultGroup int           `toml:"result_group"` // results committed together
+	Retention   time.Duration `toml:"retention"`    // results stay readable after a job's end
+}
+
+// Limits bound what one client or peer can make the daemon hold.
+type Limits struct {
+	MaxBodyBytes  int `toml:"max_body_bytes"`  // online request body
+	MaxPartBytes  int `toml:"max_part_bytes"`  // one part of a batch job
+	MaxItemBytes  int `toml:"max_item_bytes"`  // one item of a part
+	MaxQueue      int `toml:"max_queue"`       // online requests waiting in a gate
+	MaxInProgress int `toml:"max_in_progress"` // online requests running in a gate
+	MaxPeerBytes  int `toml:"max_peer_bytes"`  // one message between processes
+}
+
+// Timeouts bound waiting.
+type Timeouts struct {
+	Dial       time.Duration `toml:"dial"`        // opening a connection
+	KeeperCall time.Duration `toml:"keeper_call"` // one call to a keeper
+	Request    time.Duration `toml:"request"`     // deadline of a request that names none
+	MaxRequest time.Duration `toml:"max_request"` // longest deadline that a caller may ask for
+	StreamIdle time.Duration `toml:"stream_idle"` // silence of a stream until its connection is suspect
+	Drain      time.Duration `toml:"drain"`       // longest drain after SIGTERM
+}
+
+// Log sets the daemon's own log.
+type Log struct {
+	Level  string `toml:"level"`  // debug, info, warn or error
+	Format string `toml:"format"` // json or console
+}
+
+// Is reports whether the VM has the role.
+func (s *Settings) Is(role Role) bool { return slices.Contains(s.VM.Roles, role) }
+
+// defaults are the values of keys that the file does not name.
+func defaults() Settings {
+	return Settings{
+		VM:        VM{Roles: []Role{RoleGate}},
+		Member:    Member{Heartbeat: 500 * time.Millisecond, SuspectAfter: 2 * time.Second, LostAfter: 3 * time.Second},
+		Quorum:    Quorum{Heartbeat: 100 * time.Millisecond, Election: time.Second, JobGroups: 2, SnapshotEntries: 4096},
+		Config:    Config{Lease: 6 * time.Second, Renew: time.Second, WhenAlone: Refuse},
+		Directory: Directory{AnswerLifetime: 10 * time.Second, MaxEntries: 8},
+		Upstream:  Upstream{AnnounceInterval: time.Second, ExpireAfter: 4 * time.Second},
+		Batch: Batch{
+			Lease: 10 * time.Second, LeaseItems: 64, MaxAttempts: 5,
+			ResultFlush: 20 * time.Millisecond, ResultGroup: 256, Retention: 7 * 24 * time.Hour,
+		},
+		Limits: Limits{
+			MaxBodyBytes: 8 << 20, MaxPartBytes: 16 << 20, MaxItemBytes: 1 << 20,
+			MaxQueue: 1024, MaxInProgress: 4096, MaxPeerBytes: 32 << 20,
+		},
+		Timeouts: Timeouts{
+			Dial: time.Second, KeeperCall: 2 * time.Second, Request: 2 * time.Minute,
+			MaxRequest: 30 * time.Minute, StreamIdle: 10 * time.Second, Drain: 30 * time.Minute,
+		},
+		Log: Log{Level: "info", Format: "json"},
+	}
+}
+
+// complete fills the values that follow from others.
+func (s *Settings) complete() {
+	s.Advertise.Callers = orElse(s.Advertise.Callers, s.Listen.Callers)
+	s.Advertise.Operators = orElse(s.Advertise.Operators, s.Listen.Operators)
+	s.Advertise.Peers = orElse(s.Advertise.Peers, s.Listen.Peers)
+	if len(s.Member.Seeds) > 0 {
+		return
+	}
+	for _, keeper := range s.Keepers {
+		s.Member.Seeds = append(s.Member.Seeds, keeper.Peers)
+	}
+}
+
+func orElse(value, fallback string) string {
+	if value == "" {
+		return fallback
+	}
+	return value
+}
