Add stand-ins for a model engine and a plain service

Token n of an answer is a function of the prompt and n. A test can so tell whose answer it got, and a resume with a wrong prefix is refused. Each start and end of a run is logged, on request also to a file that outlives a killed process, so that a history check can compare what callers were told with what ran.

--- /dev/null
+++ b/standin/engine/engine.go
@@ -0,0 +1,226 @@
+package engine
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"net/http"
+	"sync"
+	"time"
+
+	"slateway.example/slateway/standin/announce"
+)
+
+// errCancelled ends a run that POST /v1/cancel named.
+var errCancelled = errors.New("cancelled")
+
+// errCrashed ends all runs of an engine that crashed.
+var errCrashed = errors.New("the engine crashed")
+
+// Engine is an http.Handler that speaks the engine protocol.
+type Engine struct {
+	options Options
+	mux     *http.ServeMux
+	log     *runLog
+
+	mu       sync.Mutex
+	running  int
+	waiting  []*ticket
+	runs     map[*run]struct{}
+	load     loadHistory
+	prefixes *prefixCache
+	thawed   chan struct{} // closed while the engine is not frozen
+	frozen   bool
+	dead     chan struct{} // closed once the engine crashed
+	crashed  bool
+	orders   orderState
+}
+
+// New makes an Engine.
+func New(options Options) *Engine {
+	engine := &Engine{
+		options:  options,
+		log:      newRunLog(options.Log),
+		runs:     make(map[*run]struct{}),
+		load:     loadHistory{lag: options.LoadLag},
+		prefixes: newPrefixCache(options.CachedPrefixes),
+		thawed:   make(chan struct{}),
+		dead:     make(chan struct{}),
+		orders:   newOrderState(options),
+	}
+	close(engine.thawed)
+	engine.load.record(time.Time{}, Load{Slots: options.Slots})
+	engine.mux = engine.routes()
+	return engine
+}
+
+func (e *Engine) routes() *http.ServeMux {
+	mux := http.NewServeMux()
+	mux.HandleFunc("POST /v1/chat/completions", e.serveChat)
+	mux.HandleFunc("POST /v1/completions", e.serveText)
+	mux.HandleFunc("POST /v1/cancel", e.serveCancel)
+	mux.HandleFunc("POST /v1/freeze", e.serveFreeze)
+	mux.HandleFunc("POST /v1/orders", e.serveOrder)
+	mux.HandleFunc("GET /v1/orders", e.serveOrderState)
+	mux.HandleFunc("GET /v1/models", e.serveModels)
+	mux.HandleFunc("GET /v1/load", e.serveLoad)
+	mux.HandleFunc("GET /v1/log", e.serveLog)
+	return mux
+}
+
+// ServeHTTP answers one request. A frozen engine accepts connections and
+// answers nothing but the freeze switch; a crashed one drops them.
+func (e *Engine) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if r.URL.Path != "/v1/freeze" {
+		if err := e.waitThawed(r.Context()); err != nil {
+			panic(http.ErrAbortHandler)
+		}
+	}
+	e.mux.ServeHTTP(w, r)
+}
+
+// Freeze stops all progress, as SIGSTOP would, until Freeze(false).
+func (e *Engine) Freeze(frozen bool) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if frozen == e.frozen {
+		return
+	}
+	e.frozen = frozen
+	if frozen {
+		e.thawed = make(chan struct{})
+	} else {
+		close(e.thawed)
+	}
+}
+
+// Crash ends the engine: all runs stop and all connections are dropped.
+func (e *Engine) Crash() {
+	e.mu.Lock()
+	first := !e.crashed
+	if first {
+		e.crashed = true
+		close(e.dead)
+	}
+	e.mu.Unlock()
+	if first && e.options.OnCrash != nil {
+		e.options.OnCrash()
+	}
+}
+
+// Alive says whether the engine answers: it has not crashed and is not frozen.
+func (e *Engine) Alive() bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return !e.crashed && !e.frozen
+}
+
+// Models gives the models that are loaded now.
+func (e *Engine) Models() []announce.Model {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return append([]announce.Model(nil), e.orders.models...)
+}
+
+// Busy gives the number of requests that run or wait now, without lag.
+func (e *Engine) Busy() int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.running + len(e.waiting)
+}
+
+// Load gives the load as it was LoadLag ago.
+func (e *Engine) Load() Load {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.load.report(time.Now())
+}
+
+// recordLoad notes the load after a change. The caller holds e.mu.
+func (e *Engine) recordLoad() {
+	e.load.record(time.Now(), Load{
+		Running:    e.running,
+		Queued:     len(e.waiting),
+		Slots:      e.options.Slots,
+		PrefixHits: e.prefixes.hits,
+	})
+}
+
+// waitThawed returns once the engine is not frozen, or with the reason why it
+// will not be.
+func (e *Engine) waitThawed(ctx context.Context) error {
+	e.mu.Lock()
+	thawed := e.thawed
+	e.mu.Unlock()
+	select {
+	case <-e.dead:
+		return errCrashed
+	default:
+	}
+	select {
+	case <-thawed:
+		return nil
+	case <-e.dead:
+		return errCrashed
+	case <-ctx.Done():
+		return context.Cause(ctx)
+	}
+}
+
+func (e *Engine) serveFreeze(w http.ResponseWriter, r *http.Request) {
+	var body struct {
+		Frozen bool `json:"frozen"`
+	}
+	if err := json.NewDecoder(r.Body).Decode(&body); err != nil {
+		writeError(w, http.StatusBadRequest, "invalid_json", err.Error())
+		return
+	}
+	e.Freeze(body.Frozen)
+	writeJSON(w, http.StatusOK, body)
+}
+
+func (e *Engine) serveLoad(w http.ResponseWriter, _ *http.Request) {
+	writeJSON(w, http.StatusOK, e.Load())
+}
+
+func (e *Engine) serveLog(w http.ResponseWriter, _ *http.Request) {
+	writeJSON(w, http.StatusOK, e.log.report())
+}
+
+// Log gives the runs so far.
+func (e *Engine) Log() LogReport { return e.log.report() }
+
+func (e *Engine) serveModels(w http.ResponseWriter, _ *http.Request) {
+	type model struct {
+		ID     string `json:"id"`
+		Object string `json:"object"`
+	}
+	list := struct {
+		Object string  `json:"object"`
+		Data   []model `json:"data"`
+	}{Object: "list"}
+	for _, loaded := range e.Models() {
+		list.Data = append(list.Data, model{ID: loaded.Name, Object: "model"})
+	}
+	writeJSON(w, http.StatusOK, list)
+}
+
+func writeJSON(w http.ResponseWriter, status int, body any) {
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	_ = json.NewEncoder(w).Encode(body)
+}
+
+type errorBody struct {
+	Error errorDetail `json:"error"`
+}
+
+type errorDetail struct {
+	Message string `json:"message"`
+	Type    string `json:"type"`
+	Code    string `json:"code"`
+}
+
+func writeError(w http.ResponseWriter, status int, code, message string) {
+	writeJSON(w, status, errorBody{errorDetail{Message: message, Type: "engine_error", Code: code}})
+}
