--- /dev/null
+++ b/internal/claim/claim.go
@@ -0,0 +1,306 @@
+// Package claim holds the aggregate that lets a non-idempotent online request
+// run at most once: a gate claims the request's key in the replicated state
+// before it sends the request to an upstream.
+//
+// A Table is deterministic and not safe for concurrent use.
+package claim
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/google/btree"
+
+	"slateway.example/slateway/internal/apierr"
+	"slateway.example/slateway/internal/codec"
+	"slateway.example/slateway/internal/instant"
+	"slateway.example/slateway/internal/job"
+)
+
+// Reasons of refused claims.
+const (
+	ReasonKeyReused      apierr.Reason = "idempotency_key_reused"
+	ReasonUnknownClaim   apierr.Reason = "unknown_claim"
+	ReasonInvalidClaim   apierr.Reason = "invalid_claim"
+	ReasonUnknownSession apierr.Reason = job.ReasonUnknownSession
+)
+
+// Retention is how long an outcome is kept after the claim ended. A key sent
+// again after that runs again, as callers are told.
+const Retention = 24 * time.Hour
+
+// State of a claimed request.
+type State string
+
+// States of a claim. Granted is only an answer: the asker shall send the
+// request now.
+const (
+	StateGranted State = "granted"
+	StateRunning State = "running" // another attempt runs it
+	StateDone    State = "done"    // the outcome is stored
+	StateUnknown State = "unknown" // its gate was lost; it may have run
+)
+
+// Request asks for the right to run a request.
+type Request struct {
+	Team        string        `cbor:"1,keyasint"`
+	Key         string        `cbor:"2,keyasint"` // the caller's idempotency key
+	Fingerprint uint64        `cbor:"3,keyasint"` // hash of the request
+	ID          string        `cbor:"4,keyasint"` // of this attempt by the gate
+	Session     job.SessionID `cbor:"5,keyasint"`
+}
+
+// Finish ends a claim. NotRun frees the key: the request was provably not sent.
+type Finish struct {
+	Team   string `cbor:"1,keyasint"`
+	Key    string `cbor:"2,keyasint"`
+	ID     string `cbor:"3,keyasint"` // as in the Request
+	NotRun bool   `cbor:"4,keyasint,omitempty"`
+	// Unknown ends the claim without an outcome: the request may have run.
+	Unknown bool   `cbor:"5,keyasint,omitempty"`
+	Outcome []byte `cbor:"6,keyasint,omitempty"` // encoded answer to the caller
+}
+
+// Answer tells what became of a claimed request.
+type Answer struct {
+	State   State   `cbor:"1,keyasint"`
+	Outcome job.Ref `cbor:"2,keyasint"` // of a done claim
+}
+
+// Storage keeps the outcomes.
+type Storage interface {
+	AppendOutcome(data []byte) job.Ref
+}
+
+type key struct {
+	Team string `cbor:"1,keyasint"`
+	Key  string `cbor:"2,keyasint"`
+}
+
+func compareKeys(a, b key) int {
+	return cmp.Or(cmp.Compare(a.Team, b.Team), cmp.Compare(a.Key, b.Key))
+}
+
+// entry is one claim.
+type entry struct {
+	Key         key            `cbor:"1,keyasint"`
+	Fingerprint uint64         `cbor:"2,keyasint"`
+	ID          string         `cbor:"3,keyasint"`
+	Session     job.SessionID  `cbor:"4,keyasint"`
+	State       State          `cbor:"5,keyasint"`
+	Outcome     job.Ref        `cbor:"6,keyasint"`
+	Expires     instant.Micros `cbor:"7,keyasint,omitempty"` // zero while it runs
+}
+
+func (e *entry) lessExpiry(other *entry) bool {
+	if e.Expires != other.Expires {
+		return e.Expires < other.Expires
+	}
+	return compareKeys(e.Key, other.Key) < 0
+}
+
+// Table holds the claims of one group.
+type Table struct {
+	storage   Storage
+	claims    map[key]*entry
+	bySession map[job.SessionID]map[key]struct{} // running claims
+	expiry    *btree.BTreeG[*entry]              // ended claims
+	segments  map[uint32]int                     // outcomes in use by segment
+}
+
+const btreeDegree = 16
+
+// NewTable makes an empty table.
+func NewTable(storage Storage) *Table {
+	return &Table{
+		storage:   storage,
+		claims:    make(map[key]*entry),
+		bySession: make(map[job.SessionID]map[key]struct{}),
+		expiry:    btree.NewG(btreeDegree, (*entry).lessExpiry),
+		segments:  make(map[uint32]int),
+	}
+}
+
+// Claim grants the request to the first who asks. A resend of that same attempt
+// is granted again, since its gate may have lost the answer and has sent
+// nothing; any other asker gets what became of the request.
+//
+// The session must be open: the claim of a gate that the keepers have given up
+// would never end.
+func (t *Table) Claim(request Request, sessionOpen bool) (Answer, *apierr.Error) {
+	if request.Team == "" || request.Key == "" || request.ID == "" {
+		return Answer{}, apierr.New(apierr.Invalid, ReasonInvalidClaim, "give team, key and claim ID", "the claim is incomplete")
+	}
+	at := key{Team: request.Team, Key: request.Key}
+	existing, found := t.claims[at]
+	if found {
+		return existing.answer(&request)
+	}
+	if !sessionOpen {
+		return Answer{}, apierr.New(apierr.NotFound, ReasonUnknownSession, "open a new session", "session %q is not open", string(request.Session))
+	}
+	t.insert(&entry{Key: at, Fingerprint: request.Fingerprint, ID: request.ID, Session: request.Session, State: StateRunning})
+	return Answer{State: StateGranted}, nil
+}
+
+func (e *entry) answer(request *Request) (Answer, *apierr.Error) {
+	if e.Fingerprint != request.Fingerprint {
+		return Answer{}, apierr.New(apierr.Conflict, ReasonKeyReused, "use a new idempotency key",
+			"idempotency key %q was used for a different request", request.Key)
+	}
+	if e.State == StateRunning && e.ID == request.ID {
+		return Answer{State: StateGranted}, nil
+	}
+	return Answer{State: e.State, Outcome: e.Outcome}, nil
+}
+
+func (t *Table) insert(claimed *entry) {
+	t.claims[claimed.Key] = claimed
+	if claimed.State != StateRunning {
+		t.expiry.ReplaceOrInsert(claimed)
+		if claimed.State == StateDone {
+			t.segments[claimed.Outcome.Segment]++
+		}
+		return
+	}
+	held := t.bySession[claimed.Session]
+	if held == nil {
+		held = make(map[key]struct{})
+		t.bySession[claimed.Session] = held
+	}
+	held[claimed.Key] = struct{}{}
+}
+
+func (t *Table) release(claimed *entry) {
+	held := t.bySession[claimed.Session]
+	delete(held, claimed.Key)
+	if len(held) == 0 {
+		delete(t.bySession, claimed.Session)
+	}
+}
+
+// Finish ends a claim; it may be resent. An outcome that comes after the claim
+// was given up as unknown is still stored: more is known, and nothing runs again.
+func (t *Table) Finish(finish Finish, now instant.Micros) *apierr.Error {
+	claimed, found := t.claims[key{Team: finish.Team, Key: finish.Key}]
+	if !found || claimed.ID != finish.ID {
+		if finish.NotRun {
+			return nil // freed by the first copy of a resent Finish
+		}
+		return apierr.New(apierr.NotFound, ReasonUnknownClaim, "claim the key first", "there is no claim of key %q with this ID", finish.Key)
+	}
+	switch {
+	case claimed.State == StateDone:
+		return nil
+	case finish.NotRun:
+		t.free(claimed)
+	case finish.Unknown:
+		t.giveUp(claimed, now)
+	default:
+		t.done(claimed, finish.Outcome, now)
+	}
+	return nil
+}
+
+// free forgets a claim whose request was not sent, so that a resend can run. A
+// claim that was given up meanwhile stays unknown: its caller may have been
+// told so, and an answer must not change from that back to a first run.
+func (t *Table) free(claimed *entry) {
+	if claimed.State != StateRunning {
+		return
+	}
+	t.release(claimed)
+	delete(t.claims, claimed.Key)
+}
+
+func (t *Table) done(claimed *entry, outcome []byte, now instant.Micros) {
+	if claimed.State == StateUnknown {
+		t.expiry.Delete(claimed)
+	} else {
+		t.release(claimed)
+	}
+	claimed.State = StateDone
+	claimed.Outcome = t.storage.AppendOutcome(outcome)
+	claimed.Expires = now.Add(Retention)
+	t.insert(claimed)
+}
+
+func (t *Table) giveUp(claimed *entry, now instant.Micros) {
+	if claimed.State != StateRunning {
+		return
+	}
+	t.release(claimed)
+	claimed.State = StateUnknown
+	claimed.Expires = now.Add(Retention)
+	t.insert(claimed)
+}
+
+// EndSession gives up the claims of a gate that is lost: their requests may
+// have run, so none of them may run again.
+func (t *Table) EndSession(session job.SessionID, now instant.Micros) {
+	keys := make([]key, 0, len(t.bySession[session]))
+	for at := range t.bySession[session] {
+		keys = append(keys, at)
+	}
+	slices.SortFunc(keys, compareKeys)
+	for _, at := range keys {
+		t.giveUp(t.claims[at], now)
+	}
+}
+
+// Expire deletes the claims whose retention is over and returns how many.
+func (t *Table) Expire(now instant.Micros) int {
+	deleted := 0
+	for {
+		first, found := t.expiry.Min()
+		if !found || first.Expires > now {
+			return deleted
+		}
+		t.expiry.DeleteMin()
+		delete(t.claims, first.Key)
+		if first.State == StateDone {
+			t.dropOutcome(first.Outcome.Segment)
+		}
+		deleted++
+	}
+}
+
+func (t *Table) dropOutcome(segment uint32) {
+	t.segments[segment]--
+	if t.segments[segment] == 0 {
+		delete(t.segments, segment)
+	}
+}
+
+// Expired reports whether Expire would delete a claim.
+func (t *Table) Expired(now instant.Micros) bool {
+	first, found := t.expiry.Min()
+	return found && first.Expires <= now
+}
+
+// SegmentInUse reports whether a segment holds kept outcomes.
+func (t *Table) SegmentInUse(segment uint32) bool { return t.segments[segment] > 0 }
+
+// Snapshot encodes the table; the outcomes in its storage are not part of it.
+func (t *Table) Snapshot() ([]byte, error) {
+	entries := make([]entry, 0, len(t.claims))
+	for _, claimed := range t.claims {
+		entries = append(entries, *claimed)
+	}
+	slices.SortFunc(entries, func(a, b entry) int { return compareKeys(a.Key, b.Key) })
+	return codec.Marshal(entries)
+}
+
+// RestoreTable decodes a table that Snapshot encoded.
+func RestoreTable(data []byte, storage Storage) (*Table, error) {
+	var entries []entry
+	if err := codec.Unmarshal(data, &entries); err != nil {
+		return nil, err
+	}
+	t := NewTable(storage)
+	for i := range entries {
+		t.insert(&entries[i])
+	}
+	return t, nil
+}
--- /dev/null
+++ b/internal/job/complete.go
@@ -0,0 +1,132 @@
+package job
+
+import (
+	"slateway.example/slateway/internal/apierr"
+	"slateway.example/slateway/internal/codec"
+	"slateway.example/slateway/internal/instant"
+)
+
+// StoredResult is a result as a Storage keeps it and readers get it.
+type StoredResult struct {
+	Item     uint32         `cbor:"1,keyasint"`
+	Attempt  int            `cbor:"2,keyasint"`
+	Outcome  Outcome        `cbor:"3,keyasint"`
+	CustomID string         `cbor:"4,keyasint,omitempty"`
+	Status   int            `cbor:"5,keyasint,omitempty"`
+	Body     []byte         `cbor:"6,keyasint,omitempty"`
+	Reason   apierr.Reason  `cbor:"7,keyasint,omitempty"`
+	Message  string         `cbor:"8,keyasint,omitempty"`
+	Finished instant.Micros `cbor:"9,keyasint"`
+}
+
+// Complete takes the results of attempts. The first answer to an item wins,
+// also one of an attempt that had lost its lease; the others are dropped and
+// counted. Complete may be resent.
+func (t *Table) Complete(id SessionID, results []Result, now instant.Micros) {
+	for i := range results {
+		t.completeOne(id, &results[i], now)
+	}
+}
+
+func (t *Table) completeOne(id SessionID, result *Result, now instant.Micros) {
+	job, found := t.jobs[result.Job]
+	if !found || job.state != StateRunning {
+		t.dropped.Ended++
+		return
+	}
+	if result.Item >= job.items {
+		t.dropped.Invalid++
+		return
+	}
+	if job.done(result.Item) {
+		t.dropped.Doubled++
+		return
+	}
+	held, leased := job.leases[result.Item]
+	current := leased && held.Session == id && held.Attempt == result.Attempt
+	if !current && result.Outcome != OutcomeSucceeded {
+		t.dropped.Late++
+		return
+	}
+	t.takeResult(job, result, now)
+}
+
+func (t *Table) takeResult(job *entry, result *Result, now instant.Micros) {
+	switch result.Outcome {
+	case OutcomeSucceeded, OutcomeFailed, OutcomeUnknown:
+		t.dropLease(job, result.Item)
+		t.store(job, &StoredResult{
+			Item:     result.Item,
+			Attempt:  result.Attempt,
+			Outcome:  result.Outcome,
+			CustomID: result.CustomID,
+			Status:   result.Status,
+			Body:     result.Body,
+			Reason:   result.Reason,
+			Message:  result.Message,
+			Finished: now,
+		}, now)
+	case OutcomeRetry:
+		t.dropLease(job, result.Item)
+		if job.spec.NonIdempotent {
+			t.endItem(job, result.Item, now, OutcomeUnknown, ReasonOutcomeUnknown, result.Message)
+			return
+		}
+		t.retryItem(job, result.Item, result.Attempt, now, result.Message)
+	case OutcomeReturned:
+		t.dropLease(job, result.Item)
+		t.returnItem(job, result.Item)
+	default:
+		t.dropped.Invalid++
+	}
+}
+
+// endItem ends an item for which no gate reports a final result.
+func (t *Table) endItem(job *entry, item uint32, now instant.Micros, outcome Outcome, reason apierr.Reason, message string) {
+	t.store(job, &StoredResult{
+		Item:     item,
+		Attempt:  job.attempts[item] + 1,
+		Outcome:  outcome,
+		CustomID: t.customID(job, item),
+		Reason:   reason,
+		Message:  message,
+		Finished: now,
+	}, now)
+}
+
+// customID reads the caller's ID of an item from its part. The last part is
+// kept, as the items of a lost gate mostly lie in one.
+func (t *Table) customID(job *entry, item uint32) string {
+	owner := job.partOf(item)
+	if t.lastPart != owner.Ref {
+		t.lastItems = nil
+		if err := codec.Unmarshal(t.storage.ReadPart(owner.Ref), &t.lastItems); err != nil {
+			return ""
+		}
+		t.lastPart = owner.Ref
+	}
+	index := int(item - owner.First)
+	if index >= len(t.lastItems) {
+		return ""
+	}
+	return t.lastItems[index].CustomID
+}
+
+// store keeps the final result of an item and ends the job with its last one.
+func (t *Table) store(job *entry, result *StoredResult, now instant.Micros) {
+	ref := t.storage.AppendResult(codec.MustMarshal(result))
+	t.useResult(job, ref)
+	switch result.Outcome {
+	case OutcomeSucceeded:
+		job.succeeded++
+	case OutcomeUnknown:
+		job.unknown++
+	default:
+		job.failed++
+	}
+	delete(job.attempts, result.Item)
+	t.setResult(job, result.Item, ref)
+	if job.succeeded+job.failed+job.unknown == job.items {
+		t.end(job, StateCompleted, now)
+	}
+}
--- /dev/null
+++ b/internal/job/lease.go
@@ -0,0 +1,310 @@
+package job
+
+import (
+	"cmp"
+	"fmt"
+	"slices"
+
+	"github.com/google/btree"
+
+	"slateway.example/slateway/internal/apierr"
+	"slateway.example/slateway/internal/instant"
+)
+
+// session is a gate that leases items. All its leases share its lifetime: the
+// gate renews one session in place of thousands of items.
+type session struct {
+	vm     string
+	leases map[itemKey]struct{}
+	last   leaseAnswer
+}
+
+type itemKey struct {
+	Job  ID     `cbor:"1,keyasint"`
+	Item uint32 `cbor:"2,keyasint"`
+}
+
+func compareItems(a, b itemKey) int {
+	return cmp.Or(cmp.Compare(a.Job, b.Job), cmp.Compare(a.Item, b.Item))
+}
+
+// leaseAnswer is the last answer of a session to a lease request.
+type leaseAnswer struct {
+	Request string   `cbor:"1,keyasint"`
+	Items   []Leased `cbor:"2,keyasint,omitempty"`
+}
+
+// Want asks for items of one queue.
+type Want struct {
+	Queue Queue `cbor:"1,keyasint"`
+	Max   int   `cbor:"2,keyasint"`
+}
+
+// Leased is an item that a gate may run now.
+type Leased struct {
+	Job           ID             `cbor:"1,keyasint"`
+	Item          uint32         `cbor:"2,keyasint"`
+	Attempt       int            `cbor:"3,keyasint"` // from 1
+	Team          string         `cbor:"4,keyasint"`
+	Queue         Queue          `cbor:"5,keyasint"`
+	Class         string         `cbor:"6,keyasint,omitempty"`
+	Deadline      instant.Micros `cbor:"7,keyasint"` // of the job
+	NonIdempotent bool           `cbor:"8,keyasint,omitempty"`
+	Part          Ref            `cbor:"9,keyasint"`  // where its body lies
+	Index         uint32         `cbor:"10,keyasint"` // within the part
+}
+
+// OpenSession registers a gate's session; a resend changes nothing.
+func (t *Table) OpenSession(id SessionID, vm string) {
+	if _, found := t.sessions[id]; !found {
+		t.sessions[id] = &session{vm: vm, leases: make(map[itemKey]struct{})}
+	}
+}
+
+// Sessions lists the open sessions in order.
+func (t *Table) Sessions() []SessionID { return sortedKeys(t.sessions) }
+
+// HasSession reports whether a session is open.
+func (t *Table) HasSession(id SessionID) bool {
+	_, found := t.sessions[id]
+	return found
+}
+
+// EndSession ends a session whose gate is lost or has left: its items can be
+// leased again, as far as they may run again.
+func (t *Table) EndSession(id SessionID, now instant.Micros) {
+	ended, found := t.sessions[id]
+	if !found {
+		return
+	}
+	keys := make([]itemKey, 0, len(ended.leases))
+	for key := range ended.leases {
+		keys = append(keys, key)
+	}
+	slices.SortFunc(keys, compareItems)
+	for _, key := range keys {
+		t.loseItem(t.jobs[key.Job], key.Item, now)
+	}
+	delete(t.sessions, id)
+}
+
+// loseItem ends the lease of an item whose gate is lost.
+//
+// The gate may have run it without being able to report. An item that may not
+// run twice therefore ends here as unknown; any other is leased again until its
+// attempts are used up, since an item that takes its gate down with it would
+// otherwise go round for ever.
+func (t *Table) loseItem(job *entry, item uint32, now instant.Micros) {
+	attempt := job.leases[item].Attempt
+	t.dropLease(job, item)
+	if job.spec.NonIdempotent {
+		t.endItem(job, item, now, OutcomeUnknown, ReasonOutcomeUnknown, "the gate that ran the item was lost before it reported")
+		return
+	}
+	t.retryItem(job, item, attempt, now, "the gate that ran the item was lost")
+}
+
+// retryItem makes an item available again after a counted attempt.
+func (t *Table) retryItem(job *entry, item uint32, attempt int, now instant.Micros, cause string) {
+	if attempt >= job.spec.MaxAttempts {
+		t.endItem(job, item, now, OutcomeFailed, ReasonAttemptsExhausted, fmt.Sprintf("attempt %d of %d: %s", attempt, job.spec.MaxAttempts, cause))
+		return
+	}
+	job.attempts[item] = attempt
+	t.returnItem(job, item)
+}
+
+func (t *Table) returnItem(job *entry, item uint32) {
+	job.returned = append(job.returned, item)
+	t.setReady(job)
+}
+
+func (t *Table) dropLease(job *entry, item uint32) {
+	if held, found := job.leases[item]; found {
+		if owner := t.sessions[held.Session]; owner != nil {
+			delete(owner.leases, itemKey{Job: job.id, Item: item})
+		}
+		delete(job.leases, item)
+	}
+}
+
+// Lease gives the session items of the wanted queues, earliest deadline first.
+//
+// A gate that lost the answer resends the request. Leased anew, the items of
+// the first answer would stay with a session that does not know of them, and
+// their jobs would never end; so the same request gets the same items.
+func (t *Table) Lease(id SessionID, request string, wants []Want, now instant.Micros) ([]Leased, *apierr.Error) {
+	holder, found := t.sessions[id]
+	if !found {
+		return nil, unknownSession(id)
+	}
+	if again := t.repeatedLease(id, holder, request); len(again) > 0 {
+		return again, nil
+	}
+	var items []Leased
+	for _, want := range wants {
+		items = append(items, t.leaseFrom(id, holder, want, now)...)
+	}
+	holder.last = leaseAnswer{Request: request, Items: items}
+	return items, nil
+}
+
+// repeatedLease gives the items of the session's last request, if it is this
+// one, as far as the session still holds them.
+func (t *Table) repeatedLease(id SessionID, holder *session, request string) []Leased {
+	if request == "" || holder.last.Request != request {
+		return nil
+	}
+	var items []Leased
+	for _, item := range holder.last.Items {
+		job := t.jobs[item.Job]
+		if job != nil && job.leases[item.Item] == (lease{Session: id, Attempt: item.Attempt}) {
+			items = append(items, item)
+		}
+	}
+	return items
+}
+
+// Answered reports whether a resend of the request would get items again.
+func (t *Table) Answered(id SessionID, request string) bool {
+	holder, found := t.sessions[id]
+	return found && len(t.repeatedLease(id, holder, request)) > 0
+}
+
+func unknownSession(id SessionID) *apierr.Error {
+	return apierr.New(apierr.NotFound, ReasonUnknownSession, "open a new session", "session %q is not open", string(id))
+}
+
+func (t *Table) leaseFrom(id SessionID, holder *session, want Want, now instant.Micros) []Leased {
+	var items []Leased
+	for _, job := range t.inOrder(want.Queue, now) {
+		for len(items) < want.Max {
+			item, found := job.takeItem()
+			if !found {
+				t.setUnready(job)
+				break
+			}
+			attempt := job.attempts[item] + 1
+			job.leases[item] = lease{Session: id, Attempt: attempt}
+			holder.leases[itemKey{Job: job.id, Item: item}] = struct{}{}
+			items = append(items, job.leased(item, attempt))
+		}
+		if len(items) >= want.Max {
+			break
+		}
+	}
+	return items
+}
+
+// inOrder gives the jobs of a queue that have items to lease: earliest deadline
+// first, those whose deadline has passed last, so that one job that is late
+// anyhow does not make the others late too.
+func (t *Table) inOrder(queue Queue, now instant.Micros) []*entry {
+	var due, late []*entry
+	tree := t.ready[queue]
+	if tree == nil {
+		return nil
+	}
+	tree.Ascend(func(key readyKey) bool {
+		if key.deadline <= now {
+			late = append(late, key.job)
+		} else {
+			due = append(due, key.job)
+		}
+		return len(due) < maxJobsPerLease
+	})
+	return append(due, late...)
+}
+
+// maxJobsPerLease bounds how many jobs one lease request looks at.
+const maxJobsPerLease = 256
+
+// takeItem picks an item that is neither leased nor done: first those never
+// tried, so that an item that keeps failing does not hold up the others.
+func (j *entry) takeItem() (uint32, bool) {
+	for j.next < j.items {
+		item := j.next
+		j.next++
+		if !j.done(item) {
+			return item, true
+		}
+	}
+	for len(j.returned) > 0 {
+		item := j.returned[0]
+		j.returned = j.returned[1:]
+		if _, leased := j.leases[item]; !leased && !j.done(item) {
+			return item, true
+		}
+	}
+	return 0, false
+}
+
+func (j *entry) leased(item uint32, attempt int) Leased {
+	owner := j.partOf(item)
+	return Leased{
+		Job:           j.id,
+		Item:          item,
+		Attempt:       attempt,
+		Team:          j.spec.Team,
+		Queue:         j.spec.Queue,
+		Class:         j.spec.Class,
+		Deadline:      j.deadline,
+		NonIdempotent: j.spec.NonIdempotent,
+		Part:          owner.Ref,
+		Index:         item - owner.First,
+	}
+}
+
+func (j *entry) partOf(item uint32) part {
+	at, found := slices.BinarySearchFunc(j.parts, item, func(p part, item uint32) int { return cmp.Compare(p.First, item) })
+	if !found {
+		at--
+	}
+	return j.parts[at]
+}
+
+// HasWork reports whether Lease would find an item for one of the wants.
+func (t *Table) HasWork(wants []Want) bool {
+	for _, want := range wants {
+		if tree := t.ready[want.Queue]; want.Max > 0 && tree != nil && tree.Len() > 0 {
+			return true
+		}
+	}
+	return false
+}
+
+func (t *Table) setReady(job *entry) {
+	tree := t.ready[job.spec.Queue]
+	if tree == nil {
+		tree = btree.NewG(btreeDegree, readyKey.less)
+		t.ready[job.spec.Queue] = tree
+	}
+	tree.ReplaceOrInsert(job.readyKey())
+}
+
+func (t *Table) setUnready(job *entry) {
+	tree := t.ready[job.spec.Queue]
+	if tree == nil {
+		return
+	}
+	tree.Delete(job.readyKey())
+	if tree.Len() == 0 {
+		delete(t.ready, job.spec.Queue)
+	}
+}
+
+func (j *entry) readyKey() readyKey {
+	return readyKey{deadline: j.deadline, sequence: j.sequence, job: j}
+}
+
+// EndedAmong gives those of the jobs that are cancelled, completed or unknown:
+// a gate that runs items of them stops.
+func (t *Table) EndedAmong(ids []ID) []ID {
+	var ended []ID
+	for _, id := range ids {
+		if job, found := t.jobs[id]; !found || job.state.Ended() {
+			ended = append(ended, id)
+		}
+	}
+	return ended
+}
--- /dev/null
+++ b/internal/job/snapshot.go
@@ -0,0 +1,153 @@
+package job
+
+import (
+	"slateway.example/slateway/internal/codec"
+	"slateway.example/slateway/internal/instant"
+)
+
+// state is the encoded form of a Table.
+type state struct {
+	Jobs     []storedJob     `cbor:"1,keyasint,omitempty"`
+	Sessions []storedSession `cbor:"2,keyasint,omitempty"`
+	Created  uint64          `cbor:"3,keyasint"`
+	Dropped  Dropped         `cbor:"4,keyasint"`
+}
+
+type storedJob struct {
+	ID        ID               `cbor:"1,keyasint"`
+	Spec      Spec             `cbor:"2,keyasint"`
+	State     State            `cbor:"3,keyasint"`
+	Sequence  uint64           `cbor:"4,keyasint"`
+	Created   instant.Micros   `cbor:"5,keyasint"`
+	Deadline  instant.Micros   `cbor:"6,keyasint"`
+	Finished  instant.Micros   `cbor:"7,keyasint,omitempty"`
+	Items     uint32           `cbor:"8,keyasint"`
+	Received  int              `cbor:"9,keyasint"`
+	Parts     []part           `cbor:"10,keyasint,omitempty"`
+	Next      uint32           `cbor:"11,keyasint,omitempty"`
+	Returned  []uint32         `cbor:"12,keyasint,omitempty"`
+	Attempts  map[uint32]int   `cbor:"13,keyasint,omitempty"`
+	Leases    map[uint32]lease `cbor:"14,keyasint,omitempty"`
+	Pages     []storedPage     `cbor:"15,keyasint,omitempty"`
+	Used      segmentUse       `cbor:"16,keyasint,omitempty"`
+	Succeeded uint32           `cbor:"17,keyasint"`
+	Failed    uint32           `cbor:"18,keyasint"`
+	Unknown   uint32           `cbor:"19,keyasint"`
+}
+
+type storedPage struct {
+	Flushed Ref    `cbor:"1,keyasint"`
+	Refs    []byte `cbor:"2,keyasint,omitempty"` // as encodePage gives them
+}
+
+type storedSession struct {
+	ID   SessionID   `cbor:"1,keyasint"`
+	VM   string      `cbor:"2,keyasint"`
+	Last leaseAnswer `cbor:"3,keyasint"`
+}
+
+// Snapshot encodes the table; the records in its storage are not part of it.
+func (t *Table) Snapshot() ([]byte, error) {
+	s := state{Created: t.created, Dropped: t.dropped}
+	for _, id := range sortedKeys(t.jobs) {
+		s.Jobs = append(s.Jobs, t.jobs[id].stored())
+	}
+	for _, id := range sortedKeys(t.sessions) {
+		open := t.sessions[id]
+		s.Sessions = append(s.Sessions, storedSession{ID: id, VM: open.vm, Last: open.last})
+	}
+	return codec.Marshal(s)
+}
+
+func (j *entry) stored() storedJob {
+	stored := storedJob{
+		ID: j.id, Spec: j.spec, State: j.state, Sequence: j.sequence,
+		Created: j.created, Deadline: j.deadline, Finished: j.finished,
+		Items: j.items, Received: j.received, Parts: j.parts,
+		Next: j.next, Returned: j.returned, Attempts: j.attempts, Leases: j.leases,
+		Used: j.used, Succeeded: j.succeeded, Failed: j.failed, Unknown: j.unknown,
+	}
+	for _, p := range j.pages {
+		stored.Pages = append(stored.Pages, storedPage{Flushed: p.flushed, Refs: encodePage(p.refs)})
+	}
+	return stored
+}
+
+// RestoreTable decodes a table that Snapshot encoded.
+func RestoreTable(data []byte, storage Storage) (*Table, error) {
+	var s state
+	if err := codec.Unmarshal(data, &s); err != nil {
+		return nil, err
+	}
+	t := NewTable(storage)
+	t.created = s.Created
+	t.dropped = s.Dropped
+	for _, stored := range s.Sessions {
+		t.OpenSession(stored.ID, stored.VM)
+		t.sessions[stored.ID].last = stored.Last
+	}
+	for i := range s.Jobs {
+		t.restoreJob(&s.Jobs[i])
+	}
+	return t, nil
+}
+
+func (t *Table) restoreJob(stored *storedJob) {
+	job := &entry{
+		id: stored.ID, spec: stored.Spec, state: stored.State, sequence: stored.Sequence,
+		created: stored.Created, deadline: stored.Deadline, finished: stored.Finished,
+		items: stored.Items, received: stored.Received, parts: stored.Parts,
+		next: stored.Next, returned: stored.Returned, attempts: stored.Attempts, leases: stored.Leases,
+		used: stored.Used, succeeded: stored.Succeeded, failed: stored.Failed, unknown: stored.Unknown,
+	}
+	job.restoreMaps()
+	for _, p := range stored.Pages {
+		job.pages = append(job.pages, restorePage(p))
+	}
+	t.jobs[job.id] = job
+	for segment, count := range job.used {
+		t.results[segment] += count
+	}
+	if job.state.Ended() {
+		t.expiry.ReplaceOrInsert(expiryKey{at: job.expires(), sequence: job.sequence, job: job})
+		return
+	}
+	for i := range job.parts {
+		if job.parts[i].Count > 0 {
+			t.bodies.add(job.parts[i].Ref)
+		}
+	}
+	for item, held := range job.leases {
+		if holder := t.sessions[held.Session]; holder != nil {
+			holder.leases[itemKey{Job: job.id, Item: item}] = struct{}{}
+		}
+	}
+	if job.state == StateRunning && (job.next < job.items || len(job.returned) > 0) {
+		t.setReady(job)
+	}
+}
+
+func (j *entry) restoreMaps() {
+	if j.attempts == nil {
+		j.attempts = make(map[uint32]int)
+	}
+	if j.leases == nil {
+		j.leases = make(map[uint32]lease)
+	}
+	if j.used == nil {
+		j.used = make(segmentUse)
+	}
+}
+
+func restorePage(stored storedPage) page {
+	if len(stored.Refs) == 0 {
+		return page{flushed: stored.Flushed}
+	}
+	p := page{refs: decodePage(stored.Refs)}
+	for _, ref := range p.refs {
+		if ref != (Ref{}) {
+			p.done++
+		}
+	}
+	return p
+}
--- /dev/null
+++ b/internal/job/table.go
@@ -0,0 +1,363 @@
+package job
+
+import (
+	"cmp"
+	"hash/fnv"
+	"slices"
+
+	"github.com/google/btree"
+
+	"slateway.example/slateway/internal/apierr"
+	"slateway.example/slateway/internal/instant"
+)
+
+// Table holds the jobs of one group.
+type Table struct {
+	storage  Storage
+	jobs     map[ID]*entry
+	ready    map[Queue]*btree.BTreeG[readyKey] // jobs that have an item to lease
+	expiry   *btree.BTreeG[expiryKey]          // ended jobs
+	sessions map[SessionID]*session
+	dropped  Dropped
+	created  uint64 // jobs so far, orders jobs of equal deadlines
+	bodies   segmentUse
+	results  segmentUse
+
+	lastPart  Ref // that customID read; no part of the state
+	lastItems []Item
+}
+
+// entry is one job.
+type entry struct {
+	id       ID
+	spec     Spec
+	state    State
+	sequence uint64 // order of creation
+	created  instant.Micros
+	deadline instant.Micros
+	finished instant.Micros
+	items    uint32
+	parts    []part // by number; Count 0 where one is missing
+	received int    // parts
+
+	next     uint32           // first item that was never leased
+	returned []uint32         // items to lease again
+	attempts map[uint32]int   // counted attempts of items that were returned
+	leases   map[uint32]lease // running items
+	pages    []page
+	used     segmentUse // result segments
+
+	succeeded, failed, unknown uint32
+}
+
+// part references the items of one upload.
+type part struct {
+	Digest uint64 `cbor:"1,keyasint"`
+	Count  uint32 `cbor:"2,keyasint"`
+	First  uint32 `cbor:"3,keyasint"` // index of its first item; set when the job is sealed
+	Ref    Ref    `cbor:"4,keyasint"`
+}
+
+type lease struct {
+	Session SessionID `cbor:"1,keyasint"`
+	Attempt int       `cbor:"2,keyasint"`
+}
+
+// readyKey orders the jobs of a queue, earliest deadline first.
+type readyKey struct {
+	deadline instant.Micros
+	sequence uint64
+	job      *entry
+}
+
+func (k readyKey) less(other readyKey) bool {
+	if k.deadline != other.deadline {
+		return k.deadline < other.deadline
+	}
+	return k.sequence < other.sequence
+}
+
+type expiryKey struct {
+	at       instant.Micros
+	sequence uint64
+	job      *entry
+}
+
+func (k expiryKey) less(other expiryKey) bool {
+	if k.at != other.at {
+		return k.at < other.at
+	}
+	return k.sequence < other.sequence
+}
+
+const btreeDegree = 16
+
+// NewTable makes an empty table that keeps its records in storage.
+func NewTable(storage Storage) *Table {
+	return &Table{
+		storage:  storage,
+		jobs:     make(map[ID]*entry),
+		ready:    make(map[Queue]*btree.BTreeG[readyKey]),
+		expiry:   btree.NewG(btreeDegree, expiryKey.less),
+		sessions: make(map[SessionID]*session),
+		bodies:   make(segmentUse),
+		results:  make(segmentUse),
+	}
+}
+
+// Create makes a job. Resent with the same content it answers as the first
+// time; other content under the same key is a conflict.
+func (t *Table) Create(spec Spec, now instant.Micros) (Status, *apierr.Error) {
+	id := NewID(spec.Team, spec.Key)
+	if existing, found := t.jobs[id]; found {
+		if !existing.spec.sameContent(&spec) {
+			return Status{}, apierr.New(apierr.Conflict, ReasonJobConflict, "use another job key",
+				"job key %q of team %q belongs to a different job", spec.Key, spec.Team)
+		}
+		return existing.status(), nil
+	}
+	if spec.Team == "" || spec.Key == "" || spec.MaxAttempts < 1 {
+		return Status{}, apierr.New(apierr.Invalid, ReasonInvalidJob, "give team, job key and at least one attempt", "the job is incomplete")
+	}
+	t.created++
+	job := &entry{
+		id:       id,
+		spec:     spec,
+		state:    StateOpen,
+		sequence: t.created,
+		created:  now,
+		deadline: spec.Deadline,
+		attempts: make(map[uint32]int),
+		leases:   make(map[uint32]lease),
+		used:     make(segmentUse),
+	}
+	if job.deadline == 0 {
+		job.deadline = now.Add(spec.Within)
+	}
+	t.jobs[id] = job
+	return job.status(), nil
+}
+
+// AddPart stores the items of part number of an open job. A part sent twice is
+// stored once; different items under the same number are a conflict. Data is
+// the encoding of count items.
+func (t *Table) AddPart(id ID, number int, count uint32, data []byte) (Status, *apierr.Error) {
+	job, refusal := t.find(id)
+	if refusal != nil {
+		return Status{}, refusal
+	}
+	digest := digestOf(data)
+	if number >= 0 && number < len(job.parts) && job.parts[number].Count > 0 {
+		return job.repeatedPart(number, count, digest)
+	}
+	if refusal := job.checkNewPart(number, count, data); refusal != nil {
+		return Status{}, refusal
+	}
+	if number >= len(job.parts) {
+		job.parts = append(job.parts, make([]part, number+1-len(job.parts))...)
+	}
+	ref := t.storage.AppendPart(data)
+	t.bodies.add(ref)
+	job.parts[number] = part{Digest: digest, Count: count, Ref: ref}
+	job.received++
+	job.items += count
+	return job.status(), nil
+}
+
+func (j *entry) repeatedPart(number int, count uint32, digest uint64) (Status, *apierr.Error) {
+	if j.parts[number].Digest == digest && j.parts[number].Count == count {
+		return j.status(), nil
+	}
+	return Status{}, apierr.New(apierr.Conflict, ReasonPartConflict, "send new items under the next part number",
+		"part %d of job %s was received with other items", number, j.id)
+}
+
+func (j *entry) checkNewPart(number int, count uint32, data []byte) *apierr.Error {
+	switch {
+	case j.state.Ended():
+		return j.endedRefusal()
+	case j.state != StateOpen:
+		return apierr.New(apierr.Conflict, ReasonJobSealed, "create another job for further items", "job %s is sealed", j.id)
+	case number < 0 || number >= MaxParts:
+		return apierr.New(apierr.Invalid, ReasonInvalidPart, "number parts from 0", "part number %d is not in the range 0 to %d", number, MaxParts-1)
+	case count == 0 || count > MaxPartItems:
+		return apierr.New(apierr.Invalid, ReasonInvalidPart, "split the items into other parts", "a part holds 1 to %d items, not %d", MaxPartItems, count)
+	case len(data) > MaxPartBytes:
+		return apierr.New(apierr.TooLarge, ReasonInvalidPart, "send smaller parts", "a part holds at most %d bytes, not %d", MaxPartBytes, len(data))
+	case j.items+count > MaxItems:
+		return apierr.New(apierr.TooLarge, ReasonInvalidPart, "create another job", "a job holds at most %d items", MaxItems)
+	default:
+		return nil
+	}
+}
+
+func (j *entry) endedRefusal() *apierr.Error {
+	return apierr.New(apierr.Conflict, ReasonJobEnded, "create another job", "job %s is %s", j.id, j.state)
+}
+
+// Seal ends the upload of a job that has parts 0 to parts-1. From then on its
+// items are leased.
+func (t *Table) Seal(id ID, parts int, now instant.Micros) (Status, *apierr.Error) {
+	job, refusal := t.find(id)
+	if refusal != nil {
+		return Status{}, refusal
+	}
+	if job.state == StateCancelled {
+		return Status{}, job.endedRefusal()
+	}
+	if parts != len(job.parts) || parts != job.received {
+		return Status{}, job.missingParts(parts)
+	}
+	if job.state != StateOpen {
+		return job.status(), nil
+	}
+	var first uint32
+	for i := range job.parts {
+		job.parts[i].First = first
+		first += job.parts[i].Count
+	}
+	job.state = StateRunning
+	job.pages = newPages(job.items)
+	if job.items == 0 {
+		t.end(job, StateCompleted, now)
+		return job.status(), nil
+	}
+	t.setReady(job)
+	return job.status(), nil
+}
+
+func (j *entry) missingParts(parts int) *apierr.Error {
+	for number := range parts {
+		if number >= len(j.parts) || j.parts[number].Count == 0 {
+			return apierr.New(apierr.Conflict, ReasonPartsMissing, "send the part, then seal again", "part %d of job %s is missing", number, j.id)
+		}
+	}
+	return apierr.New(apierr.Conflict, ReasonPartsMissing, "seal with the number of parts sent", "job %s has %d parts, not %d", j.id, j.received, parts)
+}
+
+// Cancel ends a job. Its leases end at once and later results are dropped; the
+// results that it has stay readable.
+func (t *Table) Cancel(id ID, now instant.Micros) (Status, *apierr.Error) {
+	job, refusal := t.find(id)
+	if refusal != nil {
+		return Status{}, refusal
+	}
+	if job.state == StateCompleted {
+		return Status{}, job.endedRefusal()
+	}
+	if job.state != StateCancelled {
+		t.end(job, StateCancelled, now)
+	}
+	return job.status(), nil
+}
+
+// end moves a job to a final state and frees what only a running job needs.
+func (t *Table) end(job *entry, state State, now instant.Micros) {
+	for _, item := range sortedKeys(job.leases) {
+		t.dropLease(job, item)
+	}
+	t.setUnready(job)
+	for i := range job.pages {
+		t.flushPage(job, i)
+	}
+	for i := range job.parts {
+		t.bodies.remove(job.parts[i].Ref)
+	}
+	job.state = state
+	job.finished = now
+	job.parts, job.returned, job.attempts, job.leases = nil, nil, nil, nil
+	t.expiry.ReplaceOrInsert(expiryKey{at: job.expires(), sequence: job.sequence, job: job})
+}
+
+func (j *entry) expires() instant.Micros {
+	if !j.state.Ended() {
+		return 0
+	}
+	return j.finished.Add(j.spec.Retention)
+}
+
+// Expire deletes the jobs whose retention is over and returns how many.
+func (t *Table) Expire(now instant.Micros) int {
+	deleted := 0
+	for {
+		first, found := t.expiry.Min()
+		if !found || first.at > now {
+			return deleted
+		}
+		t.expiry.DeleteMin()
+		t.forget(first.job)
+		deleted++
+	}
+}
+
+// Expired reports whether Expire would delete a job.
+func (t *Table) Expired(now instant.Micros) bool {
+	first, found := t.expiry.Min()
+	return found && first.at <= now
+}
+
+// Status gives the status of a job.
+func (t *Table) Status(id ID) (Status, *apierr.Error) {
+	job, refusal := t.find(id)
+	if refusal != nil {
+		return Status{}, refusal
+	}
+	return job.status(), nil
+}
+
+// List gives the jobs of a team, newest first.
+func (t *Table) List(team string) []Status {
+	var list []Status
+	for _, job := range t.jobs {
+		if job.spec.Team == team {
+			list = append(list, job.status())
+		}
+	}
+	slices.SortFunc(list, func(a, b Status) int {
+		return cmp.Or(cmp.Compare(b.Created, a.Created), cmp.Compare(a.ID, b.ID))
+	})
+	return list
+}
+
+// Dropped gives the counts of results that were not used.
+func (t *Table) Dropped() Dropped { return t.dropped }
+
+func (t *Table) find(id ID) (*entry, *apierr.Error) {
+	if job, found := t.jobs[id]; found {
+		return job, nil
+	}
+	return nil, apierr.New(apierr.NotFound, ReasonUnknownJob, "check the ID; results are deleted when their retention is over", "there is no job %q", string(id))
+}
+
+func (j *entry) status() Status {
+	return Status{
+		ID:        j.id,
+		Spec:      j.spec,
+		State:     j.state,
+		Created:   j.created,
+		Deadline:  j.deadline,
+		Finished:  j.finished,
+		Expires:   j.expires(),
+		Parts:     j.received,
+		Items:     int(j.items),
+		Leased:    len(j.leases),
+		Succeeded: int(j.succeeded),
+		Failed:    int(j.failed),
+		Unknown:   int(j.unknown),
+	}
+}
+
+func digestOf(data []byte) uint64 {
+	digest := fnv.New64a()
+	digest.Write(data)
+	return digest.Sum64()
+}
+
+func sortedKeys[K cmp.Ordered, V any](m map[K]V) []K {
+	keys := make([]K, 0, len(m))
+	for key := range m {
+		keys = append(keys, key)
+	}
+	slices.Sort(keys)
+	return keys
+}
--- /dev/null
+++ b/internal/keeper/command.go
@@ -0,0 +1,67 @@
+package keeper
+
+import (
+	"slateway.example/slateway/internal/apierr"
+	"slateway.example/slateway/internal/claim"
+	"slateway.example/slateway/internal/instant"
+	"slateway.example/slateway/internal/job"
+	"slateway.example/slateway/internal/team"
+)
+
+// configCommand is an entry in the log of the configuration group.
+type configCommand struct {
+	Change *team.Change `cbor:"1,keyasint,omitempty"`
+}
+
+// command is an entry in the log of a job group: the time at which it was
+// proposed and exactly one operation.
+type command struct {
+	At          instant.Micros  `cbor:"1,keyasint"`
+	Create      *job.Spec       `cbor:"2,keyasint,omitempty"`
+	AddPart     *addPart        `cbor:"3,keyasint,omitempty"`
+	Seal        *sealJob        `cbor:"4,keyasint,omitempty"`
+	Cancel      job.ID          `cbor:"5,keyasint,omitempty"`
+	OpenSession *openSession    `cbor:"6,keyasint,omitempty"`
+	EndSessions []job.SessionID `cbor:"7,keyasint,omitempty"`
+	Lease       *leaseItems     `cbor:"8,keyasint,omitempty"`
+	Complete    *completeItems  `cbor:"9,keyasint,omitempty"`
+	Expire      bool            `cbor:"10,keyasint,omitempty"`
+	Claim       *claim.Request  `cbor:"11,keyasint,omitempty"`
+	FinishClaim *claim.Finish   `cbor:"12,keyasint,omitempty"`
+}
+
+type addPart struct {
+	Job    job.ID `cbor:"1,keyasint"`
+	Number int    `cbor:"2,keyasint"`
+	Count  uint32 `cbor:"3,keyasint"`
+	Data   []byte `cbor:"4,keyasint"` // encoded []job.Item
+}
+
+type sealJob struct {
+	Job   job.ID `cbor:"1,keyasint"`
+	Parts int    `cbor:"2,keyasint"`
+}
+
+type openSession struct {
+	Session job.SessionID `cbor:"1,keyasint"`
+	VM      string        `cbor:"2,keyasint"`
+}
+
+type leaseItems struct {
+	Session job.SessionID `cbor:"1,keyasint"`
+	Request string        `cbor:"2,keyasint"`
+	Wants   []job.Want    `cbor:"3,keyasint"`
+}
+
+type completeItems struct {
+	Session job.SessionID `cbor:"1,keyasint"`
+	Results []job.Result  `cbor:"2,keyasint"`
+}
+
+// result is what a command gives to its proposer.
+type result struct {
+	Refusal *apierr.Error `cbor:"1,keyasint,omitempty"`
+	Status  *job.Status   `cbor:"2,keyasint,omitempty"`
+	Leased  []job.Leased  `cbor:"3,keyasint,omitempty"`
+	Claim   *claim.Answer `cbor:"4,keyasint,omitempty"`
+}
--- /dev/null
+++ b/internal/keeper/files.go
@@ -0,0 +1,130 @@
+package keeper
+
+import (
+	"errors"
+
+	"slateway.example/slateway/internal/blob"
+	"slateway.example/slateway/internal/job"
+	"slateway.example/slateway/internal/replica"
+)
+
+// fileKind tells the record files of a job group apart: their records live for
+// different times.
+type fileKind int
+
+const (
+	partFiles    fileKind = iota // items of open jobs
+	resultFiles                  // results, until the retention of their jobs
+	outcomeFiles                 // of claims
+	fileKinds
+)
+
+// prefixes name the files of each kind.
+var prefixes = [fileKinds]string{"part", "result", "outcome"}
+
+// files holds the records of a job group on the disk.
+type files struct {
+	logs [fileKinds]*blob.Log
+	fail func(error)
+
+	// unused lists the segments that were not in use at the last snapshot.
+	//
+	// Deleted at once, a segment would be missing when this VM restarts from
+	// the snapshot before, which still names it. By the time of the next
+	// snapshot the last one lies on the disk, so only then they go.
+	unused [fileKinds][]uint32
+}
+
+func newFiles(folder string, fail func(error)) *files {
+	f := &files{fail: fail}
+	for kind := range f.logs {
+		f.logs[kind] = blob.Open(folder, prefixes[kind], blob.DefaultSegmentBytes)
+	}
+	return f
+}
+
+func (f *files) append(kind fileKind, data []byte) job.Ref {
+	ref, err := f.logs[kind].Append(data)
+	if err != nil {
+		f.fail(err)
+	}
+	return job.Ref(ref)
+}
+
+func (f *files) read(kind fileKind, ref job.Ref) ([]byte, error) {
+	return f.logs[kind].Read(blob.Ref(ref))
+}
+
+// AppendPart stores the encoded items of a part.
+func (f *files) AppendPart(data []byte) job.Ref { return f.append(partFiles, data) }
+
+// AppendResult stores an encoded result or index page.
+func (f *files) AppendResult(data []byte) job.Ref { return f.append(resultFiles, data) }
+
+// AppendOutcome stores the outcome of a claim.
+func (f *files) AppendOutcome(data []byte) job.Ref { return f.append(outcomeFiles, data) }
+
+// ReadPart reads a part for a command.
+func (f *files) ReadPart(ref job.Ref) []byte {
+	data, err := f.read(partFiles, ref)
+	if err != nil {
+		f.fail(err)
+	}
+	return data
+}
+
+// ReadResult reads a result or index page.
+func (f *files) ReadResult(ref job.Ref) ([]byte, error) { return f.read(resultFiles, ref) }
+
+// sync makes all records last and lists the files. Segments that are not in use
+// leave the list now and the disk at the next call.
+func (f *files) sync(inUse func(fileKind, uint32) bool) ([]replica.File, error) {
+	var listed []replica.File
+	for kind, log := range f.logs {
+		if err := log.Delete(f.unused[kind]); err != nil {
+			return nil, err
+		}
+		unused := unusedSegments(log, fileKind(kind), inUse)
+		kept, err := log.Sync(unused)
+		if err != nil {
+			return nil, err
+		}
+		f.unused[kind] = unused
+		for _, file := range kept {
+			listed = append(listed, replica.File(file))
+		}
+	}
+	return listed, nil
+}
+
+func unusedSegments(log *blob.Log, kind fileKind, inUse func(fileKind, uint32) bool) []uint32 {
+	var unused []uint32
+	for _, segment := range log.Segments() {
+		if !inUse(kind, segment) {
+			unused = append(unused, segment)
+		}
+	}
+	return unused
+}
+
+func (f *files) restore(listed []replica.File) error {
+	all := make([]blob.File, 0, len(listed))
+	for _, file := range listed {
+		all = append(all, blob.File(file))
+	}
+	for kind, log := range f.logs {
+		f.unused[kind] = nil
+		if err := log.Restore(all); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (f *files) close() error {
+	var failures []error
+	for _, log := range f.logs {
+		failures = append(failures, log.Close())
+	}
+	return errors.Join(failures...)
+}
--- /dev/null
+++ b/internal/keeper/jobcalls.go
@@ -0,0 +1,265 @@
+package keeper
+
+import (
+	"context"
+	"time"
+
+	"slateway.example/slateway/internal/apierr"
+	"slateway.example/slateway/internal/claim"
+	"slateway.example/slateway/internal/codec"
+	"slateway.example/slateway/internal/job"
+	"slateway.example/slateway/internal/keeper/keeperapi"
+)
+
+const (
+	maxResults     = 10_000  // of one response
+	maxResultBytes = 4 << 20 // of one response, the last result excepted
+	maxLeasedItems = 256     // of one response
+)
+
+func (s *Service) createJob(ctx context.Context, spec *job.Spec) (*job.Status, error) {
+	return s.proposeStatus(ctx, job.NewID(spec.Team, spec.Key), command{Create: spec})
+}
+
+func (s *Service) addPart(ctx context.Context, request *keeperapi.AddPartRequest) (*job.Status, error) {
+	return s.proposeStatus(ctx, request.Job, command{AddPart: &addPart{
+		Job:    request.Job,
+		Number: request.Number,
+		Count:  uint32(len(request.Items)),
+		Data:   codec.MustMarshal(request.Items),
+	}})
+}
+
+func (s *Service) sealJob(ctx context.Context, request *keeperapi.SealRequest) (*job.Status, error) {
+	return s.proposeStatus(ctx, request.Job, command{Seal: &sealJob{Job: request.Job, Parts: request.Parts}})
+}
+
+func (s *Service) cancelJob(ctx context.Context, request *keeperapi.JobRequest) (*job.Status, error) {
+	return s.proposeStatus(ctx, request.Job, command{Cancel: request.Job})
+}
+
+// barrier gives the machine of a group, at least as new as what was answered to
+// anyone before the call.
+func (s *Service) barrier(ctx context.Context, group uint32) (*JobMachine, error) {
+	machine, err := s.machine(group)
+	if err != nil {
+		return nil, err
+	}
+	if err := s.options.Proposer.ReadBarrier(ctx, group); err != nil {
+		return nil, err
+	}
+	return machine, nil
+}
+
+func (s *Service) jobStatus(ctx context.Context, request *keeperapi.JobRequest) (*job.Status, error) {
+	machine, err := s.barrier(ctx, s.groupOf(request.Job))
+	if err != nil {
+		return nil, err
+	}
+	var status job.Status
+	var refusal *apierr.Error
+	machine.read(func(jobs *job.Table, _ *claim.Table) { status, refusal = jobs.Status(request.Job) })
+	if refusal != nil {
+		return nil, refusal
+	}
+	return &status, nil
+}
+
+func (s *Service) listJobs(ctx context.Context, request *keeperapi.ListJobsRequest) (*keeperapi.ListJobsResponse, error) {
+	machine, err := s.barrier(ctx, request.Group)
+	if err != nil {
+		return nil, err
+	}
+	response := &keeperapi.ListJobsResponse{}
+	machine.read(func(jobs *job.Table, _ *claim.Table) { response.Jobs = jobs.List(request.Team) })
+	return response, nil
+}
+
+func (s *Service) results(ctx context.Context, request *keeperapi.ResultsRequest) (*keeperapi.ResultsResponse, error) {
+	machine, err := s.barrier(ctx, s.groupOf(request.Job))
+	if err != nil {
+		return nil, err
+	}
+	var located job.Located
+	machine.read(func(jobs *job.Table, _ *claim.Table) {
+		located, err = jobs.Locate(request.Job, request.From, min(request.Limit, maxResults))
+	})
+	if err != nil {
+		return nil, err
+	}
+	return machine.readResults(located)
+}
+
+// readResults reads located results. When they are too large for one response
+// it gives the first of them and where to go on.
+func (m *JobMachine) readResults(located job.Located) (*keeperapi.ResultsResponse, error) {
+	response := &keeperapi.ResultsResponse{Next: located.Next, End: located.End}
+	size := 0
+	for _, ref := range located.Refs {
+		data, err := m.files.ReadResult(ref)
+		if err != nil {
+			return nil, err
+		}
+		var stored job.StoredResult
+		if err := codec.Unmarshal(data, &stored); err != nil {
+			return nil, err
+		}
+		size += len(data)
+		if size > maxResultBytes && len(response.Results) > 0 {
+			response.Next, response.End = stored.Item, false
+			return response, nil
+		}
+		response.Results = append(response.Results, stored)
+	}
+	return response, nil
+}
+
+func (s *Service) openSession(ctx context.Context, request *keeperapi.SessionRequest) (*keeperapi.SessionResponse, error) {
+	if _, err := s.machine(request.Group); err != nil {
+		return nil, err
+	}
+	s.touch(request.Group, request.Session, time.Now())
+	if _, err := s.propose(ctx, request.Group, command{OpenSession: &openSession{Session: request.Session, VM: request.VM}}); err != nil {
+		return nil, err
+	}
+	return &keeperapi.SessionResponse{TTL: s.options.SessionTTL}, nil
+}
+
+func (s *Service) closeSession(ctx context.Context, request *keeperapi.SessionRequest) (*keeperapi.SessionResponse, error) {
+	if _, err := s.machine(request.Group); err != nil {
+		return nil, err
+	}
+	_, err := s.propose(ctx, request.Group, command{EndSessions: []job.SessionID{request.Session}})
+	return &keeperapi.SessionResponse{}, err
+}
+
+func (s *Service) heartbeat(ctx context.Context, request *keeperapi.HeartbeatRequest) (*keeperapi.HeartbeatResponse, error) {
+	machine, err := s.barrier(ctx, request.Group)
+	if err != nil {
+		return nil, err
+	}
+	response := &keeperapi.HeartbeatResponse{TTL: s.options.SessionTTL}
+	if err := machine.checkSession(request.Session); err != nil {
+		return nil, err
+	}
+	machine.read(func(jobs *job.Table, _ *claim.Table) { response.Ended = jobs.EndedAmong(request.Running) })
+	s.touch(request.Group, request.Session, time.Now())
+	return response, nil
+}
+
+// awaitWork waits on the state of the leader, so that idle gates cost no log
+// entries.
+func (s *Service) awaitWork(ctx context.Context, request *keeperapi.AwaitWorkRequest) (*keeperapi.AwaitWorkResponse, error) {
+	machine, err := s.barrier(ctx, request.Group)
+	if err != nil {
+		return nil, err
+	}
+	timer := time.NewTimer(min(request.Wait, maxWait))
+	defer timer.Stop()
+	for {
+		changed := machine.changed.wait()
+		if machine.hasWork(request.Wants) {
+			return &keeperapi.AwaitWorkResponse{Available: true}, nil
+		}
+		select {
+		case <-changed:
+		case <-timer.C:
+			return &keeperapi.AwaitWorkResponse{}, nil
+		case <-ctx.Done():
+			return nil, ctx.Err()
+		}
+	}
+}
+
+func (s *Service) leaseItems(ctx context.Context, request *keeperapi.LeaseRequest) (*keeperapi.LeaseResponse, error) {
+	machine, err := s.barrier(ctx, request.Group)
+	if err != nil {
+		return nil, err
+	}
+	if err := machine.checkSession(request.Session); err != nil {
+		return nil, err
+	}
+	s.touch(request.Group, request.Session, time.Now())
+	wants := boundWants(request.Wants)
+	if !machine.hasWork(wants) && !machine.answered(request) {
+		return &keeperapi.LeaseResponse{}, nil
+	}
+	items, err := s.proposeLease(ctx, machine, request, wants)
+	return &keeperapi.LeaseResponse{Items: items}, err
+}
+
+// checkSession refuses a session that has ended.
+func (m *JobMachine) checkSession(session job.SessionID) error {
+	open := false
+	m.read(func(jobs *job.Table, _ *claim.Table) { open = jobs.HasSession(session) })
+	if !open {
+		return apierr.New(apierr.NotFound, job.ReasonUnknownSession, "open a new session", "session %q is not open", string(session))
+	}
+	return nil
+}
+
+func boundWants(wants []job.Want) []job.Want {
+	left := maxLeasedItems
+	bounded := make([]job.Want, 0, len(wants))
+	for _, want := range wants {
+		want.Max = max(0, min(want.Max, left))
+		left -= want.Max
+		bounded = append(bounded, want)
+	}
+	return bounded
+}
+
+// answered reports whether the request was answered before: a resend gets the
+// same items, also when no other is left.
+func (m *JobMachine) answered(request *keeperapi.LeaseRequest) (found bool) {
+	m.read(func(jobs *job.Table, _ *claim.Table) { found = jobs.Answered(request.Session, request.Request) })
+	return found
+}
+
+func (s *Service) proposeLease(ctx context.Context, machine *JobMachine, request *keeperapi.LeaseRequest, wants []job.Want) ([]keeperapi.LeasedItem, error) {
+	answer, err := s.propose(ctx, request.Group, command{Lease: &leaseItems{Session: request.Session, Request: request.Request, Wants: wants}})
+	if err != nil {
+		return nil, err
+	}
+	items := make([]keeperapi.LeasedItem, 0, len(answer.Leased))
+	for _, leased := range answer.Leased {
+		item, err := s.parts.item(machine, request.Group, leased)
+		if err != nil {
+			return nil, err
+		}
+		items = append(items, keeperapi.LeasedItem{Lease: leased, Item: item})
+	}
+	return items, nil
+}
+
+func (s *Service) completeItems(ctx context.Context, request *keeperapi.CompleteRequest) (*keeperapi.CompleteResponse, error) {
+	if _, err := s.machine(request.Group); err != nil {
+		return nil, err
+	}
+	s.touch(request.Group, request.Session, time.Now())
+	_, err := s.propose(ctx, request.Group, command{Complete: &completeItems{Session: request.Session, Results: request.Results}})
+	return &keeperapi.CompleteResponse{}, err
+}
+
+func (s *Service) claim(ctx context.Context, request *claim.Request) (*keeperapi.ClaimResponse, error) {
+	group := keeperapi.GroupOfClaim(request.Team, request.Key, s.options.Proposer.Groups())
+	machine, err := s.machine(group)
+	if err != nil {
+		return nil, err
+	}
+	answer, err := s.propose(ctx, group, command{Claim: request})
+	if err != nil {
+		return nil, err
+	}
+	response := &keeperapi.ClaimResponse{State: answer.Claim.State}
+	if answer.Claim.State == claim.StateDone {
+		response.Outcome, err = machine.files.read(outcomeFiles, answer.Claim.Outcome)
+	}
+	return response, err
+}
+
+func (s *Service) finishClaim(ctx context.Context, finish *claim.Finish) (*keeperapi.FinishClaimResponse, error) {
+	group := keeperapi.GroupOfClaim(finish.Team, finish.Key, s.options.Proposer.Groups())
+	_, err := s.propose(ctx, group, command{FinishClaim: finish})
+	return &keeperapi.FinishClaimResponse{}, err
+}
--- /dev/null
+++ b/internal/keeper/jobmachine.go
@@ -0,0 +1,211 @@
+package keeper
+
+import (
+	"sync"
+	"time"
+
+	"slateway.example/slateway/internal/apierr"
+	"slateway.example/slateway/internal/claim"
+	"slateway.example/slateway/internal/codec"
+	"slateway.example/slateway/internal/instant"
+	"slateway.example/slateway/internal/job"
+	"slateway.example/slateway/internal/replica"
+)
+
+// JobMachine is the state machine of a job group: jobs, sessions and claims.
+type JobMachine struct {
+	files *files
+
+	mu      sync.RWMutex
+	jobs    *job.Table
+	claims  *claim.Table
+	last    instant.Micros // time of the newest command
+	changed notifier       // items may have become available, or a job ended
+}
+
+var _ replica.Machine = (*JobMachine)(nil)
+
+// NewJobMachine makes an empty machine that keeps its records in folder, which
+// must exist. When a file cannot be written or read it calls fail, which must
+// not return: a replica that went on would differ from the others.
+func NewJobMachine(folder string, fail func(error)) *JobMachine {
+	m := &JobMachine{files: newFiles(folder, fail)}
+	m.jobs = job.NewTable(m.files)
+	m.claims = claim.NewTable(m.files)
+	return m
+}
+
+// Apply executes a command and returns its encoded result.
+func (m *JobMachine) Apply(entry replica.Entry) []byte {
+	var cmd command
+	if err := codec.Unmarshal(entry.Data, &cmd); err != nil {
+		return codec.MustMarshal(result{Refusal: unreadableCommand(entry.Index)})
+	}
+	m.mu.Lock()
+	// The clock of a new leader may be behind that of the last one. Time must
+	// not run backwards within the state, or a job could expire before it ended.
+	m.last = max(m.last, cmd.At)
+	answer := m.execute(&cmd, m.last)
+	m.mu.Unlock()
+	if cmd.frees() {
+		m.changed.notify()
+	}
+	return codec.MustMarshal(answer)
+}
+
+// frees reports whether the command can make items available or end a job.
+func (c *command) frees() bool {
+	return c.Seal != nil || c.Cancel != "" || c.EndSessions != nil || c.Complete != nil
+}
+
+func (m *JobMachine) execute(cmd *command, now instant.Micros) result {
+	switch {
+	case cmd.Create != nil:
+		return statusResult(m.jobs.Create(*cmd.Create, now))
+	case cmd.AddPart != nil:
+		return statusResult(m.jobs.AddPart(cmd.AddPart.Job, cmd.AddPart.Number, cmd.AddPart.Count, cmd.AddPart.Data))
+	case cmd.Seal != nil:
+		return statusResult(m.jobs.Seal(cmd.Seal.Job, cmd.Seal.Parts, now))
+	case cmd.Cancel != "":
+		return statusResult(m.jobs.Cancel(cmd.Cancel, now))
+	case cmd.OpenSession != nil:
+		m.jobs.OpenSession(cmd.OpenSession.Session, cmd.OpenSession.VM)
+	case cmd.EndSessions != nil:
+		m.endSessions(cmd.EndSessions, now)
+	case cmd.Lease != nil:
+		leased, refusal := m.jobs.Lease(cmd.Lease.Session, cmd.Lease.Request, cmd.Lease.Wants, now)
+		return result{Leased: leased, Refusal: refusal}
+	case cmd.Complete != nil:
+		m.jobs.Complete(cmd.Complete.Session, cmd.Complete.Results, now)
+	case cmd.Expire:
+		m.jobs.Expire(now)
+		m.claims.Expire(now)
+	case cmd.Claim != nil:
+		answer, refusal := m.claims.Claim(*cmd.Claim, m.jobs.HasSession(cmd.Claim.Session))
+		return result{Claim: &answer, Refusal: refusal}
+	case cmd.FinishClaim != nil:
+		return result{Refusal: m.claims.Finish(*cmd.FinishClaim, now)}
+	}
+	return result{}
+}
+
+func statusResult(status job.Status, refusal *apierr.Error) result {
+	if refusal != nil {
+		return result{Refusal: refusal}
+	}
+	return result{Status: &status}
+}
+
+func (m *JobMachine) endSessions(sessions []job.SessionID, now instant.Micros) {
+	for _, session := range sessions {
+		m.jobs.EndSession(session, now)
+		m.claims.EndSession(session, now)
+	}
+}
+
+// jobState is the encoded form of a JobMachine.
+type jobState struct {
+	Jobs   []byte         `cbor:"1,keyasint"`
+	Claims []byte         `cbor:"2,keyasint"`
+	Last   instant.Micros `cbor:"3,keyasint"`
+}
+
+// Snapshot syncs the files and encodes the state. It also deletes the files
+// that neither this snapshot nor the one before refers to.
+func (m *JobMachine) Snapshot() (replica.Snapshot, error) {
+	m.mu.RLock()
+	defer m.mu.RUnlock()
+	jobs, err := m.jobs.Snapshot()
+	if err != nil {
+		return replica.Snapshot{}, err
+	}
+	claims, err := m.claims.Snapshot()
+	if err != nil {
+		return replica.Snapshot{}, err
+	}
+	state, err := codec.Marshal(jobState{Jobs: jobs, Claims: claims, Last: m.last})
+	if err != nil {
+		return replica.Snapshot{}, err
+	}
+	listed, err := m.files.sync(m.inUse)
+	return replica.Snapshot{State: state, Files: listed}, err
+}
+
+func (m *JobMachine) inUse(kind fileKind, segment uint32) bool {
+	switch kind {
+	case partFiles:
+		return m.jobs.PartSegmentInUse(segment)
+	case resultFiles:
+		return m.jobs.ResultSegmentInUse(segment)
+	default:
+		return m.claims.SegmentInUse(segment)
+	}
+}
+
+// Restore replaces the state by a snapshot.
+func (m *JobMachine) Restore(s replica.Snapshot) error {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	defer m.changed.notify()
+	if err := m.files.restore(s.Files); err != nil {
+		return err
+	}
+	m.jobs = job.NewTable(m.files)
+	m.claims = claim.NewTable(m.files)
+	m.last = 0
+	if len(s.State) == 0 {
+		return nil
+	}
+	return m.decode(s.State)
+}
+
+func (m *JobMachine) decode(data []byte) error {
+	var state jobState
+	if err := codec.Unmarshal(data, &state); err != nil {
+		return err
+	}
+	jobs, err := job.RestoreTable(state.Jobs, m.files)
+	if err != nil {
+		return err
+	}
+	claims, err := claim.RestoreTable(state.Claims, m.files)
+	if err != nil {
+		return err
+	}
+	m.jobs, m.claims, m.last = jobs, claims, state.Last
+	return nil
+}
+
+// read calls fn with the state held still.
+func (m *JobMachine) read(fn func(jobs *job.Table, claims *claim.Table)) {
+	m.mu.RLock()
+	defer m.mu.RUnlock()
+	fn(m.jobs, m.claims)
+}
+
+// sessions lists the open sessions.
+func (m *JobMachine) sessions() (open []job.SessionID) {
+	m.read(func(jobs *job.Table, _ *claim.Table) { open = jobs.Sessions() })
+	return open
+}
+
+// expired reports whether the retention of a job or claim is over.
+func (m *JobMachine) expired(now time.Time) (expired bool) {
+	m.read(func(jobs *job.Table, claims *claim.Table) {
+		expired = jobs.Expired(instant.Of(now)) || claims.Expired(instant.Of(now))
+	})
+	return expired
+}
+
+// hasWork reports whether there is an item to lease for one of the wants.
+func (m *JobMachine) hasWork(wants []job.Want) (found bool) {
+	m.read(func(jobs *job.Table, _ *claim.Table) { found = jobs.HasWork(wants) })
+	return found
+}
+
+// Close closes the files. The machine must not be used afterwards.
+func (m *JobMachine) Close() error {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.files.close()
+}
--- /dev/null
+++ b/internal/keeper/keeperclient/client.go
@@ -0,0 +1,171 @@
+// Package keeperclient calls the keepers on behalf of gates and operators. It
+// finds the leader of each group and repeats a call, under the same IDs, until
+// it is answered or its context ends.
+package keeperclient
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"time"
+
+	"slateway.example/slateway/internal/apierr"
+	"slateway.example/slateway/internal/keeper/keeperapi"
+	"slateway.example/slateway/internal/rpc"
+)
+
+const (
+	// attemptTimeout bounds one attempt, beside the wait of a long poll. A
+	// connection can go silent for good while new ones work; the call then goes
+	// to another keeper in place of waiting for its own deadline.
+	attemptTimeout = 3 * time.Second
+	// retryDelay is the pause before asking again; an election takes a few.
+	retryDelay    = 20 * time.Millisecond
+	maxRetryDelay = 320 * time.Millisecond
+)
+
+// Client calls the keepers. It is safe for concurrent use.
+type Client struct {
+	rpc       *rpc.Client
+	addresses []string
+
+	mu      sync.Mutex
+	leaders map[uint32]string // last known, by group
+	groups  uint32            // zero until known
+	next    int               // address to ask when no leader is known
+}
+
+// New makes a client of the keepers at the given peer addresses.
+func New(client *rpc.Client, addresses []string) *Client {
+	return &Client{rpc: client, addresses: addresses, leaders: make(map[uint32]string)}
+}
+
+// call sends a request to the leader of a group. Wait is how long the keeper
+// may hold it.
+func call[Req, Res any](ctx context.Context, c *Client, group uint32, wait time.Duration, p rpc.Procedure[Req, keeperapi.Reply[Res]], request *Req) (*Res, error) {
+	attempts := attempts{ran: apierr.RanNo, delay: retryDelay}
+	for ctx.Err() == nil {
+		address, hinted := c.target(group)
+		attempt, cancel := context.WithTimeout(ctx, attemptTimeout+wait)
+		reply, err := rpc.Call(attempt, c.rpc, address, p, request)
+		cancel()
+		if err == nil && reply.NotLeader == nil {
+			c.setLeader(group, address)
+			return reply.Value, nil
+		}
+		if err == nil {
+			c.follow(group, address, reply.NotLeader.Address)
+			if hinted || reply.NotLeader.Address == "" {
+				attempts.pause(ctx)
+			}
+			continue
+		}
+		if final(err) {
+			return nil, err
+		}
+		attempts.note(err)
+		c.follow(group, address, "")
+		attempts.pause(ctx)
+	}
+	return nil, attempts.giveUp(ctx)
+}
+
+// final reports whether asking again would give the same error.
+func final(err error) bool {
+	var known *apierr.Error
+	if !errors.As(err, &known) {
+		return false
+	}
+	switch known.Reason {
+	case keeperapi.ReasonUnavailable, keeperapi.ReasonOutcomeUnknown, keeperapi.ReasonOverloaded:
+		return false
+	default:
+		return true
+	}
+}
+
+// attempts keeps what is known of a call that is repeated.
+type attempts struct {
+	ran   apierr.Ran // whether a keeper may have acted on it
+	last  error
+	delay time.Duration
+}
+
+func (a *attempts) note(err error) {
+	a.last = err
+	// Without an answer the keeper may have committed the call before the
+	// connection broke.
+	if apierr.From(err).Ran != apierr.RanNo {
+		a.ran = apierr.RanUnknown
+	}
+}
+
+func (a *attempts) pause(ctx context.Context) {
+	timer := time.NewTimer(a.delay)
+	defer timer.Stop()
+	a.delay = min(2*a.delay, maxRetryDelay)
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
+
+func (a *attempts) giveUp(ctx context.Context) error {
+	cause := a.last
+	if cause == nil {
+		cause = ctx.Err()
+	}
+	return apierr.New(apierr.Unavailable, keeperapi.ReasonUnavailable, "send it again with the same IDs",
+		"no keeper answered in time: %v", cause).WithRan(a.ran).WithRetryAfter(maxRetryDelay)
+}
+
+// target gives the address to ask; hinted is false if it is only the next one.
+func (c *Client) target(group uint32) (address string, hinted bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if leader, known := c.leaders[group]; known {
+		return leader, true
+	}
+	address = c.addresses[c.next%len(c.addresses)]
+	c.next++
+	return address, false
+}
+
+func (c *Client) setLeader(group uint32, address string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.leaders[group] = address
+}
+
+// follow takes the hint of a keeper that does not lead the group, or forgets
+// the leader if that keeper was thought to be it.
+func (c *Client) follow(group uint32, asked, hint string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if hint != "" && hint != asked {
+		c.leaders[group] = hint
+		return
+	}
+	if c.leaders[group] == asked {
+		delete(c.leaders, group)
+	}
+}
+
+// Groups gives the number of groups of the replicated state.
+func (c *Client) Groups(ctx context.Context) (uint32, error) {
+	c.mu.Lock()
+	known := c.groups
+	c.mu.Unlock()
+	if known > 0 {
+		return known, nil
+	}
+	// Any keeper answers; the group only names a hint to start from.
+	info, err := call(ctx, c, keeperapi.ConfigGroup, 0, keeperapi.Info, &keeperapi.InfoRequest{})
+	if err != nil {
+		return 0, err
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.groups = info.Groups
+	return info.Groups, nil
+}
--- /dev/null
+++ b/internal/keeper/keeperclient/jobs.go
@@ -0,0 +1,103 @@
+package keeperclient
+
+import (
+	"cmp"
+	"context"
+	"slices"
+
+	"golang.org/x/sync/errgroup"
+
+	"slateway.example/slateway/internal/job"
+	"slateway.example/slateway/internal/keeper/keeperapi"
+)
+
+// jobGroup gives the group of a job.
+func (c *Client) jobGroup(ctx context.Context, id job.ID) (uint32, error) {
+	groups, err := c.Groups(ctx)
+	if err != nil {
+		return 0, err
+	}
+	return keeperapi.GroupOfJob(id, groups), nil
+}
+
+// CreateJob makes a job, or finds it if it was made before with this content.
+func (c *Client) CreateJob(ctx context.Context, spec job.Spec) (*job.Status, error) {
+	group, err := c.jobGroup(ctx, job.NewID(spec.Team, spec.Key))
+	if err != nil {
+		return nil, err
+	}
+	return call(ctx, c, group, 0, keeperapi.CreateJob, &spec)
+}
+
+// AddPart stores part number of an open job; it is acknowledged once a majority
+// of the keepers has synced it.
+func (c *Client) AddPart(ctx context.Context, id job.ID, number int, items []job.Item) (*job.Status, error) {
+	group, err := c.jobGroup(ctx, id)
+	if err != nil {
+		return nil, err
+	}
+	return call(ctx, c, group, 0, keeperapi.AddPart, &keeperapi.AddPartRequest{Job: id, Number: number, Items: items})
+}
+
+// SealJob ends the upload of a job that has the given number of parts.
+func (c *Client) SealJob(ctx context.Context, id job.ID, parts int) (*job.Status, error) {
+	group, err := c.jobGroup(ctx, id)
+	if err != nil {
+		return nil, err
+	}
+	return call(ctx, c, group, 0, keeperapi.SealJob, &keeperapi.SealRequest{Job: id, Parts: parts})
+}
+
+// CancelJob ends a job for good.
+func (c *Client) CancelJob(ctx context.Context, id job.ID) (*job.Status, error) {
+	group, err := c.jobGroup(ctx, id)
+	if err != nil {
+		return nil, err
+	}
+	return call(ctx, c, group, 0, keeperapi.CancelJob, &keeperapi.JobRequest{Job: id})
+}
+
+// JobStatus reads the status of a job.
+func (c *Client) JobStatus(ctx context.Context, id job.ID) (*job.Status, error) {
+	group, err := c.jobGroup(ctx, id)
+	if err != nil {
+		return nil, err
+	}
+	return call(ctx, c, group, 0, keeperapi.JobStatus, &keeperapi.JobRequest{Job: id})
+}
+
+// Results reads up to limit results of a job from an item on, in item order.
+func (c *Client) Results(ctx context.Context, id job.ID, from uint32, limit int) (*keeperapi.ResultsResponse, error) {
+	group, err := c.jobGroup(ctx, id)
+	if err != nil {
+		return nil, err
+	}
+	return call(ctx, c, group, 0, keeperapi.Results, &keeperapi.ResultsRequest{Job: id, From: from, Limit: limit})
+}
+
+// ListJobs lists the jobs of a team, newest first.
+func (c *Client) ListJobs(ctx context.Context, team string) ([]job.Status, error) {
+	groups, err := c.Groups(ctx)
+	if err != nil {
+		return nil, err
+	}
+	lists := make([][]job.Status, groups)
+	var calls errgroup.Group
+	for group := uint32(1); group < groups; group++ {
+		calls.Go(func() error {
+			response, err := call(ctx, c, group, 0, keeperapi.ListJobs, &keeperapi.ListJobsRequest{Group: group, Team: team})
+			if err == nil {
+				lists[group] = response.Jobs
+			}
+			return err
+		})
+	}
+	if err := calls.Wait(); err != nil {
+		return nil, err
+	}
+	all := slices.Concat(lists...)
+	slices.SortFunc(all, func(a, b job.Status) int {
+		return cmp.Or(cmp.Compare(b.Created, a.Created), cmp.Compare(a.ID, b.ID))
+	})
+	return all, nil
+}
--- /dev/null
+++ b/internal/keeper/keeperclient/session.go
@@ -0,0 +1,379 @@
+package keeperclient
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"sync"
+	"time"
+
+	"github.com/google/uuid"
+	"golang.org/x/sync/errgroup"
+
+	"slateway.example/slateway/internal/apierr"
+	"slateway.example/slateway/internal/claim"
+	"slateway.example/slateway/internal/job"
+	"slateway.example/slateway/internal/keeper/keeperapi"
+)
+
+// Session is a gate's session with the job groups: under it the gate leases
+// items and claims requests. It is opened in each group at first use and
+// renewed by Heartbeat. It is safe for concurrent use.
+type Session struct {
+	client *Client
+	vm     string
+	id     string
+
+	mu     sync.Mutex
+	groups map[uint32]*groupSession
+	start  uint32 // group at which the next sweep for items starts
+}
+
+// groupSession is the session in one group.
+type groupSession struct {
+	lease sync.Mutex // held during a lease request: at most one is open
+
+	mu      sync.Mutex
+	open    bool
+	epoch   int    // how often it was opened anew after it had ended
+	request string // ID of a lease request without an answer
+}
+
+// NewSession makes the session of one run of the gate on vm.
+func (c *Client) NewSession(vm string) *Session {
+	return &Session{client: c, vm: vm, id: vm + "/" + uuid.NewString(), groups: make(map[uint32]*groupSession)}
+}
+
+func (s *Session) group(number uint32) *groupSession {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	found := s.groups[number]
+	if found == nil {
+		found = &groupSession{}
+		s.groups[number] = found
+	}
+	return found
+}
+
+// ensure opens the session in a group, if it is not open, and gives its ID.
+func (s *Session) ensure(ctx context.Context, number uint32) (job.SessionID, error) {
+	in := s.group(number)
+	in.mu.Lock()
+	defer in.mu.Unlock()
+	id := s.idAt(in.epoch)
+	if in.open {
+		return id, nil
+	}
+	_, err := call(ctx, s.client, number, 0, keeperapi.OpenSession, &keeperapi.SessionRequest{Group: number, Session: id, VM: s.vm})
+	in.open = err == nil
+	return id, err
+}
+
+func (s *Session) idAt(epoch int) job.SessionID {
+	return job.SessionID(fmt.Sprintf("%s/%d", s.id, epoch))
+}
+
+// ended notes that the keepers have ended the session in a group: the gate was
+// not heard of for too long. A new one takes its place; what runs under the old
+// one may be leased to others meanwhile, and the first result counts.
+func (s *Session) ended(number uint32, id job.SessionID, err error) bool {
+	if !isUnknownSession(err) {
+		return false
+	}
+	in := s.group(number)
+	in.mu.Lock()
+	defer in.mu.Unlock()
+	if id != s.idAt(in.epoch) {
+		return true // another call noted it first
+	}
+	in.open = false
+	in.epoch++
+	in.request = ""
+	return true
+}
+
+func isUnknownSession(err error) bool {
+	var known *apierr.Error
+	return errors.As(err, &known) && known.Reason == job.ReasonUnknownSession
+}
+
+// opened lists the groups in which the session is open.
+func (s *Session) opened() []uint32 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var open []uint32
+	for number, in := range s.groups {
+		in.mu.Lock()
+		if in.open {
+			open = append(open, number)
+		}
+		in.mu.Unlock()
+	}
+	return open
+}
+
+// Heartbeat renews the session in all groups; a gate sends it a few times in
+// each session TTL. Of the jobs that the gate runs items of it gives those that
+// are cancelled or gone: their items are to be stopped.
+func (s *Session) Heartbeat(ctx context.Context, running []job.ID) (ended []job.ID, err error) {
+	groups, err := s.client.Groups(ctx)
+	if err != nil {
+		return nil, err
+	}
+	byGroup := make(map[uint32][]job.ID)
+	for _, id := range running {
+		group := keeperapi.GroupOfJob(id, groups)
+		byGroup[group] = append(byGroup[group], id)
+	}
+	var mu sync.Mutex
+	var calls errgroup.Group
+	for _, group := range s.opened() {
+		calls.Go(func() error {
+			stopped, err := s.beat(ctx, group, byGroup[group])
+			mu.Lock()
+			defer mu.Unlock()
+			ended = append(ended, stopped...)
+			return err
+		})
+	}
+	err = calls.Wait()
+	return ended, err
+}
+
+func (s *Session) beat(ctx context.Context, group uint32, running []job.ID) ([]job.ID, error) {
+	id, err := s.ensure(ctx, group)
+	if err != nil {
+		return nil, err
+	}
+	response, err := call(ctx, s.client, group, 0, keeperapi.Heartbeat, &keeperapi.HeartbeatRequest{Group: group, Session: id, Running: running})
+	if err != nil {
+		s.ended(group, id, err)
+		return nil, err
+	}
+	return response.Ended, nil
+}
+
+// Lease gets items to run, up to the wanted counts. It waits up to wait for
+// the first ones; without any it returns none.
+func (s *Session) Lease(ctx context.Context, wants []job.Want, wait time.Duration) ([]keeperapi.LeasedItem, error) {
+	groups, err := s.client.Groups(ctx)
+	if err != nil {
+		return nil, err
+	}
+	items, err := s.sweep(ctx, groups, wants)
+	if len(items) > 0 || err != nil || wait <= 0 {
+		return items, err
+	}
+	if !s.await(ctx, groups, wants, wait) {
+		return nil, nil
+	}
+	return s.sweep(ctx, groups, wants)
+}
+
+// sweep asks the groups one after the other until the wants are met.
+func (s *Session) sweep(ctx context.Context, groups uint32, wants []job.Want) ([]keeperapi.LeasedItem, error) {
+	left := append([]job.Want(nil), wants...)
+	var items []keeperapi.LeasedItem
+	start := s.rotate()
+	for i := range groups - 1 {
+		group := 1 + (start+i)%(groups-1)
+		found, err := s.leaseFrom(ctx, group, left)
+		if err != nil {
+			if len(items) > 0 {
+				return items, nil
+			}
+			return nil, err
+		}
+		items = append(items, found...)
+		if left = subtract(left, found); len(left) == 0 {
+			break
+		}
+	}
+	return items, nil
+}
+
+func (s *Session) rotate() uint32 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.start++
+	return s.start
+}
+
+// subtract gives what is still wanted beside the found items.
+func subtract(wants []job.Want, found []keeperapi.LeasedItem) []job.Want {
+	var left []job.Want
+	for _, want := range wants {
+		for _, item := range found {
+			if item.Lease.Queue == want.Queue {
+				want.Max--
+			}
+		}
+		if want.Max > 0 {
+			left = append(left, want)
+		}
+	}
+	return left
+}
+
+func (s *Session) leaseFrom(ctx context.Context, group uint32, wants []job.Want) ([]keeperapi.LeasedItem, error) {
+	in := s.group(group)
+	in.lease.Lock()
+	defer in.lease.Unlock()
+	id, err := s.ensure(ctx, group)
+	if err != nil {
+		return nil, err
+	}
+	request := in.pendingRequest()
+	response, err := call(ctx, s.client, group, 0, keeperapi.LeaseItems, &keeperapi.LeaseRequest{Group: group, Session: id, Request: request, Wants: wants})
+	if s.ended(group, id, err) {
+		return nil, nil // the next sweep opens it anew
+	}
+	if err != nil {
+		return nil, err
+	}
+	in.answered()
+	return response.Items, nil
+}
+
+// pendingRequest gives the ID for the next lease request: that of the last one
+// as long as it has no answer. Its items are leased to this session already and
+// would wait for its end if the answer were not asked for again.
+func (g *groupSession) pendingRequest() string {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.request == "" {
+		g.request = uuid.NewString()
+	}
+	return g.request
+}
+
+func (g *groupSession) answered() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.request = ""
+}
+
+// await waits until some group has an item.
+func (s *Session) await(ctx context.Context, groups uint32, wants []job.Want, wait time.Duration) bool {
+	ctx, cancel := context.WithTimeout(ctx, wait)
+	defer cancel()
+	found := make(chan uint32, groups)
+	var calls errgroup.Group
+	for group := uint32(1); group < groups; group++ {
+		calls.Go(func() error {
+			request := &keeperapi.AwaitWorkRequest{Group: group, Wants: wants, Wait: wait}
+			response, err := call(ctx, s.client, group, wait, keeperapi.AwaitWork, request)
+			if err == nil && response.Available {
+				found <- group
+				cancel()
+			}
+			return nil
+		})
+	}
+	_ = calls.Wait() // errors end as "no item"; the caller asks again
+	select {
+	case group := <-found:
+		s.startAt(group)
+		return true
+	default:
+		return false
+	}
+}
+
+// startAt makes the next sweep start at a group.
+func (s *Session) startAt(group uint32) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.start = group - 2 // rotate adds one, group 1 is at offset 0
+}
+
+// Complete reports how attempts ended. It returns once the keepers have stored
+// or dropped all of them; it may be repeated.
+func (s *Session) Complete(ctx context.Context, results []job.Result) error {
+	groups, err := s.client.Groups(ctx)
+	if err != nil {
+		return err
+	}
+	byGroup := make(map[uint32][]job.Result)
+	for _, result := range results {
+		group := keeperapi.GroupOfJob(result.Job, groups)
+		byGroup[group] = append(byGroup[group], result)
+	}
+	var calls errgroup.Group
+	for group, results := range byGroup {
+		calls.Go(func() error { return s.completeIn(ctx, group, results) })
+	}
+	return calls.Wait()
+}
+
+// maxCompleteBytes bounds the answers in one call, the last one excepted.
+const maxCompleteBytes = keeperapi.MaxMessageBytes / 4
+
+func (s *Session) completeIn(ctx context.Context, group uint32, results []job.Result) error {
+	for len(results) > 0 {
+		id, err := s.ensure(ctx, group)
+		if err != nil {
+			return err
+		}
+		count, size := 0, 0
+		for count < len(results) && size < maxCompleteBytes {
+			size += len(results[count].Body)
+			count++
+		}
+		request := &keeperapi.CompleteRequest{Group: group, Session: id, Results: results[:count]}
+		if _, err := call(ctx, s.client, group, 0, keeperapi.CompleteItems, request); err != nil {
+			return err
+		}
+		results = results[count:]
+	}
+	return nil
+}
+
+// Claim asks for the right to run a non-idempotent request. The ID names this
+// attempt by the gate and is used again in FinishClaim.
+func (s *Session) Claim(ctx context.Context, team, key string, fingerprint uint64, id string) (*keeperapi.ClaimResponse, error) {
+	groups, err := s.client.Groups(ctx)
+	if err != nil {
+		return nil, err
+	}
+	group := keeperapi.GroupOfClaim(team, key, groups)
+	for {
+		session, err := s.ensure(ctx, group)
+		if err != nil {
+			return nil, err
+		}
+		request := &claim.Request{Team: team, Key: key, Fingerprint: fingerprint, ID: id, Session: session}
+		response, err := call(ctx, s.client, group, 0, keeperapi.Claim, request)
+		if !s.ended(group, session, err) {
+			return response, err
+		}
+	}
+}
+
+// FinishClaim ends a claim with its outcome; it may be repeated.
+func (s *Session) FinishClaim(ctx context.Context, finish claim.Finish) error {
+	groups, err := s.client.Groups(ctx)
+	if err != nil {
+		return err
+	}
+	group := keeperapi.GroupOfClaim(finish.Team, finish.Key, groups)
+	_, err = call(ctx, s.client, group, 0, keeperapi.FinishClaim, &finish)
+	return err
+}
+
+// Close ends the session in all groups, so that its items are leased to others
+// at once.
+func (s *Session) Close(ctx context.Context) error {
+	var calls errgroup.Group
+	for _, group := range s.opened() {
+		calls.Go(func() error {
+			id, err := s.ensure(ctx, group)
+			if err != nil {
+				return err
+			}
+			_, err = call(ctx, s.client, group, 0, keeperapi.CloseSession, &keeperapi.SessionRequest{Group: group, Session: id, VM: s.vm})
+			return err
+		})
+	}
+	return calls.Wait()
+}
--- /dev/null
+++ b/internal/keeper/leadership.go
@@ -0,0 +1,181 @@
+package keeper
+
+import (
+	"context"
+	"time"
+
+	"go.uber.org/zap"
+
+	"slateway.example/slateway/internal/job"
+)
+
+const (
+	// tickInterval is how often Run looks at leadership, leases and retention.
+	tickInterval = 50 * time.Millisecond
+	// maxTickGap is the longest gap between ticks in which nothing can have been
+	// missed: an election needs longer.
+	maxTickGap = 500 * time.Millisecond
+	// proposeTimeout bounds the service's own proposals.
+	proposeTimeout = 5 * time.Second
+	// expireInterval is how often ended jobs and claims are looked at.
+	expireInterval = 10 * time.Second
+)
+
+// leadership is what this VM knows as the leader of a group.
+type leadership struct {
+	leads      bool
+	since      time.Time
+	heard      map[job.SessionID]time.Time // sessions of the group
+	ending     bool                        // a proposal that ends sessions is on its way
+	lastExpire time.Time
+}
+
+// Run keeps track of leadership and ends sessions, jobs and claims whose time is
+// over, until ctx ends.
+func (s *Service) Run(ctx context.Context) {
+	ticker := time.NewTicker(tickInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+			s.tick(ctx, time.Now())
+		}
+	}
+}
+
+func (s *Service) tick(ctx context.Context, now time.Time) {
+	// A process that was stopped for seconds wakes up with the clock far ahead.
+	// It would end the sessions of all gates, which could not reach it, and might
+	// miss that another leader came and went. It starts over as a new leader.
+	paused := now.Sub(s.previousTick(now)) > maxTickGap
+	for group := range s.options.Proposer.Groups() {
+		if !s.updateLeadership(group, now, paused) || group == 0 {
+			continue
+		}
+		s.endSilentSessions(ctx, group, now)
+		s.expire(ctx, group, now)
+	}
+}
+
+func (s *Service) previousTick(now time.Time) time.Time {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	previous := s.lastTick
+	s.lastTick = now
+	if previous.IsZero() {
+		return now
+	}
+	return previous
+}
+
+// updateLeadership notes whether this VM leads the group and since when.
+func (s *Service) updateLeadership(group uint32, now time.Time, paused bool) bool {
+	leader, known := s.options.Proposer.Leader(group)
+	leads := known && leader.ID == s.options.Self
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	current := &s.leading[group]
+	if leads && (!current.leads || paused) {
+		current.since = now
+		current.heard = make(map[job.SessionID]time.Time)
+	}
+	if leads != current.leads {
+		s.options.Log.Info("leadership changed", zap.Uint32("group", group), zap.Bool("leads", leads))
+	}
+	current.leads = leads
+	return leads
+}
+
+// leadingSince tells since when this VM has led the group.
+func (s *Service) leadingSince(group uint32) (time.Time, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.leading[group].since, s.leading[group].leads
+}
+
+// touch notes that a session of a group was heard of.
+func (s *Service) touch(group uint32, session job.SessionID, now time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if heard := s.leading[group].heard; heard != nil {
+		heard[session] = now
+	}
+}
+
+// endSilentSessions ends the sessions that were not renewed for their TTL.
+func (s *Service) endSilentSessions(ctx context.Context, group uint32, now time.Time) {
+	machine, err := s.machine(group)
+	if err != nil {
+		return
+	}
+	var silent []job.SessionID
+	sessions := machine.sessions()
+	s.mu.Lock()
+	current := &s.leading[group]
+	silent = current.silent(sessions, now, s.options.SessionTTL)
+	if current.ending || len(silent) == 0 {
+		s.mu.Unlock()
+		return
+	}
+	current.ending = true
+	s.mu.Unlock()
+	s.options.Log.Info("sessions end: their gates were not heard of", zap.Uint32("group", group), zap.Any("sessions", silent))
+	go s.endSessions(ctx, group, silent)
+}
+
+func (s *Service) endSessions(ctx context.Context, group uint32, sessions []job.SessionID) {
+	ctx, cancel := context.WithTimeout(ctx, proposeTimeout)
+	defer cancel()
+	if _, err := s.propose(ctx, group, command{EndSessions: sessions}); err != nil {
+		s.options.Log.Warn("sessions not ended yet", zap.Uint32("group", group), zap.Error(err))
+	}
+	s.mu.Lock()
+	s.leading[group].ending = false
+	s.mu.Unlock()
+}
+
+// silent lists the sessions not heard of for ttl, and forgets ended ones. A
+// session that this leader has not heard of yet gets a full TTL from now on.
+func (l *leadership) silent(open []job.SessionID, now time.Time, ttl time.Duration) []job.SessionID {
+	var silent []job.SessionID
+	heard := make(map[job.SessionID]time.Time, len(open))
+	for _, session := range open {
+		at, found := l.heard[session]
+		if !found {
+			at = now
+		}
+		heard[session] = at
+		if now.Sub(at) > ttl {
+			silent = append(silent, session)
+		}
+	}
+	l.heard = heard
+	return silent
+}
+
+// expire deletes the jobs and claims whose retention is over.
+func (s *Service) expire(ctx context.Context, group uint32, now time.Time) {
+	machine, err := s.machine(group)
+	if err != nil {
+		return
+	}
+	s.mu.Lock()
+	current := &s.leading[group]
+	wait := now.Sub(current.lastExpire) < expireInterval
+	if !wait {
+		current.lastExpire = now
+	}
+	s.mu.Unlock()
+	if wait || !machine.expired(now) {
+		return
+	}
+	go func() {
+		ctx, cancel := context.WithTimeout(ctx, proposeTimeout)
+		defer cancel()
+		if _, err := s.propose(ctx, group, command{Expire: true}); err != nil {
+			s.options.Log.Warn("ended jobs not deleted yet", zap.Uint32("group", group), zap.Error(err))
+		}
+	}()
+}
--- /dev/null
+++ b/internal/team/template.go
@@ -0,0 +1,177 @@
+package team
+
+import (
+	"bytes"
+	"fmt"
+	"strconv"
+
+	"github.com/BurntSushi/toml"
+
+	"slateway.example/slateway/internal/apierr"
+)
+
+// Reasons of refused templates, teams and changes.
+const (
+	ReasonInvalidTemplate apierr.Reason = "invalid_template"
+	ReasonInvalidTeam     apierr.Reason = "invalid_team"
+	ReasonInvalidChange   apierr.Reason = "invalid_change"
+	ReasonTemplateInUse   apierr.Reason = "template_in_use"
+	ReasonUnknownTemplate apierr.Reason = "unknown_template"
+	ReasonUnknownTeam     apierr.Reason = "unknown_team"
+	ReasonTokenTaken      apierr.Reason = "token_taken"
+	ReasonConflict        apierr.Reason = "change_conflict"
+	ReasonChangeIDReused  apierr.Reason = "change_id_reused"
+)
+
+// Setting is one value of a template: a literal, or "${name}" for the value of
+// a parameter. An empty Setting means the default of its field.
+type Setting string
+
+// UnmarshalTOML accepts a TOML string, integer, float or boolean.
+func (s *Setting) UnmarshalTOML(value any) error {
+	switch value := value.(type) {
+	case string:
+		*s = Setting(value)
+	case int64:
+		*s = Setting(strconv.FormatInt(value, 10))
+	case float64:
+		*s = Setting(strconv.FormatFloat(value, 'g', -1, 64))
+	case bool:
+		*s = Setting(strconv.FormatBool(value))
+	default:
+		return fmt.Errorf("a setting is a string, a number or a boolean, not %T", value)
+	}
+	return nil
+}
+
+// Template says how the teams made from it are treated. Its settings may refer
+// to its parameters, for which each team gives values.
+type Template struct {
+	Name        string      `toml:"name"`
+	Description string      `toml:"description"`
+	Parameters  []Parameter `toml:"parameters"`
+	Models      []ModelRule `toml:"models"`
+	Services    []Setting   `toml:"services"` // plain services that the team may call
+	Online      OnlineRule  `toml:"online"`
+	Batch       BatchRule   `toml:"batch"`
+}
+
+// ModelRule lets a team use one model under the name that its callers send.
+type ModelRule struct {
+	Name    Setting `toml:"name"`    // as in the "model" field of a request
+	Service Setting `toml:"service"` // upstream service that runs it; empty: the name
+	Version Setting `toml:"version"` // empty: any version
+}
+
+// OnlineRule holds the settings of OnlineLimits.
+type OnlineRule struct {
+	RequestsPerSecond Setting `toml:"requests_per_second"`
+	Burst             Setting `toml:"burst"`
+	Concurrent        Setting `toml:"concurrent"`
+	Queue             Setting `toml:"queue"`
+	Priority          Setting `toml:"priority"`
+	Deadline          Setting `toml:"deadline"`
+	MaxDeadline       Setting `toml:"max_deadline"`
+}
+
+// BatchRule holds the settings of BatchPolicy.
+type BatchRule struct {
+	Policy      Setting `toml:"policy"`
+	Headroom    Setting `toml:"headroom"`
+	MaxShare    Setting `toml:"max_share"`
+	MaxAttempts Setting `toml:"max_attempts"`
+	Deadline    Setting `toml:"deadline"`
+	Retention   Setting `toml:"retention"`
+}
+
+// ParseTemplate reads a template from TOML. An unknown key is an error, so that
+// a misspelt setting is not silently left at its default.
+func ParseTemplate(text []byte) (Template, error) {
+	var template Template
+	meta, err := toml.NewDecoder(bytes.NewReader(text)).Decode(&template)
+	if err != nil {
+		return Template{}, invalidTemplate("correct the TOML text", "template does not parse: %v", err)
+	}
+	if unknown := meta.Undecoded(); len(unknown) > 0 {
+		return Template{}, invalidTemplate("remove or correct the key", "template has the unknown key %q", unknown[0].String())
+	}
+	if err := template.Validate(); err != nil {
+		return Template{}, err
+	}
+	return template, nil
+}
+
+// Validate checks the template on its own: its parameters, and that it resolves
+// with their defaults where all of them have one.
+func (t *Template) Validate() error {
+	if !validName(t.Name) {
+		return invalidTemplate(nameRemedy, "template name %q is not valid", t.Name)
+	}
+	seen := make(map[string]bool, len(t.Parameters))
+	complete := true
+	for i := range t.Parameters {
+		parameter := &t.Parameters[i]
+		if seen[parameter.Name] {
+			return invalidTemplate("rename one of them", "template %q has two parameters %q", t.Name, parameter.Name)
+		}
+		seen[parameter.Name] = true
+		if err := parameter.validate(); err != nil {
+			return invalidTemplate("correct the parameter", "template %q: %v", t.Name, err)
+		}
+		complete = complete && parameter.Default != ""
+	}
+	if err := t.checkReferences(seen); err != nil {
+		return err
+	}
+	if !complete {
+		return nil
+	}
+	if _, err := t.resolve(nil); err != nil {
+		return invalidTemplate("correct the setting or the default", "template %q with its defaults: %v", t.Name, err)
+	}
+	return nil
+}
+
+func (t *Template) checkReferences(known map[string]bool) error {
+	for _, setting := range t.settings() {
+		name, isReference := setting.parameter()
+		if isReference && !known[name] {
+			return invalidTemplate("declare the parameter", "template %q refers to the parameter %q, which it does not have", t.Name, name)
+		}
+	}
+	return nil
+}
+
+func (t *Template) settings() []Setting {
+	all := append([]Setting(nil), t.Services...)
+	for _, model := range t.Models {
+		all = append(all, model.Name, model.Service, model.Version)
+	}
+	o, b := &t.Online, &t.Batch
+	all = append(all, o.RequestsPerSecond, o.Burst, o.Concurrent, o.Queue, o.Priority, o.Deadline, o.MaxDeadline)
+	return append(all, b.Policy, b.Headroom, b.MaxShare, b.MaxAttempts, b.Deadline, b.Retention)
+}
+
+// nameRemedy states the rule of validName.
+const nameRemedy = "use 1 to 64 letters, digits, '-', '_' or '.'"
+
+const maxNameLength = 64
+
+// validName accepts names that need no quoting in URLs, logs and file names.
+func validName(name string) bool {
+	if name == "" || len(name) > maxNameLength {
+		return false
+	}
+	for _, c := range name {
+		letter := 'a' <= c && c <= 'z' || 'A' <= c && c <= 'Z'
+		digit := '0' <= c && c <= '9'
+		if !letter && !digit && c != '-' && c != '_' && c != '.' {
+			return false
+		}
+	}
+	return true
+}
+
+func invalidTemplate(remedy, format string, args ...any) *apierr.Error {
+	return apierr.New(apierr.Invalid, ReasonInvalidTemplate, remedy, format, args...)
+}
