--- /dev/null
+++ b/internal/member/member_test.go
@@ -0,0 +1,212 @@
+package member_test
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+	"pgregory.net/rapid"
+
+	"slateway.example/slateway/internal/member"
+)
+
+const load member.DigestKind = 1
+
+func allAlive(place string, count int) []string {
+	var states []string
+	for i := range count {
+		states = append(states, fmt.Sprintf("%s-%d:alive", place, i))
+	}
+	return states
+}
+
+func (w *network) setDigest(g *WithT, address, value string) {
+	output, err := w.nodes[address].SetDigest(w.now, load, []byte(value))
+	g.Expect(err).NotTo(HaveOccurred())
+	w.take(address, output)
+}
+
+func TestDigestReachesThePlaceInOneHop(t *testing.T) {
+	g := NewWithT(t)
+	w := newNetwork(1)
+	place := w.addPlace("a", 6)
+	w.run(3 * time.Second)
+	for _, address := range place {
+		g.Expect(w.states(address)).To(Equal(allAlive("a", 6)))
+	}
+	w.setDigest(g, place[3], "busy")
+	w.take(place[4], w.nodes[place[4]].SetDraining(w.now))
+	w.run(step)
+	for _, address := range place {
+		g.Expect(w.digest(address, "a-3", load)).To(Equal("busy"))
+		g.Expect(w.nodes[address].Members()[4].Serving()).To(BeFalse())
+	}
+}
+
+// A VM's process is stopped for eight seconds, as by a stalled host. The others
+// hold it for lost. When it goes on, callers must get it back at once, and it
+// must not take all others for lost because their answers came while it slept.
+func TestPausedVMRefutesAndSuspectsNoOne(t *testing.T) {
+	g := NewWithT(t)
+	w := newNetwork(2)
+	place := w.addPlace("a", 5)
+	w.run(3 * time.Second)
+	w.paused[place[2]] = true
+	w.run(8 * time.Second)
+	g.Expect(w.states(place[0])).To(ContainElement("a-2:lost"))
+
+	w.paused[place[2]] = false
+	w.events = nil
+	w.run(2 * time.Second)
+	for _, address := range place {
+		g.Expect(w.states(address)).To(Equal(allAlive("a", 5)))
+	}
+	for _, event := range w.events {
+		g.Expect(event).NotTo(HavePrefix(place[2]+" 1"), "the woken VM changed its mind about another")
+	}
+}
+
+// Two of five VMs are cut off by a switch for a minute. Each side holds the
+// other for lost. When the switch is back nobody speaks to the lost ones by
+// itself, so without the reconnection the place would stay split for good. On
+// healing no VM may be held for lost by its own side.
+func TestPartitionOfAPlaceHeals(t *testing.T) {
+	g := NewWithT(t)
+	w := newNetwork(3)
+	place := w.addPlace("a", 5)
+	w.run(3 * time.Second)
+	side := func(address string) bool { return address == "a:0" || address == "a:1" }
+	w.cut = func(from, to string) bool { return side(from) != side(to) }
+	w.run(time.Minute)
+	g.Expect(w.states("a:0")).To(Equal([]string{"a-0:alive", "a-1:alive", "a-2:lost", "a-3:lost", "a-4:lost"}))
+	g.Expect(w.states("a:4")).To(Equal([]string{"a-0:lost", "a-1:lost", "a-2:alive", "a-3:alive", "a-4:alive"}))
+
+	w.cut = func(string, string) bool { return false }
+	w.events = nil
+	w.run(15 * time.Second)
+	for _, address := range place {
+		g.Expect(w.states(address)).To(Equal(allAlive("a", 5)))
+	}
+	g.Expect(strings.Join(w.events, "\n")).NotTo(ContainSubstring(" lost"))
+}
+
+// A gate's network card fails silently. Callers that still reach it would get
+// answers from a gate that knows nothing any more; it must notice by itself.
+func TestIsolatedVMKnowsThatItIsAlone(t *testing.T) {
+	g := NewWithT(t)
+	w := newNetwork(4)
+	place := w.addPlace("a", 4)
+	w.run(3 * time.Second)
+	w.cut = func(from, to string) bool { return from == place[1] || to == place[1] }
+	w.run(6 * time.Second)
+	g.Expect(w.nodes[place[1]].Alone(w.now)).To(BeTrue())
+	g.Expect(w.nodes[place[0]].Alone(w.now)).To(BeFalse())
+	w.cut = func(string, string) bool { return false }
+	w.run(10 * time.Second)
+	g.Expect(w.nodes[place[1]].Alone(w.now)).To(BeFalse())
+
+	single := newNetwork(4)
+	only := single.add("b", 0, "b:0")
+	single.run(time.Hour / 60)
+	g.Expect(single.nodes[only].Alone(single.now)).To(BeFalse())
+}
+
+// A VM dies and its process comes back within a second, before anyone noticed,
+// or after it was held for lost, or with a clock set back by a minute. Each time
+// the others must take the new run's digests at once, not the old run's.
+func TestRestartedVMRejoinsAtOnce(t *testing.T) {
+	for name, downtime := range map[string]time.Duration{"unnoticed": step, "lost": 10 * time.Second, "clock back": -time.Minute} {
+		t.Run(name, func(t *testing.T) {
+			g := NewWithT(t)
+			w := newNetwork(5)
+			place := w.addPlace("a", 4)
+			w.run(3 * time.Second)
+			w.setDigest(g, place[2], "old")
+			w.setDigest(g, place[2], "old but later")
+			w.paused[place[2]] = true
+			w.run(max(downtime, step))
+			real := w.now
+			w.now = w.now.Add(min(downtime, 0))
+			w.add("a", 2, place[0], place[1])
+			w.now = real
+			w.paused[place[2]] = false
+			w.setDigest(g, place[2], "new")
+			w.run(2 * time.Second)
+			for _, address := range place {
+				g.Expect(w.states(address)).To(Equal(allAlive("a", 4)))
+				g.Expect(w.digest(address, "a-2", load)).To(Equal("new"))
+			}
+		})
+	}
+}
+
+// Only sums travel between places: each VM learns of another place its sums
+// and a few contacts, and a place that is cut off is marked stale, then heals.
+func TestSumsTravelBetweenPlaces(t *testing.T) {
+	g := NewWithT(t)
+	w := newNetwork(6)
+	var all []string
+	for _, place := range []string{"a", "b", "c"} {
+		for i := range 7 {
+			all = append(all, w.add(place, i, "a:0", "b:0"))
+		}
+	}
+	for _, address := range all {
+		w.nodes[address].SetSum(load, []byte("sum of "+address[:1]))
+	}
+	w.run(10 * time.Second)
+	g.Expect(w.areas("c:5")).To(Equal([]string{"a 7 sum of a false", "b 7 sum of b false"}))
+	w.cut = func(from, to string) bool { return from[:1] != to[:1] && (from[:1] == "b" || to[:1] == "b") }
+	w.run(20 * time.Second)
+	g.Expect(w.areas("c:5")).To(Equal([]string{"a 7 sum of a false", "b 7 sum of b true"}))
+	w.cut = func(string, string) bool { return false }
+	w.run(10 * time.Second)
+	for _, address := range all {
+		g.Expect(w.areas(address)).To(HaveLen(2))
+		g.Expect(strings.Join(w.areas(address), " ")).NotTo(ContainSubstring("true"))
+	}
+	g.Expect(w.largest).To(BeNumerically("<=", member.DefaultPacketBytes))
+}
+
+func (w *network) areas(address string) []string {
+	var areas []string
+	for _, a := range w.nodes[address].Areas(w.now) {
+		areas = append(areas, fmt.Sprintf("%s %d %s %t", a.Place, a.VMs, a.Sums[0].Data, a.Stale))
+	}
+	return areas
+}
+
+// Whatever the network loses, doubles and reorders, and whoever sleeps for a
+// while: once it is calm, all VMs of the place hold the same of each.
+func TestViewsConverge(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		g := NewWithT(rt)
+		w := newNetwork(rapid.Uint64().Draw(rt, "seed"))
+		w.loss = rapid.Float64Range(0, 0.4).Draw(rt, "loss")
+		w.double = rapid.Float64Range(0, 0.3).Draw(rt, "double")
+		w.jitter = time.Duration(rapid.IntRange(0, 800).Draw(rt, "jitter")) * time.Millisecond
+		count := rapid.IntRange(2, 6).Draw(rt, "vms")
+		place := w.addPlace("a", count)
+		last := map[string]string{}
+		for i := range rapid.IntRange(1, 12).Draw(rt, "steps") {
+			address := rapid.SampledFrom(place).Draw(rt, "vm")
+			if rapid.Bool().Draw(rt, "pause") {
+				w.paused[address] = !w.paused[address]
+			}
+			last[address] = fmt.Sprint(i)
+			w.setDigest(g, address, last[address])
+			w.run(time.Duration(rapid.IntRange(1, 40).Draw(rt, "wait")) * step)
+		}
+		w.loss, w.double, w.jitter = 0, 0, 0
+		clear(w.paused)
+		w.run(time.Minute)
+		for _, address := range place {
+			g.Expect(w.states(address)).To(Equal(allAlive("a", count)))
+			for owner, value := range last {
+				g.Expect(w.digest(address, strings.Replace(owner, ":", "-", 1), load)).To(Equal(value))
+			}
+		}
+	})
+}
