--- a/standin/announce/announce.go
+++ b/standin/announce/announce.go
@@ -9,6 +9,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"strings"
 	"sync"
 	"time"
 )
@@ -55,7 +56,7 @@
 
 // Announcer sends announcements to every gate at a fixed interval.
 type Announcer struct {
-	gates    []string
+	gates    []Gate
 	every    time.Duration
 	client   *http.Client
 	describe func() (Announcement, bool)
@@ -66,10 +67,24 @@
 	leaving  bool
 }
 
-// New makes an Announcer for gates (IP:port of callers' listeners). identity
-// gives the fields that never change; describe fills in the others on a copy
-// and reports false while nothing must be sent, as from a frozen process.
-func New(gates []string, every time.Duration, identity Announcement, describe func(*Announcement) bool) *Announcer {
+// Gate is one gate to announce to.
+type Gate struct {
+	Callers string // IP:port of its callers' listener
+	// Via is the address to announce to this gate, as of a relay before the
+	// stand-in; the stand-in's own if empty.
+	Via string
+}
+
+// ParseGate reads CALLERS or CALLERS=VIA.
+func ParseGate(text string) Gate {
+	callers, via, _ := strings.Cut(text, "=")
+	return Gate{Callers: callers, Via: via}
+}
+
+// New makes an Announcer for gates. identity gives the fields that never
+// change; describe fills in the others on a copy and reports false while
+// nothing must be sent, as from a frozen process.
+func New(gates []Gate, every time.Duration, identity Announcement, describe func(*Announcement) bool) *Announcer {
 	return &Announcer{
 		gates:    gates,
 		every:    every,
@@ -112,13 +127,9 @@
 	if !send {
 		return
 	}
-	body, err := json.Marshal(announcement)
-	if err != nil {
-		return
-	}
 	var sent sync.WaitGroup
 	for _, gate := range a.gates {
-		sent.Go(func() { _ = a.post(ctx, gate, body) })
+		sent.Go(func() { _ = a.post(ctx, gate, announcement) })
 	}
 	sent.Wait()
 }
@@ -135,8 +146,15 @@
 	return announcement, send
 }
 
-func (a *Announcer) post(ctx context.Context, gate string, body []byte) error {
-	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+gate+Path, bytes.NewReader(body))
+func (a *Announcer) post(ctx context.Context, gate Gate, announcement Announcement) error {
+	if gate.Via != "" {
+		announcement.Address = gate.Via
+	}
+	body, err := json.Marshal(announcement)
+	if err != nil {
+		return err
+	}
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+gate.Callers+Path, bytes.NewReader(body))
 	if err != nil {
 		return err
 	}
@@ -150,7 +168,7 @@
 		return err
 	}
 	if response.StatusCode >= http.StatusBadRequest {
-		return fmt.Errorf("gate %s answered the announcement with %s", gate, response.Status)
+		return fmt.Errorf("gate %s answered the announcement with %s", gate.Callers, response.Status)
 	}
 	return nil
 }
--- a/standin/host/host.go
+++ b/standin/host/host.go
@@ -28,7 +28,7 @@
 // Settings say how a stand-in is hosted.
 type Settings struct {
 	Listen        string
-	Gates         []string
+	Gates         []announce.Gate
 	AnnounceEvery time.Duration
 	LeaveGrace    time.Duration // how long a leaving stand-in still takes new requests
 	Identity      announce.Announcement
@@ -38,7 +38,7 @@
 func Flags() []cli.Flag {
 	return []cli.Flag{
 		&cli.StringFlag{Name: "listen", Value: "127.0.0.1:0", Usage: "`IP:PORT` to serve on; port 0 takes a free one"},
-		&cli.StringSliceFlag{Name: "gate", Usage: "`IP:PORT` of a gate's callers' listener to announce to; repeatable"},
+		&cli.StringSliceFlag{Name: "gate", Usage: "`IP:PORT` of a gate's callers' listener to announce to, =IP:PORT to announce that address there; repeatable"},
 		&cli.StringFlag{Name: "service", Usage: "`NAME` of the service that this replica is of", Required: true},
 		&cli.StringFlag{Name: "replica", Usage: "`NAME` of this replica", Required: true},
 		&cli.StringFlag{Name: "place", Value: "local", Usage: "`NAME` of the place"},
@@ -53,9 +53,13 @@
 
 // SettingsFrom reads the values of Flags.
 func SettingsFrom(command *cli.Command, kind string) Settings {
+	var gates []announce.Gate
+	for _, text := range command.StringSlice("gate") {
+		gates = append(gates, announce.ParseGate(text))
+	}
 	return Settings{
 		Listen:        command.String("listen"),
-		Gates:         command.StringSlice("gate"),
+		Gates:         gates,
 		AnnounceEvery: command.Duration("announce-every"),
 		LeaveGrace:    command.Duration("leave-grace"),
 		Identity: announce.Announcement{
