--- /dev/null
+++ b/internal/directory/directory_test.go
@@ -0,0 +1,129 @@
+package directory_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"slateway.example/slateway/internal/directory"
+	"slateway.example/slateway/internal/member"
+)
+
+const loadKind member.DigestKind = 6
+
+func gate(name string, state member.State, draining bool, load directory.GateLoad) member.Member {
+	return member.Member{
+		Self: name == "a1",
+		Record: member.Record{
+			VM: member.VM{Name: name, Place: "a", Region: "north", Callers: name + ":80"}, State: state, Draining: draining,
+			Digests: []member.Digest{{Kind: loadKind, Data: load.Encode()}},
+		},
+	}
+}
+
+func area(place, region string, stale bool, gates ...string) member.PlaceArea {
+	a := member.PlaceArea{Area: member.Area{Place: place, Region: region}, Stale: stale}
+	for _, name := range gates {
+		a.Entries = append(a.Entries, member.Entry{VM: name, Callers: name + ":80"})
+	}
+	return a
+}
+
+func input() directory.Input {
+	return directory.Input{
+		Self: "a1", Serving: true, Load: loadKind, Lifetime: 10 * time.Second, Limit: 8,
+		Members: []member.Member{
+			gate("a1", member.Alive, false, directory.GateLoad{InProgress: 90, Capacity: 100}),
+			gate("a2", member.Alive, false, directory.GateLoad{InProgress: 10, Capacity: 100}),
+			gate("a3", member.Suspect, false, directory.GateLoad{}),
+			gate("a4", member.Alive, true, directory.GateLoad{}),
+		},
+		Areas: []member.PlaceArea{
+			area("b", "north", false, "b1"), area("c", "north", true, "c1"), area("d", "south", false, "d1"),
+		},
+	}
+}
+
+func names(answer directory.Answer) []string {
+	var list []string
+	for _, entry := range answer.Entries {
+		list = append(list, entry.VM)
+	}
+	return list
+}
+
+func TestAnswerNamesServingGatesOwnPlaceFirst(t *testing.T) {
+	g := NewWithT(t)
+	random := rand.New(rand.NewPCG(1, 1))
+	first := map[string]int{}
+	var revision string
+	for range 1000 {
+		answer, err := directory.Decide(input(), random)
+		g.Expect(err).NotTo(HaveOccurred())
+		g.Expect(names(answer)[:2]).To(ConsistOf("a1", "a2"))
+		g.Expect(names(answer)[2:]).To(Equal([]string{"b1"}))
+		first[names(answer)[0]]++
+		revision = answer.Revision
+	}
+	// Free shares of 0.1 and 0.9: one caller in ten starts with a1.
+	g.Expect(first["a1"]).To(BeNumerically("~", 100, 40))
+
+	changed := input()
+	changed.Members[1].Draining = true
+	answer, err := directory.Decide(changed, random)
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(names(answer)).To(Equal([]string{"a1", "b1"}))
+	g.Expect(answer.Revision).NotTo(Equal(revision))
+}
+
+// A gate is cut off and knows it. Whoever still reaches it must not be sent
+// back to it, nor to gates that it suspects only because it is cut off.
+func TestGateWithoutLeaseNamesOthersOrNone(t *testing.T) {
+	g := NewWithT(t)
+	random := rand.New(rand.NewPCG(1, 1))
+	cut := input()
+	cut.Serving = false
+	answer, err := directory.Decide(cut, random)
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(names(answer)).To(Equal([]string{"a2", "b1"}))
+
+	cut.Members, cut.Areas = cut.Members[:1], cut.Areas[2:]
+	answer, err = directory.Decide(cut, random)
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(names(answer)).To(Equal([]string{"d1"}))
+
+	cut.Areas = nil
+	_, err = directory.Decide(cut, random)
+	g.Expect(err).To(MatchError(ContainSubstring("no gate is known")))
+}
+
+// An operator stops a gate. A caller got its address one second before, keeps
+// it for ten, connects at the end of them and asks for a stream of a minute.
+// Neither its connection may be refused nor its stream be cut.
+func TestDrainOutlastsAnswersAndStreams(t *testing.T) {
+	start := time.Date(2026, 1, 5, 9, 0, 0, 0, time.UTC)
+	drain := directory.NewDrain(directory.DrainConfig{Lifetime: 10 * time.Second, Spread: 5 * time.Second, Longest: 5 * time.Minute})
+	steps := []struct {
+		after      time.Duration
+		inProgress int
+		want       directory.Phase
+	}{
+		{0, 0, directory.Lingers},
+		{14 * time.Second, 0, directory.Lingers},
+		{15 * time.Second, 1, directory.Finishes},
+		{74 * time.Second, 1, directory.Finishes},
+		{75 * time.Second, 0, directory.Stopped},
+		{5 * time.Minute, 1, directory.Stopped},
+	}
+	g := NewWithT(t)
+	g.Expect(drain.Phase(start, 0)).To(Equal(directory.Serving))
+	drain.Begin(start)
+	drain.Begin(start.Add(time.Second)) // a second signal does not prolong it
+	for _, step := range steps {
+		g.Expect(drain.Phase(start.Add(step.after), step.inProgress)).To(Equal(step.want), fmt.Sprint(step))
+	}
+	g.Expect(drain.AnswersEnd()).To(Equal(start.Add(15 * time.Second)))
+}
