Tell the gate at once when the stand-in engine admits a request

The engine sends its headers with the slot instead of the first token, and says whether the request had to wait for it, so that a gate can tell prefill from queueing. Its load report names the incarnation, which shows a restart to a probe. A run is logged before its caller can see that it runs.

Add package test/fleet, which builds, starts, kills, freezes and ends whole processes. Each VM has a loopback address of its own: ports that are free when the settings are written may be taken by the time that they are used.

--- a/cmd/standin-engine/main.go
+++ b/cmd/standin-engine/main.go
@@ -59,8 +59,9 @@
 	if err != nil {
 		return err
 	}
-	instance := engine.New(options)
 	settings := host.SettingsFrom(command, "engine")
+	options.Incarnation = settings.Identity.Incarnation
+	instance := engine.New(options)
 	settings.Identity.ChecksFencing = options.ChecksFencing
 	settings.Identity.CanResume = options.CanResume
 	settings.Identity.CanCancel = options.CanCancel
--- a/cmd/standin-service/main.go
+++ b/cmd/standin-service/main.go
@@ -45,7 +45,9 @@
 	if err != nil {
 		return err
 	}
+	settings := host.SettingsFrom(command, "service")
 	options := service.Options{
+		Incarnation: settings.Identity.Incarnation,
 		Name:        command.String("service"),
 		Replica:     command.String("replica"),
 		Slots:       command.Int("slots"),
@@ -57,7 +59,7 @@
 		options.Log = file
 	}
 	instance := service.New(options)
-	return host.Run(ctx, host.SettingsFrom(command, "service"), instance, func(current *announce.Announcement) {
+	return host.Run(ctx, settings, instance, func(current *announce.Announcement) {
 		load := instance.Load()
 		current.Running = load.Running
 		current.Queued = load.Queued
--- a/standin/engine/admission.go
+++ b/standin/engine/admission.go
@@ -10,9 +10,9 @@
 	admitted chan struct{}
 }
 
-// acquire waits for a slot, first in first out. It fails if ctx ends or the
-// engine crashes first.
-func (e *Engine) acquire(ctx context.Context) error {
+// acquire waits for a slot, first in first out, and says whether it had to
+// wait. It fails if ctx ends or the engine crashes first.
+func (e *Engine) acquire(ctx context.Context) (queued bool, err error) {
 	mine := &ticket{admitted: make(chan struct{})}
 	e.mu.Lock()
 	e.waiting = append(e.waiting, mine)
@@ -21,13 +21,18 @@
 
 	select {
 	case <-mine.admitted:
-		return nil
+		return false, nil
+	default:
+	}
+	select {
+	case <-mine.admitted:
+		return true, nil
 	case <-ctx.Done():
 		e.abandon(mine)
-		return context.Cause(ctx)
+		return true, context.Cause(ctx)
 	case <-e.dead:
 		e.abandon(mine)
-		return errCrashed
+		return true, errCrashed
 	}
 }
 
--- a/standin/engine/completions.go
+++ b/standin/engine/completions.go
@@ -1,7 +1,6 @@
 package engine
 
 import (
-	"encoding/json"
 	"errors"
 	"fmt"
 	"net/http"
@@ -98,11 +97,8 @@
 // servePlain answers in one piece. A resumed request is answered with the
 // tokens after resume_from only.
 func (e *Engine) servePlain(w http.ResponseWriter, r *http.Request, req *request, shape shape) {
-	var text strings.Builder
-	tokens, err := e.generate(r.Context(), req, func(_ int, token string) error {
-		text.WriteString(token)
-		return nil
-	})
+	whole := &wholeAnswer{header: w.Header()}
+	tokens, err := e.generate(r.Context(), req, whole)
 	if errors.Is(err, errCancelled) {
 		writeError(w, statusCancelled, "cancelled", fmt.Sprintf("cancelled after %d tokens", tokens))
 		return
@@ -112,7 +108,7 @@
 	}
 	answer := req.completion(shape.object)
 	last := choice{FinishReason: finishReason("length")}
-	shape.fill(&last, text.String(), false)
+	shape.fill(&last, whole.text.String(), false)
 	answer.Choices = []choice{last}
 	answer.Usage = req.usageOf(tokens)
 	answer.Slateway = &progress{Token: tokens}
@@ -121,45 +117,20 @@
 
 // serveStream answers with server-sent events, one token each.
 func (e *Engine) serveStream(w http.ResponseWriter, r *http.Request, req *request, shape shape) {
-	events := &eventWriter{w: w, control: http.NewResponseController(w)}
-	tokens, err := e.generate(r.Context(), req, func(n int, token string) error {
-		chunk := req.completion(shape.chunkObject)
-		part := choice{}
-		shape.fill(&part, token, true)
-		chunk.Choices = []choice{part}
-		chunk.Slateway = &progress{Token: n}
-		return events.write(chunk)
-	})
+	events := &eventWriter{w: w, control: http.NewResponseController(w), request: req, shape: shape}
+	tokens, err := e.generate(r.Context(), req, events)
 	switch {
 	case err == nil:
-		e.finishStream(events, req, shape, tokens, "length")
+		events.finish(tokens, "length")
+	case errors.Is(err, errCancelled) && !events.started:
+		writeError(w, statusCancelled, "cancelled", "cancelled before it got a slot")
 	case errors.Is(err, errCancelled):
-		e.finishStream(events, req, shape, tokens, "cancelled")
+		events.finish(tokens, "cancelled")
 	default:
 		panic(http.ErrAbortHandler)
 	}
 }
 
-func (e *Engine) finishStream(events *eventWriter, req *request, shape shape, tokens int, reason string) {
-	last := req.completion(shape.chunkObject)
-	end := choice{FinishReason: finishReason(reason)}
-	shape.fill(&end, "", true)
-	last.Choices = []choice{end}
-	last.Slateway = &progress{Token: tokens}
-	if events.write(last) != nil {
-		return
-	}
-	if req.usage {
-		total := req.completion(shape.chunkObject)
-		total.Choices = []choice{}
-		total.Usage = req.usageOf(tokens)
-		if events.write(total) != nil {
-			return
-		}
-	}
-	_ = events.done()
-}
-
 func (r *request) completion(object string) completion {
 	return completion{ID: "cmpl-" + r.id, Object: object, Created: time.Now().Unix(), Model: r.model}
 }
@@ -171,32 +142,3 @@
 }
 
 func finishReason(reason string) *string { return &reason }
-
-// eventWriter writes server-sent events and flushes each.
-type eventWriter struct {
-	w       http.ResponseWriter
-	control *http.ResponseController
-	started bool
-}
-
-func (e *eventWriter) write(event any) error {
-	encoded, err := json.Marshal(event)
-	if err != nil {
-		return err
-	}
-	return e.send(encoded)
-}
-
-func (e *eventWriter) done() error { return e.send([]byte("[DONE]")) }
-
-func (e *eventWriter) send(data []byte) error {
-	if !e.started {
-		e.started = true
-		e.w.Header().Set("Content-Type", "text/event-stream")
-		e.w.Header().Set("Cache-Control", "no-cache")
-	}
-	if _, err := fmt.Fprintf(e.w, "data: %s\n\n", data); err != nil {
-		return err
-	}
-	return e.control.Flush()
-}
--- a/standin/engine/engine.go
+++ b/standin/engine/engine.go
@@ -180,7 +180,12 @@
 }
 
 func (e *Engine) serveLoad(w http.ResponseWriter, _ *http.Request) {
-	writeJSON(w, http.StatusOK, e.Load())
+	report := struct {
+		Load
+		Replica     string `json:"replica"`
+		Incarnation int64  `json:"incarnation"`
+	}{e.Load(), e.options.Replica, e.options.Incarnation}
+	writeJSON(w, http.StatusOK, report)
 }
 
 func (e *Engine) serveLog(w http.ResponseWriter, _ *http.Request) {
--- a/standin/engine/generate.go
+++ b/standin/engine/generate.go
@@ -59,17 +59,29 @@
 	return found
 }
 
-// generate waits for a slot and emits the tokens that follow req.resumeFrom at
-// the engine's pace. It returns the number of the last token emitted.
-func (e *Engine) generate(ctx context.Context, req *request, emit func(n int, text string) error) (int, error) {
-	if err := e.acquire(ctx); err != nil {
+// sink takes what a run generates.
+type sink interface {
+	admitted(queued bool) error // the run has its slot; queued if it had to wait
+	token(n int, text string) error
+}
+
+// generate waits for a slot and gives the tokens that follow req.resumeFrom to
+// out at the engine's pace. It returns the number of the last token given.
+func (e *Engine) generate(ctx context.Context, req *request, out sink) (int, error) {
+	queued, err := e.acquire(ctx)
+	if err != nil {
 		return req.resumeFrom, err
 	}
 	defer e.release()
 
+	// Logged before anyone can see that it runs: a run that a caller was told
+	// of is in the log also if the process is killed next.
 	entry := req.entry()
 	e.log.start(entry)
-	tokens, err := e.decode(ctx, req, emit)
+	tokens := req.resumeFrom
+	if err = out.admitted(queued); err == nil {
+		tokens, err = e.decode(ctx, req, out)
+	}
 	e.log.end(entry, outcomeOf(err), tokens-req.resumeFrom)
 	return tokens, err
 }
@@ -85,7 +97,7 @@
 	}
 }
 
-func (e *Engine) decode(ctx context.Context, req *request, emit func(n int, text string) error) (int, error) {
+func (e *Engine) decode(ctx context.Context, req *request, out sink) (int, error) {
 	last := req.resumeFrom
 	due := time.Now().Add(e.prefillTime(req.prompt))
 	timer := time.NewTimer(time.Until(due))
@@ -98,7 +110,7 @@
 			e.Crash()
 			return last, errCrashed
 		}
-		if err := emit(last+1, Token(req.prompt, last+1)); err != nil {
+		if err := out.token(last+1, Token(req.prompt, last+1)); err != nil {
 			return last, err
 		}
 		last++
--- a/standin/engine/options.go
+++ b/standin/engine/options.go
@@ -17,9 +17,10 @@
 
 // Options set the size and behaviour of an Engine.
 type Options struct {
-	Replica string
-	Models  []announce.Model
-	Role    string // "both", "prefill" or "decode"
+	Replica     string
+	Incarnation int64 // start of the process in milliseconds since 1970
+	Models      []announce.Model
+	Role        string // "both", "prefill" or "decode"
 
 	Slots     int // streams that run at the same time
 	MaxTokens int // tokens of an answer whose request sets no limit
--- a/standin/service/service.go
+++ b/standin/service/service.go
@@ -32,8 +32,10 @@
 type Options struct {
 	Name    string
 	Replica string
-	Slots   int           // calls that run at the same time; others wait
-	Delay   time.Duration // time that a call takes
+	// Incarnation is the start of the process in milliseconds since 1970.
+	Incarnation int64
+	Slots       int           // calls that run at the same time; others wait
+	Delay       time.Duration // time that a call takes
 
 	// CrashMarker in a call's body crashes the service as the call runs.
 	CrashMarker string
@@ -64,9 +66,10 @@
 
 // Load is what GET /v1/load answers.
 type Load struct {
-	Running int `json:"running"`
-	Queued  int `json:"queued"`
-	Slots   int `json:"slots"`
+	Running     int   `json:"running"`
+	Queued      int   `json:"queued"`
+	Slots       int   `json:"slots"`
+	Incarnation int64 `json:"incarnation"`
 }
 
 // Service is an http.Handler.
@@ -257,7 +260,7 @@
 func (s *Service) Load() Load {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return Load{Running: s.running, Queued: s.queued, Slots: s.options.Slots}
+	return Load{Running: s.running, Queued: s.queued, Slots: s.options.Slots, Incarnation: s.options.Incarnation}
 }
 
 // Calls gives every run so far.
--- /dev/null
+++ b/test/fleet/upstream.go
@@ -0,0 +1,108 @@
+package fleet
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"os"
+	"path/filepath"
+
+	"slateway.example/slateway/standin/engine"
+	"slateway.example/slateway/standin/link"
+)
+
+// Upstream is a stand-in that runs as a process.
+type Upstream struct {
+	Replica string
+	Address string // IP:port
+	RunLog  string // file with a line at each start and end of a run
+	*Process
+
+	fleet   *Fleet
+	program string
+	args    []string
+}
+
+// StartEngine starts a stand-in engine in a place, which announces itself to
+// all gates. further are flags of standin-engine.
+func (f *Fleet) StartEngine(service, replica string, place Place, further ...string) (*Upstream, error) {
+	return f.startUpstream(f.Programs.Engine, service, replica, place, further)
+}
+
+// StartService starts a stand-in for a plain service.
+func (f *Fleet) StartService(service, replica string, place Place, further ...string) (*Upstream, error) {
+	return f.startUpstream(f.Programs.Service, service, replica, place, further)
+}
+
+func (f *Fleet) startUpstream(program, service, replica string, place Place, further []string) (*Upstream, error) {
+	f.mu.Lock()
+	address := fmt.Sprintf("%s.%d:%d", f.network, firstUpstream+len(f.upstreams), upstreamPort)
+	upstream := &Upstream{Replica: replica, Address: address, RunLog: filepath.Join(f.Folder, replica+".runs"), fleet: f, program: program}
+	f.upstreams = append(f.upstreams, upstream)
+	f.mu.Unlock()
+
+	upstream.args = []string{
+		"--listen", address, "--service", service, "--replica", replica,
+		"--place", place.Name, "--vm", "host-of-" + replica, "--run-log", upstream.RunLog,
+	}
+	upstream.args = append(upstream.args, further...)
+	for _, gate := range f.Callers() {
+		upstream.args = append(upstream.args, "--gate", gate)
+	}
+	return upstream, upstream.Restart()
+}
+
+// Restart starts the stand-in again after its end, on the same address.
+func (u *Upstream) Restart() error {
+	process, err := start(u.Replica, u.fleet.Folder, u.program, u.args...)
+	if err != nil {
+		return err
+	}
+	u.Process = process
+	return nil
+}
+
+// Runs reads the runs of a stand-in engine from its log, also after it was
+// killed. A run that never ended has no Outcome.
+func (u *Upstream) Runs() ([]engine.RunEntry, error) {
+	file, err := os.Open(u.RunLog)
+	if err != nil {
+		return nil, err
+	}
+	defer file.Close()
+	lines := json.NewDecoder(file)
+	open := map[string]int{}
+	var runs []engine.RunEntry
+	for {
+		var entry engine.RunEntry
+		err := lines.Decode(&entry)
+		// A process that was killed may leave half a line at the end.
+		if err == io.EOF || errors.Is(err, io.ErrUnexpectedEOF) {
+			return runs, nil
+		}
+		if err != nil {
+			return nil, fmt.Errorf("%s: %w", u.RunLog, err)
+		}
+		key := entry.RequestID + entry.Started.String()
+		if at, ok := open[key]; ok && entry.Outcome != "" {
+			runs[at] = entry
+			continue
+		}
+		open[key] = len(runs)
+		runs = append(runs, entry)
+	}
+}
+
+// Relay puts a link before a target on an address of its own, IP:port.
+func (f *Fleet) Relay(target string, seed uint64) (*link.Relay, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.relays++
+	relay, err := link.Listen(fmt.Sprintf("%s.%d:%d", f.network, relayHost, upstreamPort+f.relays), target, seed)
+	if err != nil {
+		return nil, err
+	}
+	f.closers = append(f.closers, relay.Close)
+	return relay, nil
+}
