--- /dev/null
+++ b/cmd/experiment/overhead.go
@@ -0,0 +1,150 @@
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"math/rand/v2"
+	"os"
+	"path/filepath"
+	"text/tabwriter"
+	"time"
+
+	"github.com/urfave/cli/v3"
+
+	"slateway.example/slateway/internal/load"
+	"slateway.example/slateway/test/fleet"
+)
+
+// streamsMeasured are the numbers of concurrent streams.
+var streamsMeasured = []int{1, 32, 256}
+
+func overheadCommand() *cli.Command {
+	return &cli.Command{
+		Name:  "overhead",
+		Usage: "what one gate adds to a stand-in engine that is called directly",
+		Flags: []cli.Flag{
+			&cli.DurationFlag{Name: "length", Value: 8 * time.Second, Usage: "time of each measurement"},
+			&cli.IntFlag{Name: "rounds", Value: 2, Usage: "repetitions; direct and through the gate take turns"},
+			&cli.StringFlag{Name: "folder", Usage: "`FOLDER` for settings and logs; a temporary one if not given"},
+			&cli.StringFlag{Name: "out", Usage: "`FILE` for the figures in JSON"},
+		},
+		Action: overhead,
+	}
+}
+
+// sample is one measurement.
+type sample struct {
+	Streams   int          `json:"streams"`
+	Round     int          `json:"round"`
+	Via       string       `json:"via"` // "engine" or "gate"
+	Summary   load.Summary `json:"summary"`
+	TokenRate float64      `json:"tokens_per_second"`
+	GateCPU   float64      `json:"gate_cpu_ms_per_1000_tokens"`
+}
+
+func overhead(ctx context.Context, command *cli.Command) error {
+	folder, programs, err := workFolder(command.String("folder"))
+	if err != nil {
+		return err
+	}
+	length := min(command.Duration("length"), maxLength)
+	s, err := startSite(ctx, programs, filepath.Join(folder, "overhead"), overheadWorkload())
+	if err != nil {
+		return err
+	}
+	defer s.Close()
+	var samples []sample
+	for round := range command.Int("rounds") {
+		for _, streams := range streamsMeasured {
+			for _, via := range []string{"engine", "gate"} {
+				one, err := s.sample(ctx, streams, round, via, length)
+				if err != nil {
+					return err
+				}
+				samples = append(samples, one)
+			}
+		}
+	}
+	printSamples(samples)
+	if name := command.String("out"); name != "" {
+		encoded, err := json.MarshalIndent(samples, "", "  ")
+		if err != nil {
+			return err
+		}
+		return os.WriteFile(name, encoded, 0o644)
+	}
+	return nil
+}
+
+// overheadWorkload is one VM, both gate and keeper, and one engine that never
+// lets a request wait.
+func overheadWorkload() *workload {
+	return &workload{
+		name:        "overhead",
+		places:      places("local", "local"),
+		gates:       1,
+		engine:      "wordroom",
+		engines:     1,
+		slots:       1024,
+		batchPolicy: "tail",
+	}
+}
+
+func (s *site) sample(ctx context.Context, streams, round int, via string, length time.Duration) (sample, error) {
+	target := s.engines[0].Address
+	if via == "gate" {
+		target = s.VMs[0].Callers
+	}
+	mix := s.workload.mix()
+	requests := mix.Requests(rand.New(rand.NewPCG(uint64(streams), uint64(round))), via, 10_000)
+	client := load.NewClient([]string{target}, teamToken, nil)
+	before, err := s.gateUsage()
+	if err != nil {
+		return sample{}, err
+	}
+	bounded, cancel := context.WithTimeout(ctx, length)
+	defer cancel()
+	summary := load.ClosedLoop(bounded, requests, streams, maxItems, client.Stream).Summary()
+	after, err := s.gateUsage()
+	if err != nil {
+		return sample{}, err
+	}
+	used := after.CPU - before.CPU
+	return sample{
+		Streams:   streams,
+		Round:     round,
+		Via:       via,
+		Summary:   summary,
+		TokenRate: float64(summary.Tokens) / summary.Seconds,
+		GateCPU:   float64(used.Milliseconds()) / (float64(summary.Tokens) / 1000),
+	}, nil
+}
+
+func (s *site) gateUsage() (fleet.Usage, error) { return s.VMs[0].Usage() }
+
+func printSamples(samples []sample) {
+	table := tabwriter.NewWriter(os.Stdout, 0, 8, 2, ' ', tabwriter.AlignRight)
+	fmt.Fprintln(table, "streams\tround\tvia\tanswered\tother ends\tfirst token median ms\tp99 ms\ttokens/s\tgate CPU ms/1000 tokens\t")
+	for _, one := range samples {
+		summary := one.Summary
+		others := summary.Offered - summary.Answered - summary.Outcomes[load.Abandoned]
+		fmt.Fprintf(table, "%d\t%d\t%s\t%d\t%d\t%.2f\t%.2f\t%.0f\t%.1f\t\n", one.Streams, one.Round, one.Via,
+			summary.Answered, others, summary.FirstToken.Median, summary.FirstToken.P99, one.TokenRate, one.GateCPU)
+	}
+	table.Flush()
+	fmt.Println()
+	compare(samples)
+}
+
+// compare prints what the gate added in each pair of measurements.
+func compare(samples []sample) {
+	for i := 0; i+1 < len(samples); i += 2 {
+		direct, gate := samples[i], samples[i+1]
+		fmt.Printf("%d streams, round %d: gate adds %.2f ms median, %.2f ms p99 to the first token; tokens/s ratio %.3f\n",
+			direct.Streams, direct.Round,
+			gate.Summary.FirstToken.Median-direct.Summary.FirstToken.Median,
+			gate.Summary.FirstToken.P99-direct.Summary.FirstToken.P99,
+			gate.TokenRate/direct.TokenRate)
+	}
+}
--- /dev/null
+++ b/cmd/experiment/site.go
@@ -0,0 +1,103 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"path/filepath"
+	"time"
+
+	"slateway.example/slateway/test/fleet"
+)
+
+// readyTime bounds the start of a fleet.
+const readyTime = 90 * time.Second
+
+// site is a running fleet of a workload.
+type site struct {
+	*fleet.Fleet
+	workload *workload
+	engines  []*fleet.Upstream
+	services []*fleet.Upstream
+}
+
+// startSite starts a workload's fleet in a folder of its own, and returns once
+// all gates see all replicas and the team is in force.
+func startSite(ctx context.Context, programs fleet.Programs, folder string, w *workload) (*site, error) {
+	if err := os.MkdirAll(folder, 0o755); err != nil {
+		return nil, err
+	}
+	processes, err := fleet.New(folder, programs, fleet.Options{VMs: w.vms(), LinkDelay: w.linkDelay})
+	if err != nil {
+		return nil, err
+	}
+	running := &site{Fleet: processes, workload: w}
+	if err := running.start(ctx); err != nil {
+		running.Close()
+		return nil, err
+	}
+	return running, nil
+}
+
+func (s *site) start(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, readyTime)
+	defer cancel()
+	if err := s.Fleet.Start(); err != nil {
+		return err
+	}
+	w := s.workload
+	for i := range w.engines {
+		engine, err := s.StartEngine(w.engine, fmt.Sprintf("engine-%d", i+1), w.places[i%len(w.places)], w.engineFlags()...)
+		if err != nil {
+			return err
+		}
+		s.engines = append(s.engines, engine)
+	}
+	for i := range w.services {
+		service, err := s.StartService(w.service, fmt.Sprintf("service-%d", i+1), w.places[i%len(w.places)])
+		if err != nil {
+			return err
+		}
+		s.services = append(s.services, service)
+	}
+	if err := s.Configure(ctx, templateName, w.template(), teamName, teamToken); err != nil {
+		return err
+	}
+	return s.WaitReady(ctx, map[string]int{w.engine: w.engines, w.service: w.services})
+}
+
+// engineAddresses are the engines' own addresses, without links.
+func (s *site) engineAddresses() []string {
+	addresses := make([]string, len(s.engines))
+	for i, engine := range s.engines {
+		addresses[i] = engine.Address
+	}
+	return addresses
+}
+
+// lostEngines counts the engines that have ended.
+func (s *site) lostEngines() int {
+	lost := 0
+	for _, engine := range s.engines {
+		if !engine.Running() {
+			lost++
+		}
+	}
+	return lost
+}
+
+// workFolder makes the folder of a whole experiment, and builds the programs.
+func workFolder(name string) (string, fleet.Programs, error) {
+	folder := name
+	var err error
+	if folder == "" {
+		if folder, err = os.MkdirTemp("", "slateway-experiment-"); err != nil {
+			return "", fleet.Programs{}, err
+		}
+	}
+	if folder, err = filepath.Abs(folder); err != nil {
+		return "", fleet.Programs{}, err
+	}
+	programs, err := fleet.Build(filepath.Join(folder, "bin"), false)
+	return folder, programs, err
+}
--- a/test/fleet/fleet.go
+++ b/test/fleet/fleet.go
@@ -8,6 +8,7 @@
 	"os"
 	"path/filepath"
 	"sync"
+	"time"
 )
 
 // Ports of every VM, on an IP address of its own.
@@ -43,6 +44,9 @@
 	VMs []VMOptions
 	// Settings is TOML text that is added to every VM's settings.
 	Settings string
+	// LinkDelay is the one-way delay between places. If it is not zero, gates
+	// reach upstreams through links; upstreams of their own place without delay.
+	LinkDelay time.Duration
 }
 
 // Fleet is a set of VMs and upstreams. Its methods may be called at the same
@@ -52,6 +56,7 @@
 	Programs Programs
 	VMs      []*VM
 
+	options Options
 	network string // first three numbers of all addresses
 
 	mu        sync.Mutex
@@ -81,7 +86,7 @@
 	if err != nil {
 		return nil, err
 	}
-	fleet := &Fleet{Folder: folder, Programs: programs, network: network}
+	fleet := &Fleet{Folder: folder, Programs: programs, options: options, network: network}
 	for i, vm := range options.VMs {
 		fleet.VMs = append(fleet.VMs, fleet.newVM(i, vm))
 	}
--- a/test/fleet/upstream.go
+++ b/test/fleet/upstream.go
@@ -17,6 +17,9 @@
 	Replica string
 	Address string // IP:port
 	RunLog  string // file with a line at each start and end of a run
+	Place   Place
+	Near    *link.Relay // before it, for gates of its place; nil without LinkDelay
+	Far     *link.Relay // the same for gates of other places
 	*Process
 
 	fleet   *Fleet
@@ -38,7 +41,7 @@
 func (f *Fleet) startUpstream(program, service, replica string, place Place, further []string) (*Upstream, error) {
 	f.mu.Lock()
 	address := fmt.Sprintf("%s.%d:%d", f.network, firstUpstream+len(f.upstreams), upstreamPort)
-	upstream := &Upstream{Replica: replica, Address: address, RunLog: filepath.Join(f.Folder, replica+".runs"), fleet: f, program: program}
+	upstream := &Upstream{Replica: replica, Address: address, RunLog: filepath.Join(f.Folder, replica+".runs"), Place: place, fleet: f, program: program}
 	f.upstreams = append(f.upstreams, upstream)
 	f.mu.Unlock()
 
@@ -47,12 +50,44 @@
 		"--place", place.Name, "--vm", "host-of-" + replica, "--run-log", upstream.RunLog,
 	}
 	upstream.args = append(upstream.args, further...)
-	for _, gate := range f.Callers() {
-		upstream.args = append(upstream.args, "--gate", gate)
+	if err := f.addLinks(upstream); err != nil {
+		return nil, err
+	}
+	for _, vm := range f.VMs {
+		if vm.Gate {
+			upstream.args = append(upstream.args, "--gate", vm.Callers+upstream.via(vm))
+		}
 	}
 	return upstream, upstream.Restart()
 }
 
+// addLinks puts links before an upstream if the fleet has a LinkDelay.
+func (f *Fleet) addLinks(upstream *Upstream) (err error) {
+	if f.options.LinkDelay == 0 {
+		return nil
+	}
+	if upstream.Near, err = f.Relay(upstream.Address, 1); err != nil {
+		return err
+	}
+	if upstream.Far, err = f.Relay(upstream.Address, 2); err != nil {
+		return err
+	}
+	upstream.Far.Set(link.Condition{Delay: f.options.LinkDelay})
+	return nil
+}
+
+// via gives the address that the upstream announces to a gate, as the suffix
+// of its flag.
+func (u *Upstream) via(gate *VM) string {
+	switch {
+	case u.Near == nil:
+		return ""
+	case gate.Place == u.Place:
+		return "=" + u.Near.Address()
+	}
+	return "=" + u.Far.Address()
+}
+
 // Restart starts the stand-in again after its end, on the same address.
 func (u *Upstream) Restart() error {
 	process, err := start(u.Replica, u.fleet.Folder, u.program, u.args...)
