--- a/internal/quorum/quorum_test.go
+++ b/internal/quorum/quorum_test.go
@@ -1,6 +1,7 @@
 package quorum
 
 import (
+	"errors"
 	"maps"
 	"math/rand"
 	"slices"
@@ -207,6 +208,97 @@
 	}
 }
 
+// elect makes a member the leader of a term by the votes of member 2.
+func elect(n *Node, term uint64) {
+	for n.role != PreCandidate {
+		n.Tick()
+	}
+	n.Step(Message{Type: MsgPreVoteResponse, From: 2, To: n.config.ID, Term: term})
+	work(n)
+	n.Step(Message{Type: MsgVoteResponse, From: 2, To: n.config.ID, Term: term})
+}
+
+func work(n *Node) {
+	if _, ok := n.Ready(); ok {
+		n.Advance()
+	}
+}
+
+// A member asks for votes, or replicates an entry, and crashes before its own
+// disk has synced. Had its own vote or entry counted, it could vote for another
+// in the same term after the restart, or lose an entry that was acknowledged.
+func TestNothingCountsBeforeTheSync(t *testing.T) {
+	b := newBench(t, 1, 2, 3)
+	n := b.nodes[1]
+	n.campaign(Candidate, false)
+	for _, m := range n.TakeOutbox().Messages {
+		t.Errorf("message of type %d is sent before the vote is synced", m.Type)
+	}
+	ready, _ := n.Ready()
+	if ready.HardState == nil || ready.HardState.Vote != 1 || len(ready.AfterSync) != 2 {
+		t.Errorf("a campaign hands out %+v", ready)
+	}
+	n.Advance()
+	n.Step(Message{Type: MsgVoteResponse, From: 2, To: 1, Term: n.term})
+	n.Step(Message{Type: MsgAppendResponse, From: 2, To: 1, Term: n.term, Index: 2})
+	if n.log.commit >= 2 {
+		t.Error("an entry is committed that one disk of three holds")
+	}
+	work(n)
+	if n.log.commit != 2 {
+		t.Errorf("commit is %d after the sync", n.log.commit)
+	}
+	_, _, _ = n.Propose([]byte("synced"))
+	n.Ready()
+	_, _, _ = n.Propose([]byte("not handed out yet"))
+	n.Step(Message{Type: MsgAppendResponse, From: 2, To: 1, Term: n.term, Index: 4})
+	n.Advance()
+	if n.log.commit != 3 {
+		t.Errorf("commit is %d, synced here up to 3", n.log.commit)
+	}
+}
+
+// Two leaders of successive terms each append a membership change before either
+// is committed, or one appends two: the resulting memberships can have
+// majorities without a common member.
+func TestOneChangeAtATime(t *testing.T) {
+	b := newBench(t, 1, 2, 3)
+	n := b.nodes[1]
+	elect(n, 2)
+	if _, err := n.ProposeChange(Change{Kind: AddLearner, Member: Member{ID: 8}}); !errors.Is(err, ErrChangePending) {
+		t.Errorf("a change before the first commit of the term: %v", err)
+	}
+	b.settle()
+	if _, err := n.ProposeChange(Change{Kind: AddLearner, Member: Member{ID: 8}}); err != nil {
+		t.Error(err)
+	}
+	if _, err := n.ProposeChange(Change{Kind: AddLearner, Member: Member{ID: 9}}); !errors.Is(err, ErrChangePending) {
+		t.Errorf("a second change: %v", err)
+	}
+}
+
+// A leader of an earlier term brought an entry to a majority and was lost before
+// it was committed. Counting that majority would commit an entry which a member
+// with a newer one can still overwrite; only an entry of the own term decides.
+func TestEarlierTermIsNotCommittedByCount(t *testing.T) {
+	snapshot := Bootstrap(NewMembership(Member{ID: 1}, Member{ID: 2}, Member{ID: 3}))
+	old := []Entry{{Term: 2, Index: 2, Data: []byte("old")}}
+	n, err := New(testConfig(1), Restored{HardState: HardState{Term: 3}, Snapshot: snapshot, Entries: old})
+	if err != nil {
+		t.Fatal(err)
+	}
+	elect(n, 4)
+	work(n)
+	n.Step(Message{Type: MsgAppendResponse, From: 2, To: 1, Term: 4, Index: 2})
+	if n.log.commit >= 2 {
+		t.Fatal("an entry of an earlier term was committed by count")
+	}
+	n.Step(Message{Type: MsgAppendResponse, From: 2, To: 1, Term: 4, Index: 3})
+	if n.log.commit != 3 {
+		t.Errorf("commit is %d", n.log.commit)
+	}
+}
+
 func TestTransfer(t *testing.T) {
 	b := newBench(t, 1, 2, 3)
 	b.propose(t, "a")
