--- /dev/null
+++ b/internal/replica/bench_test.go
@@ -0,0 +1,114 @@
+package replica
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"path/filepath"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	hdrhistogram "github.com/HdrHistogram/hdrhistogram-go"
+)
+
+// proposalSize is near the size of a batch item's result record, in bytes.
+const proposalSize = 200
+
+// BenchmarkPropose measures acknowledged changes a second and their latency.
+func BenchmarkPropose(b *testing.B) {
+	for _, members := range []int{3, 5} {
+		for _, callers := range []int{1, 64, 512} {
+			for _, each := range []bool{false, true} {
+				name := fmt.Sprintf("members=%d/callers=%d/syncEach=%t", members, callers, each)
+				b.Run(name, func(b *testing.B) { benchmarkPropose(b, members, callers, each) })
+			}
+		}
+	}
+}
+
+func benchmarkPropose(b *testing.B, members, callers int, each bool) {
+	c := start(b, members, members, func(config *Config) { config.SyncEach = each })
+	leader := c.leader().host
+	c.change("first")
+	var mu sync.Mutex
+	histogram := hdrhistogram.New(1, int64(time.Minute/time.Microsecond), 3)
+	var next atomic.Int64
+	var wait sync.WaitGroup
+	b.ResetTimer()
+	for range callers {
+		wait.Go(func() {
+			for next.Add(1) <= int64(b.N) {
+				started := time.Now()
+				if _, err := leader.Propose(context.Background(), 0, make([]byte, proposalSize)); err != nil {
+					b.Error(err)
+					return
+				}
+				mu.Lock()
+				_ = histogram.RecordValue(time.Since(started).Microseconds())
+				mu.Unlock()
+			}
+		})
+	}
+	wait.Wait()
+	b.StopTimer()
+	b.ReportMetric(float64(b.N)/b.Elapsed().Seconds(), "changes/s")
+	b.ReportMetric(float64(histogram.ValueAtQuantile(50))/1000, "ms-p50")
+	b.ReportMetric(float64(histogram.ValueAtQuantile(99))/1000, "ms-p99")
+}
+
+// BenchmarkLeaderLoss measures the time from the loss of a leader, without a
+// word, to the next acknowledged change.
+func BenchmarkLeaderLoss(b *testing.B) {
+	for range b.N {
+		b.StopTimer()
+		c := start(b, 3, 3, nil)
+		c.change("first")
+		lost := c.leader()
+		b.StartTimer()
+		lost.kill()
+		c.change("second")
+	}
+}
+
+// BenchmarkRestart measures how long a member takes to open its data folder,
+// per number of changes, with the default spacing of snapshots.
+func BenchmarkRestart(b *testing.B) {
+	for _, changes := range []int{1_000, 9_000, 25_000} {
+		b.Run(fmt.Sprintf("changes=%d", changes), func(b *testing.B) { benchmarkRestart(b, changes) })
+	}
+}
+
+func benchmarkRestart(b *testing.B, changes int) {
+	c := start(b, 1, 1, nil)
+	v := c.vms[0]
+	c.change("first")
+	var wait sync.WaitGroup
+	for worker := range 100 {
+		wait.Go(func() {
+			for i := range changes / 100 {
+				c.change(fmt.Sprintf("%0*d", proposalSize, worker*changes+i))
+			}
+		})
+	}
+	wait.Wait()
+	snapshotBytes := v.host.Status()[0].SnapshotBytes
+	var logBytes int64
+	segments, _ := filepath.Glob(filepath.Join(v.folder, logFolder, "*"))
+	for _, path := range segments {
+		if info, err := os.Stat(path); err == nil {
+			logBytes += info.Size()
+		}
+	}
+	b.ResetTimer()
+	for range b.N {
+		b.StopTimer()
+		v.kill()
+		b.StartTimer()
+		c.restart(v)
+		c.eventually("applied", func() bool { return v.host.Status()[0].Applied >= uint64(changes) })
+	}
+	b.ReportMetric(float64(snapshotBytes), "snapshot-bytes")
+	b.ReportMetric(float64(logBytes), "log-bytes")
+}
--- a/internal/replica/config.go
+++ b/internal/replica/config.go
@@ -43,6 +43,10 @@
 	// its VM, or a spare, takes its place. Zero leaves it to the operator.
 	ReplaceAfter time.Duration
 
+	// SyncEach gives each entry a sync of its own instead of group commit, to
+	// measure against.
+	SyncEach bool
+
 	Logger *zap.Logger
 	Client *http.Client // for calls to the other members
 	WAL    wal.Options
@@ -73,6 +77,9 @@
 	setDefault(&c.SnapshotBytes, defaultSnapshotBytes)
 	setDefault(&c.MaxProposals, defaultMaxProposals)
 	setDefault(&c.TransferRate, defaultTransferRate)
+	if c.SyncEach {
+		c.WAL.MaxBatch = 1
+	}
 	if c.Logger == nil {
 		c.Logger = zap.NewNop()
 	}
--- a/internal/replica/group.go
+++ b/internal/replica/group.go
@@ -342,8 +342,7 @@
 		records = append(records, wal.Record{Group: g.id, Kind: recordReset, Index: ready.Snapshot.Index})
 	}
 	if len(ready.Entries) > 0 {
-		last := ready.Entries[len(ready.Entries)-1].Index
-		records = append(records, wal.Record{Group: g.id, Kind: recordEntries, Index: last, Data: codec.MustMarshal(ready.Entries)})
+		records = append(records, g.entriesRecord(ready.Entries))
 	}
 	if ready.HardState != nil {
 		records = append(records, wal.Record{Group: g.id, Kind: recordHardState, Latest: true, Data: codec.MustMarshal(ready.HardState)})
@@ -354,9 +353,19 @@
 	g.mu.Lock()
 	g.syncSince = time.Now()
 	g.mu.Unlock()
+	if g.host.config.SyncEach {
+		for i := range len(ready.Entries) - 1 {
+			g.host.log.Start([]wal.Record{g.entriesRecord(ready.Entries[i : i+1])})
+		}
+	}
 	return g.host.log.Start(records)
 }
 
+func (g *group) entriesRecord(entries []quorum.Entry) wal.Record {
+	last := entries[len(entries)-1].Index
+	return wal.Record{Group: g.id, Kind: recordEntries, Index: last, Data: codec.MustMarshal(entries)}
+}
+
 func (g *group) waitSync(synced <-chan error) error {
 	if synced == nil {
 		return nil
