--- a/Makefile
+++ b/Makefile
@@ -14,11 +14,15 @@
 lint:
 	@unformatted=$$($(GO) tool -modfile=tools/go.mod gofumpt -l $$(git ls-files '*.go' | grep -v '^gen/')); \
 	if [ -n "$$unformatted" ]; then echo "not formatted (run make format):"; echo "$$unformatted"; exit 1; fi
-	$(GO) tool -modfile=tools/go.mod staticcheck ./...
+	$(GO) tool -modfile=tools/go.mod staticcheck $$($(GO) list ./... | grep -v /gen/)
 
 format:
 	$(GO) tool -modfile=tools/go.mod gofumpt -w $$(git ls-files -co --exclude-standard '*.go' | grep -v '^gen/')
 
+# demo runs the whole path on loopback and stops by itself.
+demo: build
+	./scripts/demo.sh
+
 # generate rewrites gen/ from design/; the build does not need it. The client
 # side is left out: slatectl and client/ speak HTTP on their own.
 generate:
--- a/cmd/slatewayd/main.go
+++ b/cmd/slatewayd/main.go
@@ -1,4 +1,95 @@
-// Command slatewayd is slateway's daemon.
+// Command slatewayd is slateway's daemon: a gate, a keeper, or both, as its
+// settings file says.
 package main
 
-func main() {}
+import (
+	"context"
+	"errors"
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/urfave/cli/v3"
+
+	"slateway.example/slateway/internal/daemon"
+	"slateway.example/slateway/internal/settings"
+	"slateway.example/slateway/internal/telemetry"
+)
+
+// Exit codes.
+const (
+	exitFailed   = 1 // the daemon could not start or go on
+	exitSettings = 2 // the settings or the command line are wrong
+)
+
+// errSettings marks errors that lie in the settings.
+var errSettings = errors.New("settings")
+
+func main() {
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	defer stop()
+	if err := command().Run(ctx, os.Args); err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		stop()
+		os.Exit(exitCode(err))
+	}
+}
+
+func exitCode(err error) int {
+	if errors.Is(err, errSettings) {
+		return exitSettings
+	}
+	return exitFailed
+}
+
+func command() *cli.Command {
+	return &cli.Command{
+		Name:      "slatewayd",
+		Usage:     "serve online and batch inference as the settings file says",
+		ArgsUsage: "FILE",
+		Action:    run,
+		Commands: []*cli.Command{{
+			Name:      "check",
+			Usage:     "check a settings file without starting",
+			ArgsUsage: "FILE",
+			Action:    check,
+		}},
+	}
+}
+
+func load(command *cli.Command) (settings.Settings, error) {
+	if command.Args().Len() != 1 {
+		return settings.Settings{}, fmt.Errorf("%w: name one settings file: slatewayd FILE", errSettings)
+	}
+	loaded, err := settings.Load(command.Args().First())
+	if err != nil {
+		return settings.Settings{}, fmt.Errorf("%w: %w", errSettings, err)
+	}
+	return loaded, nil
+}
+
+func check(_ context.Context, command *cli.Command) error {
+	if _, err := load(command); err != nil {
+		return err
+	}
+	fmt.Println("the settings are good")
+	return nil
+}
+
+func run(ctx context.Context, command *cli.Command) error {
+	loaded, err := load(command)
+	if err != nil {
+		return err
+	}
+	log, err := telemetry.NewLogger(loaded.Log.Level, loaded.Log.Format)
+	if err != nil {
+		return err
+	}
+	defer func() { _ = log.Sync() }()
+	d, err := daemon.New(loaded, log)
+	if err != nil {
+		return err
+	}
+	return d.Run(ctx)
+}
--- a/design/fleet.go
+++ b/design/fleet.go
@@ -73,10 +73,11 @@
 
 	Method("cache_events", func() {
 		Payload(func() {
+			Attribute("service", String)
 			Attribute("replica", String)
 			Attribute("incarnation", UInt64)
 			Attribute("events", ArrayOf(CacheEvent), func() { MaxLength(10000) })
-			Required("replica", "incarnation", "events")
+			Required("service", "replica", "incarnation", "events")
 		})
 		HTTP(func() {
 			POST("/cache-events")
--- a/design/jobs.go
+++ b/design/jobs.go
@@ -26,7 +26,7 @@
 var jobRef = func() {
 	APIKey("team_token", "token", String)
 	Attribute("id", String, "Job ID")
-	Required("token", "id")
+	Required("id")
 }
 
 var _ = Service("jobs", func() {
@@ -48,7 +48,7 @@
 			Attribute("service", String, "Model or service; the team's own when empty", func() { MaxLength(200) })
 			Attribute("deadline", String, "When the job is due, RFC 3339; the team's default when empty")
 			Attribute("non_idempotent", Boolean, "Run each item at most once")
-			Required("token", "job_key")
+			Required("job_key")
 		})
 		Result(JobStatus)
 		HTTP(func() { POST("") })
@@ -58,7 +58,6 @@
 		Description("List the team's jobs.")
 		Payload(func() {
 			APIKey("team_token", "token", String)
-			Required("token")
 		})
 		Result(ArrayOf(JobStatus))
 		HTTP(func() { GET("") })
--- a/gen/http/jobs/server/encode_decode.go
+++ b/gen/http/jobs/server/encode_decode.go
@@ -58,20 +58,19 @@
 		}
 
 		var (
-			token string
+			token *string
 		)
-		token = r.Header.Get("Authorization")
-		if token == "" {
-			err = goa.MergeErrors(err, goa.MissingFieldError("token", "header"))
-		}
-		if err != nil {
-			return payload, err
+		tokenRaw := r.Header.Get("Authorization")
+		if tokenRaw != "" {
+			token = &tokenRaw
 		}
 		payload = NewCreatePayload(&body, token)
-		if strings.Contains(payload.Token, " ") {
-			// Remove authorization scheme prefix (e.g. "Bearer")
-			cred := strings.SplitN(payload.Token, " ", 2)[1]
-			payload.Token = cred
+		if payload.Token != nil {
+			if strings.Contains(*payload.Token, " ") {
+				// Remove authorization scheme prefix (e.g. "Bearer")
+				cred := strings.SplitN(*payload.Token, " ", 2)[1]
+				payload.Token = &cred
+			}
 		}
 
 		return payload, nil
@@ -96,21 +95,19 @@
 	return func(r *http.Request) (*jobs.ListPayload, error) {
 		var payload *jobs.ListPayload
 		var (
-			token string
-			err   error
+			token *string
 		)
-		token = r.Header.Get("Authorization")
-		if token == "" {
-			err = goa.MergeErrors(err, goa.MissingFieldError("token", "header"))
-		}
-		if err != nil {
-			return payload, err
+		tokenRaw := r.Header.Get("Authorization")
+		if tokenRaw != "" {
+			token = &tokenRaw
 		}
 		payload = NewListPayload(token)
-		if strings.Contains(payload.Token, " ") {
-			// Remove authorization scheme prefix (e.g. "Bearer")
-			cred := strings.SplitN(payload.Token, " ", 2)[1]
-			payload.Token = cred
+		if payload.Token != nil {
+			if strings.Contains(*payload.Token, " ") {
+				// Remove authorization scheme prefix (e.g. "Bearer")
+				cred := strings.SplitN(*payload.Token, " ", 2)[1]
+				payload.Token = &cred
+			}
 		}
 
 		return payload, nil
@@ -137,7 +134,7 @@
 		var (
 			id    string
 			part  int
-			token string
+			token *string
 			err   error
 
 			params = mux.Vars(r)
@@ -157,18 +154,20 @@
 		if part > 100000 {
 			err = goa.MergeErrors(err, goa.InvalidRangeError("part", part, 100000, false))
 		}
-		token = r.Header.Get("Authorization")
-		if token == "" {
-			err = goa.MergeErrors(err, goa.MissingFieldError("token", "header"))
+		tokenRaw := r.Header.Get("Authorization")
+		if tokenRaw != "" {
+			token = &tokenRaw
 		}
 		if err != nil {
 			return payload, err
 		}
 		payload = NewAddPartPayload(id, part, token)
-		if strings.Contains(payload.Token, " ") {
-			// Remove authorization scheme prefix (e.g. "Bearer")
-			cred := strings.SplitN(payload.Token, " ", 2)[1]
-			payload.Token = cred
+		if payload.Token != nil {
+			if strings.Contains(*payload.Token, " ") {
+				// Remove authorization scheme prefix (e.g. "Bearer")
+				cred := strings.SplitN(*payload.Token, " ", 2)[1]
+				payload.Token = &cred
+			}
 		}
 
 		return payload, nil
@@ -214,23 +213,22 @@
 
 		var (
 			id    string
-			token string
+			token *string
 
 			params = mux.Vars(r)
 		)
 		id = params["id"]
-		token = r.Header.Get("Authorization")
-		if token == "" {
-			err = goa.MergeErrors(err, goa.MissingFieldError("token", "header"))
-		}
-		if err != nil {
-			return payload, err
+		tokenRaw := r.Header.Get("Authorization")
+		if tokenRaw != "" {
+			token = &tokenRaw
 		}
 		payload = NewSealPayload(&body, id, token)
-		if strings.Contains(payload.Token, " ") {
-			// Remove authorization scheme prefix (e.g. "Bearer")
-			cred := strings.SplitN(payload.Token, " ", 2)[1]
-			payload.Token = cred
+		if payload.Token != nil {
+			if strings.Contains(*payload.Token, " ") {
+				// Remove authorization scheme prefix (e.g. "Bearer")
+				cred := strings.SplitN(*payload.Token, " ", 2)[1]
+				payload.Token = &cred
+			}
 		}
 
 		return payload, nil
@@ -256,24 +254,22 @@
 		var payload *jobs.StatusPayload
 		var (
 			id    string
-			token string
-			err   error
+			token *string
 
 			params = mux.Vars(r)
 		)
 		id = params["id"]
-		token = r.Header.Get("Authorization")
-		if token == "" {
-			err = goa.MergeErrors(err, goa.MissingFieldError("token", "header"))
-		}
-		if err != nil {
-			return payload, err
+		tokenRaw := r.Header.Get("Authorization")
+		if tokenRaw != "" {
+			token = &tokenRaw
 		}
 		payload = NewStatusPayload(id, token)
-		if strings.Contains(payload.Token, " ") {
-			// Remove authorization scheme prefix (e.g. "Bearer")
-			cred := strings.SplitN(payload.Token, " ", 2)[1]
-			payload.Token = cred
+		if payload.Token != nil {
+			if strings.Contains(*payload.Token, " ") {
+				// Remove authorization scheme prefix (e.g. "Bearer")
+				cred := strings.SplitN(*payload.Token, " ", 2)[1]
+				payload.Token = &cred
+			}
 		}
 
 		return payload, nil
@@ -299,24 +295,22 @@
 		var payload *jobs.CancelPayload
 		var (
 			id    string
-			token string
-			err   error
+			token *string
 
 			params = mux.Vars(r)
 		)
 		id = params["id"]
-		token = r.Header.Get("Authorization")
-		if token == "" {
-			err = goa.MergeErrors(err, goa.MissingFieldError("token", "header"))
-		}
-		if err != nil {
-			return payload, err
+		tokenRaw := r.Header.Get("Authorization")
+		if tokenRaw != "" {
+			token = &tokenRaw
 		}
 		payload = NewCancelPayload(id, token)
-		if strings.Contains(payload.Token, " ") {
-			// Remove authorization scheme prefix (e.g. "Bearer")
-			cred := strings.SplitN(payload.Token, " ", 2)[1]
-			payload.Token = cred
+		if payload.Token != nil {
+			if strings.Contains(*payload.Token, " ") {
+				// Remove authorization scheme prefix (e.g. "Bearer")
+				cred := strings.SplitN(*payload.Token, " ", 2)[1]
+				payload.Token = &cred
+			}
 		}
 
 		return payload, nil
@@ -353,7 +347,7 @@
 			id    string
 			from  int64
 			limit int
-			token string
+			token *string
 			err   error
 
 			params = mux.Vars(r)
@@ -391,18 +385,20 @@
 		if limit > 10000 {
 			err = goa.MergeErrors(err, goa.InvalidRangeError("limit", limit, 10000, false))
 		}
-		token = r.Header.Get("Authorization")
-		if token == "" {
-			err = goa.MergeErrors(err, goa.MissingFieldError("token", "header"))
+		tokenRaw := r.Header.Get("Authorization")
+		if tokenRaw != "" {
+			token = &tokenRaw
 		}
 		if err != nil {
 			return payload, err
 		}
 		payload = NewResultsPayload(id, from, limit, token)
-		if strings.Contains(payload.Token, " ") {
-			// Remove authorization scheme prefix (e.g. "Bearer")
-			cred := strings.SplitN(payload.Token, " ", 2)[1]
-			payload.Token = cred
+		if payload.Token != nil {
+			if strings.Contains(*payload.Token, " ") {
+				// Remove authorization scheme prefix (e.g. "Bearer")
+				cred := strings.SplitN(*payload.Token, " ", 2)[1]
+				payload.Token = &cred
+			}
 		}
 
 		return payload, nil
--- a/gen/http/jobs/server/types.go
+++ b/gen/http/jobs/server/types.go
@@ -307,7 +307,7 @@
 }
 
 // NewCreatePayload builds a jobs service create endpoint payload.
-func NewCreatePayload(body *CreateRequestBody, token string) *jobs.CreatePayload {
+func NewCreatePayload(body *CreateRequestBody, token *string) *jobs.CreatePayload {
 	v := &jobs.CreatePayload{
 		JobKey:        *body.JobKey,
 		Service:       body.Service,
@@ -320,7 +320,7 @@
 }
 
 // NewListPayload builds a jobs service list endpoint payload.
-func NewListPayload(token string) *jobs.ListPayload {
+func NewListPayload(token *string) *jobs.ListPayload {
 	v := &jobs.ListPayload{}
 	v.Token = token
 
@@ -328,7 +328,7 @@
 }
 
 // NewAddPartPayload builds a jobs service add_part endpoint payload.
-func NewAddPartPayload(id string, part int, token string) *jobs.AddPartPayload {
+func NewAddPartPayload(id string, part int, token *string) *jobs.AddPartPayload {
 	v := &jobs.AddPartPayload{}
 	v.ID = id
 	v.Part = part
@@ -338,7 +338,7 @@
 }
 
 // NewSealPayload builds a jobs service seal endpoint payload.
-func NewSealPayload(body *SealRequestBody, id string, token string) *jobs.SealPayload {
+func NewSealPayload(body *SealRequestBody, id string, token *string) *jobs.SealPayload {
 	v := &jobs.SealPayload{
 		Parts: *body.Parts,
 	}
@@ -349,7 +349,7 @@
 }
 
 // NewStatusPayload builds a jobs service status endpoint payload.
-func NewStatusPayload(id string, token string) *jobs.StatusPayload {
+func NewStatusPayload(id string, token *string) *jobs.StatusPayload {
 	v := &jobs.StatusPayload{}
 	v.ID = id
 	v.Token = token
@@ -358,7 +358,7 @@
 }
 
 // NewCancelPayload builds a jobs service cancel endpoint payload.
-func NewCancelPayload(id string, token string) *jobs.CancelPayload {
+func NewCancelPayload(id string, token *string) *jobs.CancelPayload {
 	v := &jobs.CancelPayload{}
 	v.ID = id
 	v.Token = token
@@ -367,7 +367,7 @@
 }
 
 // NewResultsPayload builds a jobs service results endpoint payload.
-func NewResultsPayload(id string, from int64, limit int, token string) *jobs.ResultsPayload {
+func NewResultsPayload(id string, from int64, limit int, token *string) *jobs.ResultsPayload {
 	v := &jobs.ResultsPayload{}
 	v.ID = id
 	v.From = from
--- a/gen/http/upstreams/server/types.go
+++ b/gen/http/upstreams/server/types.go
@@ -47,6 +47,7 @@
 // CacheEventsRequestBody is the type of the "upstreams" service "cache_events"
 // endpoint HTTP request body.
 type CacheEventsRequestBody struct {
+	Service     *string                  `form:"service,omitempty" json:"service,omitempty" xml:"service,omitempty"`
 	Replica     *string                  `form:"replica,omitempty" json:"replica,omitempty" xml:"replica,omitempty"`
 	Incarnation *uint64                  `form:"incarnation,omitempty" json:"incarnation,omitempty" xml:"incarnation,omitempty"`
 	Events      []*CacheEventRequestBody `form:"events,omitempty" json:"events,omitempty" xml:"events,omitempty"`
@@ -180,6 +181,7 @@
 // payload.
 func NewCacheEventsPayload(body *CacheEventsRequestBody) *upstreams.CacheEventsPayload {
 	v := &upstreams.CacheEventsPayload{
+		Service:     *body.Service,
 		Replica:     *body.Replica,
 		Incarnation: *body.Incarnation,
 	}
@@ -275,6 +277,9 @@
 // ValidateCacheEventsRequestBody runs the validations defined on
 // cache_events_request_body
 func ValidateCacheEventsRequestBody(body *CacheEventsRequestBody) (err error) {
+	if body.Service == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("service", "body"))
+	}
 	if body.Replica == nil {
 		err = goa.MergeErrors(err, goa.MissingFieldError("replica", "body"))
 	}
--- a/gen/jobs/endpoints.go
+++ b/gen/jobs/endpoints.go
@@ -81,7 +81,11 @@
 			Scopes:         []string{},
 			RequiredScopes: []string{},
 		}
-		ctx, err = authAPIKeyFn(ctx, p.Token, &sc)
+		var key string
+		if p.Token != nil {
+			key = *p.Token
+		}
+		ctx, err = authAPIKeyFn(ctx, key, &sc)
 		if err != nil {
 			return nil, err
 		}
@@ -100,7 +104,11 @@
 			Scopes:         []string{},
 			RequiredScopes: []string{},
 		}
-		ctx, err = authAPIKeyFn(ctx, p.Token, &sc)
+		var key string
+		if p.Token != nil {
+			key = *p.Token
+		}
+		ctx, err = authAPIKeyFn(ctx, key, &sc)
 		if err != nil {
 			return nil, err
 		}
@@ -119,7 +127,11 @@
 			Scopes:         []string{},
 			RequiredScopes: []string{},
 		}
-		ctx, err = authAPIKeyFn(ctx, ep.Payload.Token, &sc)
+		var key string
+		if ep.Payload.Token != nil {
+			key = *ep.Payload.Token
+		}
+		ctx, err = authAPIKeyFn(ctx, key, &sc)
 		if err != nil {
 			return nil, err
 		}
@@ -138,7 +150,11 @@
 			Scopes:         []string{},
 			RequiredScopes: []string{},
 		}
-		ctx, err = authAPIKeyFn(ctx, p.Token, &sc)
+		var key string
+		if p.Token != nil {
+			key = *p.Token
+		}
+		ctx, err = authAPIKeyFn(ctx, key, &sc)
 		if err != nil {
 			return nil, err
 		}
@@ -157,7 +173,11 @@
 			Scopes:         []string{},
 			RequiredScopes: []string{},
 		}
-		ctx, err = authAPIKeyFn(ctx, p.Token, &sc)
+		var key string
+		if p.Token != nil {
+			key = *p.Token
+		}
+		ctx, err = authAPIKeyFn(ctx, key, &sc)
 		if err != nil {
 			return nil, err
 		}
@@ -176,7 +196,11 @@
 			Scopes:         []string{},
 			RequiredScopes: []string{},
 		}
-		ctx, err = authAPIKeyFn(ctx, p.Token, &sc)
+		var key string
+		if p.Token != nil {
+			key = *p.Token
+		}
+		ctx, err = authAPIKeyFn(ctx, key, &sc)
 		if err != nil {
 			return nil, err
 		}
@@ -195,7 +219,11 @@
 			Scopes:         []string{},
 			RequiredScopes: []string{},
 		}
-		ctx, err = authAPIKeyFn(ctx, p.Token, &sc)
+		var key string
+		if p.Token != nil {
+			key = *p.Token
+		}
+		ctx, err = authAPIKeyFn(ctx, key, &sc)
 		if err != nil {
 			return nil, err
 		}
--- a/gen/jobs/service.go
+++ b/gen/jobs/service.go
@@ -62,7 +62,7 @@
 
 // AddPartPayload is the payload type of the jobs service add_part method.
 type AddPartPayload struct {
-	Token string
+	Token *string
 	// Job ID
 	ID string
 	// Part number from 0; a resend with it is accepted once
@@ -77,14 +77,14 @@
 
 // CancelPayload is the payload type of the jobs service cancel method.
 type CancelPayload struct {
-	Token string
+	Token *string
 	// Job ID
 	ID string
 }
 
 // CreatePayload is the payload type of the jobs service create method.
 type CreatePayload struct {
-	Token string
+	Token *string
 	// The caller's own key; a resend with it finds the same job
 	JobKey string
 	// Model or service; the team's own when empty
@@ -127,12 +127,12 @@
 
 // ListPayload is the payload type of the jobs service list method.
 type ListPayload struct {
-	Token string
+	Token *string
 }
 
 // ResultsPayload is the payload type of the jobs service results method.
 type ResultsPayload struct {
-	Token string
+	Token *string
 	// Job ID
 	ID string
 	// First item
@@ -151,7 +151,7 @@
 
 // SealPayload is the payload type of the jobs service seal method.
 type SealPayload struct {
-	Token string
+	Token *string
 	// Job ID
 	ID string
 	// Number of parts sent
@@ -160,7 +160,7 @@
 
 // StatusPayload is the payload type of the jobs service status method.
 type StatusPayload struct {
-	Token string
+	Token *string
 	// Job ID
 	ID string
 }
--- a/gen/upstreams/service.go
+++ b/gen/upstreams/service.go
@@ -84,6 +84,7 @@
 // CacheEventsPayload is the payload type of the upstreams service cache_events
 // method.
 type CacheEventsPayload struct {
+	Service     string
 	Replica     string
 	Incarnation uint64
 	Events      []*CacheEvent
--- a/internal/api/errors.go
+++ b/internal/api/errors.go
@@ -40,9 +40,9 @@
 // counts its reason.
 func (s *Server) formatError(ctx context.Context, err error) goahttp.Statuser {
 	known := asError(err)
-	s.metrics.Count("refused." + string(known.Reason))
+	s.metrics.Refused(known.Reason)
 	if header, ok := ctx.Value(headerKey{}).(http.Header); ok {
-		apierr.SetHeader(header, known)
+		apierr.SetRetryAfter(header, known)
 	}
 	return &errorResponse{Body: apierr.BodyOf(known), status: known.Kind.HTTPStatus()}
 }
--- /dev/null
+++ b/internal/api/fleet.go
@@ -0,0 +1,61 @@
+package api
+
+import (
+	"context"
+	"time"
+
+	"slateway.example/slateway/gen/entries"
+	"slateway.example/slateway/gen/members"
+)
+
+// Fleet is what the APIs need to know of the VMs.
+type Fleet interface {
+	// Entries gives the gates for a caller in place, which may be empty.
+	Entries(place string) Entries
+	// Members lists the VMs with the state of the groups that keepers hold.
+	Members(ctx context.Context) []*members.Member
+	// Replace puts the blank disk of vm in the place of the one it lost.
+	Replace(ctx context.Context, vm string) error
+}
+
+// Entries is the directory's answer to a caller.
+type Entries struct {
+	Gates    []Entry // in the order to try them
+	Lifetime time.Duration
+	Revision uint64
+}
+
+// Entry is one gate's address for callers.
+type Entry struct {
+	Address string // IP and port
+	VM      string
+	Place   string
+}
+
+type entriesService struct{ *Server }
+
+// Get tells a caller which gates to use.
+func (s *entriesService) Get(_ context.Context, payload *entries.GetPayload) (*entries.GetResult, error) {
+	answer := s.options.Fleet.Entries(valueOf(payload.Place))
+	result := &entries.GetResult{
+		Entries:    make([]*entries.Entry, len(answer.Gates)),
+		LifetimeMs: answer.Lifetime.Milliseconds(),
+		Revision:   answer.Revision,
+	}
+	for i, gate := range answer.Gates {
+		result.Entries[i] = &entries.Entry{Address: gate.Address, VM: gate.VM, Place: gate.Place}
+	}
+	return result, nil
+}
+
+type membersService struct{ *Server }
+
+// List lists the VMs.
+func (s *membersService) List(ctx context.Context) ([]*members.Member, error) {
+	return s.options.Fleet.Members(ctx), nil
+}
+
+// Replace puts a blank disk in the place of a lost one.
+func (s *membersService) Replace(ctx context.Context, payload *members.ReplacePayload) error {
+	return s.options.Fleet.Replace(ctx, payload.VM)
+}
--- a/internal/apierr/http.go
+++ b/internal/apierr/http.go
@@ -25,9 +25,9 @@
 	Remedy       string `json:"remedy,omitempty"`
 }
 
-// JSON gives the body of the error answer.
-func (e *Error) JSON() []byte {
-	body := Body{Error: BodyError{
+// BodyOf gives the body of the error answer.
+func BodyOf(e *Error) Body {
+	return Body{Error: BodyError{
 		Message:      e.Message,
 		Type:         string(e.Kind),
 		Code:         e.Reason,
@@ -36,23 +36,33 @@
 		RetryAfterMS: e.RetryAfter.Milliseconds(),
 		Remedy:       e.Remedy,
 	}}
-	data, err := json.Marshal(body)
+}
+
+// JSON gives the encoded body of the error answer.
+func (e *Error) JSON() []byte {
+	data, err := json.Marshal(BodyOf(e))
 	if err != nil {
 		panic(err) // strings and a number always encode
 	}
 	return data
 }
 
+// SetRetryAfter sets the Retry-After header, in whole seconds, if asking again
+// may help.
+func SetRetryAfter(header http.Header, e *Error) {
+	if e.RetryAfter <= 0 {
+		return
+	}
+	seconds := math.Ceil(e.RetryAfter.Seconds())
+	header.Set("Retry-After", strconv.Itoa(int(seconds)))
+}
+
 // WriteHTTP answers a request with the error: status by kind, a Retry-After
 // header in whole seconds if asking again may help, and the JSON body.
 func WriteHTTP(w http.ResponseWriter, err error) {
 	known := From(err)
-	header := w.Header()
-	header.Set("Content-Type", "application/json")
-	if known.RetryAfter > 0 {
-		seconds := math.Ceil(known.RetryAfter.Seconds())
-		header.Set("Retry-After", strconv.Itoa(int(seconds)))
-	}
+	w.Header().Set("Content-Type", "application/json")
+	SetRetryAfter(w.Header(), known)
 	w.WriteHeader(known.Kind.HTTPStatus())
 	_, _ = w.Write(known.JSON())
 }
--- /dev/null
+++ b/internal/daemon/daemon.go
@@ -0,0 +1,123 @@
+// Package daemon puts the parts of slatewayd together as the settings say: the
+// keeper's replicated state, the gate's routing and batch work, and the
+// listeners for callers, operators and the project's own processes.
+package daemon
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net/http"
+	"time"
+
+	"go.uber.org/zap"
+
+	"slateway.example/slateway/internal/rpc"
+	"slateway.example/slateway/internal/settings"
+	"slateway.example/slateway/internal/telemetry"
+)
+
+// Daemon is one slatewayd process.
+type Daemon struct {
+	settings settings.Settings
+	log      *zap.Logger
+	metrics  *telemetry.Metrics
+	calls    *rpc.Client
+
+	keeper *keeperRole // nil without the role
+	gate   *gateRole   // nil without the role
+	fleet  *fleetView
+
+	listeners []*listener
+}
+
+// New makes the parts; Run starts them.
+func New(s settings.Settings, log *zap.Logger) (*Daemon, error) {
+	d := &Daemon{settings: s, log: log, metrics: telemetry.NewMetrics()}
+	d.calls = rpc.NewClient(peerClient(s.Timeouts.Dial))
+	if s.Is(settings.RoleKeeper) {
+		keeper, err := newKeeperRole(&s, log)
+		if err != nil {
+			return nil, err
+		}
+		d.keeper = keeper
+	}
+	d.fleet = newFleetView(d)
+	if s.Is(settings.RoleGate) {
+		d.gate = newGateRole(d)
+	}
+	return d, nil
+}
+
+const (
+	// peerIdleTimeout is how long an idle connection to another process is kept.
+	peerIdleTimeout = 30 * time.Second
+	// maxPeerConnections bounds the idle connections to one process.
+	maxPeerConnections = 32
+)
+
+// peerClient makes the HTTP client for calls to the project's own processes.
+// Deadlines come with each call.
+func peerClient(dialTimeout time.Duration) *http.Client {
+	return &http.Client{Transport: &http.Transport{
+		DialContext:         dialer(dialTimeout).DialContext,
+		MaxIdleConnsPerHost: maxPeerConnections,
+		IdleConnTimeout:     peerIdleTimeout,
+	}}
+}
+
+// Run serves until ctx ends, then drains: the gate finishes what is in
+// progress, and only then the keeper and the listeners stop.
+func (d *Daemon) Run(ctx context.Context) error {
+	failures := make(chan error, 1)
+	if err := d.listen(failures); err != nil {
+		return err
+	}
+	background, stop := context.WithCancel(context.WithoutCancel(ctx))
+	defer stop()
+	if d.keeper != nil {
+		d.keeper.start(background)
+	}
+	if d.gate != nil {
+		d.gate.start(background)
+	}
+	d.log.Info("serving", zap.String("vm", d.settings.VM.Name), zap.String("callers", d.settings.Listen.Callers),
+		zap.String("operators", d.settings.Listen.Operators), zap.String("peers", d.settings.Listen.Peers))
+	err := d.wait(ctx, failures)
+	d.stop(stop)
+	return err
+}
+
+// wait returns nil when ctx ends, else what made the daemon unable to go on.
+func (d *Daemon) wait(ctx context.Context, failures <-chan error) error {
+	var hostDone <-chan struct{}
+	if d.keeper != nil {
+		hostDone = d.keeper.host.Done()
+	}
+	select {
+	case <-ctx.Done():
+		return nil
+	case err := <-failures:
+		return err
+	case <-hostDone:
+		return fmt.Errorf("the keeper stopped: %w; check the disk of %s, then start again or replace the member",
+			errors.Join(d.keeper.host.Err()), d.settings.VM.DataFolder)
+	}
+}
+
+func (d *Daemon) stop(stopBackground context.CancelFunc) {
+	ctx, cancel := context.WithTimeout(context.Background(), d.settings.Timeouts.Drain)
+	defer cancel()
+	if d.gate != nil {
+		d.log.Info("draining")
+		d.gate.drain(ctx)
+	}
+	stopBackground()
+	if d.keeper != nil {
+		d.keeper.stop()
+	}
+	for _, l := range d.listeners {
+		l.shutdown()
+	}
+	d.log.Info("stopped")
+}
--- /dev/null
+++ b/internal/daemon/keeper.go
@@ -0,0 +1,95 @@
+package daemon
+
+import (
+	"context"
+	"os"
+
+	"go.uber.org/zap"
+
+	"slateway.example/slateway/internal/keeper"
+	"slateway.example/slateway/internal/keeper/keeperapi"
+	"slateway.example/slateway/internal/keeper/keeperclient"
+	"slateway.example/slateway/internal/replica"
+	"slateway.example/slateway/internal/settings"
+)
+
+// exitDisk is the exit code after a failure of the data folder.
+const exitDisk = 4
+
+// keeperRole is the replicated state on this VM's disk.
+type keeperRole struct {
+	host    *replica.Host
+	service *keeper.Service
+}
+
+func newKeeperRole(s *settings.Settings, log *zap.Logger) (*keeperRole, error) {
+	config := keeper.NewConfigMachine()
+	jobs := make([]*keeper.JobMachine, s.Quorum.JobGroups)
+	// A replica that cannot write a record would differ from the others from
+	// there on. Ending the process is safe: a restart replays the log.
+	fail := func(err error) {
+		log.Error("a file of the replicated state failed", zap.Error(err))
+		os.Exit(exitDisk)
+	}
+	host, err := replica.Open(replica.Config{
+		VM:      s.VM.Name,
+		Address: s.Advertise.Peers,
+		Folder:  s.VM.DataFolder,
+		Voters:  voters(s),
+		Groups:  uint32(s.Quorum.JobGroups) + 1,
+		NewMachine: func(group uint32, folder string) (replica.Machine, error) {
+			if group == keeperapi.ConfigGroup {
+				return config, nil
+			}
+			machine := keeper.NewJobMachine(folder, fail)
+			jobs[group-1] = machine
+			return machine, nil
+		},
+		Tick:            s.Quorum.Heartbeat / ticksPerHeartbeat,
+		HeartbeatTicks:  ticksPerHeartbeat,
+		ElectionTicks:   int(s.Quorum.Election / (s.Quorum.Heartbeat / ticksPerHeartbeat)),
+		SnapshotEntries: uint64(s.Quorum.SnapshotEntries),
+		Logger:          log,
+		Client:          peerClient(s.Timeouts.Dial),
+	})
+	if err != nil {
+		return nil, err
+	}
+	service := keeper.NewService(keeper.Options{
+		Self:        host.Self().ID,
+		Proposer:    host,
+		Config:      config,
+		Jobs:        jobs,
+		Log:         log,
+		ConfigLease: s.Config.Lease,
+		SessionTTL:  s.Batch.Lease,
+	})
+	return &keeperRole{host: host, service: service}, nil
+}
+
+// ticksPerHeartbeat is how finely the agreement sees time.
+const ticksPerHeartbeat = 2
+
+func voters(s *settings.Settings) []replica.Voter {
+	list := make([]replica.Voter, len(s.Keepers))
+	for i, k := range s.Keepers {
+		list[i] = replica.Voter{VM: k.VM, Address: k.Peers}
+	}
+	return list
+}
+
+func (k *keeperRole) start(ctx context.Context) {
+	k.host.Start()
+	go k.service.Run(ctx)
+}
+
+func (k *keeperRole) stop() { k.host.Stop() }
+
+// keepers makes a client of the keepers that the settings name.
+func (d *Daemon) keepers() *keeperclient.Client {
+	addresses := make([]string, len(d.settings.Keepers))
+	for i, k := range d.settings.Keepers {
+		addresses[i] = k.Peers
+	}
+	return keeperclient.New(d.calls, addresses)
+}
--- /dev/null
+++ b/internal/gate/batch/outcome.go
@@ -0,0 +1,59 @@
+package batch
+
+import (
+	"net/http"
+
+	"slateway.example/slateway/internal/apierr"
+	"slateway.example/slateway/internal/gate/proxy"
+	"slateway.example/slateway/internal/job"
+)
+
+// reasonUpstreamStatus is the reason of items that their upstream refused.
+const reasonUpstreamStatus apierr.Reason = "upstream_status"
+
+// complete fills in how the attempt ended.
+func complete(reported *job.Result, lease *job.Leased, result *proxy.BatchResult, err error) {
+	switch {
+	case err != nil, result.Outcome == proxy.BatchNotRun:
+		reported.Outcome = job.OutcomeReturned
+	case result.Outcome == proxy.BatchDone:
+		completeAnswered(reported, result)
+	default:
+		completeFailed(reported, lease, result.Err)
+	}
+}
+
+func completeAnswered(reported *job.Result, result *proxy.BatchResult) {
+	reported.Outcome = job.OutcomeSucceeded
+	reported.Status = result.Status
+	reported.Body = result.Body
+	if result.Status >= http.StatusBadRequest {
+		reported.Outcome = job.OutcomeFailed
+		reported.Reason = reasonUpstreamStatus
+		reported.Message = http.StatusText(result.Status)
+	}
+}
+
+// completeFailed decides whether an item that has no answer is tried again.
+func completeFailed(reported *job.Result, lease *job.Leased, failure *apierr.Error) {
+	reported.Reason = failure.Reason
+	reported.Message = failure.Error()
+	switch {
+	case lease.NonIdempotent && failure.Ran == apierr.RanUnknown:
+		reported.Outcome = job.OutcomeUnknown
+	case final(failure.Kind):
+		reported.Outcome = job.OutcomeFailed
+	default:
+		reported.Outcome = job.OutcomeRetry
+	}
+}
+
+// final reports whether running the item again would end the same way.
+func final(kind apierr.Kind) bool {
+	switch kind {
+	case apierr.Refused, apierr.Invalid, apierr.NotFound, apierr.TooLarge, apierr.Deadline:
+		return true
+	default:
+		return false
+	}
+}
--- /dev/null
+++ b/internal/gate/batch/runner.go
@@ -0,0 +1,364 @@
+// Package batch runs the items of batch jobs on a gate: it leases as many as
+// the router has room for, runs them, and reports their results in groups.
+package batch
+
+import (
+	"context"
+	"fmt"
+	"slices"
+	"sync"
+	"time"
+
+	"go.uber.org/zap"
+
+	"slateway.example/slateway/internal/gate/proxy"
+	"slateway.example/slateway/internal/job"
+	"slateway.example/slateway/internal/keeper/keeperapi"
+	"slateway.example/slateway/internal/route"
+	"slateway.example/slateway/internal/team"
+)
+
+// Session is the gate's session with the keepers.
+type Session interface {
+	Lease(ctx context.Context, wants []job.Want, wait time.Duration) ([]keeperapi.LeasedItem, error)
+	Heartbeat(ctx context.Context, running []job.ID) (ended []job.ID, err error)
+	Complete(ctx context.Context, results []job.Result) error
+	Close(ctx context.Context) error
+}
+
+// Router runs single items.
+type Router interface {
+	BatchRoom(service string, policy route.Policy) int
+	RunBatch(ctx context.Context, item proxy.BatchItem) (proxy.BatchResult, error)
+	Upstreams() []proxy.Replica
+}
+
+// Policies finds the policy of a team.
+type Policies interface {
+	Policy(team string) (*team.Policy, bool)
+}
+
+// Options are what a Runner needs.
+type Options struct {
+	Session  Session
+	Router   Router
+	Policies Policies
+	Log      *zap.Logger
+
+	LeaseItems  int           // items asked for at once
+	ResultFlush time.Duration // longest wait of a result for its group
+	ResultGroup int           // results reported together
+	Heartbeat   time.Duration // pace of the session's renewal
+}
+
+const (
+	// scanInterval is how often a runner looks for new services.
+	scanInterval = 200 * time.Millisecond
+	// roomInterval is how often a full service is looked at for free room.
+	roomInterval = 5 * time.Millisecond
+	// leaseWait is how long a lease call waits at the keepers for work. The
+	// wanted queues are decided before it, so it also bounds how long a newly
+	// announced model waits for its first item.
+	leaseWait = time.Second
+	// leaseTimeout bounds a lease call with its repetitions.
+	leaseTimeout = 10 * time.Second
+	// leaseRetry is the pause after a failed lease call.
+	leaseRetry = 200 * time.Millisecond
+	// closeTimeout bounds the end of the session at shutdown.
+	closeTimeout = 3 * time.Second
+)
+
+// Runner runs batch items until its context ends.
+type Runner struct {
+	options  Options
+	results  *reporter
+	services map[string]struct{}
+
+	items sync.WaitGroup
+
+	mu      sync.Mutex
+	held    map[string]int // items held, by service
+	running map[job.ID]*runningJob
+}
+
+// runningJob is a job of which this gate runs items.
+type runningJob struct {
+	ctx    context.Context
+	cancel context.CancelFunc
+	items  int
+}
+
+// New makes a Runner.
+func New(options Options) *Runner {
+	return &Runner{
+		options:  options,
+		results:  newReporter(options),
+		services: make(map[string]struct{}),
+		held:     make(map[string]int),
+		running:  make(map[job.ID]*runningJob),
+	}
+}
+
+// Run leases and runs items until ctx ends. Then it stops leasing, waits for
+// the items that it holds, which the router's drain stops, reports them and
+// ends the session.
+func (r *Runner) Run(ctx context.Context) {
+	background, stop := context.WithCancel(context.WithoutCancel(ctx))
+	defer stop()
+	var loops sync.WaitGroup
+	loops.Go(func() { r.results.run(background) })
+	loops.Go(func() { r.heartbeats(background) })
+	r.scan(ctx, background)
+	r.items.Wait()
+	r.results.drain()
+	stop()
+	loops.Wait()
+	closing, cancel := context.WithTimeout(context.WithoutCancel(ctx), closeTimeout)
+	defer cancel()
+	if err := r.options.Session.Close(closing); err != nil {
+		r.options.Log.Info("batch session not closed, it runs out", zap.Error(err))
+	}
+}
+
+// scan starts a lease loop for each service that announces itself.
+func (r *Runner) scan(ctx, background context.Context) {
+	var loops sync.WaitGroup
+	defer loops.Wait()
+	for ctx.Err() == nil {
+		for _, replica := range r.options.Router.Upstreams() {
+			service := replica.Service
+			if _, known := r.services[service]; known {
+				continue
+			}
+			r.services[service] = struct{}{}
+			loops.Go(func() { r.leaseLoop(ctx, background, service) })
+		}
+		pause(ctx, scanInterval)
+	}
+}
+
+func (r *Runner) leaseLoop(ctx, background context.Context, service string) {
+	for ctx.Err() == nil {
+		wants := r.wants(service)
+		if len(wants) == 0 {
+			pause(ctx, roomInterval)
+			continue
+		}
+		items, err := r.lease(ctx, wants)
+		if err != nil && ctx.Err() == nil {
+			r.options.Log.Warn("no batch items leased", zap.String("service", service), zap.Error(err))
+			pause(ctx, leaseRetry)
+		}
+		for i := range items {
+			r.start(background, &items[i])
+		}
+	}
+}
+
+func (r *Runner) lease(ctx context.Context, wants []job.Want) ([]keeperapi.LeasedItem, error) {
+	ctx, cancel := context.WithTimeout(ctx, leaseTimeout)
+	defer cancel()
+	return r.options.Session.Lease(ctx, wants, leaseWait)
+}
+
+// wants says how many items of each queue of the service to lease: those that
+// could start now and a few more, so that a freed slot need not wait for the
+// keepers.
+func (r *Runner) wants(service string) []job.Want {
+	room := r.options.Router.BatchRoom(service, route.ThroughputPolicy())
+	if room <= 0 {
+		return nil
+	}
+	queues, running := r.queues(service)
+	waiting := r.heldItems(service) - running
+	count := min(room+room/prefetchShare+1-waiting, r.options.LeaseItems)
+	if count <= 0 {
+		return nil
+	}
+	wants := make([]job.Want, len(queues))
+	for i, queue := range queues {
+		wants[i] = job.Want{Queue: queue, Max: count}
+	}
+	return wants
+}
+
+// prefetchShare is the part of the room that is leased beyond it: one in four.
+const prefetchShare = 4
+
+// queues lists what the service's replicas can run, and counts the items of
+// this gate that they run.
+func (r *Runner) queues(service string) (queues []job.Queue, running int) {
+	for _, replica := range r.options.Router.Upstreams() {
+		if replica.Service != service {
+			continue
+		}
+		running += replica.Batch
+		for _, queue := range queuesOf(&replica) {
+			if !slices.Contains(queues, queue) {
+				queues = append(queues, queue)
+			}
+		}
+	}
+	return queues, running
+}
+
+func queuesOf(replica *proxy.Replica) []job.Queue {
+	if len(replica.Models) == 0 {
+		return []job.Queue{{Service: replica.Service}}
+	}
+	var queues []job.Queue
+	for _, model := range replica.Models {
+		queues = append(queues, job.Queue{Service: replica.Service, Model: model.Name})
+		if model.Version != "" {
+			queues = append(queues, job.Queue{Service: replica.Service, Model: model.Name, Version: model.Version})
+		}
+	}
+	return queues
+}
+
+func (r *Runner) heldItems(service string) int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.held[service]
+}
+
+// start runs an item beside the others.
+func (r *Runner) start(background context.Context, leased *keeperapi.LeasedItem) {
+	lease, item := leased.Lease, leased.Item
+	ctx := r.enter(background, &lease)
+	r.items.Go(func() {
+		defer r.leave(&lease)
+		r.runItem(ctx, &lease, &item)
+	})
+}
+
+func (r *Runner) enter(background context.Context, lease *job.Leased) context.Context {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.held[lease.Queue.Service]++
+	current := r.running[lease.Job]
+	if current == nil {
+		current = &runningJob{}
+		current.ctx, current.cancel = context.WithCancel(background)
+		r.running[lease.Job] = current
+	}
+	current.items++
+	return current.ctx
+}
+
+func (r *Runner) leave(lease *job.Leased) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.held[lease.Queue.Service]--
+	current := r.running[lease.Job]
+	current.items--
+	if current.items == 0 {
+		current.cancel()
+		delete(r.running, lease.Job)
+	}
+}
+
+func (r *Runner) runItem(ctx context.Context, lease *job.Leased, item *job.Item) {
+	result, err := r.options.Router.RunBatch(ctx, r.routed(lease, item))
+	if ctx.Err() != nil {
+		return // the job has ended; the keepers have dropped the lease
+	}
+	reported := job.Result{Job: lease.Job, Item: lease.Item, Attempt: lease.Attempt, CustomID: item.CustomID}
+	complete(&reported, lease, &result, err)
+	if reported.Outcome == job.OutcomeReturned {
+		// The keepers lease a returned item again at once. Without a pause it
+		// would come back here as fast as it is refused.
+		pause(ctx, returnPause)
+	}
+	r.results.add(reported)
+}
+
+// returnPause is how long an item that cannot run here is kept before it is
+// given back.
+const returnPause = 250 * time.Millisecond
+
+// graceAfterDeadline is what an item may still take after its job's deadline:
+// a late result is worth more than none.
+const graceAfterDeadline = time.Hour
+
+func (r *Runner) routed(lease *job.Leased, item *job.Item) proxy.BatchItem {
+	deadline := time.Now().Add(graceAfterDeadline)
+	if due := lease.Deadline.Time(); due.After(deadline) {
+		deadline = due
+	}
+	return proxy.BatchItem{
+		ID:         fmt.Sprintf("%s/%d/%d", lease.Job, lease.Item, lease.Attempt),
+		Team:       lease.Team,
+		Service:    lease.Queue.Service,
+		Model:      lease.Queue.Model,
+		Version:    lease.Queue.Version,
+		Path:       item.Endpoint,
+		Plain:      lease.Queue.Model == "",
+		Body:       item.Body,
+		Deadline:   deadline,
+		Repeatable: !lease.NonIdempotent,
+		Policy:     r.policy(lease),
+	}
+}
+
+// policy gives the batch policy of the item's team as it is now, so that a
+// change of the template holds for running jobs too.
+func (r *Runner) policy(lease *job.Leased) route.Policy {
+	mode := team.BatchMode(lease.Class)
+	current, found := r.options.Policies.Policy(lease.Team)
+	if found {
+		mode = current.Batch.Mode
+	}
+	policy := route.ThroughputPolicy()
+	if mode == team.BatchTail {
+		policy = route.TailPolicy()
+	}
+	if found {
+		policy.Headroom = max(policy.Headroom, current.Batch.Headroom, 1-current.Batch.MaxShare)
+	}
+	return policy
+}
+
+// heartbeats renews the session and stops the items of jobs that have ended.
+func (r *Runner) heartbeats(ctx context.Context) {
+	for ctx.Err() == nil {
+		r.heartbeat(ctx)
+		pause(ctx, r.options.Heartbeat)
+	}
+}
+
+func (r *Runner) heartbeat(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, leaseTimeout)
+	defer cancel()
+	ended, err := r.options.Session.Heartbeat(ctx, r.runningJobs())
+	if err != nil && ctx.Err() == nil {
+		r.options.Log.Warn("batch session not renewed", zap.Error(err))
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, id := range ended {
+		if current := r.running[id]; current != nil {
+			current.cancel()
+		}
+	}
+}
+
+func (r *Runner) runningJobs() []job.ID {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	ids := make([]job.ID, 0, len(r.running))
+	for id := range r.running {
+		ids = append(ids, id)
+	}
+	slices.Sort(ids)
+	return ids
+}
+
+func pause(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
--- /dev/null
+++ b/internal/gate/claims.go
@@ -0,0 +1,194 @@
+package gate
+
+import (
+	"bytes"
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"go.uber.org/zap"
+
+	"slateway.example/slateway/internal/apierr"
+	"slateway.example/slateway/internal/claim"
+	"slateway.example/slateway/internal/codec"
+	"slateway.example/slateway/internal/keeper/keeperclient"
+	"slateway.example/slateway/internal/telemetry"
+)
+
+// Reasons of answers to resent non-idempotent requests.
+const (
+	ReasonStillRunning   apierr.Reason = "still_running"
+	ReasonOutcomeUnknown apierr.Reason = "outcome_unknown"
+	ReasonClaimFailed    apierr.Reason = "claim_failed"
+)
+
+const (
+	// claimTimeout bounds the claim of a request before it is sent.
+	claimTimeout = 3 * time.Second
+	// finishTimeout bounds the report of a claim's outcome. It may take long:
+	// the caller has its answer already, and a lost report only means that a
+	// resend is told "unknown".
+	finishTimeout = time.Minute
+	// stillRunningRetry is when to ask again for the outcome of a running claim.
+	stillRunningRetry = 500 * time.Millisecond
+	// maxOutcomeBytes bounds a stored answer; a longer one is not stored, and a
+	// resend is told "unknown".
+	maxOutcomeBytes = 1 << 20
+)
+
+// Claims lets non-idempotent requests with a key run at most once, through
+// whichever gates they are resent.
+type Claims struct {
+	session *keeperclient.Session
+	log     *zap.Logger
+}
+
+// NewClaims makes Claims under the gate's session with the keepers.
+func NewClaims(session *keeperclient.Session, log *zap.Logger) *Claims {
+	return &Claims{session: session, log: log}
+}
+
+// outcome is the stored answer of a claimed request.
+type outcome struct {
+	Status      int    `cbor:"1,keyasint"`
+	ContentType string `cbor:"2,keyasint"`
+	Body        []byte `cbor:"3,keyasint"`
+}
+
+// Run serves a request by serve. One that is marked non-idempotent and has a
+// key is claimed in the replicated state first: a resend through any gate then
+// finds the claim and gets its outcome in place of a second run.
+func (c *Claims) Run(w http.ResponseWriter, r *http.Request, request *call, serve func(http.ResponseWriter),
+	refuse func(http.ResponseWriter, *http.Request, *call, error),
+) {
+	if !request.nonIdempotent || request.idempotencyKey == "" {
+		serve(w)
+		return
+	}
+	granted, err := c.claim(r.Context(), request)
+	if err != nil {
+		c.release(request)
+		refuse(w, r, request, err)
+		return
+	}
+	if granted.State != claim.StateGranted {
+		c.answerResend(w, r, request, granted.State, granted.Outcome, refuse)
+		return
+	}
+	recorder := &recorder{ResponseWriter: w, status: http.StatusOK}
+	serve(recorder)
+	c.finish(request, recorder.finish(request))
+}
+
+// fingerprint tells a resend from another request under the same key.
+func (c *call) fingerprint() uint64 { return xxhash.Sum64(c.body) }
+
+func (c *Claims) claim(ctx context.Context, request *call) (*claimed, error) {
+	ctx, cancel := context.WithTimeout(ctx, claimTimeout)
+	defer cancel()
+	response, err := c.session.Claim(ctx, request.policy.Team, request.idempotencyKey, request.fingerprint(), request.id)
+	if err == nil {
+		return &claimed{State: response.State, Outcome: response.Outcome}, nil
+	}
+	known := apierr.From(err)
+	if known.Kind == apierr.Conflict || known.Kind == apierr.Invalid {
+		return nil, known
+	}
+	// The claim itself may be stored, but nothing was sent to an upstream.
+	return nil, apierr.New(apierr.Unavailable, ReasonClaimFailed, "send it again with the same key",
+		"the request could not be claimed: %v", known.Message).WithRetryAfter(configRetryInterval)
+}
+
+// claimed is the keepers' answer to a claim.
+type claimed struct {
+	State   claim.State
+	Outcome []byte
+}
+
+// release frees the key of a request that was not sent, as far as the keepers
+// can be reached; otherwise it is freed when the gate's session ends.
+func (c *Claims) release(request *call) {
+	c.finish(request, claim.Finish{Team: request.policy.Team, Key: request.idempotencyKey, ID: request.id, NotRun: true})
+}
+
+func (c *Claims) finish(request *call, finish claim.Finish) {
+	go func() {
+		ctx, cancel := context.WithTimeout(context.Background(), finishTimeout)
+		defer cancel()
+		if err := c.session.FinishClaim(ctx, finish); err != nil && !finish.NotRun {
+			c.log.Warn("outcome of a non-idempotent request not stored", telemetry.RequestID(request.id), zap.Error(err))
+		}
+	}()
+}
+
+func (c *Claims) answerResend(w http.ResponseWriter, r *http.Request, request *call, state claim.State, stored []byte,
+	refuse func(http.ResponseWriter, *http.Request, *call, error),
+) {
+	switch state {
+	case claim.StateDone:
+		var done outcome
+		if err := codec.Unmarshal(stored, &done); err != nil {
+			refuse(w, r, request, err)
+			return
+		}
+		w.Header().Set("Content-Type", done.ContentType)
+		w.WriteHeader(done.Status)
+		_, _ = w.Write(done.Body)
+	case claim.StateRunning:
+		refuse(w, r, request, apierr.New(apierr.Conflict, ReasonStillRunning, "ask again with the same key for its outcome",
+			"the request with this key is running").WithRan(apierr.RanUnknown).WithRetryAfter(stillRunningRetry))
+	default:
+		refuse(w, r, request, apierr.New(apierr.Conflict, ReasonOutcomeUnknown, "check by other means whether it took effect, then use a new key",
+			"the request with this key may have run; its outcome was lost").WithRan(apierr.RanUnknown))
+	}
+}
+
+// recorder passes an answer on and keeps a copy of it.
+type recorder struct {
+	http.ResponseWriter
+	status   int
+	body     bytes.Buffer
+	overflow bool
+}
+
+// WriteHeader notes the status.
+func (r *recorder) WriteHeader(status int) {
+	r.status = status
+	r.ResponseWriter.WriteHeader(status)
+}
+
+// Write keeps a copy. The answer is kept even if the caller has left: its
+// resend asks for it.
+func (r *recorder) Write(data []byte) (int, error) {
+	if r.body.Len()+len(data) > maxOutcomeBytes {
+		r.overflow = true
+	} else {
+		r.body.Write(data)
+	}
+	return r.ResponseWriter.Write(data)
+}
+
+// Unwrap lets http.ResponseController reach the connection.
+func (r *recorder) Unwrap() http.ResponseWriter { return r.ResponseWriter }
+
+// streamEnd is the last event of a whole SSE answer.
+var streamEnd = []byte("data: [DONE]")
+
+// finish says how the claim ends by the answer that was given.
+func (r *recorder) finish(request *call) claim.Finish {
+	finish := claim.Finish{Team: request.policy.Team, Key: request.idempotencyKey, ID: request.id}
+	contentType := r.Header().Get("Content-Type")
+	refusal := apierr.ParseHTTP(r.body.Bytes())
+	switch {
+	case r.status >= http.StatusBadRequest && refusal != nil && refusal.Ran == apierr.RanNo:
+		finish.NotRun = true
+	case r.status >= http.StatusBadRequest && refusal != nil, r.overflow, r.body.Len() == 0:
+		finish.Unknown = true
+	case contentType == "text/event-stream" && !bytes.Contains(r.body.Bytes(), streamEnd):
+		finish.Unknown = true
+	default:
+		finish.Outcome = codec.MustMarshal(outcome{Status: r.status, ContentType: contentType, Body: r.body.Bytes()})
+	}
+	return finish
+}
--- a/internal/job/table.go
+++ b/internal/job/table.go
@@ -265,7 +265,13 @@
 	}
 	job.state = state
 	job.finished = now
-	job.parts, job.returned, job.attempts, job.leases = nil, nil, nil, nil
+	job.returned, job.attempts, job.leases = nil, nil, nil
+	// A client that lost its answers sends the whole job again. The digests of a
+	// completed job's parts stay, so that it finds what it sent instead of a
+	// conflict; a cancelled job refuses all parts.
+	if state == StateCancelled {
+		job.parts = nil
+	}
 	t.expiry.ReplaceOrInsert(expiryKey{at: job.expires(), sequence: job.sequence, job: job})
 }
 
--- a/internal/keeper/service_test.go
+++ b/internal/keeper/service_test.go
@@ -237,7 +237,7 @@
 var _ = Describe("Configuration", func() {
 	It("is in force once each live gate has it, and names the one that lacks it", func(ctx context.Context) {
 		b := newBench(0, 3*time.Second)
-		parsed, err := team.ParseTemplate([]byte(template))
+		parsed, err := team.ParseTemplate("", []byte(template))
 		Expect(err).NotTo(HaveOccurred())
 		outcome, err := b.client.ApplyChange(ctx, team.Change{ID: "c1", Operator: "ann", PutTemplate: &parsed})
 		Expect(err).NotTo(HaveOccurred())
@@ -260,7 +260,7 @@
 		running, cancel := context.WithCancel(ctx)
 		defer cancel()
 		go watcher.Run(running)
-		parsed, err := team.ParseTemplate([]byte(template))
+		parsed, err := team.ParseTemplate("", []byte(template))
 		Expect(err).NotTo(HaveOccurred())
 		_, err = b.client.ApplyChange(ctx, team.Change{ID: "c1", Operator: "ann", PutTemplate: &parsed})
 		Expect(err).NotTo(HaveOccurred())
--- a/internal/team/policy.go
+++ b/internal/team/policy.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"strconv"
 	"time"
 )
@@ -87,6 +88,9 @@
 	return Model{}, false
 }
 
+// Service reports whether the team may call the plain service.
+func (p *Policy) Service(name string) bool { return slices.Contains(p.Services, name) }
+
 // Resolve gives the policy of a team made from template. It fails when a value
 // is missing, unknown or out of bounds.
 func Resolve(template *Template, team *Team) (Policy, error) {
--- a/internal/team/registry.go
+++ b/internal/team/registry.go
@@ -207,6 +207,7 @@
 
 // commit puts an accepted change into the state and the delta log.
 func (r *Registry) commit(change *Change) {
+	r.keepTokens(change.PutTeam)
 	delta := Delta{
 		Stamp:           Stamp{Revision: r.revision, ChangeID: change.ID, Operator: change.Operator},
 		Template:        change.PutTemplate,
@@ -233,6 +234,17 @@
 	}
 }
 
+// keepTokens gives a team that is put without tokens the ones it has: operators
+// never see them, so they could not send them again.
+func (r *Registry) keepTokens(team *Team) {
+	if team == nil || len(team.Tokens) > 0 {
+		return
+	}
+	if old := r.teams[team.Name]; old != nil {
+		team.Tokens = old.Tokens
+	}
+}
+
 // replaceTeam puts team under its name, or removes the name if team is nil.
 func (r *Registry) replaceTeam(name string, team *Team) {
 	if old := r.teams[name]; old != nil {
--- a/internal/team/template.go
+++ b/internal/team/template.go
@@ -54,6 +54,8 @@
 	Services    []Setting   `toml:"services"` // plain services that the team may call
 	Online      OnlineRule  `toml:"online"`
 	Batch       BatchRule   `toml:"batch"`
+	// Source is the text that the template was parsed from.
+	Source string `toml:"-"`
 }
 
 // ModelRule lets a team use one model under the name that its callers send.
@@ -86,7 +88,7 @@
 
 // ParseTemplate reads a template from TOML. An unknown key is an error, so that
 // a misspelt setting is not silently left at its default.
-func ParseTemplate(text []byte) (Template, error) {
+func ParseTemplate(name string, text []byte) (Template, error) {
 	var template Template
 	meta, err := toml.NewDecoder(bytes.NewReader(text)).Decode(&template)
 	if err != nil {
@@ -95,6 +97,13 @@
 	if unknown := meta.Undecoded(); len(unknown) > 0 {
 		return Template{}, invalidTemplate("remove or correct the key", "template has the unknown key %q", unknown[0].String())
 	}
+	if template.Name == "" {
+		template.Name = name
+	}
+	if name != "" && template.Name != name {
+		return Template{}, invalidTemplate("apply it under its own name", "the text names the template %q, not %q", template.Name, name)
+	}
+	template.Source = string(text)
 	if err := template.Validate(); err != nil {
 		return Template{}, err
 	}
