--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -3,11 +3,10 @@
 package directory
 
 import (
-	"fmt"
+	"cmp"
 	"math"
 	"math/rand/v2"
 	"slices"
-	"strings"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -31,7 +30,7 @@
 type Answer struct {
 	Entries  []Entry
 	Lifetime time.Duration // how long the caller may keep the answer
-	Revision string        // equal for equal sets of gates
+	Revision uint64        // grows when the set of gates to choose from changes
 }
 
 // GateLoad is the digest by which a gate tells its load to its place.
@@ -57,80 +56,109 @@
 
 // Input is what an answer is made from.
 type Input struct {
-	Self    string // this VM
-	Serving bool   // this gate itself may be listed: it is not alone and holds a configuration lease
-	Members []member.Member
-	Areas   []member.PlaceArea
-	// Load is the kind of the GateLoad digest.
-	Load     member.DigestKind
-	Lifetime time.Duration
-	Limit    int // entries at most
+	Serving     bool   // this gate itself may be listed: it is not alone and holds a configuration lease
+	CallerPlace string // the caller's place; this gate's own if empty
+	Members     []member.Member
+	Areas       []member.PlaceArea
+	Load        member.DigestKind // kind of the GateLoad digest
+	Lifetime    time.Duration
+	Limit       int // entries at most
 }
 
-// Decide makes an answer: gates of the own place first, drawn by their free
-// capacity, then those of other places of the region. Gates of other regions
-// are named only if there is no other. A gate that is suspect, draining or lost
-// is not named.
-func Decide(input Input, random *rand.Rand) (Answer, error) {
-	region, own := ownGates(input, random)
-	near, far := otherGates(input, region, random)
-	entries := slices.Concat(own, near)
-	if len(entries) == 0 {
-		entries = far
-	}
-	if len(entries) == 0 {
-		return Answer{}, apierr.New(apierr.Unavailable, ReasonNoGate,
-			"ask another gate, or check the gates with slatectl member list", "no gate is known that serves callers").WithRetryAfter(time.Second)
-	}
-	entries = entries[:min(input.Limit, len(entries))]
-	return Answer{Entries: entries, Lifetime: input.Lifetime, Revision: revision(entries)}, nil
+// Directory makes answers. It is not safe for concurrent use.
+type Directory struct {
+	random   *rand.Rand
+	revision uint64
+	set      uint64 // hash of the candidates' addresses
 }
 
-// weighted is an entry with its place in the draw.
-type weighted struct {
-	entry Entry
-	order float64
+// New makes a Directory. Started is the gate's start in ms since 1970, so that
+// revisions grow across restarts too.
+func New(started uint64, random *rand.Rand) *Directory {
+	return &Directory{random: random, revision: started}
 }
 
-// drawKey gives the sort key of a weighted draw without replacement: sorting by
-// it is the same as drawing one entry after the other by weight.
-func drawKey(weight float64, random *rand.Rand) float64 {
-	return -math.Log(1-random.Float64()) / weight
+// tier orders candidates before their load does.
+type tier int
+
+const (
+	callersPlace tier = iota
+	ownPlace
+	sameRegion
+	otherRegion
+)
+
+// candidate is a gate with its position in the draw.
+type candidate struct {
+	entry Entry
+	tier  tier
+	key   float64
 }
 
-func sorted(draw []weighted) []Entry {
-	slices.SortStableFunc(draw, func(a, b weighted) int {
-		switch {
-		case a.order < b.order:
-			return -1
-		case a.order > b.order:
-			return 1
-		default:
-			return 0
-		}
+// Decide makes an answer: gates of the caller's place first, then this gate's
+// own, then the region's; in each place they are drawn by free capacity. Gates
+// of other regions are named only if there is no other. A gate that is suspect,
+// draining or lost is not named, nor is any gate of a place that is cut off.
+func (d *Directory) Decide(input Input) (Answer, error) {
+	candidates := d.candidates(input)
+	if len(candidates) == 0 {
+		return Answer{}, apierr.New(apierr.Unavailable, ReasonNoGate,
+			"ask another gate, or check the gates with slatectl member list", "no gate is known that serves callers").WithRetryAfter(time.Second)
+	}
+	slices.SortStableFunc(candidates, func(a, b candidate) int {
+		return cmp.Or(cmp.Compare(a.tier, b.tier), cmp.Compare(a.key, b.key))
 	})
-	entries := make([]Entry, len(draw))
-	for i, w := range draw {
-		entries[i] = w.entry
+	if candidates[0].tier < otherRegion {
+		candidates = slices.DeleteFunc(candidates, func(c candidate) bool { return c.tier == otherRegion })
+	}
+	d.countRevision(candidates)
+	answer := Answer{Lifetime: input.Lifetime, Revision: d.revision}
+	for _, c := range candidates[:min(input.Limit, len(candidates))] {
+		answer.Entries = append(answer.Entries, c.entry)
 	}
-	return entries
+	return answer, nil
 }
 
-func ownGates(input Input, random *rand.Rand) (region string, gates []Entry) {
-	var draw []weighted
+func (d *Directory) candidates(input Input) []candidate {
+	var candidates []candidate
+	region := ""
 	for _, m := range input.Members {
 		if m.Self {
 			region = m.VM.Region
 		}
-		if !m.Serving() || (m.VM.Name == input.Self && !input.Serving) {
+		if !m.Serving() || (m.Self && !input.Serving) {
 			continue
 		}
-		draw = append(draw, weighted{
-			entry: Entry{VM: m.VM.Name, Place: m.VM.Place, Address: m.VM.Callers},
-			order: drawKey(loadOf(m, input.Load).free(), random),
-		})
+		entry := Entry{VM: m.VM.Name, Place: m.VM.Place, Address: m.VM.Callers}
+		candidates = append(candidates, candidate{entry, tierOf(input, entry.Place, ownPlace), d.drawKey(loadOf(m, input.Load).free())})
 	}
-	return region, sorted(draw)
+	for _, area := range input.Areas {
+		if area.Stale {
+			continue
+		}
+		base := otherRegion
+		if area.Region == region {
+			base = sameRegion
+		}
+		for _, gate := range area.Entries {
+			entry := Entry{VM: gate.VM, Place: area.Place, Address: gate.Callers}
+			candidates = append(candidates, candidate{entry, tierOf(input, entry.Place, base), d.drawKey(1)})
+		}
+	}
+	return candidates
+}
+
+func tierOf(input Input, place string, otherwise tier) tier {
+	if place == input.CallerPlace {
+		return callersPlace
+	}
+	return otherwise
+}
+
+// drawKey gives the sort key of a weighted draw without replacement: sorting by
+// it is the same as drawing one gate after the other by weight.
+func (d *Directory) drawKey(weight float64) float64 {
+	return -math.Log(1-d.random.Float64()) / weight
 }
 
 func loadOf(m member.Member, kind member.DigestKind) GateLoad {
@@ -143,34 +171,15 @@
 	return load
 }
 
-// otherGates lists gates of other places, each place's share drawn evenly. Of a
-// place that is cut off the gates are not named: it may be this side that is.
-func otherGates(input Input, region string, random *rand.Rand) (near, far []Entry) {
-	var nearDraw, farDraw []weighted
-	for _, area := range input.Areas {
-		if area.Stale {
-			continue
-		}
-		for _, gate := range area.Entries {
-			w := weighted{
-				entry: Entry{VM: gate.VM, Place: area.Place, Address: gate.Callers},
-				order: drawKey(1, random),
-			}
-			if area.Region == region {
-				nearDraw = append(nearDraw, w)
-			} else {
-				farDraw = append(farDraw, w)
-			}
-		}
+// countRevision raises the revision when the candidates differ from the last.
+// The hash is of a set: the order is drawn anew for each caller.
+func (d *Directory) countRevision(candidates []candidate) {
+	var set uint64
+	for _, c := range candidates {
+		set ^= xxhash.Sum64String(c.entry.Address)
 	}
-	return sorted(nearDraw), sorted(farDraw)
-}
-
-func revision(entries []Entry) string {
-	addresses := make([]string, len(entries))
-	for i, entry := range entries {
-		addresses[i] = entry.Address
+	if set != d.set {
+		d.set = set
+		d.revision++
 	}
-	slices.Sort(addresses)
-	return fmt.Sprintf("%016x", xxhash.Sum64String(strings.Join(addresses, ",")))
 }
--- a/internal/directory/directory_test.go
+++ b/internal/directory/directory_test.go
@@ -34,7 +34,7 @@
 
 func input() directory.Input {
 	return directory.Input{
-		Self: "a1", Serving: true, Load: loadKind, Lifetime: 10 * time.Second, Limit: 8,
+		Serving: true, Load: loadKind, Lifetime: 10 * time.Second, Limit: 8,
 		Members: []member.Member{
 			gate("a1", member.Alive, false, directory.GateLoad{InProgress: 90, Capacity: 100}),
 			gate("a2", member.Alive, false, directory.GateLoad{InProgress: 10, Capacity: 100}),
@@ -57,46 +57,50 @@
 
 func TestAnswerNamesServingGatesOwnPlaceFirst(t *testing.T) {
 	g := NewWithT(t)
-	random := rand.New(rand.NewPCG(1, 1))
+	dir := directory.New(1000, rand.New(rand.NewPCG(1, 1)))
 	first := map[string]int{}
-	var revision string
 	for range 1000 {
-		answer, err := directory.Decide(input(), random)
+		answer, err := dir.Decide(input())
 		g.Expect(err).NotTo(HaveOccurred())
 		g.Expect(names(answer)[:2]).To(ConsistOf("a1", "a2"))
 		g.Expect(names(answer)[2:]).To(Equal([]string{"b1"}))
 		first[names(answer)[0]]++
-		revision = answer.Revision
+		g.Expect(answer.Revision).To(Equal(uint64(1001)))
 	}
 	// Free shares of 0.1 and 0.9: one caller in ten starts with a1.
 	g.Expect(first["a1"]).To(BeNumerically("~", 100, 40))
 
 	changed := input()
 	changed.Members[1].Draining = true
-	answer, err := directory.Decide(changed, random)
+	answer, err := dir.Decide(changed)
 	g.Expect(err).NotTo(HaveOccurred())
 	g.Expect(names(answer)).To(Equal([]string{"a1", "b1"}))
-	g.Expect(answer.Revision).NotTo(Equal(revision))
+	g.Expect(answer.Revision).To(Equal(uint64(1002)))
+
+	changed.CallerPlace = "b"
+	answer, err = dir.Decide(changed)
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(names(answer)).To(Equal([]string{"b1", "a1"}))
 }
 
 // A gate is cut off and knows it. Whoever still reaches it must not be sent
 // back to it, nor to gates that it suspects only because it is cut off.
 func TestGateWithoutLeaseNamesOthersOrNone(t *testing.T) {
 	g := NewWithT(t)
-	random := rand.New(rand.NewPCG(1, 1))
+	dir := directory.New(1000, rand.New(rand.NewPCG(1, 1)))
 	cut := input()
 	cut.Serving = false
-	answer, err := directory.Decide(cut, random)
+	answer, err := dir.Decide(cut)
 	g.Expect(err).NotTo(HaveOccurred())
 	g.Expect(names(answer)).To(Equal([]string{"a2", "b1"}))
 
 	cut.Members, cut.Areas = cut.Members[:1], cut.Areas[2:]
-	answer, err = directory.Decide(cut, random)
+	answer, err = dir.Decide(cut)
 	g.Expect(err).NotTo(HaveOccurred())
 	g.Expect(names(answer)).To(Equal([]string{"d1"}))
 
 	cut.Areas = nil
-	_, err = directory.Decide(cut, random)
+	_, err = dir.Decide(cut)
 	g.Expect(err).To(MatchError(ContainSubstring("no gate is known")))
 }
 
