--- a/cmd/experiment/overhead.go
+++ b/cmd/experiment/overhead.go
@@ -13,7 +13,7 @@
 	"github.com/urfave/cli/v3"
 
 	"slateway.example/slateway/internal/load"
-	"slateway.example/slateway/test/fleet"
+	"slateway.example/slateway/test/harness"
 )
 
 // streamsMeasured are the numbers of concurrent streams.
@@ -121,7 +121,7 @@
 	}, nil
 }
 
-func (s *site) gateUsage() (fleet.Usage, error) { return s.VMs[0].Usage() }
+func (s *site) gateUsage() (harness.Usage, error) { return s.VMs[0].Usage() }
 
 func printSamples(samples []sample) {
 	table := tabwriter.NewWriter(os.Stdout, 0, 8, 2, ' ', tabwriter.AlignRight)
--- a/cmd/experiment/run.go
+++ b/cmd/experiment/run.go
@@ -14,7 +14,7 @@
 
 	"slateway.example/slateway/internal/load"
 	"slateway.example/slateway/standin/engine"
-	"slateway.example/slateway/test/fleet"
+	"slateway.example/slateway/test/harness"
 )
 
 // Bounds of one cell of an experiment.
@@ -47,7 +47,7 @@
 type experiment struct {
 	workload workload
 	folder   string
-	programs fleet.Programs
+	programs harness.Programs
 	share    float64
 	length   time.Duration
 	seed     uint64
--- a/cmd/experiment/site.go
+++ b/cmd/experiment/site.go
@@ -7,7 +7,7 @@
 	"path/filepath"
 	"time"
 
-	"slateway.example/slateway/test/fleet"
+	"slateway.example/slateway/test/harness"
 )
 
 // readyTime bounds the start of a fleet.
@@ -15,19 +15,19 @@
 
 // site is a running fleet of a workload.
 type site struct {
-	*fleet.Fleet
+	*harness.Fleet
 	workload *workload
-	engines  []*fleet.Upstream
-	services []*fleet.Upstream
+	engines  []*harness.Upstream
+	services []*harness.Upstream
 }
 
 // startSite starts a workload's fleet in a folder of its own, and returns once
 // all gates see all replicas and the team is in force.
-func startSite(ctx context.Context, programs fleet.Programs, folder string, w *workload) (*site, error) {
+func startSite(ctx context.Context, programs harness.Programs, folder string, w *workload) (*site, error) {
 	if err := os.MkdirAll(folder, 0o755); err != nil {
 		return nil, err
 	}
-	processes, err := fleet.New(folder, programs, fleet.Options{VMs: w.vms(), LinkDelay: w.linkDelay})
+	processes, err := harness.New(folder, programs, harness.Options{VMs: w.vms(), LinkDelay: w.linkDelay})
 	if err != nil {
 		return nil, err
 	}
@@ -87,17 +87,17 @@
 }
 
 // workFolder makes the folder of a whole experiment, and builds the programs.
-func workFolder(name string) (string, fleet.Programs, error) {
+func workFolder(name string) (string, harness.Programs, error) {
 	folder := name
 	var err error
 	if folder == "" {
 		if folder, err = os.MkdirTemp("", "slateway-experiment-"); err != nil {
-			return "", fleet.Programs{}, err
+			return "", harness.Programs{}, err
 		}
 	}
 	if folder, err = filepath.Abs(folder); err != nil {
-		return "", fleet.Programs{}, err
+		return "", harness.Programs{}, err
 	}
-	programs, err := fleet.Build(filepath.Join(folder, "bin"), false)
+	programs, err := harness.Build(filepath.Join(folder, "bin"), false)
 	return folder, programs, err
 }
--- a/cmd/experiment/workload.go
+++ b/cmd/experiment/workload.go
@@ -5,13 +5,13 @@
 	"time"
 
 	"slateway.example/slateway/internal/load"
-	"slateway.example/slateway/test/fleet"
+	"slateway.example/slateway/test/harness"
 )
 
 // workload is the fleet of one of the sites, and what its callers ask for.
 type workload struct {
 	name        string
-	places      []fleet.Place
+	places      []harness.Place
 	linkDelay   time.Duration // one way between places
 	gates       int
 	engine      string // service of the engines
@@ -50,10 +50,10 @@
 	},
 }
 
-func places(region string, names ...string) []fleet.Place {
-	all := make([]fleet.Place, len(names))
+func places(region string, names ...string) []harness.Place {
+	all := make([]harness.Place, len(names))
 	for i, name := range names {
-		all[i] = fleet.Place{Name: name, Region: region}
+		all[i] = harness.Place{Name: name, Region: region}
 	}
 	return all
 }
@@ -93,10 +93,10 @@
 }
 
 // vms lays the gates over the places in turn; the first ones are keepers too.
-func (w *workload) vms() []fleet.VMOptions {
-	vms := make([]fleet.VMOptions, w.gates)
+func (w *workload) vms() []harness.VMOptions {
+	vms := make([]harness.VMOptions, w.gates)
 	for i := range vms {
-		vms[i] = fleet.VMOptions{Place: w.places[i%len(w.places)], Gate: true, Keeper: i < keepers}
+		vms[i] = harness.VMOptions{Place: w.places[i%len(w.places)], Gate: true, Keeper: i < keepers}
 	}
 	return vms
 }
--- a/test/fleet/control.go
+++ b/test/harness/control.go
@@ -1,4 +1,4 @@
-package fleet
+package harness
 
 import (
 	"bytes"
--- a/test/fleet/process.go
+++ b/test/harness/process.go
@@ -1,8 +1,8 @@
-// Package fleet runs whole fleets of slateway's processes on one machine, for
+// Package harness runs whole fleets of slateway's processes on one machine, for
 // tests and experiments only: it builds the programs, writes their settings,
 // starts them on loopback addresses of their own, and kills, freezes and ends
 // them by their process IDs.
-package fleet
+package harness
 
 import (
 	"fmt"
--- a/test/standin_test.go
+++ b/test/standin_test.go
@@ -15,7 +15,7 @@
 	"slateway.example/slateway/internal/load"
 	"slateway.example/slateway/standin/announce"
 	"slateway.example/slateway/standin/engine"
-	"slateway.example/slateway/test/fleet"
+	"slateway.example/slateway/test/harness"
 )
 
 // announcements is a gate that only takes announcements.
@@ -42,13 +42,13 @@
 
 var _ = Describe("a stand-in engine", func() {
 	var gate *announcements
-	var upstream *fleet.Upstream
+	var upstream *harness.Upstream
 	BeforeEach(func() {
 		gate = &announcements{}
 		server := httptest.NewServer(gate)
 		DeferCleanup(server.Close)
 		var err error
-		upstream, err = newFleet(fleet.Options{}).StartEngine("wordroom", "r1", local, "--token-every", "20ms",
+		upstream, err = newFleet(harness.Options{}).StartEngine("wordroom", "r1", local, "--token-every", "20ms",
 			"--announce-every", "100ms", "--leave-grace", "200ms", "--gate", strings.TrimPrefix(server.URL, "http://"))
 		Expect(err).NotTo(HaveOccurred())
 		Eventually(func() bool { return gate.get().Ready }).Should(BeTrue())
--- a/test/suite_test.go
+++ b/test/suite_test.go
@@ -11,7 +11,7 @@
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
-	"slateway.example/slateway/test/fleet"
+	"slateway.example/slateway/test/harness"
 )
 
 // patience bounds each wait for something that must come about. It is far
@@ -22,7 +22,7 @@
 const raceVariable = "SLATEWAY_TEST_RACE"
 
 // programs are built once for all tests.
-var programs fleet.Programs
+var programs harness.Programs
 
 func TestProcesses(t *testing.T) {
 	RegisterFailHandler(Fail)
@@ -35,18 +35,18 @@
 	folder, err := os.MkdirTemp("", "slateway-test-")
 	Expect(err).NotTo(HaveOccurred())
 	DeferCleanup(os.RemoveAll, folder)
-	programs, err = fleet.Build(folder, os.Getenv(raceVariable) == "1")
+	programs, err = harness.Build(folder, os.Getenv(raceVariable) == "1")
 	Expect(err).NotTo(HaveOccurred())
 })
 
 // local is the place of tests that need only one.
-var local = fleet.Place{Name: "glas-a", Region: "scot-central"}
+var local = harness.Place{Name: "glas-a", Region: "scot-central"}
 
 // newFleet lays out a fleet that ends with the test. A failed test shows the
 // end of each VM's log.
-func newFleet(options fleet.Options) *fleet.Fleet {
+func newFleet(options harness.Options) *harness.Fleet {
 	GinkgoHelper()
-	processes, err := fleet.New(GinkgoT().TempDir(), programs, options)
+	processes, err := harness.New(GinkgoT().TempDir(), programs, options)
 	Expect(err).NotTo(HaveOccurred())
 	DeferCleanup(processes.Close)
 	DeferCleanup(func() {
@@ -61,4 +61,3 @@
 	})
 	return processes
 }
-
