--- a/internal/load/load_test.go
+++ b/internal/load/load_test.go
@@ -69,8 +69,18 @@
 	options.TokenEvery = 0
 	instance := httptest.NewServer(engine.New(options))
 	defer instance.Close()
-	crashing := httptest.NewServer(engine.New(options))
-	defer crashing.Close()
+	// A crashing engine may die before or after its status line; which of them
+	// is a race, so each has a server of its own.
+	closing := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) {
+		panic(http.ErrAbortHandler)
+	}))
+	defer closing.Close()
+	cutting := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		w.WriteHeader(http.StatusOK)
+		_ = http.NewResponseController(w).Flush()
+		panic(http.ErrAbortHandler)
+	}))
+	defer cutting.Close()
 	refusing := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
 		w.WriteHeader(http.StatusTooManyRequests)
 		_, _ = w.Write([]byte(`{"error":{"message":"full","reason":"queue_full"}}`))
@@ -92,7 +102,8 @@
 		{"wrong", load.NewClient([]string{instance.Listener.Addr().String()}, "", never), "x", load.Wrong, "another answer"},
 		{"refused", load.NewClient([]string{refusing.Listener.Addr().String()}, "", nil), "x", load.Refused, "queue_full"},
 		{"no gate", load.NewClient([]string{"127.0.0.1:1", "127.0.0.1:2"}, "", nil), "x", load.Failed, "dial error"},
-		{"crash", load.NewClient([]string{crashing.Listener.Addr().String()}, "", nil), "crash-upstream", load.Failed, "connection closed"},
+		{"closed", load.NewClient([]string{closing.Listener.Addr().String()}, "", nil), "x", load.Failed, "connection closed"},
+		{"cut off", load.NewClient([]string{cutting.Listener.Addr().String()}, "", nil), "x", load.CutOff, "connection closed"},
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
