Send usages between gates in one message at a time

A Router now queues the latest usage of each replica and sends what has gathered while the last message to the same gate was under way; the wiring only has to carry []Usage to the other gate's Router.Yield. Streams that an engine ended as cancelled are not passed on as whole, assembled answers report the tokens used, and a request that may wait in an engine's queue is given longer before its connection counts as silent.

--- a/internal/gate/proxy/attempt.go
+++ b/internal/gate/proxy/attempt.go
@@ -221,6 +221,9 @@
 		if e.err != nil {
 			return &engineError{detail: string(e.err)}
 		}
+		if e.chunk.cancelled() {
+			return &engineError{detail: "that the request was cancelled"}
+		}
 		if e.done {
 			return a.finishStream(e)
 		}
@@ -248,6 +251,14 @@
 	return nil
 }
 
+// endUnknown says whether an answer with a body ends by closing the connection
+// only: whether it is whole cannot be known then.
+func endUnknown(response *http.Response) bool {
+	bodiless := response.Request.Method == http.MethodHead ||
+		response.StatusCode == http.StatusNoContent || response.StatusCode == http.StatusNotModified
+	return !bodiless && response.ContentLength < 0 && len(response.TransferEncoding) == 0
+}
+
 // readWhole reads a plain answer to its end before any of it is passed on, so
 // that a truncated one is never taken for whole. The transport checks it
 // against its Content-Length or chunks.
@@ -260,8 +271,8 @@
 	if len(body) > limit {
 		return errTooLong
 	}
-	if response.ContentLength < 0 && len(response.TransferEncoding) == 0 {
-		return errTruncated // ended by closing the connection: its end cannot be known
+	if endUnknown(response) {
+		return errTruncated
 	}
 	if a.flight.shard.complete(a) {
 		a.flight.succeed(&reply{status: response.StatusCode, header: response.Header, body: body})
--- a/internal/gate/proxy/event.go
+++ b/internal/gate/proxy/event.go
@@ -64,6 +64,19 @@
 	return false
 }
 
+// finishCancelled is the finish reason of a stream that was cancelled at the
+// engine: it has its last event but is not whole.
+const finishCancelled = "cancelled"
+
+func (c *chunk) cancelled() bool {
+	for _, choice := range c.Choices {
+		if choice.FinishReason != nil && *choice.FinishReason == finishCancelled {
+			return true
+		}
+	}
+	return false
+}
+
 var (
 	dataField  = []byte("data:")
 	doneMarker = []byte("[DONE]")
--- a/internal/gate/proxy/form.go
+++ b/internal/gate/proxy/form.go
@@ -72,12 +72,15 @@
 	if tokens == 0 && !f.assemble {
 		return f.body, nil
 	}
-	fields := make(map[string]any, len(f.fields)+2)
+	fields := make(map[string]any, len(f.fields)+3)
 	for name, value := range f.fields {
 		fields[name] = value
 	}
 	if f.assemble {
 		fields["stream"] = true
+		if _, present := f.fields["stream_options"]; !present {
+			fields["stream_options"] = streamOptions{IncludeUsage: true}
+		}
 	}
 	if tokens > 0 {
 		fields["slateway"] = resumeField{ResumeFrom: tokens, Prefix: prefix}
@@ -85,6 +88,12 @@
 	return json.Marshal(fields)
 }
 
+// streamOptions asks the engine to report the tokens used, which a plain answer
+// holds.
+type streamOptions struct {
+	IncludeUsage bool `json:"include_usage"`
+}
+
 // prefixBytes is how much of a prompt decides its affinity: enough to tell
 // instructions apart, short enough that prompts that share them agree.
 const prefixBytes = 256
--- a/internal/gate/proxy/options.go
+++ b/internal/gate/proxy/options.go
@@ -65,10 +65,9 @@
 	Policy  route.Policy // for BatchRoom and for items without their own
 	Metrics Metrics
 
-	// Yield sends a Usage to another gate, for its Router.Yield, and gives the
-	// answer to this Router's Fed. It must not block, and a newer Usage of the
-	// same replica replaces an older one that waits to be sent.
-	Yield func(gate string, u Usage)
+	// SendUsage tells other gates what this gate has on the replicas that they
+	// feed with batch. Without it, this gate must be the only one.
+	SendUsage SendUsage
 	// Spread tells the live gates of strikes and returns when they know or ctx
 	// has ended.
 	Spread func(ctx context.Context, service string, strikes []upstream.Strike)
@@ -107,9 +106,6 @@
 	if o.Metrics == nil {
 		o.Metrics = noMetrics{}
 	}
-	if o.Yield == nil {
-		o.Yield = func(string, Usage) {}
-	}
 	if o.Spread == nil {
 		o.Spread = func(context.Context, string, []upstream.Strike) {}
 	}
--- a/internal/gate/proxy/router.go
+++ b/internal/gate/proxy/router.go
@@ -18,6 +18,7 @@
 type Router struct {
 	options Options
 	links   *links
+	usage   *usageSender
 	stop    context.CancelFunc
 	stopped chan struct{}
 
@@ -38,6 +39,7 @@
 		stopped: make(chan struct{}),
 		shards:  make(map[string]*shard),
 	}
+	r.usage = newUsageSender(options.SendUsage, r.Fed)
 	go r.tick(ctx)
 	return r
 }
@@ -135,30 +137,6 @@
 	r.each(route.GatesChanged{Gates: gates})
 }
 
-// Usage tells the gate that feeds a replica with batch how many requests
-// another gate has there.
-type Usage struct {
-	Service string             `json:"service"`
-	Gate    string             `json:"gate"` // the one that has the requests
-	Replica upstream.ReplicaID `json:"replica"`
-	Online  int                `json:"online"`
-	Batch   int                `json:"batch"`
-}
-
-// Yield takes in another gate's word on a replica that this gate feeds. Batch
-// that stands in the way is stopped before it returns; the answer, for the
-// other gate's Fed, is the batch that is left.
-func (r *Router) Yield(u Usage) upstream.Feeding {
-	s := r.find(u.Service)
-	if s == nil {
-		return upstream.Feeding{Replica: u.Replica}
-	}
-	s.step(route.YieldAsked{Gate: u.Gate, Replica: u.Replica, Online: u.Online, Batch: u.Batch})
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.decide.FedNow(u.Replica)
-}
-
 // Fed takes in how much batch another gate runs on a replica.
 func (r *Router) Fed(service string, feeding upstream.Feeding) {
 	if s := r.find(service); s != nil {
--- a/internal/gate/proxy/shard.go
+++ b/internal/gate/proxy/shard.go
@@ -95,7 +95,7 @@
 		case route.Reset:
 			s.router.links.reset(o.Replica)
 		case route.YieldTo:
-			s.router.options.Yield(o.Gate, Usage{
+			s.router.usage.put(o.Gate, Usage{
 				Service: s.service, Gate: s.router.options.Self, Replica: o.Replica, Online: o.Online, Batch: o.Batch,
 			})
 		case route.Spread:
--- a/internal/route/admission.go
+++ b/internal/route/admission.go
@@ -197,7 +197,8 @@
 
 func (s *Shard) dispatch(req *request, r *replica, kind DispatchKind) {
 	s.nextAttempt++
-	a := &attempt{id: s.nextAttempt, req: req, on: r, started: s.at, progress: s.at, hedge: kind == Hedge}
+	a := &attempt{id: s.nextAttempt, req: req, on: r, started: s.at, progress: s.at}
+	a.queued = s.totalLoad(r) >= r.entry.Slots
 	s.attempts[a.id] = a
 	s.running[req.Fingerprint]++
 	req.live = append(req.live, a)
--- a/internal/route/batch.go
+++ b/internal/route/batch.go
@@ -157,6 +157,7 @@
 	if a == nil || a.req.Class == Batch {
 		return
 	}
+	a.queued = true
 	s.count(ReasonBatchBehind)
 	if victim := s.victim(a.on); victim != nil {
 		s.preempt(victim)
--- a/internal/route/failure.go
+++ b/internal/route/failure.go
@@ -262,12 +262,18 @@
 	}
 }
 
+// queuedFactor stretches the first timeout of a request that was sent to a full
+// replica: until a slot is free, nothing comes on a connection in good order.
+const queuedFactor = 4
+
 func (s *Shard) silenceLimit(a *attempt) time.Duration {
 	switch {
 	case a.on.entry.Kind == upstream.KindService:
 		return s.config.ServiceTimeout
 	case a.tokens > 0:
 		return s.config.TokenTimeout
+	case a.queued:
+		return queuedFactor * s.config.FirstTimeout
 	default:
 		return s.config.FirstTimeout
 	}
--- a/internal/route/shard.go
+++ b/internal/route/shard.go
@@ -78,7 +78,7 @@
 	progress time.Time // when anything last arrived
 	answered bool      // something has arrived
 	tokens   int
-	hedge    bool
+	queued   bool // it may have to wait for a slot of the replica
 }
 
 // NewShard makes a shard. The same config, seed and inputs give the same
