--- a/internal/route/batch.go
+++ b/internal/route/batch.go
@@ -39,15 +39,22 @@
 	return best
 }
 
-func (s *Shard) feeds(r *replica) bool { return r.feeder == s.config.Self }
+func (s *Shard) feeds(r *replica) bool {
+	return r.feeder == s.config.Self || s.config.Disabled.Feeder
+}
 
 func (in GatesChanged) apply(s *Shard) {
 	s.gates = slices.Clone(in.Gates)
+	s.stale = true
 	for _, r := range s.replicas {
 		r.feeder = s.feederOf(r)
 		if !s.feeds(r) {
 			s.preemptAll(r)
 		}
+		r.usage = slices.DeleteFunc(r.usage, func(u usage) bool { return !s.isLive(u.gate) })
+		if len(r.attempts) > 0 {
+			s.tellFeeder(r)
+		}
 	}
 	s.pump()
 }
@@ -78,14 +85,14 @@
 	return nil
 }
 
-// batchFree gives the slots of a replica that batch under the policy may take
-// now.
+// batchFree gives the slots of a fed replica that batch under the policy may
+// take now.
 //
 // Engines admit in the order of arrival, so that a batch request in an
 // engine's queue would hold up each online request behind it. Batch therefore
 // goes only where a slot is free, counting all that may be under way to it.
 func (s *Shard) batchFree(r *replica, policy Policy) int {
-	if !s.feeds(r) || !r.eligible() || r.entry.Leaving || s.at.Before(r.holdUntil) {
+	if s.at.Before(r.holdUntil) {
 		return 0
 	}
 	slots := s.slots(r)
@@ -97,8 +104,9 @@
 	if s.draining {
 		return 0
 	}
+	s.rebuild()
 	room := 0
-	for _, r := range s.replicas {
+	for _, r := range s.fed {
 		room += max(0, s.batchFree(r, policy))
 	}
 	return max(0, room-s.batch.len())
@@ -127,9 +135,10 @@
 // pickBatch chooses the fed replica with the most free slots, or the fewest if
 // the policy packs.
 func (s *Shard) pickBatch(req *request) *replica {
+	s.rebuild()
 	var best *replica
 	bestFree := 0
-	for _, r := range s.replicas {
+	for _, r := range s.fed {
 		free := s.batchFree(r, req.Policy)
 		if free <= 0 || !s.mayServe(req, r) || (s.isSuspect(req) && s.sharesTrial(r)) {
 			continue
@@ -141,29 +150,6 @@
 	return best
 }
 
-// makeWay frees a slot for an online request that was just sent to r: by the
-// own batch there, or by a message to the gate that feeds it.
-func (s *Shard) makeWay(r *replica) {
-	if s.feeds(r) || r.batch > 0 {
-		s.yieldSlots(r)
-	}
-	if s.feeds(r) || s.config.Disabled.Yield {
-		return
-	}
-	if r.othersBatch > 0 || s.totalLoad(r) >= s.slots(r) {
-		s.emit(YieldTo{Gate: r.feeder, Replica: r.entry.Replica})
-	}
-}
-
-func (in YieldAsked) apply(s *Shard) {
-	r := s.replica(in.Replica)
-	if r == nil {
-		return
-	}
-	r.notices = append(r.notices, s.at)
-	s.yieldSlots(r)
-}
-
 // Queued comes when the load estimate was wrong: the replica was full although
 // it seemed to have room. One batch request gives way.
 func (in Queued) apply(s *Shard) {
--- a/internal/route/failure.go
+++ b/internal/route/failure.go
@@ -228,6 +228,7 @@
 	s.expire()
 	for _, r := range s.replicas {
 		s.checkSilence(r)
+		s.refreshUsage(r)
 		if r.health == suspect && !s.at.Before(r.probeAt) {
 			r.probeGap = min(2*r.probeGap, s.config.ProbeMax)
 			s.probe(r)
@@ -313,7 +314,7 @@
 	if s.at.Sub(req.queuedAt) < s.config.OutageWait {
 		return nil
 	}
-	if _, ready := s.servable(req); ready == 0 {
+	if s.readinessFor(req) != someReady {
 		return noReadyError(req)
 	}
 	return nil
--- a/internal/route/replica.go
+++ b/internal/route/replica.go
@@ -5,6 +5,8 @@
 	"strings"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"slateway.example/slateway/internal/upstream"
 )
 
@@ -21,8 +23,10 @@
 // replica is one replica and the work that this gate has on it.
 type replica struct {
 	entry       *upstream.Entry
+	hash        uint64 // of its ID, for rendezvous hashing
 	incarnation uint64 // of the process that the attempts run on
 	dead        bool   // that process is known to have ended
+	listed      bool   // among those that take work, at the last rebuild
 	expired     bool   // no longer announced; kept until its attempts have ended
 	failures    int    // attempts in a row that the process answered with an error
 
@@ -30,10 +34,11 @@
 	online   int        // of them, online
 	batch    int        // of them, batch
 
-	ownLow      lowWater // lowest own count while the last report was under way
-	others      int      // requests of other gates, by the last report
-	othersBatch int      // batch among them, by the feeding gate's word
-	notices     []time.Time
+	usage       []usage   // of other gates, for the gate that feeds the replica
+	known       highWater // highest known count while the last report was under way
+	unaccounted int       // requests in the last report that are not known
+	othersBatch int       // batch of the feeding gate, by its word
+	toldAt      time.Time // when the feeding gate was last told of this gate's requests
 
 	fedBefore bool   // the last digest showed batch of this gate on it
 	feeder    string // the gate that feeds it with batch
@@ -47,8 +52,10 @@
 	rampFrom time.Time              // start of slow start; zero when over
 }
 
-func (r *replica) eligible() bool {
-	return r.entry.Ready && r.health == healthy && !r.expired
+// takesWork says whether new requests may go to the replica.
+func (s *Shard) takesWork(r *replica) bool {
+	leaving := r.entry.Leaving && !s.config.Disabled.Leaving
+	return r.entry.Ready && !leaving && r.health == healthy && !r.expired
 }
 
 // slots gives the slots to use, fewer while the replica starts slowly: a
@@ -68,23 +75,37 @@
 
 // foreign estimates the requests that other gates have on the replica.
 //
-// A load report lags, so that a request that another gate has just sent is not
-// in it. The feeding gate is told of each such request by a notice; the notice
-// counts until a report must have it, so that batch never takes the slot that
-// the request is about to use.
+// The feeding gate is told by each gate how many requests it has there, at once
+// when that changes; the replica's own reports lag, and serve it only to find
+// work that no gate accounts for. Had it to rely on the reports, batch would
+// take the slot that another gate's request is about to use. The other gates
+// only need an estimate for their picks, and take the report.
 func (s *Shard) foreign(r *replica) int {
-	fresh := 0
-	for _, at := range r.notices {
-		if s.at.Sub(at) < s.config.ReportLag {
-			fresh++
+	if !s.feeds(r) {
+		return r.unaccounted
+	}
+	online, batch := s.used(r)
+	return online + batch + r.unaccounted
+}
+
+// used sums what the other gates said they have on the replica.
+func (s *Shard) used(r *replica) (online, batch int) {
+	for _, u := range r.usage {
+		if s.at.Sub(u.at) < usageLifetime {
+			online += u.online
+			batch += u.batch
 		}
 	}
-	return r.others + fresh
+	return online, batch
 }
 
 // onlineLoad estimates the online requests on the replica.
 func (s *Shard) onlineLoad(r *replica) int {
-	return r.online + max(0, s.foreign(r)-r.othersBatch)
+	if s.feeds(r) {
+		online, _ := s.used(r)
+		return r.online + online + r.unaccounted
+	}
+	return r.online + max(0, r.unaccounted-r.othersBatch)
 }
 
 // totalLoad estimates all requests on the replica.
@@ -104,20 +125,18 @@
 	return s.onlineLoad(r) < slots+extra
 }
 
-// observeReport works out the share of other gates in a new load report.
+// observeReport works out which part of a new load report no gate accounts for.
+// The report lags, so it is set against the highest count of the time that it
+// may speak of: what is left was surely not this gate's.
 func (s *Shard) observeReport(r *replica) {
-	own := len(r.attempts)
-	low := r.ownLow.observe(s.at, s.config.ReportLag, own)
-	r.others = max(0, r.entry.Running+r.entry.Queued-low)
-	r.notices = slices.DeleteFunc(r.notices, func(at time.Time) bool {
-		return s.at.Sub(at) >= s.config.ReportLag
-	})
+	r.unaccounted = max(0, r.entry.Running+r.entry.Queued-s.noteKnown(r))
 }
 
-// noteOwn keeps the low-water mark of the own count current; called at each
-// start and end of an attempt.
-func (s *Shard) noteOwn(r *replica) {
-	r.ownLow.observe(s.at, s.config.ReportLag, len(r.attempts))
+// noteKnown keeps the high-water mark of the known requests current; called at
+// each change of them.
+func (s *Shard) noteKnown(r *replica) int {
+	online, batch := s.used(r)
+	return r.known.observe(s.at, s.config.ReportLag, len(r.attempts)+online+batch)
 }
 
 func (in Announced) apply(s *Shard) {
@@ -150,7 +169,9 @@
 	}
 	r := s.replica(id)
 	s.observeReport(r)
-	s.stale = true
+	if change != upstream.ChangeLoad || r.listed != s.takesWork(r) {
+		s.stale = true
+	}
 	s.yieldSlots(r)
 	s.pump()
 }
@@ -164,7 +185,7 @@
 		}
 		return
 	}
-	r := &replica{entry: s.table.Get(id)}
+	r := &replica{entry: s.table.Get(id), hash: xxhash.Sum64String(string(id))}
 	r.incarnation = r.entry.Incarnation
 	i, _ := slices.BinarySearchFunc(s.replicas, id, func(r *replica, id upstream.ReplicaID) int {
 		return strings.Compare(string(r.entry.Replica), string(id))
@@ -197,7 +218,8 @@
 	s.replicas = slices.DeleteFunc(s.replicas, ended)
 }
 
-// rebuild lists the eligible replicas by distance.
+// rebuild lists the replicas that take work by distance, and those that this gate
+// feeds with batch.
 func (s *Shard) rebuild() {
 	if !s.stale {
 		return
@@ -205,21 +227,21 @@
 	s.stale = false
 	s.local = s.local[:0]
 	s.remote = s.remote[:0]
+	s.fed = s.fed[:0]
 	for _, r := range s.replicas {
-		switch {
-		case !r.eligible() || (r.entry.Leaving && !s.config.Disabled.Leaving):
-		case r.entry.Place == s.config.Place:
+		r.listed = s.takesWork(r)
+		if !r.listed {
+			continue
+		}
+		if r.entry.Place == s.config.Place {
 			s.local = append(s.local, r)
-		default:
+		} else {
 			s.remote = append(s.remote, r)
 		}
+		if s.feeds(r) {
+			s.fed = append(s.fed, r)
+		}
 	}
 }
 
 func (in Cached) apply(s *Shard) { s.hints.Observe(in.Event) }
-
-func (in Fed) apply(s *Shard) {
-	if r := s.replica(in.Feeding.Replica); r != nil {
-		r.othersBatch = in.Feeding.Batch
-	}
-}
