Join the gates: membership, directory, digests, usage and drain in the daemon

Each gate now spreads the replicas that announce to it on change, tells the gate that feeds a replica with batch what it has there, spreads strikes before it answers, and leaves the directory before it stops. Engines of the demo announce to one gate each and are used by all three.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -12,6 +12,8 @@
 
 	"go.uber.org/zap"
 
+	"slateway.example/slateway/internal/fleet"
+	"slateway.example/slateway/internal/replica"
 	"slateway.example/slateway/internal/rpc"
 	"slateway.example/slateway/internal/settings"
 	"slateway.example/slateway/internal/telemetry"
@@ -26,7 +28,8 @@
 
 	keeper *keeperRole // nil without the role
 	gate   *gateRole   // nil without the role
-	fleet  *fleetView
+	fleet  *fleet.Fleet
+	view   *fleetView
 
 	listeners []*listener
 }
@@ -42,13 +45,27 @@
 		}
 		d.keeper = keeper
 	}
-	d.fleet = newFleetView(d)
+	members, err := newFleet(d)
+	if err != nil {
+		return nil, err
+	}
+	d.fleet = members
+	d.view = newFleetView(&d.settings, members, d.keeperHost())
 	if s.Is(settings.RoleGate) {
 		d.gate = newGateRole(d)
+		d.view.serving = d.gate.serving
 	}
 	return d, nil
 }
 
+// keeperHost is the host of the replicated groups, nil unless a keeper.
+func (d *Daemon) keeperHost() *replica.Host {
+	if d.keeper == nil {
+		return nil
+	}
+	return d.keeper.host
+}
+
 const (
 	// peerIdleTimeout is how long an idle connection to another process is kept.
 	peerIdleTimeout = 30 * time.Second
@@ -78,6 +95,7 @@
 	if d.keeper != nil {
 		d.keeper.start(background)
 	}
+	d.fleet.Start()
 	if d.gate != nil {
 		d.gate.start(background)
 	}
@@ -112,6 +130,7 @@
 		d.log.Info("draining")
 		d.gate.drain(ctx)
 	}
+	d.fleet.Leave()
 	stopBackground()
 	if d.keeper != nil {
 		d.keeper.stop()
@@ -119,5 +138,6 @@
 	for _, l := range d.listeners {
 		l.shutdown()
 	}
+	d.fleet.Close()
 	d.log.Info("stopped")
 }
--- a/internal/daemon/gate.go
+++ b/internal/daemon/gate.go
@@ -7,8 +7,10 @@
 
 	"go.uber.org/zap"
 
+	"slateway.example/slateway/internal/fleet"
 	"slateway.example/slateway/internal/gate"
 	"slateway.example/slateway/internal/gate/batch"
+	"slateway.example/slateway/internal/gate/exchange"
 	"slateway.example/slateway/internal/gate/proxy"
 	"slateway.example/slateway/internal/keeper/keeperclient"
 	"slateway.example/slateway/internal/route"
@@ -17,24 +19,37 @@
 
 // gateRole is what callers and upstreams talk to on this VM.
 type gateRole struct {
-	log     *zap.Logger
-	watcher *keeperclient.Watcher
-	access  *gate.Access
-	router  *proxy.Router
-	front   *gate.Front
-	runner  *batch.Runner
+	log      *zap.Logger
+	settings *settings.Settings
+	fleet    *fleet.Fleet
+	watcher  *keeperclient.Watcher
+	access   *gate.Access
+	exchange *exchange.Exchange
+	router   *proxy.Router
+	front    *gate.Front
+	runner   *batch.Runner
+	draining *drain
 
 	stopBatch  context.CancelFunc
-	stopConfig context.CancelFunc
+	stopOthers context.CancelFunc
 	batch      sync.WaitGroup
-	config     sync.WaitGroup
+	others     sync.WaitGroup
 }
 
 func newGateRole(d *Daemon) *gateRole {
 	s := &d.settings
 	client := d.keepers()
-	g := &gateRole{log: d.log, watcher: keeperclient.NewWatcher(client, s.VM.Name, d.log)}
+	g := &gateRole{
+		log: d.log, settings: s, fleet: d.fleet,
+		watcher:  keeperclient.NewWatcher(client, s.VM.Name, d.log),
+		draining: newDrain(s),
+	}
 	g.access = gate.NewAccess(g.watcher, s.Config.WhenAlone == settings.ServeStale)
+	g.exchange = exchange.New(exchange.Options{
+		VM: s.VM.Name, Place: s.VM.Place, Region: s.VM.Region,
+		Fleet: d.fleet, Client: d.calls, Log: d.log,
+		DirectLifetime: s.Upstream.ExpireAfter,
+	})
 	g.router = proxy.New(proxy.Options{
 		Self:  s.VM.Name,
 		Place: s.VM.Place,
@@ -45,10 +60,12 @@
 			TokenTimeout:  s.Timeouts.StreamIdle,
 		},
 		Metrics:        d.metrics,
+		SendUsage:      g.exchange.SendUsage,
+		Spread:         g.exchange.Spread,
 		DialTimeout:    s.Timeouts.Dial,
 		DefaultTimeout: s.Timeouts.Request,
 	})
-	g.router.SetGates([]route.Gate{{ID: s.VM.Name, Place: s.VM.Place}})
+	g.exchange.Attach(g.router)
 	session := client.NewSession(s.VM.Name)
 	claims := gate.NewClaims(session, d.log)
 	g.front = gate.NewFront(g.access, g.router, claims, d.metrics, d.log, int64(s.Limits.MaxBodyBytes))
@@ -70,22 +87,18 @@
 const heartbeatsPerLease = 5
 
 func (g *gateRole) start(ctx context.Context) {
-	configContext, stopConfig := context.WithCancel(ctx)
-	g.stopConfig = stopConfig
-	g.config.Go(func() { g.watcher.Run(configContext) })
+	othersContext, stopOthers := context.WithCancel(ctx)
+	g.stopOthers = stopOthers
+	g.others.Go(func() { g.watcher.Run(othersContext) })
+	g.others.Go(func() { g.exchange.Run(othersContext) })
+	g.others.Go(func() {
+		publishGateLoad(othersContext, g.fleet, g.router.InFlight, g.settings.Limits.MaxInProgress, g.log)
+	})
 	batchContext, stopBatch := context.WithCancel(ctx)
 	g.stopBatch = stopBatch
 	g.batch.Go(func() { g.runner.Run(batchContext) })
 }
 
-// drain ends batch work and waits until no request is in progress.
-func (g *gateRole) drain(ctx context.Context) {
-	g.stopBatch()
-	if err := g.router.Drain(ctx); err != nil {
-		g.log.Warn("requests were still in progress at the end of the drain", zap.Int("requests", g.router.InFlight()))
-	}
-	g.batch.Wait()
-	g.stopConfig()
-	g.config.Wait()
-	g.router.Close()
-}
+// serving says whether callers may be sent here: a gate without a configuration
+// lease would refuse them.
+func (g *gateRole) serving() bool { return !g.draining.begun() && !g.access.Stale() }
--- a/internal/daemon/listen.go
+++ b/internal/daemon/listen.go
@@ -99,6 +99,10 @@
 		d.keeper.host.Mount(mux)
 		d.keeper.service.Mount(mux)
 	}
+	d.fleet.Handle(mux)
+	if d.gate != nil {
+		d.gate.exchange.Mount(mux)
+	}
 	return mux
 }
 
@@ -120,7 +124,7 @@
 			front.ServeService(w, r, server.PathValue(r, "service"), "/"+server.PathValue(r, "path"))
 		})
 	}
-	return server.Handler()
+	return d.gate.draining.wrap(server.Handler())
 }
 
 // serviceMethods are the methods that plain services may be called with.
@@ -132,7 +136,7 @@
 func (d *Daemon) newServer() *api.Server {
 	options := api.Options{
 		Keepers: d.keepers(),
-		Fleet:   d.fleet,
+		Fleet:   d.view,
 		Metrics: d.metrics,
 		Log:     d.log,
 		Limits: api.Limits{
@@ -143,7 +147,7 @@
 	}
 	if d.gate != nil {
 		options.Teams = d.gate.access
-		options.Router = d.gate.router
+		options.Router = d.gate.exchange
 	}
 	return api.NewServer(options)
 }
--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -35,6 +35,9 @@
 operators = "$(operators $vm)"
 peers = "$(peers $vm)"
 
+[directory]
+answer_lifetime = "1s"
+
 [log]
 level = "warn"
 $(for k in 0 1 2; do printf '\n[[keeper]]\nvm = "vm-%s"\npeers = "%s"\n' "$k" "$(peers $k)"; done)
@@ -45,7 +48,7 @@
 for replica in 0 1 2; do
   bin/standin-engine --service wordroom --replica "engine-$replica" --place "place-$replica" --model wordroom@1 \
     --slots 16 --max-tokens 16 --token-every 4ms --first-token 15ms --leave-grace 0s \
-    --gate "$(callers 0)" --gate "$(callers 1)" --gate "$(callers 2)" >"$work/engine-$replica.log" &
+    --gate "$(callers $replica)" >"$work/engine-$replica.log" &
   pids+=($!)
 done
 
