Treat volatile and regional digests apart

Loads are renewed each second, so views differ by them nearly always; comparing them would start a synchronisation each heartbeat and send whole records again. Sums that list replicas stay within the region.

--- a/internal/member/area.go
+++ b/internal/member/area.go
@@ -18,6 +18,7 @@
 	sentNear   time.Time
 	sentFar    time.Time
 	changed    time.Time // of the own area
+	changedFar time.Time // of what other regions see of it
 	handedDown time.Time
 	turn       int // rotates over the contacts of a place
 }
@@ -159,14 +160,13 @@
 	return area
 }
 
-// introduction is the own area for a VM that may know nothing of this place. In
-// the name of the delegate it has the lowest version, so that it never hides
-// what the delegate itself published.
+// introduction is the own area for a VM that may know nothing of this place. It
+// has the lowest version, so that it never hides what the delegate published.
 func (n *Node) introduction(now time.Time) Area {
-	area := n.ownArea(now)
-	if ranked := n.ranked(); len(ranked) > 0 && ranked[0] != n.self.VM.Name {
+	area := n.ownArea(now).forRegion("")
+	area.Version = 1
+	if ranked := n.ranked(); len(ranked) > 0 {
 		area.Publisher = ranked[0]
-		area.Version = 1
 	}
 	return area
 }
@@ -188,16 +188,19 @@
 		n.handDown(n.takeFresh())
 	}
 	area := n.ownArea(now)
+	if !sameArea(area.forRegion(""), n.areas.published.forRegion("")) {
+		n.areas.changedFar = now
+	}
 	if !sameArea(area, n.areas.published) {
 		n.areas.changed = now
 		area.Version = max(area.Version, n.areas.published.Version+1)
 		n.areas.published = area
 	}
-	if n.due(now, n.areas.sentNear, n.config.NearInterval) {
+	if due(now, n.areas.sentNear, n.areas.changed, n.config.NearInterval) {
 		n.areas.sentNear = now
 		n.publish(now, true)
 	}
-	if n.due(now, n.areas.sentFar, n.config.FarInterval) {
+	if due(now, n.areas.sentFar, n.areas.changedFar, n.config.FarInterval) {
 		n.areas.sentFar = now
 		n.publish(now, false)
 	}
@@ -205,8 +208,8 @@
 
 // due reports whether to publish: after an interval if something changed since
 // the last time, after the keepalive otherwise.
-func (n *Node) due(now, sent time.Time, interval time.Duration) bool {
-	if n.areas.changed.After(sent) {
+func due(now, sent, changed time.Time, interval time.Duration) bool {
+	if changed.After(sent) {
 		return now.Sub(sent) >= interval
 	}
 	return now.Sub(sent) >= keepaliveFactor*interval
@@ -223,8 +226,17 @@
 			continue
 		}
 		contact := entry.area.Contacts[n.areas.turn%len(entry.area.Contacts)]
-		n.sendAreas(contact.Peers, []Area{n.areas.published})
+		n.sendAreas(contact.Peers, []Area{n.areas.published.forRegion(entry.area.Region)})
+	}
+}
+
+// forRegion leaves out the sums that stay within the area's own region.
+func (a Area) forRegion(region string) Area {
+	if region == a.Region {
+		return a
 	}
+	a.Sums = slices.DeleteFunc(slices.Clone(a.Sums), func(d Digest) bool { return d.Kind >= FirstNear })
+	return a
 }
 
 func (n *Node) sendAreas(address string, areas []Area) {
--- a/internal/member/message.go
+++ b/internal/member/message.go
@@ -52,13 +52,15 @@
 	}
 }
 
-// changes counts the owner's changes that the record reflects. Each digest's
-// version only rises, so a record that missed one change has a smaller sum
-// than its owner's.
+// changes counts the owner's lasting changes that the record reflects. Each
+// digest's version only rises, so a record that missed one change has a smaller
+// sum than its owner's.
 func (r *Record) changes() uint64 {
 	var sum uint64
 	for _, digest := range r.Digests {
-		sum += digest.Version
+		if digest.Kind < FirstVolatile {
+			sum += digest.Version
+		}
 	}
 	if r.Draining {
 		sum++
--- a/internal/member/probe.go
+++ b/internal/member/probe.go
@@ -217,7 +217,7 @@
 		m.Records = append(m.Records, bare)
 	}
 	if n.isDelegate() {
-		m.Areas = []Area{n.ownArea(now)}
+		m.Areas = []Area{n.introduction(now)}
 	}
 	n.send(address, m)
 }
@@ -231,7 +231,7 @@
 	var areas []Area
 	for _, entry := range n.areas.list {
 		if !slices.Contains(m.Places, entry.area.Place) && entry.area.Place != n.self.VM.Place {
-			areas = append(areas, entry.area)
+			areas = append(areas, entry.area.forRegion(""))
 		}
 	}
 	if m.Place != n.self.VM.Place {
--- a/internal/member/types.go
+++ b/internal/member/types.go
@@ -57,9 +57,19 @@
 }
 
 // DigestKind separates the digests that one VM spreads. The package does not
-// look into them.
+// look into them; the range of a kind says how it is treated.
 type DigestKind uint8
 
+// Ranges of kinds.
+const (
+	// FirstNear begins the kinds whose sums stay within the region.
+	FirstNear DigestKind = 64
+	// FirstVolatile begins the kinds that are renewed about once a second. A
+	// lost one is not repaired: views that differ by these alone, as they
+	// nearly always do, would be compared and sent again each heartbeat.
+	FirstVolatile DigestKind = 128
+)
+
 // Digest is a small opaque value that a VM spreads in its place.
 type Digest struct {
 	Kind    DigestKind `cbor:"1,keyasint"`
@@ -134,7 +144,7 @@
 	keepaliveFactor = 2
 	// staleFactor times the keepalive is the silence until an area is stale.
 	staleFactor     = 3
-	maxContacts     = 3
+	maxContacts     = 4
 	maxEntries      = 4
 	indirectProbers = 2
 	// reconnectRounds is the number of heartbeats between two attempts to
