Spread upstreams, loads and strikes between gates

Strikes are sent to each live gate of the place and again until acknowledged, so that the caller of a request that killed a replica learns of it after the other gates.

--- a/internal/fleet/kinds.go
+++ b/internal/fleet/kinds.go
@@ -3,12 +3,18 @@
 import "slateway.example/slateway/internal/member"
 
 // Kinds of digests, sums and direct messages. They are part of the protocol
-// between VMs: a number is never given to another use.
+// between VMs: a number is never given to another use. Their ranges are
+// package member's.
 const (
-	KindUpstreams member.DigestKind = 1 // replicas that announced to the VM: address, models, incarnation, leaving
-	KindLoad      member.DigestKind = 2 // load of those replicas
-	KindPoison    member.DigestKind = 3 // fingerprints with strikes
-	KindYield     member.DigestKind = 4 // direct: batch gives way on a replica
-	KindRevision  member.DigestKind = 5 // configuration revision in force on the VM
-	KindGateLoad  member.DigestKind = 6 // load of the gate itself, for the directory
+	KindPoison     member.DigestKind = 1 // strikes of poison requests; as digest and as sum
+	KindReplicas   member.DigestKind = 2 // replicas that announced to the VM
+	KindUsage      member.DigestKind = 3 // direct: what a gate has on a replica that another feeds
+	KindFed        member.DigestKind = 4 // direct: the batch that the feeding gate has there
+	KindStrikes    member.DigestKind = 5 // direct: strikes that the sender waits to be known
+	KindStrikesAck member.DigestKind = 6 // direct: they are
+
+	KindSpill = member.FirstNear // sum: some replicas of the place, for other places of the region
+
+	KindLoads    = member.FirstVolatile     // loads of KindReplicas, and the batch that the VM feeds
+	KindGateLoad = member.FirstVolatile + 1 // load of the gate itself, for the directory
 )
