--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -62,9 +62,9 @@
 	}
 	got := &received{values: map[string][]byte{}}
 	f.Handle(mux)
-	f.OnDigest(fleet.KindReplicas, func(vm string, data []byte) { got.set("digest "+vm, data) })
-	f.OnDirect(fleet.KindUsage, func(vm string, data []byte) { got.set("direct "+vm, data) })
-	f.OnSum(fleet.KindReplicas, func(place, _ string, data []byte) { got.set("sum "+place, data) })
+	f.OnDigest(fleet.KindPoison, func(vm string, data []byte) { got.set("digest "+vm, data) })
+	f.OnDirect(fleet.KindYield, func(vm string, data []byte) { got.set("direct "+vm, data) })
+	f.OnSum(fleet.KindPoison, func(place, _ string, data []byte) { got.set("sum "+place, data) })
 	f.Start()
 	t.Cleanup(f.Close)
 	return f, address, got
@@ -79,13 +79,13 @@
 		far, _, fromA := startFleet(t, "vm3", "b", seed)
 
 		large := bytes.Repeat([]byte("x"), 8000) // does not fit a datagram
-		g.Expect(two.SetDigest(fleet.KindReplicas, large)).To(Succeed())
+		g.Expect(two.SetDigest(fleet.KindPoison, large)).To(Succeed())
 		g.Eventually(fromOthers.get("digest vm2"), patience).Should(Equal(large))
-		g.Eventually(func() error { return two.Send("vm1", fleet.KindUsage, []byte("now")) }, patience).Should(Succeed())
+		g.Eventually(func() error { return two.Send("vm1", fleet.KindYield, []byte("now")) }, patience).Should(Succeed())
 		g.Eventually(fromOthers.get("direct vm2"), patience).Should(Equal([]byte("now")))
 
-		one.SetSum(fleet.KindReplicas, []byte("9 free"))
-		two.SetSum(fleet.KindReplicas, []byte("9 free"))
+		one.SetSum(fleet.KindPoison, []byte("9 free"))
+		two.SetSum(fleet.KindPoison, []byte("9 free"))
 		g.Eventually(fromA.get("sum a"), patience).Should(Equal([]byte("9 free")))
 		g.Eventually(func() int { return len(far.Areas()) }, patience).Should(Equal(1))
 
--- a/internal/fleet/kinds.go
+++ b/internal/fleet/kinds.go
@@ -6,15 +6,14 @@
 // between VMs: a number is never given to another use. Their ranges are
 // package member's.
 const (
-	KindPoison     member.DigestKind = 1 // strikes of poison requests; as digest and as sum
-	KindReplicas   member.DigestKind = 2 // replicas that announced to the VM
-	KindUsage      member.DigestKind = 3 // direct: what a gate has on a replica that another feeds
-	KindFed        member.DigestKind = 4 // direct: the batch that the feeding gate has there
-	KindStrikes    member.DigestKind = 5 // direct: strikes that the sender waits to be known
-	KindStrikesAck member.DigestKind = 6 // direct: they are
+	KindPoison   member.DigestKind = 1 // strikes of poison requests; as digest and as sum
+	KindRevision member.DigestKind = 2 // configuration revision in force on the VM
+	KindYield    member.DigestKind = 3 // direct: batch gives way on a replica
 
-	KindSpill = member.FirstNear // sum: some replicas of the place, for other places of the region
+	// KindUpstreams are the replicas that announced to the VM; as a sum, those
+	// of the place that other places of the region may use.
+	KindUpstreams = member.FirstNear
 
-	KindLoads    = member.FirstVolatile     // loads of KindReplicas, and the batch that the VM feeds
+	KindLoad     = member.FirstVolatile     // load of those replicas
 	KindGateLoad = member.FirstVolatile + 1 // load of the gate itself, for the directory
 )
