Test whole processes under kills and freezes

An operation spans all resends of its call: they carry one ID and must act as one.

A first form of the cancel test looked at the engines' lagged load report and failed with items that started after it: it measured the report. It now reads the engines' run logs.

--- a/internal/ctl/submit.go
+++ b/internal/ctl/submit.go
@@ -17,7 +17,7 @@
 // Sizes of a job's parts. One line may be as long as a whole part.
 const (
 	defaultPartItems = 1000
-	defaultPartBytes = 4 << 20
+	defaultPartBytes = 3 << 20
 	maxLineBytes     = 64 << 20
 )
 
--- /dev/null
+++ b/test/api_test.go
@@ -0,0 +1,191 @@
+package test
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"slateway.example/slateway/test/harness"
+)
+
+// Names in the configuration of the tests.
+const (
+	token = "token-of-guild"
+	model = "small"
+)
+
+// newsdesk is the template of the tests' team.
+const newsdesk = `name = "newsdesk"
+services = ["pagedesk"]
+
+[[parameters]]
+name = "concurrent"
+type = "integer"
+default = 500
+min = 1
+max = 100000
+
+[[models]]
+name = "small"
+service = "wordroom"
+
+[online]
+requests_per_second = 10000
+burst = 10000
+concurrent = "${concurrent}"
+
+[batch]
+policy = "throughput"
+`
+
+// places are those of the Guild.
+var places = []harness.Place{
+	{Name: "glas-a", Region: "scot-central"},
+	{Name: "edin-b", Region: "scot-central"},
+	{Name: "perth-c", Region: "scot-central"},
+}
+
+// quickSettings make a lost VM and a new leader show soon.
+const quickSettings = `
+[member]
+heartbeat = "200ms"
+suspect_after = "1s"
+lost_after = "1s"
+[quorum]
+heartbeat = "100ms"
+election = "500ms"
+[config]
+lease = "3s"
+renew = "500ms"
+[directory]
+answer_lifetime = "1s"
+[batch]
+lease = "3s"
+`
+
+// threeVMs are gates and keepers, one in each place.
+func threeVMs() harness.Options {
+	options := harness.Options{Settings: quickSettings}
+	for _, place := range places {
+		options.VMs = append(options.VMs, harness.VMOptions{Place: place, Gate: true, Keeper: true})
+	}
+	return options
+}
+
+// startGuild starts three VMs and so many engines of wordroom, one place after
+// the other, with the team guild.
+func startGuild(ctx context.Context, engines int, flags ...string) (*harness.Fleet, []*harness.Upstream) {
+	GinkgoHelper()
+	fleet := newFleet(threeVMs())
+	Expect(fleet.Start()).To(Succeed())
+	upstreams := make([]*harness.Upstream, engines)
+	for i := range upstreams {
+		var err error
+		upstreams[i], err = fleet.StartEngine("wordroom", fmt.Sprintf("wordroom-%d", i+1), places[i%len(places)], flags...)
+		Expect(err).NotTo(HaveOccurred())
+	}
+	Expect(fleet.Configure(ctx, "newsdesk", newsdesk, "guild", token)).To(Succeed())
+	Expect(fleet.WaitReady(ctx, map[string]int{"wordroom": engines})).To(Succeed())
+	return fleet, upstreams
+}
+
+// refusal is the body of a refusal.
+type refusal struct {
+	Error struct {
+		Message string `json:"message"`
+		Reason  string `json:"reason"`
+		Ran     string `json:"ran"`
+	} `json:"error"`
+}
+
+// answer is what a listener answered.
+type answer struct {
+	status int
+	header http.Header
+	body   []byte
+}
+
+func (a *answer) decode(into any) {
+	GinkgoHelper()
+	Expect(json.Unmarshal(a.body, into)).To(Succeed(), string(a.body))
+}
+
+func (a *answer) refusal() refusal {
+	var parsed refusal
+	_ = json.Unmarshal(a.body, &parsed)
+	return parsed
+}
+
+// call is one request to a listener.
+type call struct {
+	method string
+	path   string
+	body   any // JSON; []byte is sent as it is
+	header map[string]string
+}
+
+// callTimeout bounds one call: a frozen VM takes connections and never answers.
+const callTimeout = 5 * time.Second
+
+// send sends a call to a listener, IP:port. An error means that no answer came.
+func (c *call) send(ctx context.Context, address string) (*answer, error) {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	encoded, ok := c.body.([]byte)
+	if !ok && c.body != nil {
+		var err error
+		if encoded, err = json.Marshal(c.body); err != nil {
+			return nil, err
+		}
+	}
+	request, err := http.NewRequestWithContext(ctx, c.method, "http://"+address+c.path, bytes.NewReader(encoded))
+	if err != nil {
+		return nil, err
+	}
+	request.Header.Set("Content-Type", "application/json")
+	request.Header.Set("Authorization", "Bearer "+token)
+	for name, value := range c.header {
+		request.Header.Set(name, value)
+	}
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		return nil, err
+	}
+	defer response.Body.Close()
+	body, err := io.ReadAll(response.Body)
+	return &answer{status: response.StatusCode, header: response.Header, body: body}, err
+}
+
+// definite says whether an answer settles its call: a result, or a refusal
+// that does not depend on the moment.
+func (a *answer) definite() bool {
+	return a.status < http.StatusInternalServerError && a.status != http.StatusTooManyRequests
+}
+
+// persist sends a call to one listener after the other, from the first-th on,
+// until one gives a definite answer. All calls that it is used with may be
+// resent.
+func (c *call) persist(ctx context.Context, addresses []string, first int) (*answer, error) {
+	var got *answer
+	err := harness.WaitFor(ctx, func(ctx context.Context) error {
+		address := addresses[first%len(addresses)]
+		first++
+		reply, err := c.send(ctx, address)
+		if err != nil {
+			return err
+		}
+		if !reply.definite() {
+			return fmt.Errorf("%s answered %d: %s", address, reply.status, reply.body)
+		}
+		got = reply
+		return nil
+	})
+	return got, err
+}
--- a/test/harness/upstream.go
+++ b/test/harness/upstream.go
@@ -10,6 +10,7 @@
 
 	"slateway.example/slateway/standin/engine"
 	"slateway.example/slateway/standin/link"
+	"slateway.example/slateway/standin/service"
 )
 
 // Upstream is a stand-in that runs as a process.
@@ -141,3 +142,25 @@
 	f.closers = append(f.closers, relay.Close)
 	return relay, nil
 }
+
+// Calls reads the runs of a stand-in service from its log.
+func (u *Upstream) Calls() ([]service.Call, error) {
+	file, err := os.Open(u.RunLog)
+	if err != nil {
+		return nil, err
+	}
+	defer file.Close()
+	lines := json.NewDecoder(file)
+	var calls []service.Call
+	for {
+		var call service.Call
+		err := lines.Decode(&call)
+		if err == io.EOF || errors.Is(err, io.ErrUnexpectedEOF) {
+			return calls, nil
+		}
+		if err != nil {
+			return nil, fmt.Errorf("%s: %w", u.RunLog, err)
+		}
+		calls = append(calls, call)
+	}
+}
