--- a/cmd/experiment/overhead.go
+++ b/cmd/experiment/overhead.go
@@ -6,7 +6,6 @@
 	"fmt"
 	"math/rand/v2"
 	"os"
-	"path/filepath"
 	"text/tabwriter"
 	"time"
 
@@ -49,7 +48,7 @@
 		return err
 	}
 	length := min(command.Duration("length"), maxLength)
-	s, err := startSite(ctx, programs, filepath.Join(folder, "overhead"), overheadWorkload())
+	s, err := startSite(ctx, programs, folder, "overhead", overheadWorkload())
 	if err != nil {
 		return err
 	}
@@ -87,6 +86,7 @@
 		engine:      "wordroom",
 		engines:     1,
 		slots:       1024,
+		pace:        evenPace,
 		batchPolicy: "tail",
 	}
 }
--- a/cmd/experiment/run.go
+++ b/cmd/experiment/run.go
@@ -6,7 +6,6 @@
 	"maps"
 	"math/rand/v2"
 	"os"
-	"path/filepath"
 	"strings"
 	"time"
 
@@ -99,7 +98,7 @@
 	if err != nil {
 		return nil, err
 	}
-	s, err := startSite(ctx, e.programs, filepath.Join(e.folder, string(m)+"-"+faultName), &e.workload)
+	s, err := startSite(ctx, e.programs, e.folder, string(m)+"-"+faultName, &e.workload)
 	if err != nil {
 		return nil, err
 	}
--- a/cmd/experiment/site.go
+++ b/cmd/experiment/site.go
@@ -21,10 +21,11 @@
 	services []*harness.Upstream
 }
 
-// startSite starts a workload's fleet in a folder of its own, and returns once
-// all gates see all replicas and the team is in force.
-func startSite(ctx context.Context, programs harness.Programs, folder string, w *workload) (*site, error) {
-	if err := os.MkdirAll(folder, 0o755); err != nil {
+// startSite starts a workload's fleet in a new folder NAME-... in parent, and
+// returns once all gates see all replicas and the team is in force.
+func startSite(ctx context.Context, programs harness.Programs, parent, name string, w *workload) (*site, error) {
+	folder, err := os.MkdirTemp(parent, name+"-")
+	if err != nil {
 		return nil, err
 	}
 	processes, err := harness.New(folder, programs, harness.Options{VMs: w.vms(), LinkDelay: w.linkDelay})
--- a/cmd/experiment/workload.go
+++ b/cmd/experiment/workload.go
@@ -19,6 +19,7 @@
 	service     string // plain service
 	services    int
 	slots       int // of an engine
+	pace        pace
 	batchPolicy string
 }
 
@@ -34,6 +35,7 @@
 		service:     "pagedesk",
 		services:    3,
 		slots:       8,
+		pace:        sitePace,
 		batchPolicy: "throughput",
 	},
 	"registry": {
@@ -46,6 +48,7 @@
 		service:     "plate-app",
 		services:    3,
 		slots:       8,
+		pace:        sitePace,
 		batchPolicy: "tail",
 	},
 }
@@ -61,14 +64,30 @@
 // keepers is the number of VMs that keep state.
 const keepers = 3
 
-// Pace of the engines: a first token takes a prefill, a quarter of it for a
-// cached prefix, and each further stream in the batch slows all tokens down.
-const (
-	firstToken       = 60 * time.Millisecond
-	firstTokenCached = 15 * time.Millisecond
-	tokenEvery       = 10 * time.Millisecond
-	tokenPerRunning  = 500 * time.Microsecond
-)
+// pace is how quick an engine is.
+type pace struct {
+	firstToken       time.Duration
+	firstTokenCached time.Duration
+	tokenEvery       time.Duration
+	tokenPerRunning  time.Duration
+}
+
+// sitePace is that of the sites: a first token takes a prefill, a quarter of
+// it for a cached prefix, and each further stream slows all tokens down.
+var sitePace = pace{
+	firstToken:       60 * time.Millisecond,
+	firstTokenCached: 15 * time.Millisecond,
+	tokenEvery:       10 * time.Millisecond,
+	tokenPerRunning:  500 * time.Microsecond,
+}
+
+// evenPace is the same for every request, so that differences come from
+// elsewhere.
+var evenPace = pace{
+	firstToken:       15 * time.Millisecond,
+	firstTokenCached: 15 * time.Millisecond,
+	tokenEvery:       10 * time.Millisecond,
+}
 
 // mix is what both online callers and batch jobs ask for.
 func (w *workload) mix() load.Mix {
@@ -85,10 +104,10 @@
 	return []string{
 		"--model", modelName + "@1",
 		"--slots", fmt.Sprint(w.slots),
-		"--first-token", firstToken.String(),
-		"--first-token-cached", firstTokenCached.String(),
-		"--token-every", tokenEvery.String(),
-		"--token-per-running", tokenPerRunning.String(),
+		"--first-token", w.pace.firstToken.String(),
+		"--first-token-cached", w.pace.firstTokenCached.String(),
+		"--token-every", w.pace.tokenEvery.String(),
+		"--token-per-running", w.pace.tokenPerRunning.String(),
 	}
 }
 
--- a/test/harness/build.go
+++ b/test/harness/build.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"os"
 	"os/exec"
 	"path/filepath"
 	"strings"
@@ -21,6 +22,9 @@
 	if err != nil {
 		return Programs{}, fmt.Errorf("find the module: %w", err)
 	}
+	if err := os.MkdirAll(folder, 0o755); err != nil {
+		return Programs{}, err
+	}
 	args := []string{"build", "-o", folder}
 	if race {
 		args = append(args, "-race")
