Renew leases and sessions faster, replace lost disks by themselves

A cancelled job's items ran on for up to a fifth of the session's 10 s; a tenth halves that. quorum.replace_after (1 min) lets a blank disk take the place of a member that stays silent; 0 leaves it to the operator. These are sums from the settings, not runs.

--- a/internal/daemon/gate.go
+++ b/internal/daemon/gate.go
@@ -83,8 +83,9 @@
 }
 
 // heartbeatsPerLease is how often a batch session is renewed in its lifetime,
-// so that a few lost heartbeats do not end it.
-const heartbeatsPerLease = 5
+// so that a few lost heartbeats do not end it. A heartbeat also tells the gate
+// which jobs were cancelled, so the pace bounds how long their items run on.
+const heartbeatsPerLease = 10
 
 func (g *gateRole) start(ctx context.Context) {
 	othersContext, stopOthers := context.WithCancel(ctx)
--- a/internal/daemon/keeper.go
+++ b/internal/daemon/keeper.go
@@ -49,6 +49,7 @@
 		HeartbeatTicks:  ticksPerHeartbeat,
 		ElectionTicks:   int(s.Quorum.Election / (s.Quorum.Heartbeat / ticksPerHeartbeat)),
 		SnapshotEntries: uint64(s.Quorum.SnapshotEntries),
+		ReplaceAfter:    s.Quorum.ReplaceAfter,
 		Logger:          log,
 		Client:          peerClient(s.Timeouts.Dial),
 	})
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -72,6 +72,9 @@
 	Election        time.Duration `toml:"election"`         // leader silence until an election starts
 	JobGroups       int           `toml:"job_groups"`       // replicated groups that share the jobs
 	SnapshotEntries int           `toml:"snapshot_entries"` // log entries between snapshots
+	// ReplaceAfter is how long a member must be unheard before a blank disk of
+	// its VM, or a spare keeper, takes its place; 0 leaves it to the operator.
+	ReplaceAfter time.Duration `toml:"replace_after"`
 }
 
 // Config sets how long a gate may serve under the configuration it holds.
@@ -146,8 +149,8 @@
 	return Settings{
 		VM:        VM{Roles: []Role{RoleGate}},
 		Member:    Member{Heartbeat: 500 * time.Millisecond, SuspectAfter: 2 * time.Second, LostAfter: 3 * time.Second},
-		Quorum:    Quorum{Heartbeat: 100 * time.Millisecond, Election: time.Second, JobGroups: 2, SnapshotEntries: 4096},
-		Config:    Config{Lease: 6 * time.Second, Renew: time.Second, WhenAlone: Refuse},
+		Quorum:    Quorum{Heartbeat: 100 * time.Millisecond, Election: time.Second, JobGroups: 2, SnapshotEntries: 4096, ReplaceAfter: time.Minute},
+		Config:    Config{Lease: 4 * time.Second, Renew: time.Second, WhenAlone: Refuse},
 		Directory: Directory{AnswerLifetime: 10 * time.Second, MaxEntries: 8},
 		Upstream:  Upstream{AnnounceInterval: time.Second, ExpireAfter: 4 * time.Second},
 		Batch: Batch{
