Tie what a keeper's leader remembers to its term; leave changes as sent

A leader that lost and won its office between two looks could have missed leases that another leader gave; the term shows it where the role does not, so leadership is compared by term and again when a change is called in force.

A team put without tokens took its old ones in place, which changed the sent change and, in one process, made its resend unknown. The copy is changed now; the property test puts teams without tokens too.

--- a/internal/keeper/leadership.go
+++ b/internal/keeper/leadership.go
@@ -7,6 +7,8 @@
 	"go.uber.org/zap"
 
 	"slateway.example/slateway/internal/job"
+	"slateway.example/slateway/internal/keeper/keeperapi"
+	"slateway.example/slateway/internal/replica"
 )
 
 const (
@@ -24,6 +26,7 @@
 // leadership is what this VM knows as the leader of a group.
 type leadership struct {
 	leads      bool
+	term       uint64
 	since      time.Time
 	heard      map[job.SessionID]time.Time // sessions of the group
 	ending     bool                        // a proposal that ends sessions is on its way
@@ -47,11 +50,11 @@
 
 func (s *Service) tick(ctx context.Context, now time.Time) {
 	// A process that was stopped for seconds wakes up with the clock far ahead.
-	// It would end the sessions of all gates, which could not reach it, and might
-	// miss that another leader came and went. It starts over as a new leader.
+	// It would end the sessions of all gates, which could not reach it
+	// meanwhile. It starts over as a new leader.
 	paused := now.Sub(s.previousTick(now)) > maxTickGap
 	for group := range s.options.Proposer.Groups() {
-		if !s.updateLeadership(group, now, paused) || group == 0 {
+		if !s.updateLeadership(group, now, paused) || group == keeperapi.ConfigGroup {
 			continue
 		}
 		s.endSilentSessions(ctx, group, now)
@@ -59,6 +62,18 @@
 	}
 }
 
+// termOf gives the term in which this VM leads a group; ok is false if it does
+// not. Leadership that was lost and won again between two looks shows in the
+// term alone.
+func (s *Service) termOf(group uint32) (term uint64, ok bool) {
+	if host, found := s.options.Proposer.(interface{ Status() []replica.GroupStatus }); found {
+		status := host.Status()[group]
+		return status.Term, status.Leads
+	}
+	leader, known := s.options.Proposer.Leader(group)
+	return 0, known && leader.ID == s.options.Self
+}
+
 func (s *Service) previousTick(now time.Time) time.Time {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -72,27 +87,29 @@
 
 // updateLeadership notes whether this VM leads the group and since when.
 func (s *Service) updateLeadership(group uint32, now time.Time, paused bool) bool {
-	leader, known := s.options.Proposer.Leader(group)
-	leads := known && leader.ID == s.options.Self
+	term, leads := s.termOf(group)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	current := &s.leading[group]
-	if leads && (!current.leads || paused) {
+	if leads && (!current.leads || current.term != term || paused) {
 		current.since = now
 		current.heard = make(map[job.SessionID]time.Time)
 	}
 	if leads != current.leads {
 		s.options.Log.Info("leadership changed", zap.Uint32("group", group), zap.Bool("leads", leads))
 	}
-	current.leads = leads
+	current.leads, current.term = leads, term
 	return leads
 }
 
-// leadingSince tells since when this VM has led the group.
+// leadingSince tells since when this VM has led the group, if the last tick saw
+// the term in which it leads now.
 func (s *Service) leadingSince(group uint32) (time.Time, bool) {
+	term, leads := s.termOf(group)
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.leading[group].since, s.leading[group].leads
+	current := &s.leading[group]
+	return current.since, leads && current.leads && current.term == term
 }
 
 // touch notes that a session of a group was heard of.
--- a/internal/team/registry.go
+++ b/internal/team/registry.go
@@ -207,12 +207,12 @@
 
 // commit puts an accepted change into the state and the delta log.
 func (r *Registry) commit(change *Change) {
-	r.keepTokens(change.PutTeam)
+	putTeam := r.withTokens(change.PutTeam)
 	delta := Delta{
 		Stamp:           Stamp{Revision: r.revision, ChangeID: change.ID, Operator: change.Operator},
 		Template:        change.PutTemplate,
 		DeletedTemplate: change.DeleteTemplate,
-		Team:            change.PutTeam,
+		Team:            putTeam,
 		DeletedTeam:     change.DeleteTeam,
 	}
 	key := delta.key()
@@ -222,7 +222,7 @@
 		r.stamps[key] = delta.Stamp
 	}
 	if key.Team {
-		r.replaceTeam(key.Name, change.PutTeam)
+		r.replaceTeam(key.Name, putTeam)
 	} else if change.PutTemplate != nil {
 		r.templates[key.Name] = change.PutTemplate
 	} else {
@@ -234,15 +234,20 @@
 	}
 }
 
-// keepTokens gives a team that is put without tokens the ones it has: operators
-// never see them, so they could not send them again.
-func (r *Registry) keepTokens(team *Team) {
-	if team == nil || len(team.Tokens) > 0 {
-		return
-	}
-	if old := r.teams[team.Name]; old != nil {
-		team.Tokens = old.Tokens
-	}
+// withTokens gives a team that is put without tokens the ones it has: operators
+// never see them, so they could not send them again. The change itself stays as
+// it was sent, or a resend of it would no longer be known.
+func (r *Registry) withTokens(put *Team) *Team {
+	if put == nil || len(put.Tokens) > 0 {
+		return put
+	}
+	old := r.teams[put.Name]
+	if old == nil {
+		return put
+	}
+	copied := *put
+	copied.Tokens = old.Tokens
+	return &copied
 }
 
 // replaceTeam puts team under its name, or removes the name if team is nil.
--- a/internal/team/registry_test.go
+++ b/internal/team/registry_test.go
@@ -42,7 +42,7 @@
 `
 
 func parse(t testing.TB, text string) team.Template {
-	template, err := team.ParseTemplate([]byte(text))
+	template, err := team.ParseTemplate("", []byte(text))
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -87,7 +87,7 @@
 		"setting too high":  "name = \"a\"\n[batch]\nheadroom = 1.5",
 		"unknown policy":    "name = \"a\"\n[batch]\npolicy = \"fast\"",
 	} {
-		_, err := team.ParseTemplate([]byte(text))
+		_, err := team.ParseTemplate("", []byte(text))
 		if apierr.ReasonOf(err) != team.ReasonInvalidTemplate || err == nil {
 			t.Errorf("%s: %v", name, err)
 		}
@@ -123,7 +123,9 @@
 		change.PutTeam = &team.Team{
 			Name: name, Template: m.template.Name,
 			Values: []team.Value{{Name: "model", Value: "wordroom-7b"}, {Name: "rate", Value: rate}},
-			Tokens: []team.TokenHash{team.HashToken(rapid.SampledFrom([]string{"1", "2", "3"}).Draw(t, "token"))},
+		}
+		if token := rapid.SampledFrom([]string{"", "1", "2", "3"}).Draw(t, "token"); token != "" {
+			change.PutTeam.Tokens = []team.TokenHash{team.HashToken(token)}
 		}
 	}
 	m.send(t, change, name)
