Test several gates and plain services over real connections

Batch at one gate gives way to a request at another; 50 resends of a request that ends its engine's process cost two of five engines and no other caller its answer; a call that may not be repeated runs once; a truncated answer is not passed on.

--- a/internal/gate/proxy/attempt.go
+++ b/internal/gate/proxy/attempt.go
@@ -49,6 +49,7 @@
 // cancelUpstream asks the engine to stop the request, over another connection:
 // the end of one that has gone silent may never reach the engine.
 func (a *attempt) cancelUpstream() {
+	start := time.Now()
 	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
 	defer cancel()
 	body := fmt.Sprintf(`{"request_id":%q}`, a.upstreamID())
@@ -59,6 +60,7 @@
 	request.Header.Set("Content-Type", "application/json")
 	response, err := a.links().pool(a.target.Replica).RoundTrip(request)
 	if err == nil {
+		a.flight.shard.router.options.Metrics.Observe(MetricYield, time.Since(start))
 		_, _ = io.Copy(io.Discard, io.LimitReader(response.Body, maxProbeBytes))
 		_ = response.Body.Close()
 	}
--- a/internal/gate/proxy/engine_test.go
+++ b/internal/gate/proxy/engine_test.go
@@ -27,6 +27,7 @@
 	otherID   bool          // echo another request's ID
 	served    int           // requests that arrived
 	resumedAt []int         // resume_from of those that asked to go on
+	dead      bool          // its process has ended
 	stopped   int           // requests that ended before their last token
 }
 
@@ -50,6 +51,16 @@
 	change(e)
 }
 
+// poison is the prompt that ends the engine's process.
+const poison = "crash"
+
+// die drops all connections and refuses new ones.
+func (e *fakeEngine) die() {
+	e.with(func(e *fakeEngine) { e.dead = true })
+	_ = e.server.Listener.Close()
+	e.server.CloseClientConnections()
+}
+
 func (e *fakeEngine) count(of func(*fakeEngine) int) func() int {
 	return func() int {
 		e.mu.Lock()
@@ -64,12 +75,17 @@
 		return
 	}
 	var body struct {
+		Messages []struct{ Content string } `json:"messages"`
 		Slateway struct {
 			ResumeFrom int    `json:"resume_from"`
 			Prefix     string `json:"prefix"`
 		} `json:"slateway"`
 	}
 	_ = json.NewDecoder(r.Body).Decode(&body)
+	if len(body.Messages) > 0 && body.Messages[0].Content == poison {
+		e.die()
+		panic(http.ErrAbortHandler)
+	}
 	from := body.Slateway.ResumeFrom
 	e.with(func(e *fakeEngine) {
 		e.served++
--- /dev/null
+++ b/internal/gate/proxy/gates_test.go
@@ -0,0 +1,188 @@
+package proxy_test
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"strconv"
+	"sync/atomic"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"slateway.example/slateway/internal/apierr"
+	"slateway.example/slateway/internal/gate/proxy"
+	"slateway.example/slateway/internal/route"
+	"slateway.example/slateway/internal/upstream"
+)
+
+// newGates makes gates of one place that tell each other of usages and strikes,
+// before the same engines.
+func newGates(count int, engines ...*fakeEngine) []*proxy.Router {
+	var routers []*proxy.Router
+	var gates []route.Gate
+	for i := range count {
+		id := fmt.Sprint("gate-", i)
+		gates = append(gates, route.Gate{ID: id, Place: "glas-a"})
+		routers = append(routers, proxy.New(proxy.Options{
+			Self: id, Place: "glas-a",
+			SendUsage: func(_ context.Context, gate string, u []proxy.Usage) ([]upstream.Feeding, error) {
+				to, err := strconv.Atoi(gate[len("gate-"):])
+				return routers[to].Yield(u), err
+			},
+			Spread: func(_ context.Context, service string, strikes []upstream.Strike) {
+				for other, r := range routers {
+					if other != i {
+						r.Strike(service, strikes)
+					}
+				}
+			},
+		}))
+	}
+	for _, r := range routers {
+		r.SetGates(gates)
+		for _, e := range engines {
+			Expect(r.Announce(e.announcement())).To(Succeed())
+		}
+		DeferCleanup(r.Close)
+	}
+	for _, e := range engines {
+		DeferCleanup(e.server.Close)
+	}
+	return routers
+}
+
+var lastID atomic.Int64
+
+// ask sends an online request through a gate and returns its answer.
+func ask(r *proxy.Router, prompt string) *httptest.ResponseRecorder {
+	w := httptest.NewRecorder()
+	r.ServeOnline(w, httptest.NewRequest(http.MethodPost, proxy.PathChat, nil), proxy.OnlineRequest{
+		ID: fmt.Sprint("ask-", lastID.Add(1)), Team: "council", Service: "wordroom", Repeatable: true,
+		Body:     []byte(fmt.Sprintf(`{"messages":[{"role":"user","content":%q}]}`, prompt)),
+		Deadline: time.Now().Add(wait),
+	})
+	return w
+}
+
+var _ = Describe("several gates", func() {
+	It("free a slot that one fills with batch for a request that came to another", func() {
+		// An editor's request comes to a gate that runs no batch; another gate has
+		// filled the only engine with it. The request must not wait for an item
+		// to end, though no gate sees both.
+		e := newFakeEngine("r1", 40, 5*time.Millisecond)
+		gates := newGates(2, e)
+		feeder, other := gates[0], gates[1]
+		if gates[0].Upstreams()[0].Feeder != "gate-0" {
+			feeder, other = other, feeder
+		}
+		Expect(other.BatchRoom("wordroom", route.ThroughputPolicy())).To(BeZero())
+		results := make(chan proxy.BatchResult, 4)
+		for i := range 4 {
+			go func() {
+				result, _ := feeder.RunBatch(context.Background(), proxy.BatchItem{
+					ID: fmt.Sprint("item-", i), Service: "wordroom", Body: []byte(plainBody), Repeatable: true,
+					Policy: route.ThroughputPolicy(),
+				})
+				results <- result
+			}()
+		}
+		Eventually(e.count(func(e *fakeEngine) int { return e.served }), wait).Should(Equal(4))
+		answer := make(chan string, 1)
+		go func() { answer <- ask(other, "headlines").Body.String() }()
+		Eventually(e.count(func(e *fakeEngine) int { return e.stopped }), wait).Should(Equal(1), "one item gave way")
+		var data string
+		Eventually(answer, wait).Should(Receive(&data))
+		Expect(plainText(data)).To(Equal(words(40)))
+		for range 4 {
+			var result proxy.BatchResult
+			Eventually(results, wait).Should(Receive(&result))
+			Expect(plainText(string(result.Body))).To(Equal(words(40)))
+		}
+	})
+
+	It("lose two replicas at most to a request that its caller sends again and again", func() {
+		// One request ends the process of each engine that runs it. Its caller
+		// sends it 50 times, through one gate after another. Others keep asking.
+		engines := make([]*fakeEngine, 5)
+		for i := range engines {
+			engines[i] = newFakeEngine(upstream.ReplicaID(fmt.Sprint("r", i)), 5, time.Millisecond)
+		}
+		gates := newGates(3, engines...)
+		var refusal *apierr.Error
+		for n := range 50 {
+			refusal = apierr.ParseHTTP(ask(gates[n%3], poison).Body.Bytes())
+			Expect(plainText(ask(gates[(n+1)%3], fmt.Sprint("bystander ", n)).Body.String())).To(Equal(words(5)))
+		}
+		Expect(refusal.Reason).To(Equal(route.ReasonPoison))
+		Expect(refusal.Ran).To(Equal(apierr.RanNo))
+		Expect(refusal.RetryAfter).To(BeZero(), "the refusal is final")
+		dead := 0
+		for _, e := range engines {
+			dead += e.count(func(e *fakeEngine) int {
+				if e.dead {
+					return 1
+				}
+				return 0
+			})()
+		}
+		Expect(dead).To(Equal(2))
+	})
+})
+
+var _ = Describe("plain services", func() {
+	serve := func(handler http.HandlerFunc, repeatable bool) (*httptest.ResponseRecorder, *atomic.Int64) {
+		var calls atomic.Int64
+		server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			if r.URL.Path == proxy.PathLoad {
+				return
+			}
+			calls.Add(1)
+			handler(w, r)
+		}))
+		DeferCleanup(server.Close)
+		router := proxy.New(proxy.Options{Self: "gate-1", Place: "glas-a"})
+		DeferCleanup(router.Close)
+		Expect(router.Announce(upstream.Announcement{
+			Service: "plate-app", Kind: upstream.KindService, Replica: "p1", Incarnation: 1, Sequence: 1,
+			Address: server.Listener.Addr().String(), Place: "glas-a", Load: upstream.Load{Slots: 4, Ready: true},
+		})).To(Succeed())
+		w := httptest.NewRecorder()
+		router.ServeService(w, httptest.NewRequest(http.MethodPost, "/", nil), proxy.ServiceRequest{
+			ID: "call-1", Team: "registry", Service: "plate-app", Method: http.MethodPost, Path: "/plates?state=tx",
+			Header: http.Header{"Idempotency-Key": {"k1"}, "Authorization": {"Bearer secret"}}, Body: []byte("confirm"),
+			Repeatable: repeatable, Deadline: time.Now().Add(wait),
+		})
+		return w, &calls
+	}
+
+	It("get the call as it came, without the caller's token", func() {
+		w, _ := serve(func(w http.ResponseWriter, r *http.Request) {
+			w.Header().Set("X-Plate", r.URL.Query().Get("state")+r.Header.Get("Authorization"))
+			w.WriteHeader(http.StatusTeapot)
+		}, false)
+		Expect(w.Code).To(Equal(http.StatusTeapot))
+		Expect(w.Header().Get("X-Plate")).To(Equal("tx"))
+	})
+
+	It("run a call once that may not be repeated, also when it carries a key", func() {
+		// The connection ends after the service has confirmed the plate. An HTTP
+		// client would send a request with an idempotency key again by itself.
+		w, calls := serve(func(http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) }, false)
+		Expect(w.Code).To(Equal(http.StatusBadGateway))
+		Expect(apierr.ParseHTTP(w.Body.Bytes()).Ran).To(Equal(apierr.RanUnknown))
+		Expect(calls.Load()).To(BeEquivalentTo(1))
+	})
+
+	It("have no truncated answer passed on as whole", func() {
+		w, calls := serve(func(w http.ResponseWriter, _ *http.Request) {
+			w.Header().Set("Content-Length", "10")
+			_, _ = w.Write([]byte("half"))
+		}, true)
+		Expect(w.Code).To(Equal(http.StatusBadGateway))
+		Expect(apierr.ParseHTTP(w.Body.Bytes()).Reason).To(Equal(route.ReasonAttemptsSpent))
+		Expect(calls.Load()).To(BeNumerically(">", 1))
+	})
+})
--- a/internal/gate/proxy/options.go
+++ b/internal/gate/proxy/options.go
@@ -44,7 +44,7 @@
 	MetricFirstToken = "online_first_token" // arrival of the request to the first byte of its answer
 	MetricAnswer     = "online_answer"      // arrival of the request to its last byte
 	MetricBatchItem  = "batch_item"         // start of a batch item to its result
-	MetricYield      = "batch_yield"        // decision to preempt to the end of the engine's stream
+	MetricYield      = "batch_yield"        // decision to stop an attempt to the engine's word that it has
 )
 
 // Names of the counters beside the reasons of package route.
--- a/internal/route/batch.go
+++ b/internal/route/batch.go
@@ -165,14 +165,14 @@
 }
 
 // yieldSlots preempts batch on r until each batch request's policy has the
-// slots that it leaves to online work.
+// slots that it keeps free.
 func (s *Shard) yieldSlots(r *replica) {
 	if s.config.Disabled.Preempt {
 		return
 	}
 	for {
 		victim := s.victim(r)
-		if victim == nil || s.totalLoad(r) <= s.slots(r)-victim.req.Policy.reserve(s.slots(r)) {
+		if victim == nil || s.totalLoad(r) <= s.slots(r)-victim.req.Policy.MinFree {
 			return
 		}
 		s.preempt(victim)
@@ -183,8 +183,8 @@
 // repeated runs to its end.
 func (a *attempt) preemptible() bool { return a.req.Class == Batch && a.req.Repeatable }
 
-// victim chooses the batch attempt to stop: those of the policy that leaves the
-// most slots first, then by the policy's rule.
+// victim chooses the batch attempt to stop: those of the policy that keeps the
+// most slots free first, then by the policy's rule.
 func (s *Shard) victim(r *replica) *attempt {
 	var worst *attempt
 	for _, a := range r.attempts {
@@ -196,9 +196,8 @@
 }
 
 func (s *Shard) yieldsBefore(a, b *attempt) bool {
-	slots := a.on.entry.Slots
-	if mine, other := a.req.Policy.reserve(slots), b.req.Policy.reserve(slots); mine != other {
-		return mine > other
+	if a.req.Policy.MinFree != b.req.Policy.MinFree {
+		return a.req.Policy.MinFree > b.req.Policy.MinFree
 	}
 	if a.req.Policy.Victim == VictimLeastWork && a.tokens != b.tokens {
 		return a.tokens < b.tokens
--- a/internal/route/config.go
+++ b/internal/route/config.go
@@ -106,10 +106,12 @@
 
 // Policy says how batch work of a team shares replicas with online work.
 type Policy struct {
-	// Headroom is the share of a replica's slots that batch leaves free, at
-	// least MinFree slots.
+	// Headroom is the share of a replica's slots beyond which no batch starts.
+	// Online work uses it up before any batch is preempted, so that single
+	// requests cost no preemption.
 	Headroom float64 `json:"headroom"`
-	MinFree  int     `json:"min_free"`
+	// MinFree is the number of slots that are kept free by preemption.
+	MinFree int `json:"min_free"`
 	// Hold is how long a replica gets no new batch after a preemption.
 	Hold time.Duration `json:"hold"`
 	// Pack fills the fullest replica first; otherwise batch spreads thin.
@@ -130,16 +132,17 @@
 // ThroughputPolicy turns all idle slots into batch work; an online request
 // takes its slot back at once.
 func ThroughputPolicy() Policy {
-	return Policy{Headroom: 0, MinFree: 0, Hold: 100 * time.Millisecond, Victim: VictimLeastWork}
+	return Policy{Hold: 0, Victim: VictimLeastWork}
 }
 
-// TailPolicy keeps slots free so that an online request finds one without
-// waiting for a preemption.
+// TailPolicy keeps a slot of each replica free, so that an online request
+// finds one without waiting for a preemption, and starts no batch beyond three
+// quarters of the slots.
 func TailPolicy() Policy {
-	return Policy{Headroom: 0.25, MinFree: 1, Hold: time.Second, Victim: VictimLeastWork}
+	return Policy{Headroom: 0.25, MinFree: 1, Hold: 250 * time.Millisecond, Victim: VictimLeastWork}
 }
 
-// reserve gives the slots of a replica that batch leaves free.
+// reserve gives the slots of a replica that new batch leaves free.
 func (p Policy) reserve(slots int) int {
 	share := int(p.Headroom*float64(slots) + 0.5)
 	return max(share, p.MinFree)
