--- a/internal/member/probe.go
+++ b/internal/member/probe.go
@@ -176,7 +176,7 @@
 	if n.round > joinRounds && n.round%reconnectRounds != 0 {
 		return
 	}
-	if seed := n.pickSeed(); seed != "" {
+	if seed := n.pickSeed(); seed != "" && n.seeksSeeds(now) {
 		n.join(now, seed, nil)
 	}
 	var lost []string
@@ -191,6 +191,17 @@
 	}
 }
 
+// seeksSeeds reports whether this VM should try a seed: at its start, while it is
+// cut off, and as its place's delegate. If all VMs did for good, the few seeds
+// would spend most of their traffic on joins: 59 KB/s of 67 at 418 VMs.
+func (n *Node) seeksSeeds(now time.Time) bool {
+	if n.round <= joinRounds || n.isDelegate() {
+		return true
+	}
+	hasPeers := slices.ContainsFunc(n.names, func(name string) bool { return n.peers[name].record.State == Alive })
+	return !hasPeers && len(n.areas.freshPlaces(now, n)) == 0
+}
+
 // pickSeed gives the next seed that is not an alive VM of the place.
 func (n *Node) pickSeed() string {
 	for range n.config.Seeds {
@@ -210,7 +221,9 @@
 // join introduces this VM to the one at address. If that is held for lost, its
 // record goes along, so that its answer already refutes the loss.
 func (n *Node) join(now time.Time, address string, held *Record) {
-	m := &message{Kind: kindJoin, Reply: n.self.VM.Peers, Records: []Record{n.self}, Places: n.areas.freshPlaces(now, n)}
+	own := n.self
+	own.Digests = nil // they follow by a sync, if the VM is of this place
+	m := &message{Kind: kindJoin, Reply: n.self.VM.Peers, Records: []Record{own}, Places: n.areas.freshPlaces(now, n)}
 	if held != nil {
 		bare := *held
 		bare.Digests = nil
