Publish only what changed between places

A place's sum lists replicas to spill to, some 280 bytes each, and their loads change each second. Sent whole each second, the sums took a delegate to 23 KB/s at 418 VMs. Now the head and the unchanged sums go with each fifth publication, and a changed head three times, so that a lost packet does not leave a draining gate in the answers of other places. Announcements live 6 s by default: those that come from another place are up to 3 s old, and one may be lost.

--- a/internal/directory/drain.go
+++ b/internal/directory/drain.go
@@ -14,8 +14,8 @@
 )
 
 // DefaultSpread is how long after its drain begins other gates may still name a
-// gate: one publication to the places of the region (1 s), its way to every gate
-// there (1 s), and one lost packet until the next keepalive (2 s).
+// gate: one publication to the places of the region (2 s), its way to every gate
+// there (1 s), and a lost packet, made good by the next publication (2 s).
 const DefaultSpread = 5 * time.Second
 
 // Drain decides when a gate that was told to stop may do so.
--- a/internal/member/area.go
+++ b/internal/member/area.go
@@ -14,19 +14,15 @@
 type areaTable struct {
 	list       []*areaEntry // sorted by place, then publisher
 	sums       []Digest     // own sums of this place
-	published  Area         // last own publication
-	sentNear   time.Time
-	sentFar    time.Time
-	changed    time.Time // of the own area
-	changedFar time.Time // of what other regions see of it
+	version    uint64       // of the last own publication
+	near, far  publication
 	handedDown time.Time
-	turn       int // rotates over the contacts of a place
 }
 
 type areaEntry struct {
 	area    Area
 	heardAt time.Time
-	fresh   bool // not handed down the tree yet
+	news    *Area // what came since areas were last handed down
 }
 
 func newAreaTable() areaTable { return areaTable{} }
@@ -136,7 +132,7 @@
 func (n *Node) ownArea(now time.Time) Area {
 	area := Area{
 		Place: n.self.VM.Place, Region: n.self.VM.Region, Publisher: n.self.VM.Name,
-		Version: n.areas.published.Version, Sums: slices.Clone(n.areas.sums),
+		Version: n.areas.version, Sums: slices.Clone(n.areas.sums),
 	}
 	for _, name := range n.ranked() {
 		record := &n.self
@@ -171,80 +167,6 @@
 	return area
 }
 
-func sameArea(a, b Area) bool {
-	return a.VMs == b.VMs && a.Gates == b.Gates &&
-		slices.Equal(a.Contacts, b.Contacts) && slices.Equal(a.Entries, b.Entries) &&
-		slices.EqualFunc(a.Sums, b.Sums, func(x, y Digest) bool { return x.Kind == y.Kind && x.Version == y.Version })
-}
-
-// tickAreas publishes the own area to other places and hands theirs down.
-func (n *Node) tickAreas(now time.Time) {
-	n.forgetAreas(now)
-	if n.self.State != Alive || !n.isDelegate() {
-		return
-	}
-	if now.Sub(n.areas.handedDown) >= n.config.NearInterval {
-		n.areas.handedDown = now
-		n.handDown(n.takeFresh())
-	}
-	area := n.ownArea(now)
-	if !sameArea(area.forRegion(""), n.areas.published.forRegion("")) {
-		n.areas.changedFar = now
-	}
-	if !sameArea(area, n.areas.published) {
-		n.areas.changed = now
-		area.Version = max(area.Version, n.areas.published.Version+1)
-		n.areas.published = area
-	}
-	if due(now, n.areas.sentNear, n.areas.changed, n.config.NearInterval) {
-		n.areas.sentNear = now
-		n.publish(now, true)
-	}
-	if due(now, n.areas.sentFar, n.areas.changedFar, n.config.FarInterval) {
-		n.areas.sentFar = now
-		n.publish(now, false)
-	}
-}
-
-// due reports whether to publish: after an interval if something changed since
-// the last time, after the keepalive otherwise.
-func due(now, sent, changed time.Time, interval time.Duration) bool {
-	if changed.After(sent) {
-		return now.Sub(sent) >= interval
-	}
-	return now.Sub(sent) >= keepaliveFactor*interval
-}
-
-// publish sends the own area to one contact of each other place, near or far.
-// Contacts take turns, so that a lost one does not cut its place off.
-func (n *Node) publish(now time.Time, near bool) {
-	n.areas.published.Version = max(n.areas.published.Version+1, uint64(now.UnixMilli()))
-	n.areas.turn++
-	for _, entry := range n.areas.list {
-		isNear := entry.area.Region == n.self.VM.Region
-		if isNear != near || entry.area.Place == n.self.VM.Place || len(entry.area.Contacts) == 0 {
-			continue
-		}
-		contact := entry.area.Contacts[n.areas.turn%len(entry.area.Contacts)]
-		n.sendAreas(contact.Peers, []Area{n.areas.published.forRegion(entry.area.Region)})
-	}
-}
-
-// forRegion leaves out the sums that stay within the area's own region.
-func (a Area) forRegion(region string) Area {
-	if region == a.Region {
-		return a
-	}
-	a.Sums = slices.DeleteFunc(slices.Clone(a.Sums), func(d Digest) bool { return d.Kind >= FirstNear })
-	return a
-}
-
-func (n *Node) sendAreas(address string, areas []Area) {
-	for _, packet := range splitBySize(areas, n.config.PacketBytes-envelopeBytes) {
-		n.send(address, &message{Kind: kindAreas, Areas: packet})
-	}
-}
-
 // mergeAreas takes newer areas. One of the own place from a publisher that is
 // not known here means that the place was split; a join heals it.
 func (n *Node) mergeAreas(now time.Time, m *message) {
@@ -284,8 +206,11 @@
 // merge stores a newer area and reports whether it was one.
 func (t *areaTable) merge(now time.Time, area Area, n *Node) bool {
 	i, found := t.find(areaKey{area.Place, area.Publisher})
+	if !found && area.Partial {
+		return false // the next whole one is waited for
+	}
 	if !found {
-		t.list = slices.Insert(t.list, i, &areaEntry{area: area, heardAt: now, fresh: true})
+		t.list = slices.Insert(t.list, i, &areaEntry{area: area, heardAt: now, news: &area})
 		n.sumEvents(nil, area)
 		return true
 	}
@@ -294,9 +219,12 @@
 		return false
 	}
 	n.sumEvents(entry.area.Sums, area)
-	entry.area = area
+	entry.area = entry.area.with(area)
 	entry.heardAt = now
-	entry.fresh = true
+	if entry.news != nil {
+		area = entry.news.with(area)
+	}
+	entry.news = &area
 	return true
 }
 
@@ -312,49 +240,6 @@
 	}
 }
 
-// passOn moves areas along: from another place to the own delegate, from the
-// parent in the tree to the children at once. The delegate itself gathers them
-// for its next turn.
-func (n *Node) passOn(m *message, news []Area) {
-	ranked := n.ranked()
-	if len(ranked) == 0 || ranked[0] == n.self.VM.Name {
-		return
-	}
-	if m.Place != n.self.VM.Place {
-		n.sendAreas(n.addressOf(ranked[0]), news)
-		return
-	}
-	n.handDown(news)
-}
-
-// handDown sends areas to the VM's two children in the tree. While an inner VM
-// of the tree is lost and not yet suspected, those below it miss one or two
-// turns; the next publication of each area reaches them.
-func (n *Node) handDown(areas []Area) {
-	if len(areas) == 0 {
-		return
-	}
-	ranked := n.ranked()
-	i := slices.Index(ranked, n.self.VM.Name)
-	if i < 0 {
-		return
-	}
-	for child := 2*i + 1; child <= 2*i+2 && child < len(ranked); child++ {
-		n.sendAreas(n.addressOf(ranked[child]), areas)
-	}
-}
-
-func (n *Node) takeFresh() []Area {
-	var areas []Area
-	for _, entry := range n.areas.list {
-		if entry.fresh {
-			entry.fresh = false
-			areas = append(areas, entry.area)
-		}
-	}
-	return areas
-}
-
 // forgetAreas drops areas whose publisher is long gone, and those that missed
 // a keepalive while another publisher of the same place kept its own: the
 // delegate has changed.
--- a/internal/member/probe.go
+++ b/internal/member/probe.go
@@ -229,7 +229,7 @@
 		bare.Digests = nil
 		m.Records = append(m.Records, bare)
 	}
-	if n.isDelegate() {
+	if n.round > settleRounds && n.isDelegate() {
 		m.Areas = []Area{n.introduction(now)}
 	}
 	n.send(address, m)
--- a/internal/member/types.go
+++ b/internal/member/types.go
@@ -105,11 +105,12 @@
 	Region    string    `cbor:"2,keyasint"`
 	Publisher string    `cbor:"3,keyasint"` // the delegate
 	Version   uint64    `cbor:"4,keyasint"` // rises with each publication
-	VMs       int       `cbor:"5,keyasint"`
-	Gates     int       `cbor:"6,keyasint"`
+	VMs       int       `cbor:"5,keyasint,omitempty"`
+	Gates     int       `cbor:"6,keyasint,omitempty"`
 	Contacts  []Contact `cbor:"7,keyasint,omitempty"`
 	Entries   []Entry   `cbor:"8,keyasint,omitempty"`
 	Sums      []Digest  `cbor:"9,keyasint,omitempty"`
+	Partial   bool      `cbor:"10,keyasint,omitempty"` // only Sums count, the rest is as before
 }
 
 // Config bounds the protocol. A zero value takes its default.
@@ -134,7 +135,7 @@
 	DefaultLostAfter      = 3 * time.Second
 	DefaultPacketBytes    = 1200
 	DefaultBytesPerSecond = 8000
-	DefaultNearInterval   = time.Second
+	DefaultNearInterval   = 2 * time.Second
 	DefaultFarInterval    = 5 * time.Second
 	DefaultForgetAfter    = 2 * time.Hour // regions lose each other for an hour
 	// MaxDigestBytes bounds one digest, one sum and one direct message.
@@ -150,6 +151,9 @@
 	// reconnectRounds is the number of heartbeats between two attempts to
 	// reach a seed or a lost VM.
 	reconnectRounds = 10
+	// settleRounds is the number of first heartbeats in which a VM does not yet
+	// speak for its place: it may only not have met the others.
+	settleRounds = 2
 	// joinRounds is the number of first heartbeats that try a seed each.
 	joinRounds = 10
 )
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -152,7 +152,7 @@
 		Quorum:    Quorum{Heartbeat: 100 * time.Millisecond, Election: time.Second, JobGroups: 2, SnapshotEntries: 4096, ReplaceAfter: time.Minute},
 		Config:    Config{Lease: 4 * time.Second, Renew: time.Second, WhenAlone: Refuse},
 		Directory: Directory{AnswerLifetime: 10 * time.Second, MaxEntries: 8},
-		Upstream:  Upstream{AnnounceInterval: time.Second, ExpireAfter: 4 * time.Second},
+		Upstream:  Upstream{AnnounceInterval: time.Second, ExpireAfter: 6 * time.Second},
 		Batch: Batch{
 			Lease: 10 * time.Second, LeaseItems: 64, MaxAttempts: 5,
 			ResultFlush: 20 * time.Millisecond, ResultGroup: 256, Retention: 7 * 24 * time.Hour,
