--- a/cmd/experiment/overhead.go
+++ b/cmd/experiment/overhead.go
@@ -6,14 +6,13 @@
 	"fmt"
 	"math/rand/v2"
 	"os"
-	"path/filepath"
 	"text/tabwriter"
 	"time"
 
 	"github.com/urfave/cli/v3"
 
 	"slateway.example/slateway/internal/load"
-	"slateway.example/slateway/test/fleet"
+	"slateway.example/slateway/test/harness"
 )
 
 // streamsMeasured are the numbers of concurrent streams.
@@ -49,7 +48,7 @@
 		return err
 	}
 	length := min(command.Duration("length"), maxLength)
-	s, err := startSite(ctx, programs, filepath.Join(folder, "overhead"), overheadWorkload())
+	s, err := startSite(ctx, programs, folder, "overhead", overheadWorkload())
 	if err != nil {
 		return err
 	}
@@ -87,6 +86,7 @@
 		engine:      "wordroom",
 		engines:     1,
 		slots:       1024,
+		pace:        evenPace,
 		batchPolicy: "tail",
 	}
 }
@@ -121,7 +121,7 @@
 	}, nil
 }
 
-func (s *site) gateUsage() (fleet.Usage, error) { return s.VMs[0].Usage() }
+func (s *site) gateUsage() (harness.Usage, error) { return s.VMs[0].Usage() }
 
 func printSamples(samples []sample) {
 	table := tabwriter.NewWriter(os.Stdout, 0, 8, 2, ' ', tabwriter.AlignRight)
--- a/cmd/experiment/run.go
+++ b/cmd/experiment/run.go
@@ -6,7 +6,6 @@
 	"maps"
 	"math/rand/v2"
 	"os"
-	"path/filepath"
 	"strings"
 	"time"
 
@@ -14,7 +13,7 @@
 
 	"slateway.example/slateway/internal/load"
 	"slateway.example/slateway/standin/engine"
-	"slateway.example/slateway/test/fleet"
+	"slateway.example/slateway/test/harness"
 )
 
 // Bounds of one cell of an experiment.
@@ -47,7 +46,7 @@
 type experiment struct {
 	workload workload
 	folder   string
-	programs fleet.Programs
+	programs harness.Programs
 	share    float64
 	length   time.Duration
 	seed     uint64
@@ -99,7 +98,7 @@
 	if err != nil {
 		return nil, err
 	}
-	s, err := startSite(ctx, e.programs, filepath.Join(e.folder, string(m)+"-"+faultName), &e.workload)
+	s, err := startSite(ctx, e.programs, e.folder, string(m)+"-"+faultName, &e.workload)
 	if err != nil {
 		return nil, err
 	}
--- a/cmd/experiment/workload.go
+++ b/cmd/experiment/workload.go
@@ -5,13 +5,13 @@
 	"time"
 
 	"slateway.example/slateway/internal/load"
-	"slateway.example/slateway/test/fleet"
+	"slateway.example/slateway/test/harness"
 )
 
 // workload is the fleet of one of the sites, and what its callers ask for.
 type workload struct {
 	name        string
-	places      []fleet.Place
+	places      []harness.Place
 	linkDelay   time.Duration // one way between places
 	gates       int
 	engine      string // service of the engines
@@ -19,6 +19,7 @@
 	service     string // plain service
 	services    int
 	slots       int // of an engine
+	pace        pace
 	batchPolicy string
 }
 
@@ -34,6 +35,7 @@
 		service:     "pagedesk",
 		services:    3,
 		slots:       8,
+		pace:        sitePace,
 		batchPolicy: "throughput",
 	},
 	"registry": {
@@ -46,14 +48,15 @@
 		service:     "plate-app",
 		services:    3,
 		slots:       8,
+		pace:        sitePace,
 		batchPolicy: "tail",
 	},
 }
 
-func places(region string, names ...string) []fleet.Place {
-	all := make([]fleet.Place, len(names))
+func places(region string, names ...string) []harness.Place {
+	all := make([]harness.Place, len(names))
 	for i, name := range names {
-		all[i] = fleet.Place{Name: name, Region: region}
+		all[i] = harness.Place{Name: name, Region: region}
 	}
 	return all
 }
@@ -61,14 +64,30 @@
 // keepers is the number of VMs that keep state.
 const keepers = 3
 
-// Pace of the engines: a first token takes a prefill, a quarter of it for a
-// cached prefix, and each further stream in the batch slows all tokens down.
-const (
-	firstToken       = 60 * time.Millisecond
-	firstTokenCached = 15 * time.Millisecond
-	tokenEvery       = 10 * time.Millisecond
-	tokenPerRunning  = 500 * time.Microsecond
-)
+// pace is how quick an engine is.
+type pace struct {
+	firstToken       time.Duration
+	firstTokenCached time.Duration
+	tokenEvery       time.Duration
+	tokenPerRunning  time.Duration
+}
+
+// sitePace is that of the sites: a first token takes a prefill, a quarter of
+// it for a cached prefix, and each further stream slows all tokens down.
+var sitePace = pace{
+	firstToken:       60 * time.Millisecond,
+	firstTokenCached: 15 * time.Millisecond,
+	tokenEvery:       10 * time.Millisecond,
+	tokenPerRunning:  500 * time.Microsecond,
+}
+
+// evenPace is the same for every request, so that differences come from
+// elsewhere.
+var evenPace = pace{
+	firstToken:       15 * time.Millisecond,
+	firstTokenCached: 15 * time.Millisecond,
+	tokenEvery:       10 * time.Millisecond,
+}
 
 // mix is what both online callers and batch jobs ask for.
 func (w *workload) mix() load.Mix {
@@ -85,18 +104,18 @@
 	return []string{
 		"--model", modelName + "@1",
 		"--slots", fmt.Sprint(w.slots),
-		"--first-token", firstToken.String(),
-		"--first-token-cached", firstTokenCached.String(),
-		"--token-every", tokenEvery.String(),
-		"--token-per-running", tokenPerRunning.String(),
+		"--first-token", w.pace.firstToken.String(),
+		"--first-token-cached", w.pace.firstTokenCached.String(),
+		"--token-every", w.pace.tokenEvery.String(),
+		"--token-per-running", w.pace.tokenPerRunning.String(),
 	}
 }
 
 // vms lays the gates over the places in turn; the first ones are keepers too.
-func (w *workload) vms() []fleet.VMOptions {
-	vms := make([]fleet.VMOptions, w.gates)
+func (w *workload) vms() []harness.VMOptions {
+	vms := make([]harness.VMOptions, w.gates)
 	for i := range vms {
-		vms[i] = fleet.VMOptions{Place: w.places[i%len(w.places)], Gate: true, Keeper: i < keepers}
+		vms[i] = harness.VMOptions{Place: w.places[i%len(w.places)], Gate: true, Keeper: i < keepers}
 	}
 	return vms
 }
--- a/internal/gate/proxy/attempt.go
+++ b/internal/gate/proxy/attempt.go
@@ -49,6 +49,7 @@
 // cancelUpstream asks the engine to stop the request, over another connection:
 // the end of one that has gone silent may never reach the engine.
 func (a *attempt) cancelUpstream() {
+	start := time.Now()
 	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
 	defer cancel()
 	body := fmt.Sprintf(`{"request_id":%q}`, a.upstreamID())
@@ -59,6 +60,7 @@
 	request.Header.Set("Content-Type", "application/json")
 	response, err := a.links().pool(a.target.Replica).RoundTrip(request)
 	if err == nil {
+		a.flight.shard.router.options.Metrics.Observe(MetricYield, time.Since(start))
 		_, _ = io.Copy(io.Discard, io.LimitReader(response.Body, maxProbeBytes))
 		_ = response.Body.Close()
 	}
@@ -221,6 +223,9 @@
 		if e.err != nil {
 			return &engineError{detail: string(e.err)}
 		}
+		if e.chunk.cancelled() {
+			return &engineError{detail: "that the request was cancelled"}
+		}
 		if e.done {
 			return a.finishStream(e)
 		}
@@ -248,6 +253,14 @@
 	return nil
 }
 
+// endUnknown says whether an answer with a body ends by closing the connection
+// only: whether it is whole cannot be known then.
+func endUnknown(response *http.Response) bool {
+	bodiless := response.Request.Method == http.MethodHead ||
+		response.StatusCode == http.StatusNoContent || response.StatusCode == http.StatusNotModified
+	return !bodiless && response.ContentLength < 0 && len(response.TransferEncoding) == 0
+}
+
 // readWhole reads a plain answer to its end before any of it is passed on, so
 // that a truncated one is never taken for whole. The transport checks it
 // against its Content-Length or chunks.
@@ -260,8 +273,8 @@
 	if len(body) > limit {
 		return errTooLong
 	}
-	if response.ContentLength < 0 && len(response.TransferEncoding) == 0 {
-		return errTruncated // ended by closing the connection: its end cannot be known
+	if endUnknown(response) {
+		return errTruncated
 	}
 	if a.flight.shard.complete(a) {
 		a.flight.succeed(&reply{status: response.StatusCode, header: response.Header, body: body})
--- a/internal/member/types.go
+++ b/internal/member/types.go
@@ -57,9 +57,19 @@
 }
 
 // DigestKind separates the digests that one VM spreads. The package does not
-// look into them.
+// look into them; the range of a kind says how it is treated.
 type DigestKind uint8
 
+// Ranges of kinds.
+const (
+	// FirstNear begins the kinds whose sums stay within the region.
+	FirstNear DigestKind = 64
+	// FirstVolatile begins the kinds that are renewed about once a second. A
+	// lost one is not repaired: views that differ by these alone, as they
+	// nearly always do, would be compared and sent again each heartbeat.
+	FirstVolatile DigestKind = 128
+)
+
 // Digest is a small opaque value that a VM spreads in its place.
 type Digest struct {
 	Kind    DigestKind `cbor:"1,keyasint"`
@@ -95,11 +105,12 @@
 	Region    string    `cbor:"2,keyasint"`
 	Publisher string    `cbor:"3,keyasint"` // the delegate
 	Version   uint64    `cbor:"4,keyasint"` // rises with each publication
-	VMs       int       `cbor:"5,keyasint"`
-	Gates     int       `cbor:"6,keyasint"`
+	VMs       int       `cbor:"5,keyasint,omitempty"`
+	Gates     int       `cbor:"6,keyasint,omitempty"`
 	Contacts  []Contact `cbor:"7,keyasint,omitempty"`
 	Entries   []Entry   `cbor:"8,keyasint,omitempty"`
 	Sums      []Digest  `cbor:"9,keyasint,omitempty"`
+	Partial   bool      `cbor:"10,keyasint,omitempty"` // only Sums count, the rest is as before
 }
 
 // Config bounds the protocol. A zero value takes its default.
@@ -124,7 +135,7 @@
 	DefaultLostAfter      = 3 * time.Second
 	DefaultPacketBytes    = 1200
 	DefaultBytesPerSecond = 8000
-	DefaultNearInterval   = time.Second
+	DefaultNearInterval   = 2 * time.Second
 	DefaultFarInterval    = 5 * time.Second
 	DefaultForgetAfter    = 2 * time.Hour // regions lose each other for an hour
 	// MaxDigestBytes bounds one digest, one sum and one direct message.
@@ -134,12 +145,15 @@
 	keepaliveFactor = 2
 	// staleFactor times the keepalive is the silence until an area is stale.
 	staleFactor     = 3
-	maxContacts     = 3
+	maxContacts     = 4
 	maxEntries      = 4
 	indirectProbers = 2
 	// reconnectRounds is the number of heartbeats between two attempts to
 	// reach a seed or a lost VM.
 	reconnectRounds = 10
+	// settleRounds is the number of first heartbeats in which a VM does not yet
+	// speak for its place: it may only not have met the others.
+	settleRounds = 2
 	// joinRounds is the number of first heartbeats that try a seed each.
 	joinRounds = 10
 )
--- a/internal/route/failure.go
+++ b/internal/route/failure.go
@@ -262,12 +262,18 @@
 	}
 }
 
+// queuedFactor stretches the first timeout of a request that was sent to a full
+// replica: until a slot is free, nothing comes on a connection in good order.
+const queuedFactor = 4
+
 func (s *Shard) silenceLimit(a *attempt) time.Duration {
 	switch {
 	case a.on.entry.Kind == upstream.KindService:
 		return s.config.ServiceTimeout
 	case a.tokens > 0:
 		return s.config.TokenTimeout
+	case a.queued:
+		return queuedFactor * s.config.FirstTimeout
 	default:
 		return s.config.FirstTimeout
 	}
@@ -314,7 +320,7 @@
 	if s.at.Sub(req.queuedAt) < s.config.OutageWait {
 		return nil
 	}
-	if _, ready := s.servable(req); ready == 0 {
+	if s.readinessFor(req) != someReady {
 		return noReadyError(req)
 	}
 	return nil
--- a/internal/team/registry.go
+++ b/internal/team/registry.go
@@ -207,11 +207,12 @@
 
 // commit puts an accepted change into the state and the delta log.
 func (r *Registry) commit(change *Change) {
+	putTeam := r.withTokens(change.PutTeam)
 	delta := Delta{
 		Stamp:           Stamp{Revision: r.revision, ChangeID: change.ID, Operator: change.Operator},
 		Template:        change.PutTemplate,
 		DeletedTemplate: change.DeleteTemplate,
-		Team:            change.PutTeam,
+		Team:            putTeam,
 		DeletedTeam:     change.DeleteTeam,
 	}
 	key := delta.key()
@@ -221,7 +222,7 @@
 		r.stamps[key] = delta.Stamp
 	}
 	if key.Team {
-		r.replaceTeam(key.Name, change.PutTeam)
+		r.replaceTeam(key.Name, putTeam)
 	} else if change.PutTemplate != nil {
 		r.templates[key.Name] = change.PutTemplate
 	} else {
@@ -233,6 +234,22 @@
 	}
 }
 
+// withTokens gives a team that is put without tokens the ones it has: operators
+// never see them, so they could not send them again. The change itself stays as
+// it was sent, or a resend of it would no longer be known.
+func (r *Registry) withTokens(put *Team) *Team {
+	if put == nil || len(put.Tokens) > 0 {
+		return put
+	}
+	old := r.teams[put.Name]
+	if old == nil {
+		return put
+	}
+	copied := *put
+	copied.Tokens = old.Tokens
+	return &copied
+}
+
 // replaceTeam puts team under its name, or removes the name if team is nil.
 func (r *Registry) replaceTeam(name string, team *Team) {
 	if old := r.teams[name]; old != nil {
