Notice silent connections, keep entries for a running transfer, count leadership

A call may take a quarter of an election timeout, so that a heartbeat and the answer to the next one can both be lost on silent connections before the leader gives up its office; a failed call also drops the idle connections. With half an election timeout the leader was deposed. A sole voter leads at once.

--- a/internal/quorum/election.go
+++ b/internal/quorum/election.go
@@ -3,6 +3,9 @@
 func (n *Node) resetElection() {
 	n.elapsed = 0
 	n.timeout = n.config.ElectionTicks + n.config.Rand(n.config.ElectionTicks)
+	if members := n.Membership(); members.Voters() == 1 && members.IsVoter(n.config.ID) {
+		n.timeout = 1 // nobody else could lead
+	}
 }
 
 func (n *Node) becomeFollower(term uint64, leader ID) {
--- a/internal/replica/bench_test.go
+++ b/internal/replica/bench_test.go
@@ -93,6 +93,9 @@
 		})
 	}
 	wait.Wait()
+	for i := range 3 { // the commit index rides along with the next write
+		c.change(fmt.Sprint("last-", i))
+	}
 	snapshotBytes := v.host.Status()[0].SnapshotBytes
 	var logBytes int64
 	segments, _ := filepath.Glob(filepath.Join(v.folder, logFolder, "*"))
--- a/internal/replica/config.go
+++ b/internal/replica/config.go
@@ -7,6 +7,7 @@
 
 	"go.uber.org/zap"
 
+	"slateway.example/slateway/internal/telemetry"
 	"slateway.example/slateway/internal/wal"
 )
 
@@ -36,6 +37,7 @@
 
 	SnapshotEntries uint64 // entries between snapshots of a group; 10,000
 	SnapshotBytes   int64  // bytes of entries between them; 16 MiB
+	KeepEntries     uint64 // stay in memory behind a snapshot, for members that lag a little; 1,000
 	MaxProposals    int    // waiting in one group; 8,192
 	TransferRate    int64  // bytes a second of snapshots sent; 32 MiB
 
@@ -47,26 +49,35 @@
 	// measure against.
 	SyncEach bool
 
-	Logger *zap.Logger
-	Client *http.Client // for calls to the other members
-	WAL    wal.Options
+	Logger  *zap.Logger
+	Metrics *telemetry.Metrics
+	Client  *http.Client // for calls to the other members
+	WAL     wal.Options
 }
 
+// Names of the metrics of a host.
+const (
+	metricSync          = "quorum.sync"           // latency of a write to the log
+	metricElected       = "quorum.elected"        // times this VM came to lead a group
+	metricDeposed       = "quorum.deposed"        // times it ceased to
+	metricSnapshots     = "quorum.snapshots"      // taken here
+	metricTransfers     = "quorum.transfers"      // snapshots sent to other members
+	metricTransferFails = "quorum.transfer_fails" // snapshots that did not arrive
+)
+
 const (
 	defaultTick            = 50 * time.Millisecond
 	defaultHeartbeatTicks  = 2
 	defaultElectionTicks   = 12
 	defaultSnapshotEntries = 10_000
 	defaultSnapshotBytes   = 16 << 20
+	defaultKeepEntries     = 1_000
 	defaultMaxProposals    = 8_192
 	defaultTransferRate    = 32 << 20
 
 	maxAppendBytes  = 512 << 10
 	maxInflight     = 16
 	maxProposalSize = 4 << 20
-	// keptEntries stay in memory behind a snapshot, for members that lag a
-	// little, so that they need no transfer.
-	keptEntries = 1_000
 )
 
 func (c Config) withDefaults() Config {
@@ -75,6 +86,7 @@
 	setDefault(&c.ElectionTicks, defaultElectionTicks)
 	setDefault(&c.SnapshotEntries, defaultSnapshotEntries)
 	setDefault(&c.SnapshotBytes, defaultSnapshotBytes)
+	setDefault(&c.KeepEntries, defaultKeepEntries)
 	setDefault(&c.MaxProposals, defaultMaxProposals)
 	setDefault(&c.TransferRate, defaultTransferRate)
 	if c.SyncEach {
@@ -83,6 +95,9 @@
 	if c.Logger == nil {
 		c.Logger = zap.NewNop()
 	}
+	if c.Metrics == nil {
+		c.Metrics = telemetry.NewMetrics()
+	}
 	if c.Client == nil {
 		c.Client = &http.Client{Transport: &http.Transport{
 			MaxIdleConnsPerHost: 4,
--- a/internal/replica/group.go
+++ b/internal/replica/group.go
@@ -31,11 +31,12 @@
 	proposals map[uint64]*proposal // by index
 	reads     map[uint64]*read     // by ID
 	nextRead  uint64
+	leads     bool      // as last counted
 	lostLead  int       // ticks since leadership was lost with proposals waiting
 	syncSince time.Time // start of the sync that is running
 	request   *replacement
 	status    groupCounters
-	sending   map[quorum.ID]bool // snapshot transfers that are running
+	sending   map[quorum.ID]uint64 // index of the snapshot that is on its way to a member
 
 	staging staging
 
@@ -93,7 +94,7 @@
 		wake:      make(chan struct{}, 1),
 		proposals: map[uint64]*proposal{},
 		reads:     map[uint64]*read{},
-		sending:   map[quorum.ID]bool{},
+		sending:   map[quorum.ID]uint64{},
 		staging:   staging{folder: held.path(incomingFolder)},
 	}, nil
 }
@@ -152,9 +153,22 @@
 	for _, to := range outbox.Snapshots {
 		g.startTransfer(to)
 	}
+	if leads := g.node.IsLeader(); leads != g.leads {
+		g.leads = leads
+		g.leadChanged()
+	}
 	g.signal()
 }
 
+func (g *group) leadChanged() {
+	name := metricDeposed
+	if g.leads {
+		name = metricElected
+	}
+	g.host.config.Metrics.Count(name)
+	g.host.logger.Info("leadership", zap.Uint32("group", g.id), zap.Bool("leads", g.leads), zap.Uint64("term", g.node.Term()))
+}
+
 func (g *group) finishRead(id uint64, waiting *read) {
 	if waiting.index != 0 && waiting.index <= g.applied {
 		waiting.done <- nil
@@ -208,9 +222,14 @@
 	}
 }
 
-// notLeader names the leader that this member knows. The mutex is held.
+// notLeader names the leader that this member knows. It never names this VM,
+// which has just refused: a caller would come back at once, again and again.
+// The mutex is held.
 func (g *group) notLeader() error {
 	leader, _ := g.leader()
+	if leader.ID == g.host.self.ID {
+		leader = Member{}
+	}
 	return &NotLeaderError{Group: g.id, Leader: leader, Address: leader.Address}
 }
 
@@ -245,6 +264,10 @@
 	if err != nil {
 		return nil, g.notLeader()
 	}
+	if older := g.proposals[index]; older != nil {
+		// Its entry was overwritten by a newer leader before this VM led again.
+		older.done <- outcome{err: g.notLeader()}
+	}
 	waiting := &proposal{term: term, done: make(chan outcome, 1)}
 	g.proposals[index] = waiting
 	g.flush()
@@ -372,8 +395,9 @@
 	}
 	err := <-synced
 	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.host.config.Metrics.Observe(metricSync, time.Since(g.syncSince))
 	g.syncSince = time.Time{}
-	g.mu.Unlock()
 	return err
 }
 
@@ -445,7 +469,7 @@
 		return err
 	}
 	g.mu.Lock()
-	_, err = g.node.Compact(meta.Index, keptEntries)
+	_, err = g.node.Compact(meta.Index, g.entriesToKeep(meta.Index))
 	g.status = groupCounters{snapshotIndex: meta.Index, snapshotBytes: bytes}
 	g.mu.Unlock()
 	if err != nil {
@@ -454,10 +478,23 @@
 	stored.State = nil
 	g.installed = stored
 	g.sinceSnapshot, g.bytesSince = 0, 0
+	g.host.config.Metrics.Count(metricSnapshots)
 	g.host.logger.Debug("snapshot", zap.Uint32("group", g.id), zap.Uint64("index", meta.Index), zap.Int("bytes", bytes))
 	return g.host.log.Release(g.id, meta.Index)
 }
 
+// entriesToKeep gives how many entries before a snapshot stay in memory. Those
+// after a snapshot that is being sent must: the member needs them next, and
+// without them it would need another snapshot, for as long as the changes go on
+// faster than a transfer. The mutex is held.
+func (g *group) entriesToKeep(index uint64) uint64 {
+	keep := g.host.config.KeepEntries
+	for _, sent := range g.sending {
+		keep = max(keep, index-min(index, sent))
+	}
+	return keep
+}
+
 // install puts a snapshot that has arrived in full in place of the state.
 func (g *group) install(meta quorum.SnapshotMeta) error {
 	if err := g.staging.handOver(g.store.path(installFolder)); err != nil {
--- a/internal/replica/transfer.go
+++ b/internal/replica/transfer.go
@@ -53,16 +53,18 @@
 
 // startTransfer sends the newest snapshot to a member. The mutex is held.
 func (g *group) startTransfer(to quorum.ID) {
-	if g.sending[to] {
+	if _, running := g.sending[to]; running {
 		return
 	}
 	address := g.host.transport.addressOf(g.node.Membership(), to)
 	term := g.node.Term()
 	base := g.node.SnapshotMeta()
-	g.sending[to] = true
+	g.sending[to] = base.Index
 	g.host.spawn(func() {
 		index, err := g.transfer(address, to, term, base)
+		g.host.config.Metrics.Count(metricTransfers)
 		if err != nil {
+			g.host.config.Metrics.Count(metricTransferFails)
 			g.host.logger.Warn("snapshot transfer", zap.Uint32("group", g.id), zap.String("to", address), zap.Error(err))
 			sleep(g.host.ctx, transferRetry)
 		}
--- a/internal/replica/transport.go
+++ b/internal/replica/transport.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net/http"
 	"sync"
 	"time"
 
@@ -27,7 +28,17 @@
 // Bounds of what waits for one member, in messages and in bytes of one call.
 const (
 	maxQueued     = 4096
-	maxBatchBytes = 1 << 20
+	maxBatchBytes = 512 << 10
+)
+
+const (
+	// callsPerElection calls, one after the other, may time out in an election
+	// timeout. A connection may go silent for good, in both directions at once:
+	// then a heartbeat is lost, and after it the answer to the next one. Both
+	// must be noticed before the leader gives up its office.
+	callsPerElection = 4
+	// slowestLink, in bytes a second, extends the timeout of large batches.
+	slowestLink = 4 << 20
 )
 
 type ack struct{}
@@ -57,6 +68,7 @@
 // A lost batch is no harm: the decisions send anew.
 type transport struct {
 	client  *rpc.Client
+	http    *http.Client
 	self    Member
 	timeout time.Duration
 	logger  *zap.Logger
@@ -80,11 +92,8 @@
 func newTransport(config Config, self Member) *transport {
 	ctx, cancel := context.WithCancel(context.Background())
 	return &transport{
-		client: rpc.NewClient(config.Client), self: self, logger: config.Logger,
-		// A connection may go silent for good. Half an election timeout leaves
-		// time for a heartbeat on a fresh one before the members elect anew; a
-		// call that is given up closes its HTTP/1 connection.
-		timeout: config.electionTimeout() / 2,
+		client: rpc.NewClient(config.Client), http: config.Client, self: self, logger: config.Logger,
+		timeout: config.electionTimeout() / callsPerElection,
 		peers:   map[string]*peer{}, heard: map[quorum.ID]string{}, ctx: ctx, cancel: cancel,
 	}
 }
@@ -168,9 +177,18 @@
 }
 
 func (t *transport) call(address string, next *batch) error {
-	ctx, cancel := context.WithTimeout(t.ctx, t.timeout)
+	size := 0
+	for i := range next.Envelopes {
+		size += next.Envelopes[i].size()
+	}
+	ctx, cancel := context.WithTimeout(t.ctx, t.timeout+time.Duration(size)*time.Second/slowestLink)
 	defer cancel()
 	_, err := rpc.Call(ctx, t.client, address, procedureMessages, next)
+	if err != nil {
+		// A call that is given up closes its own HTTP/1 connection. The idle
+		// ones beside it may have gone silent with it.
+		t.http.CloseIdleConnections()
+	}
 	return err
 }
 
