Count a member as following only once it has caught up

A voter that comes back after long answers heartbeats at once and was counted in the tolerance before it held what the others do; it counts again when it holds what was committed an election timeout ago.

--- a/internal/quorum/election.go
+++ b/internal/quorum/election.go
@@ -129,6 +129,7 @@
 	n.elapsed = 0
 	n.beat = 0
 	n.progress = map[ID]*progress{}
+	n.recentCommit, n.earlierCommit, n.sinceMark = n.log.commit, n.log.commit, 0
 	n.adopt()
 	// Entries of earlier terms count as committed only below one of this term:
 	// a majority may hold them and a later leader still overwrite them.
@@ -148,6 +149,7 @@
 		n.becomeFollower(n.term, None)
 		return
 	}
+	n.markCommit()
 	if n.transferee != None && n.elapsed >= n.config.ElectionTicks {
 		n.transferee = None
 	}
--- a/internal/quorum/membership.go
+++ b/internal/quorum/membership.go
@@ -143,7 +143,7 @@
 // changes: the majority that remains would include a member without them.
 func (n *Node) caughtUp(id ID) bool {
 	p := n.progress[id]
-	return p != nil && p.follows(n.config.ElectionTicks) && p.match >= n.log.commit
+	return p != nil && n.follows(p) && p.match >= n.log.commit
 }
 
 func (n *Node) reachableVoters(m Membership) int {
--- a/internal/quorum/node.go
+++ b/internal/quorum/node.go
@@ -72,6 +72,11 @@
 	transferee ID
 	reads      readQueue
 
+	// What was committed at the last two marks, an election timeout apart.
+	recentCommit  uint64
+	earlierCommit uint64
+	sinceMark     int
+
 	saved     HardState // as last handed to the shell
 	installed *SnapshotMeta
 	outbox    Outbox
--- a/internal/quorum/progress.go
+++ b/internal/quorum/progress.go
@@ -46,8 +46,3 @@
 		p.next = p.match + 1
 	}
 }
-
-// follows says whether the member answers and takes the log entry by entry.
-func (p *progress) follows(electionTicks int) bool {
-	return p.state == Replicating && p.idle < electionTicks
-}
--- a/internal/quorum/status.go
+++ b/internal/quorum/status.go
@@ -36,7 +36,7 @@
 		view := MemberStatus{Member: member}
 		if p := n.progress[member.ID]; p != nil {
 			view.Match, view.IdleTicks, view.State = p.match, p.idle, p.state
-			view.Reachable = member.ID == n.config.ID || p.follows(n.config.ElectionTicks)
+			view.Reachable = member.ID == n.config.ID || n.follows(p)
 		}
 		if view.Reachable && !member.Learner {
 			s.Reachable++
@@ -49,6 +49,22 @@
 	return s
 }
 
+// follows says whether a member answers, takes the log entry by entry, and holds
+// what was committed an election timeout ago. One that has just come back after
+// long does not: without it the state of the others is no less needed.
+func (n *Node) follows(p *progress) bool {
+	return p.state == Replicating && p.idle < n.config.ElectionTicks && p.match >= n.earlierCommit
+}
+
+// markCommit remembers, every election timeout, what was committed by then.
+func (n *Node) markCommit() {
+	n.sinceMark++
+	if n.sinceMark >= n.config.ElectionTicks {
+		n.earlierCommit, n.recentCommit = n.recentCommit, n.log.commit
+		n.sinceMark = 0
+	}
+}
+
 // tolerance counts under both memberships while a change is not committed. If
 // this leader is lost then, the others may never have seen the change: they
 // still need a majority of the old members, among them perhaps a lost one.
@@ -60,7 +76,7 @@
 	following := 0
 	for _, member := range m.Members {
 		p := n.progress[member.ID]
-		if !member.Learner && (member.ID == n.config.ID || p != nil && p.follows(n.config.ElectionTicks)) {
+		if !member.Learner && (member.ID == n.config.ID || p != nil && n.follows(p)) {
 			following++
 		}
 	}
--- a/internal/replica/host_test.go
+++ b/internal/replica/host_test.go
@@ -225,7 +225,7 @@
 		c.change(fmt.Sprintf("%0*d", size, i))
 	}
 	c.restart(away)
-	reached := c.leader().host.Status()[0].Commit + 1
+	reached := c.leader().host.Status()[0].Commit
 	stop := make(chan struct{})
 	var wait sync.WaitGroup
 	for worker := range 4 {
@@ -240,7 +240,14 @@
 			}
 		})
 	}
-	c.eventually("the member has caught up", func() bool { return away.host.Status()[0].Applied >= reached })
+	c.eventually("the member takes entries one by one", func() bool {
+		for _, m := range c.leader().host.Status()[0].Members {
+			if m.VM == away.name {
+				return m.Reachable && m.Match > reached
+			}
+		}
+		return false
+	})
 	close(stop)
 	wait.Wait()
 	if sent := c.leader().host.config.Metrics.Value(metricTransfers); sent != 1 {
