--- a/cmd/experiment/report.go
+++ b/cmd/experiment/report.go
@@ -50,6 +50,7 @@
 	Command  string  `json:"command"`
 	Workload string  `json:"workload"`
 	Policy   string  `json:"policy"`
+	Gates    int     `json:"gates"`
 	Seed     uint64  `json:"seed"`
 	Share    float64 `json:"online_share_of_capacity"`
 	Length   string  `json:"length"`
@@ -85,8 +86,8 @@
 }
 
 func (r *report) table(out io.Writer) {
-	fmt.Fprintf(out, "\n%s, policy %s, seed %d, capacity %.0f requests/s, online %.0f%% of it for %s\n",
-		r.Workload, r.Policy, r.Seed, r.Capacity, 100*r.Share, r.Length)
+	fmt.Fprintf(out, "\n%s, policy %s, %d gates, seed %d, capacity %.0f requests/s, online %.0f%% of it for %s\n",
+		r.Workload, r.Policy, r.Gates, r.Seed, r.Capacity, 100*r.Share, r.Length)
 	table := tabwriter.NewWriter(out, 0, 8, 2, ' ', tabwriter.AlignRight)
 	fmt.Fprintln(table, "fault\tmode\toffered\tanswered\tmedian ms\tp95\tp99\tp99.9\tp99 ratio\titems/s\tof idle\tengines lost\t")
 	for _, c := range r.Cells {
--- a/cmd/experiment/run.go
+++ b/cmd/experiment/run.go
@@ -30,6 +30,7 @@
 		Flags: []cli.Flag{
 			&cli.StringFlag{Name: "workload", Value: "guild", Usage: "guild or registry"},
 			&cli.StringFlag{Name: "policy", Usage: "batch policy of the team; the workload's own if not given"},
+			&cli.IntFlag{Name: "gates", Usage: "number of gates; the workload's own if not given"},
 			&cli.StringSliceFlag{Name: "mode", Value: []string{string(modeNone), string(modeUncontrolled), string(modeFixed), string(modeOurs)}, Usage: "`MODE`; repeatable"},
 			&cli.StringSliceFlag{Name: "fault", Value: []string{"none"}, Usage: "`FAULT`; repeatable"},
 			&cli.Float64Flag{Name: "share", Value: 0.4, Usage: "online load as a share of the capacity"},
@@ -61,6 +62,9 @@
 	if policy := command.String("policy"); policy != "" {
 		chosen.batchPolicy = policy
 	}
+	if gates := command.Int("gates"); gates > 0 {
+		chosen.gates = gates
+	}
 	length := command.Duration("length")
 	if length > maxLength {
 		return fmt.Errorf("--length %s is over %s", length, maxLength)
@@ -74,7 +78,7 @@
 		share: command.Float64("share"), length: length, seed: command.Uint64("seed"),
 	}
 	report := &report{
-		Command: strings.Join(os.Args, " "), Workload: chosen.name, Policy: chosen.batchPolicy,
+		Command: strings.Join(os.Args, " "), Workload: chosen.name, Policy: chosen.batchPolicy, Gates: chosen.gates,
 		Seed: e.seed, Share: e.share, Length: length.String(),
 	}
 	for _, faultName := range command.StringSlice("fault") {
