--- a/cmd/experiment/site.go
+++ b/cmd/experiment/site.go
@@ -28,7 +28,7 @@
 	if err != nil {
 		return nil, err
 	}
-	processes, err := harness.New(folder, programs, harness.Options{VMs: w.vms(), LinkDelay: w.linkDelay})
+	processes, err := harness.New(folder, programs, harness.Options{VMs: w.vms(), LinkDelay: w.linkDelay, NoRunLogs: true})
 	if err != nil {
 		return nil, err
 	}
--- a/test/harness/fleet.go
+++ b/test/harness/fleet.go
@@ -44,6 +44,9 @@
 	VMs []VMOptions
 	// Settings is TOML text that is added to every VM's settings.
 	Settings string
+	// NoRunLogs leaves out the upstreams' run logs. Their writes wait for the
+	// keepers' syncs of the same disk, which no upstream of a site shares.
+	NoRunLogs bool
 	// LinkDelay is the one-way delay between places. If it is not zero, gates
 	// reach upstreams through links; upstreams of their own place without delay.
 	LinkDelay time.Duration
--- a/test/harness/upstream.go
+++ b/test/harness/upstream.go
@@ -48,7 +48,10 @@
 
 	upstream.args = []string{
 		"--listen", address, "--service", service, "--replica", replica,
-		"--place", place.Name, "--vm", "host-of-" + replica, "--run-log", upstream.RunLog,
+		"--place", place.Name, "--vm", "host-of-" + replica,
+	}
+	if !f.options.NoRunLogs {
+		upstream.args = append(upstream.args, "--run-log", upstream.RunLog)
 	}
 	upstream.args = append(upstream.args, further...)
 	if err := f.addLinks(upstream); err != nil {
