--- /dev/null
+++ b/internal/keeper/keepertest/cluster.go
@@ -0,0 +1,206 @@
+package keepertest
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"go.uber.org/zap"
+
+	"slateway.example/slateway/internal/keeper"
+	"slateway.example/slateway/internal/keeper/keeperapi"
+	"slateway.example/slateway/internal/keeper/keeperclient"
+	"slateway.example/slateway/internal/replica"
+	"slateway.example/slateway/internal/rpc"
+)
+
+// Cluster is a set of keepers in one process that talk over loopback and sync to
+// folders of the test.
+type Cluster struct {
+	Keepers []*Keeper
+
+	tb     testing.TB
+	groups uint32
+	voters []replica.Voter
+	set    func(*replica.Config, *keeper.Options)
+}
+
+// Keeper is one of them.
+type Keeper struct {
+	VM      string
+	Address string
+	Host    *replica.Host
+
+	folder string
+	server *http.Server
+	cancel context.CancelFunc
+	cut    atomic.Int32 // a Cut
+}
+
+// Cut says whose calls hang at a keeper, without an error, as they do at a
+// frozen process or a dropped route.
+type Cut int32
+
+// Cuts.
+const (
+	CutNothing Cut = iota
+	CutPeers       // calls to and from the other keepers; gates and operators still reach it
+	CutAll
+)
+
+// StartCluster starts count keepers; set, which may be nil, adjusts the settings
+// of each. They stop with the test.
+func StartCluster(tb testing.TB, count int, groups uint32, set func(*replica.Config, *keeper.Options)) *Cluster {
+	tb.Helper()
+	c := &Cluster{tb: tb, groups: groups, set: set}
+	var listeners []net.Listener
+	for i := range count {
+		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			tb.Fatal(err)
+		}
+		listeners = append(listeners, listener)
+		k := &Keeper{VM: fmt.Sprintf("vm-%d", i+1), Address: listener.Addr().String(), folder: tb.TempDir()}
+		c.Keepers = append(c.Keepers, k)
+		c.voters = append(c.voters, replica.Voter{VM: k.VM, Address: k.Address})
+	}
+	for i, k := range c.Keepers {
+		if err := c.open(k, listeners[i]); err != nil {
+			tb.Fatal(err)
+		}
+	}
+	tb.Cleanup(func() {
+		for _, k := range c.Keepers {
+			k.Stop()
+		}
+	})
+	return c
+}
+
+func (c *Cluster) open(k *Keeper, listener net.Listener) error {
+	options := keeper.Options{Config: keeper.NewConfigMachine(), Jobs: make([]*keeper.JobMachine, c.groups-1), Log: zap.NewNop()}
+	config := replica.Config{
+		VM: k.VM, Address: k.Address, Folder: k.folder, Voters: c.voters, Groups: c.groups,
+		Client: &http.Client{Transport: k},
+		NewMachine: func(group uint32, folder string) (replica.Machine, error) {
+			if group == keeperapi.ConfigGroup {
+				return options.Config, nil
+			}
+			options.Jobs[group-1] = keeper.NewJobMachine(folder, func(err error) { panic(err) })
+			return options.Jobs[group-1], nil
+		},
+	}
+	if c.set != nil {
+		c.set(&config, &options)
+	}
+	host, err := replica.Open(config)
+	if err != nil {
+		return errors.Join(err, listener.Close())
+	}
+	k.Host = host
+	options.Proposer, options.Self = host, host.Self().ID
+	service := keeper.NewService(options)
+	peers, calls := http.NewServeMux(), http.NewServeMux()
+	host.Mount(peers)
+	service.Mount(calls)
+	ctx, cancel := context.WithCancel(context.Background())
+	k.cancel = cancel
+	k.server = &http.Server{Handler: k.guard(peers, calls), ReadHeaderTimeout: time.Minute}
+	go func(server *http.Server) { _ = server.Serve(listener) }(k.server)
+	host.Start()
+	go service.Run(ctx)
+	return nil
+}
+
+// guard passes requests on, or hangs those that are cut off.
+func (k *Keeper) guard(peers, calls *http.ServeMux) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		handler, cutFrom := calls, CutAll
+		if _, pattern := peers.Handler(r); pattern != "" {
+			handler, cutFrom = peers, CutPeers
+		}
+		if k.isCut(cutFrom) {
+			<-r.Context().Done()
+			return
+		}
+		handler.ServeHTTP(w, r)
+	})
+}
+
+func (k *Keeper) isCut(from Cut) bool { return Cut(k.cut.Load()) >= from }
+
+// RoundTrip sends a call to another keeper, or hangs it.
+func (k *Keeper) RoundTrip(r *http.Request) (*http.Response, error) {
+	if k.isCut(CutPeers) {
+		<-r.Context().Done()
+		return nil, r.Context().Err()
+	}
+	return http.DefaultTransport.RoundTrip(r)
+}
+
+// SetCut cuts the keeper off, or heals it.
+func (k *Keeper) SetCut(cut Cut) { k.cut.Store(int32(cut)) }
+
+// Stop ends the keeper.
+func (k *Keeper) Stop() {
+	k.cancel()
+	_ = k.server.Close()
+	k.Host.Stop()
+}
+
+// Restart starts a stopped keeper on its folder.
+func (c *Cluster) Restart(k *Keeper) {
+	c.tb.Helper()
+	const patience = 10 * time.Second
+	for deadline := time.Now().Add(patience); ; time.Sleep(5 * time.Millisecond) {
+		listener, err := net.Listen("tcp", k.Address)
+		if err == nil {
+			err = c.open(k, listener)
+		}
+		if err == nil {
+			return
+		}
+		if time.Now().After(deadline) {
+			c.tb.Fatal(err)
+		}
+	}
+}
+
+// Client makes a client with connections of its own.
+func (c *Cluster) Client() *keeperclient.Client { return c.LossyClient(func() bool { return false }) }
+
+// LossyClient makes a client that loses the answer of a call, after the keeper
+// has given it, whenever lose says so.
+func (c *Cluster) LossyClient(lose func() bool) *keeperclient.Client {
+	const connections = 256 // to each keeper; the default of 2 would close most after use
+	transport := &http.Transport{MaxIdleConnsPerHost: connections}
+	c.tb.Cleanup(transport.CloseIdleConnections)
+	var addresses []string
+	for _, k := range c.Keepers {
+		addresses = append(addresses, k.Address)
+	}
+	return keeperclient.New(rpc.NewClient(&http.Client{Transport: &lossy{transport: transport, lose: lose}}), addresses)
+}
+
+// lossy sends calls and may lose their answers.
+type lossy struct {
+	transport http.RoundTripper
+	lose      func() bool
+}
+
+var errAnswerLost = errors.New("connection reset")
+
+// RoundTrip sends a call.
+func (l *lossy) RoundTrip(r *http.Request) (*http.Response, error) {
+	response, err := l.transport.RoundTrip(r)
+	if err == nil && l.lose() {
+		_ = response.Body.Close()
+		return nil, errAnswerLost
+	}
+	return response, err
+}
--- /dev/null
+++ b/internal/keeper/measure_test.go
@@ -0,0 +1,154 @@
+package keeper_test
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"runtime"
+	"strconv"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"slateway.example/slateway/internal/job"
+	"slateway.example/slateway/internal/keeper/keeperclient"
+	"slateway.example/slateway/internal/keeper/keepertest"
+)
+
+const (
+	measuredGroups = 5
+	measuredGates  = 8
+	partSize       = 500
+	bodyBytes      = 400
+)
+
+// setting reads a size of the measurement from the environment.
+func setting(name string, fallback int) int {
+	if value, err := strconv.Atoi(os.Getenv(name)); err == nil {
+		return value
+	}
+	return fallback
+}
+
+// BenchmarkItemsEndToEnd uploads, leases, completes and reads the items of
+// several jobs through 3 keepers, with 8 gates. ITEMS and JOBS set the size.
+func BenchmarkItemsEndToEnd(b *testing.B) {
+	items, jobs := setting("ITEMS", 20_000), setting("JOBS", 8)
+	for b.Loop() {
+		cluster := keepertest.StartCluster(b, 3, measuredGroups, nil)
+		client := cluster.Client()
+		started := time.Now()
+		ids := upload(b, client, items, jobs)
+		report(b, "acknowledged/s", items, started)
+		started = time.Now()
+		execute(b, client, items)
+		report(b, "completed/s", items, started)
+		started = time.Now()
+		if read := readAll(b, client, ids); read != items {
+			b.Fatalf("read %d results of %d", read, items)
+		}
+		report(b, "read/s", items, started)
+	}
+}
+
+func report(b *testing.B, unit string, count int, since time.Time) {
+	b.ReportMetric(float64(count)/time.Since(since).Seconds(), unit)
+}
+
+func upload(b testing.TB, client *keeperclient.Client, items, jobs int) []job.ID {
+	ids := make([]job.ID, jobs)
+	body := make([]byte, bodyBytes)
+	var uploads errgroup.Group
+	for n := range jobs {
+		uploads.Go(func() error {
+			ctx := context.Background()
+			status, err := client.CreateJob(ctx, spec(fmt.Sprint("job-", n)))
+			if err != nil {
+				return err
+			}
+			ids[n] = status.ID
+			left, parts := items/jobs, 0
+			for ; left > 0; parts++ {
+				part := make([]job.Item, min(left, partSize))
+				for i := range part {
+					part[i] = job.Item{CustomID: fmt.Sprint(parts*partSize + i), Endpoint: "/v1/completions", Body: body}
+				}
+				if _, err := client.AddPart(ctx, status.ID, parts, part); err != nil {
+					return err
+				}
+				left -= len(part)
+			}
+			_, err = client.SealJob(ctx, status.ID, parts)
+			return err
+		})
+	}
+	if err := uploads.Wait(); err != nil {
+		b.Fatal(err)
+	}
+	return ids
+}
+
+func execute(b testing.TB, client *keeperclient.Client, items int) {
+	var done atomic.Int64
+	var gates errgroup.Group
+	for n := range measuredGates {
+		session := client.NewSession(fmt.Sprint("vm-gate-", n))
+		gates.Go(func() error { return gate(session, &done, int64(items)) })
+	}
+	if err := gates.Wait(); err != nil {
+		b.Fatal(err)
+	}
+}
+
+// gate leases and completes until all gates together have done all items.
+func gate(session *keeperclient.Session, done *atomic.Int64, items int64) error {
+	ctx := context.Background()
+	for done.Load() < items {
+		leased, err := session.Lease(ctx, []job.Want{{Queue: queue, Max: 32}}, 100*time.Millisecond)
+		if err != nil {
+			return err
+		}
+		results := make([]job.Result, 0, len(leased))
+		for _, item := range leased {
+			results = append(results, answer(item))
+		}
+		if err := session.Complete(ctx, results); err != nil {
+			return err
+		}
+		done.Add(int64(len(results)))
+	}
+	return nil
+}
+
+func readAll(b testing.TB, client *keeperclient.Client, ids []job.ID) int {
+	var count atomic.Int64
+	var reads errgroup.Group
+	for _, id := range ids {
+		reads.Go(func() error {
+			for from, end := uint32(0), false; !end; {
+				response, err := client.Results(context.Background(), id, from, 1000)
+				if err != nil {
+					return err
+				}
+				count.Add(int64(len(response.Results)))
+				from, end = response.Next, response.End
+			}
+			return nil
+		})
+	}
+	if err := reads.Wait(); err != nil {
+		b.Fatal(err)
+	}
+	return int(count.Load())
+}
+
+// heapInUse gives the bytes of live objects.
+func heapInUse() uint64 {
+	runtime.GC()
+	runtime.GC()
+	var stats runtime.MemStats
+	runtime.ReadMemStats(&stats)
+	return stats.HeapAlloc
+}
