--- a/internal/gate/proxy/weigh_test.go
+++ b/internal/gate/proxy/weigh_test.go
@@ -34,6 +34,7 @@
 	weighGossip   = 250 * time.Millisecond // between digests of two gates
 	weighWorkers  = 64                     // batch items that each gate holds ready
 	weighPrefixes = 48                     // different prompt starts
+	weighJobs     = 4                      // different starts of batch prompts
 	weighSeed     = 11
 )
 
@@ -44,6 +45,7 @@
 	noBatch    bool
 	disabled   route.Guards
 	noAffinity bool
+	mixedBatch bool // no two items start alike
 }
 
 func weighWays() []way {
@@ -60,6 +62,7 @@
 		{name: "batch without control", policy: throughput, disabled: route.Guards{Preempt: true, Yield: true, Feeder: true}},
 		{name: "fixed share of a half", policy: share, disabled: route.Guards{Preempt: true, Yield: true}},
 		{name: "throughput", policy: throughput},
+		{name: "throughput, unlike items", policy: throughput, mixedBatch: true},
 		{name: "throughput, packed", policy: packed},
 		{name: "throughput, newest first", policy: newest},
 		{name: "throughput, hold of 100 ms", policy: held},
@@ -203,12 +206,16 @@
 	}
 }
 
-// body gives a request. Online prompts start with one of a few instructions,
-// of which an engine caches a quarter; each batch prompt starts differently.
+// body gives a request. Online prompts start with one of weighPrefixes
+// instructions, of which an engine caches a quarter; batch prompts start with
+// one of a few, as the items of a job do, or each differently.
 func (f *fleet) body(n int, online bool) string {
 	start := fmt.Sprintf("item %d ", n)
-	if online {
+	switch {
+	case online:
 		start = strings.Repeat(fmt.Sprintf("instructions %02d ", n*7919%weighPrefixes), 20)
+	case !f.way.mixedBatch:
+		start = strings.Repeat(fmt.Sprintf("job %02d ", n%weighJobs), 40)
 	}
 	return fmt.Sprintf(`{"model":"small","stream":%t,"prompt":"%s %d"}`, online, start, n)
 }
