Bound restarts of suspects, count strikes of hedged and silent attempts

- A refusal of a request that was running, or had been preempted, said that it was not run.
- The drain rate decayed while a service was idle, so that the first request to wait after a quiet time could be refused as if the queue stood still.
The wait is now worked out from the mean answer time and the requests that run.
- A replica whose one connection went silent was restarted slowly though its first probe was answered; one that broke each stream and answered each probe came back at once.
The first is now used as before, the second stays out.
- A request struck while a hedge of it ran, or whose connection went silent when its replica died, got no strike.

--- a/internal/route/admission.go
+++ b/internal/route/admission.go
@@ -103,7 +103,7 @@
 			"come back after the time given", "%d requests wait at this gate, its limit", waiting).
 			WithRetryAfter(s.retryAfter(waiting))
 	}
-	wait := s.drain.wait(s.at, waiting)
+	wait := s.waitOf(waiting)
 	if waiting > 0 && s.at.Add(wait).After(req.Deadline) {
 		return apierr.New(apierr.Overloaded, ReasonWaitTooLong,
 			"come back after the time given, or give a later deadline",
@@ -113,11 +113,16 @@
 	return nil
 }
 
-// retryAfter tells when n requests will have drained at the measured rate.
-func (s *Shard) retryAfter(n int) time.Duration {
-	return clampRetry(s.drain.wait(s.at, n))
+// waitOf estimates how long the nth of the queue waits: the requests that run
+// end at the rate of their number over the mean time of an answer. The rate of
+// answers alone would mislead after a quiet time.
+func (s *Shard) waitOf(n int) time.Duration {
+	return time.Duration(n) * s.answer.mean / time.Duration(max(s.onlineRunning, 1))
 }
 
+// retryAfter tells when n requests will have drained.
+func (s *Shard) retryAfter(n int) time.Duration { return clampRetry(s.waitOf(n)) }
+
 func clampRetry(d time.Duration) time.Duration {
 	return min(max(d, minRetryAfter), maxRetryAfter)
 }
@@ -215,8 +220,10 @@
 func (s *Shard) countOn(r *replica, class Class, by int) {
 	if class == Online {
 		r.online += by
+		s.onlineRunning += by
 	} else {
 		r.batch += by
+		r.feedVersion = s.table.Bump()
 	}
 	s.noteKnown(r)
 	s.tellFeeder(r)
@@ -256,6 +263,9 @@
 	for len(req.live) > 0 {
 		s.cancel(req.live[0], cause)
 	}
+	if req.awaiting != nil {
+		req.awaiting.orphans = append(req.awaiting.orphans, req.Fingerprint)
+	}
 	s.waiting.remove(req)
 	s.batch.remove(req)
 	delete(s.requests, req.ID)
@@ -266,6 +276,9 @@
 
 // refuse gives a request its final answer.
 func (s *Shard) refuse(req *request, err *apierr.Error) {
+	if len(req.live) > 0 {
+		err = err.WithRan(apierr.RanUnknown)
+	}
 	s.forget(req, CancelAbandoned)
 	s.count(err.Reason)
 	s.emit(Refuse{ID: req.ID, Err: err})
@@ -273,9 +286,6 @@
 
 func (in Abandon) apply(s *Shard) {
 	if req := s.requests[in.ID]; req != nil {
-		if req.awaiting != nil {
-			req.awaiting.orphans = append(req.awaiting.orphans, req.Fingerprint)
-		}
 		s.forget(req, CancelAbandoned)
 		s.pump()
 	}
@@ -320,7 +330,9 @@
 	a.on.failures = 0
 	s.end(a)
 	s.forget(req, CancelHedgeLost)
-	s.drain.observe(s.at)
+	if req.Class == Online {
+		s.answer.observe(s.at.Sub(a.started))
+	}
 	s.clearStrikes(req)
 	s.pump()
 }
--- a/internal/route/batch.go
+++ b/internal/route/batch.go
@@ -210,6 +210,7 @@
 	req := a.req
 	a.on.holdUntil = s.at.Add(req.Policy.Hold)
 	s.cancel(a, CancelPreempted)
+	req.maybeRan = true
 	req.tried-- // a preemption is not the item's failure
 	req.next = Resume
 	s.enqueue(req)
--- a/internal/route/failure.go
+++ b/internal/route/failure.go
@@ -26,6 +26,10 @@
 	}
 	req.avoidReplica(r.entry.Replica)
 	s.judge(r, cause)
+	if cause == CauseSilent || (cause == CauseBroken && len(req.live) > 0) {
+		// Not held back, and struck all the same if the replica proves dead.
+		r.orphans = append(r.orphans, req.Fingerprint)
+	}
 	if len(req.live) > 0 {
 		return // a hedge still runs
 	}
@@ -44,13 +48,14 @@
 	req.since = s.at
 }
 
-// maxFailures is the number of error answers in a row after which a replica is
-// suspect. One that fails at once would otherwise look idle and draw all
-// requests to it.
+// maxFailures is the number of failed attempts in a row after which a replica
+// stays out of use for a while, even if it answers probes. One that fails at
+// once would otherwise look idle and draw all requests to it.
 const maxFailures = 3
 
 // judge draws conclusions about the replica from a failed attempt.
 func (s *Shard) judge(r *replica, cause FailureCause) {
+	r.failures++
 	switch cause {
 	case CauseNotSent, CauseBroken, CauseSilent, CauseDied:
 		s.suspectReplica(r)
@@ -60,7 +65,7 @@
 		// The connection may carry the answer of an earlier request.
 		s.emit(Reset{Replica: r.entry.Replica})
 	}
-	if r.failures++; r.failures >= maxFailures {
+	if r.failures >= maxFailures {
 		s.suspectReplica(r)
 	}
 }
@@ -131,6 +136,10 @@
 		return
 	}
 	r.health = suspect
+	r.missed = false
+	if r.failures >= maxFailures {
+		r.penalty = s.at.Add(s.config.ProbeMax)
+	}
 	r.probeGap = s.config.ProbeMin
 	s.stale = true
 	s.count(ReasonReplicaSuspect)
@@ -149,11 +158,12 @@
 		return
 	}
 	r.probing = false
+	r.missed = r.missed || !in.Alive
 	restarted := in.Alive && in.Incarnation > r.entry.Incarnation
 	switch {
 	case in.Alive && !restarted:
 		s.answerHeld(s.release(r))
-		s.recover(r)
+		s.returned(r)
 	case restarted || in.Refused || s.isAwaited(r):
 		s.died(r)
 	}
@@ -165,16 +175,24 @@
 	return slices.ContainsFunc(s.waiting.list, awaited) || slices.ContainsFunc(s.batch.list, awaited)
 }
 
-// recover puts a replica back into use, with few requests at first.
-func (s *Shard) recover(r *replica) {
-	if r.health == suspect {
-		s.count(ReasonReplicaReturned)
+// returned handles the answer of a suspect replica to a probe. One that
+// answered the first probe only had a bad connection and is used as before.
+func (s *Shard) returned(r *replica) {
+	if r.health != suspect || s.at.Before(r.penalty) {
+		return
 	}
+	s.count(ReasonReplicaReturned)
+	s.recover(r, r.missed || r.failures >= maxFailures)
+}
+
+// recover puts a replica back into use, with few requests at first if slowly.
+func (s *Shard) recover(r *replica, slowly bool) {
 	r.health = healthy
 	r.dead = false
-	r.failures = 0
-	r.rampFrom = s.at
 	s.stale = true
+	if slowly {
+		r.rampFrom = s.at
+	}
 }
 
 // answerHeld gives the final answers that waited for a probe.
--- a/internal/route/messages.go
+++ b/internal/route/messages.go
@@ -63,6 +63,9 @@
 	CauseSilent FailureCause = "silent"
 	// CauseDied: the replica's process has ended.
 	CauseDied FailureCause = "died"
+	// CauseSuspect: the attempt was stopped, since another copy of a suspect
+	// request is on trial.
+	CauseSuspect FailureCause = "suspect"
 	// CauseMismatch: the answer belonged to another request or was malformed.
 	CauseMismatch FailureCause = "mismatch"
 	// CauseStatus: the replica answered that it failed.
--- a/internal/route/meter.go
+++ b/internal/route/meter.go
@@ -2,49 +2,6 @@
 
 import "time"
 
-// meterWindow is the time over which a rate is measured.
-const meterWindow = time.Second
-
-// rateMeter measures a rate of events, averaged over the last few windows.
-type rateMeter struct {
-	windowStart time.Time
-	inWindow    int
-	rate        float64 // events a second; 0 until the first window has ended
-}
-
-func (m *rateMeter) observe(now time.Time) {
-	m.roll(now)
-	m.inWindow++
-}
-
-func (m *rateMeter) roll(now time.Time) {
-	if m.windowStart.IsZero() {
-		m.windowStart = now
-		return
-	}
-	elapsed := now.Sub(m.windowStart)
-	if elapsed < meterWindow {
-		return
-	}
-	latest := float64(m.inWindow) / elapsed.Seconds()
-	if m.rate == 0 {
-		m.rate = latest
-	} else {
-		m.rate = (m.rate + latest) / 2
-	}
-	m.windowStart = now
-	m.inWindow = 0
-}
-
-// wait estimates how long the nth of a queue waits; 0 when nothing is measured.
-func (m *rateMeter) wait(now time.Time, n int) time.Duration {
-	m.roll(now)
-	if m.rate <= 0 {
-		return 0
-	}
-	return time.Duration(float64(n) / m.rate * float64(time.Second))
-}
-
 // delayMeter estimates a high quantile of a delay as mean plus four deviations,
 // the way TCP estimates its retransmission timeout (RFC 6298).
 type delayMeter struct {
--- a/internal/route/poison.go
+++ b/internal/route/poison.go
@@ -204,14 +204,8 @@
 		req := a.req
 		req.maybeRan = true
 		s.cancel(a, CancelSuspect)
-		if len(req.live) > 0 {
-			continue
+		if len(req.live) == 0 {
+			s.tryAgain(req, CauseSuspect)
 		}
-		if !req.Repeatable || (req.delivered && !req.Resumable) {
-			s.refuse(req, failedError(req, CauseBroken))
-			continue
-		}
-		req.next = Retry
-		s.enqueue(req)
 	}
 }
--- a/internal/route/replica.go
+++ b/internal/route/replica.go
@@ -40,14 +40,16 @@
 	othersBatch int       // batch of the feeding gate, by its word
 	toldAt      time.Time // when the feeding gate was last told of this gate's requests
 
-	fedBefore bool   // the last digest showed batch of this gate on it
-	feeder    string // the gate that feeds it with batch
-	holdUntil time.Time
+	feedVersion uint64 // table version of the last change of batch
+	feeder      string // the gate that feeds it with batch
+	holdUntil   time.Time
 
 	health   health
 	probing  bool
 	probeAt  time.Time
 	probeGap time.Duration
+	missed   bool                   // a probe was not answered since it became suspect
+	penalty  time.Time              // until then an answered probe does not bring it back
 	orphans  []upstream.Fingerprint // of requests given up while they awaited the probe
 	rampFrom time.Time              // start of slow start; zero when over
 }
@@ -199,7 +201,8 @@
 func (s *Shard) restarted(r *replica) {
 	s.died(r)
 	r.incarnation = r.entry.Incarnation
-	s.recover(r)
+	r.failures = 0
+	s.recover(r, true)
 }
 
 // expire takes replicas out of use that have not been announced for too long.
--- a/internal/route/shard.go
+++ b/internal/route/shard.go
@@ -34,11 +34,12 @@
 	waiting  waitQueue // online requests without an attempt, by deadline
 	batch    waitQueue // batch items without an attempt, by deadline
 
-	budget      retryBudget
-	drain       rateMeter
-	firstToken  delayMeter
-	nextAttempt AttemptID
-	draining    bool
+	budget        retryBudget
+	answer        delayMeter // of whole online answers
+	firstToken    delayMeter
+	onlineRunning int // live online attempts
+	nextAttempt   AttemptID
+	draining      bool
 
 	out []Output
 }
@@ -85,11 +86,12 @@
 // outputs.
 func NewShard(config Config, rng *rand.Rand) *Shard {
 	config = config.WithDefaults()
+	table := upstream.NewTable(config.EntryLifetime)
 	return &Shard{
 		config:   config,
 		rng:      rng,
-		table:    upstream.NewTable(config.EntryLifetime),
-		strikes:  upstream.NewStrikes(config.StrikeLifetime),
+		table:    table,
+		strikes:  upstream.NewStrikes(config.StrikeLifetime, table.Bump),
 		hints:    upstream.NewCacheHints(),
 		requests: make(map[string]*request),
 		attempts: make(map[AttemptID]*attempt),
@@ -122,16 +124,15 @@
 	return s.replicas[i]
 }
 
-// Changes gives the digest of what changed after version since, with all
-// strikes and the batch that this gate feeds, and the version now.
+// Changes gives the digest of what changed after version since: replicas,
+// strikes and the batch that this gate feeds; and the version now.
 func (s *Shard) Changes(since uint64) (upstream.Digest, uint64) {
 	d, version := s.table.Changes(since)
-	d.Strikes = s.strikes.All()
+	d.Strikes = s.strikes.Changes(since)
 	for _, r := range s.replicas {
-		if r.batch > 0 || r.fedBefore {
+		if r.feedVersion > since {
 			d.Feeding = append(d.Feeding, upstream.Feeding{Replica: r.entry.Replica, Batch: r.batch})
 		}
-		r.fedBefore = r.batch > 0
 	}
 	return d, version
 }
--- a/internal/upstream/strikes.go
+++ b/internal/upstream/strikes.go
@@ -29,6 +29,8 @@
 	Gate        string      `json:"g"` // the gate whose attempt it was
 	At          time.Time   `json:"t"`
 	Cleared     bool        `json:"c,omitempty"` // the request has completed since: it was a bystander
+
+	version uint64 // of the last change, at this gate
 }
 
 // Standing says how a fingerprint may be run.
@@ -48,12 +50,14 @@
 // once, cleared if either side has it cleared.
 type Strikes struct {
 	lifetime time.Duration
+	bump     func() uint64
 	byPrint  map[Fingerprint][]Strike // sorted by replica, incarnation, gate
 }
 
-// NewStrikes makes an empty set whose strikes are forgotten after lifetime.
-func NewStrikes(lifetime time.Duration) *Strikes {
-	return &Strikes{lifetime: lifetime, byPrint: make(map[Fingerprint][]Strike)}
+// NewStrikes makes an empty set whose strikes are forgotten after lifetime; bump
+// gives the version of each change.
+func NewStrikes(lifetime time.Duration, bump func() uint64) *Strikes {
+	return &Strikes{lifetime: lifetime, bump: bump, byPrint: make(map[Fingerprint][]Strike)}
 }
 
 // Add records a strike and says whether it was new or changed an old one.
@@ -61,11 +65,13 @@
 	list := s.byPrint[strike.Fingerprint]
 	i, found := slices.BinarySearchFunc(list, strike, compareStrikes)
 	if !found {
+		strike.version = s.bump()
 		s.byPrint[strike.Fingerprint] = slices.Insert(list, i, strike)
 		return true
 	}
 	if strike.Cleared && !list[i].Cleared {
 		list[i].Cleared = true
+		list[i].version = s.bump()
 		return true
 	}
 	return false
@@ -86,6 +92,7 @@
 	for i := range list {
 		if !list[i].Cleared {
 			list[i].Cleared = true
+			list[i].version = s.bump()
 			changed = append(changed, list[i])
 		}
 	}
@@ -173,14 +180,19 @@
 	}
 }
 
-// All gives every strike, ordered by fingerprint, replica, incarnation, gate.
-func (s *Strikes) All() []Strike {
-	var all []Strike
+// Changes gives the strikes that changed after version since, ordered by
+// fingerprint, replica, incarnation, gate.
+func (s *Strikes) Changes(since uint64) []Strike {
+	var changed []Strike
 	for _, list := range s.byPrint {
-		all = append(all, list...)
+		for _, strike := range list {
+			if strike.version > since {
+				changed = append(changed, strike)
+			}
+		}
 	}
-	slices.SortFunc(all, func(a, b Strike) int {
+	slices.SortFunc(changed, func(a, b Strike) int {
 		return cmp.Or(cmp.Compare(a.Fingerprint, b.Fingerprint), compareStrikes(a, b))
 	})
-	return all
+	return changed
 }
--- a/internal/upstream/table.go
+++ b/internal/upstream/table.go
@@ -44,6 +44,13 @@
 // a fresh announcement.
 func NewTable(lifetime time.Duration) *Table { return &Table{lifetime: lifetime} }
 
+// Bump raises the version and returns it, for changes that are kept elsewhere
+// and travel in the same digests.
+func (t *Table) Bump() uint64 {
+	t.version++
+	return t.version
+}
+
 // Entries gives all entries in the order of their IDs. The slice is the
 // table's own: read it only until the next change.
 func (t *Table) Entries() []*Entry { return t.entries }
