Take affinity from the first 64 bytes of the prompt's text

It was taken from the first 256 bytes of the JSON, which are different for each of many short prompts that share their instructions.

--- a/internal/gate/proxy/form.go
+++ b/internal/gate/proxy/form.go
@@ -94,19 +94,44 @@
 	IncludeUsage bool `json:"include_usage"`
 }
 
-// prefixBytes is how much of a prompt decides its affinity: enough to tell
-// instructions apart, short enough that prompts that share them agree.
-const prefixBytes = 256
+// prefixBytes is how much of a prompt's text decides its affinity: enough to
+// tell instructions apart, short enough that prompts that share them agree.
+const prefixBytes = 64
 
-// prefixHash hashes the start of the prompt; 0 when there is none.
+// message is the part of a chat message that affinity reads.
+type message struct {
+	Content json.RawMessage `json:"content"`
+}
+
+// prefixHash hashes the model and the start of the prompt's text; 0 when there
+// is none.
 func (f *form) prefixHash() uint64 {
-	prompt := f.fields["messages"]
-	if prompt == nil {
-		prompt = f.fields["prompt"]
-	}
-	if prompt == nil {
+	text := f.promptStart()
+	if len(text) == 0 {
 		return 0
 	}
-	model := xxhash.Sum64(f.fields["model"])
-	return max(1, xxhash.Sum64(prompt[:min(len(prompt), prefixBytes)])^model)
+	digest := xxhash.New()
+	_, _ = digest.Write(f.fields["model"])
+	_, _ = digest.Write(text[:min(len(text), prefixBytes)])
+	return max(1, digest.Sum64())
+}
+
+// promptStart gives at least the first prefixBytes of the prompt's text, if it
+// is so long; a chat's messages follow each other.
+func (f *form) promptStart() []byte {
+	if prompt := f.fields["prompt"]; prompt != nil {
+		return prompt
+	}
+	var messages []message
+	if json.Unmarshal(f.fields["messages"], &messages) != nil {
+		return nil
+	}
+	var text []byte
+	for _, m := range messages {
+		text = append(text, m.Content...)
+		if len(text) >= prefixBytes {
+			break
+		}
+	}
+	return text
 }
