--- a/internal/route/failure.go
+++ b/internal/route/failure.go
@@ -138,7 +138,9 @@
 	r.health = suspect
 	r.missed = false
 	if r.failures >= maxFailures {
-		r.penalty = s.at.Add(s.config.ProbeMax)
+		// Shorter than a request waits in an outage: the only replica of a
+		// service is worth another try.
+		r.penalty = s.at.Add(s.config.OutageWait / 2)
 	}
 	r.probeGap = s.config.ProbeMin
 	s.stale = true
