Find a frozen engine by probes before its streams time out

A frozen engine's requests waited for their own timeouts, 2 s between tokens and 5 s before the first, and new ones were sent to it meanwhile. Ruled out: shorter timeouts, which would also end streams of a busy engine.

The property test took each probe for a sign that its replica is out of use, which no longer holds. It now derives that from the inputs: a broken or refused connection, a silent attempt or an unanswered probe, until one is answered.

--- a/internal/route/config.go
+++ b/internal/route/config.go
@@ -34,6 +34,7 @@
 	TokenTimeout   time.Duration // a stream without a token for so long is silent
 	ServiceTimeout time.Duration // the same for the answer of a plain service
 	VerdictTimeout time.Duration // how long a broken attempt waits for the probe of its replica
+	ProbeAfter     time.Duration // an engine with a stream quiet for so long is asked whether it lives
 	ProbeMin       time.Duration // first delay between probes of a suspect replica
 	ProbeMax       time.Duration // longest delay between probes
 	SlowStart      time.Duration // from the first request to the full load after a recovery
@@ -66,6 +67,7 @@
 	defaultTokenTimeout   = 2 * time.Second
 	defaultServiceTimeout = 30 * time.Second
 	defaultVerdictTimeout = 500 * time.Millisecond
+	defaultProbeAfter     = 700 * time.Millisecond
 	defaultProbeMin       = 100 * time.Millisecond
 	defaultProbeMax       = 2 * time.Second
 	defaultSlowStart      = 5 * time.Second
@@ -98,6 +100,7 @@
 	orDefault(&c.TokenTimeout, defaultTokenTimeout)
 	orDefault(&c.ServiceTimeout, defaultServiceTimeout)
 	orDefault(&c.VerdictTimeout, defaultVerdictTimeout)
+	orDefault(&c.ProbeAfter, defaultProbeAfter)
 	orDefault(&c.ProbeMin, defaultProbeMin)
 	orDefault(&c.ProbeMax, defaultProbeMax)
 	orDefault(&c.SlowStart, defaultSlowStart)
--- a/internal/route/failure.go
+++ b/internal/route/failure.go
@@ -160,18 +160,34 @@
 		return
 	}
 	r.probing = false
-	r.missed = r.missed || !in.Alive
 	restarted := in.Alive && in.Incarnation > r.entry.Incarnation
 	switch {
 	case in.Alive && !restarted:
 		s.answerHeld(s.release(r))
 		s.returned(r)
 	case restarted || in.Refused || s.isAwaited(r):
+		s.suspectReplica(r)
+		r.missed = true
 		s.died(r)
+	default:
+		s.unanswered(r)
 	}
 	s.pump()
 }
 
+// unanswered handles a probe that got no answer. After the first one the
+// replica gets nothing new; after the second it counts as frozen, and its quiet
+// attempts need not wait for their own timeouts.
+func (s *Shard) unanswered(r *replica) {
+	if r.health == suspect {
+		r.missed = true
+		s.failQuiet(r, func(*attempt) time.Duration { return s.config.ProbeAfter })
+		return
+	}
+	s.suspectReplica(r)
+	r.missed = true
+}
+
 func (s *Shard) isAwaited(r *replica) bool {
 	awaited := func(req *request) bool { return req.awaiting == r }
 	return slices.ContainsFunc(s.waiting.list, awaited) || slices.ContainsFunc(s.batch.list, awaited)
@@ -270,8 +286,14 @@
 	if s.config.Disabled.Silence {
 		return
 	}
-	isSilent := func(a *attempt) bool { return s.at.Sub(a.progress) >= s.silenceLimit(a) }
-	if !slices.ContainsFunc(r.attempts, isSilent) {
+	s.failQuiet(r, s.silenceLimit)
+	s.askIfQuiet(r)
+}
+
+// failQuiet fails the attempts on r that have been quiet for their limit.
+func (s *Shard) failQuiet(r *replica, limit func(*attempt) time.Duration) {
+	isSilent := func(a *attempt) bool { return s.at.Sub(a.progress) >= limit(a) }
+	if s.config.Disabled.Silence || !slices.ContainsFunc(r.attempts, isSilent) {
 		return
 	}
 	for _, a := range slices.Clone(r.attempts) {
@@ -282,6 +304,20 @@
 	}
 }
 
+// askIfQuiet probes an engine on which a stream is quiet, well before the
+// stream's own timeout: a frozen process is found soon, and a busy one is left
+// alone.
+func (s *Shard) askIfQuiet(r *replica) {
+	if r.health == suspect || s.at.Before(r.probeAt) || r.entry.Kind != upstream.KindEngine {
+		return
+	}
+	isQuiet := func(a *attempt) bool { return s.at.Sub(a.progress) >= s.config.ProbeAfter }
+	if slices.ContainsFunc(r.attempts, isQuiet) {
+		r.probeGap = s.config.ProbeAfter
+		s.probe(r)
+	}
+}
+
 // queuedFactor stretches the first timeout of a request that was sent to a full
 // replica: until a slot is free, nothing comes on a connection in good order.
 const queuedFactor = 4
--- a/internal/route/property_test.go
+++ b/internal/route/property_test.go
@@ -59,11 +59,12 @@
 		case route.Dispatch:
 			m.dispatched(o)
 		case route.Cancel:
+			if o.Cause == route.CancelSilent || o.Cause == route.CancelDied {
+				m.live[o.Attempt].on.suspect = true
+			}
 			m.end(o.Attempt)
 		case route.Refuse:
 			m.answered(o.ID)
-		case route.Probe:
-			m.replicas[o.Replica].suspect = true
 		}
 	}
 }
@@ -160,13 +161,14 @@
 	if cause == route.CauseNotSent {
 		a.req.sent = false
 	}
+	a.on.suspect = a.on.suspect || cause == route.CauseNotSent || cause == route.CauseBroken
 	m.step(route.Failed{Attempt: id, Cause: cause})
 }
 
 func (m *model) probed(t *rapid.T) {
 	r := m.anyReplica(t)
 	alive := rapid.Bool().Draw(t, "alive")
-	r.suspect = r.suspect && !alive
+	r.suspect = !alive
 	m.step(route.Probed{Replica: r.id, Alive: alive, Refused: !alive})
 }
 
