--- a/internal/gate/proxy/flight.go
+++ b/internal/gate/proxy/flight.go
@@ -60,6 +60,11 @@
 func (f *flight) end(err *apierr.Error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	f.finish(err)
+}
+
+// finish is end with the lock held.
+func (f *flight) finish(err *apierr.Error) {
 	if f.finished {
 		return
 	}
@@ -68,6 +73,15 @@
 	f.signal()
 }
 
+// ReasonAnswerTooLong counts answers that were given up because the gate does not
+// hold so much for one caller: an endless stream, or a caller that reads slowly.
+const ReasonAnswerTooLong apierr.Reason = "answer_too_long"
+
+func tooLong() *apierr.Error {
+	return apierr.New(apierr.BadUpstream, ReasonAnswerTooLong, "ask for fewer tokens, and read the stream as it comes",
+		"the answer is longer than a gate holds for one request").WithRan(apierr.RanUnknown)
+}
+
 // succeed gives the flight its whole answer.
 func (f *flight) succeed(r *reply) {
 	f.mu.Lock()
@@ -104,6 +118,10 @@
 	if e.repeats(f.tokens) {
 		return true
 	}
+	if f.text.Len()+f.pending.Len()+len(e.raw) > f.shard.router.options.MaxAnswerBytes {
+		f.finish(tooLong())
+		return false
+	}
 	f.tokens = max(f.tokens, e.token)
 	f.text.WriteString(e.text)
 	f.meta.take(e)
