Keep copies of an unproven request on one replica

Copies of a request now share a replica until one has completed, and wait while it is found out whether a replica died of one. Through several gates at the same moment it is two for each place at worst, as affinity prefers the same replica at each gate: not proved.

--- a/internal/route/admission.go
+++ b/internal/route/admission.go
@@ -167,6 +167,13 @@
 	if !s.mayRunNow(req) {
 		return held
 	}
+	if r := s.boundTo(req); r != nil {
+		if !s.fits(req, r) {
+			return held
+		}
+		s.dispatch(req, r, req.next)
+		return started
+	}
 	r := s.pick(req)
 	if r == nil && s.onlyAvoided(req) {
 		req.avoid = nil
@@ -205,7 +212,7 @@
 	a := &attempt{id: s.nextAttempt, req: req, on: r, started: s.at, progress: s.at}
 	a.queued = s.totalLoad(r) >= r.entry.Slots
 	s.attempts[a.id] = a
-	s.running[req.Fingerprint]++
+	s.copyStarted(req.Fingerprint, r)
 	req.live = append(req.live, a)
 	req.tried++
 	r.attempts = append(r.attempts, a)
@@ -232,9 +239,7 @@
 // end takes an attempt off its replica.
 func (s *Shard) end(a *attempt) {
 	delete(s.attempts, a.id)
-	if s.running[a.req.Fingerprint]--; s.running[a.req.Fingerprint] <= 0 {
-		delete(s.running, a.req.Fingerprint)
-	}
+	s.copyEnded(a.req.Fingerprint)
 	a.req.live = without(a.req.live, a)
 	a.on.attempts = without(a.on.attempts, a)
 	s.countOn(a.on, a.req.Class, -1)
@@ -265,6 +270,7 @@
 	}
 	if req.awaiting != nil {
 		req.awaiting.orphans = append(req.awaiting.orphans, req.Fingerprint)
+		s.settled(req)
 	}
 	s.waiting.remove(req)
 	s.batch.remove(req)
@@ -333,6 +339,7 @@
 	if req.Class == Online {
 		s.answer.observe(s.at.Sub(a.started))
 	}
+	s.copyProven(req.Fingerprint)
 	s.clearStrikes(req)
 	s.pump()
 }
--- a/internal/route/batch.go
+++ b/internal/route/batch.go
@@ -142,6 +142,9 @@
 	if !s.mayRunNow(req) {
 		return held
 	}
+	if r := s.boundTo(req); r != nil {
+		return s.startBatchOn(req, r)
+	}
 	r := s.pickBatch(req)
 	if r == nil && s.onlyAvoided(req) {
 		req.avoid = nil
@@ -158,6 +161,14 @@
 	}
 }
 
+func (s *Shard) startBatchOn(req *request, r *replica) startResult {
+	if !s.feeds(r) || s.batchFree(r, req.Policy) <= 0 || !s.mayServe(req, r) {
+		return held
+	}
+	s.dispatch(req, r, req.next)
+	return started
+}
+
 // pickBatch chooses the fed replica with the most free slots, or the fewest if
 // the policy packs.
 func (s *Shard) pickBatch(req *request) *replica {
--- a/internal/route/failure.go
+++ b/internal/route/failure.go
@@ -39,15 +39,6 @@
 	s.tryAgain(req, cause)
 }
 
-// await holds a request's next attempt or final answer until the probe of its
-// replica tells whether the replica died of it. A caller that is answered
-// sooner could send a harmful request through another gate before that gate
-// knows of the death.
-func (s *Shard) await(req *request, r *replica) {
-	req.awaiting = r
-	req.since = s.at
-}
-
 // maxFailures is the number of failed attempts in a row after which a replica
 // stays out of use for a while, even if it answers probes. One that fails at
 // once would otherwise look idle and draw all requests to it.
@@ -229,7 +220,7 @@
 	for _, queue := range []*waitQueue{&s.waiting, &s.batch} {
 		for _, req := range queue.list {
 			if req.awaiting == r {
-				req.awaiting = nil
+				s.settled(req)
 				released = append(released, req)
 			}
 		}
@@ -274,6 +265,7 @@
 	s.checkWaiting()
 	s.checkHedges()
 	s.strikes.Expire(s.at)
+	s.expireCopies()
 	s.pump()
 }
 
--- a/internal/route/poison.go
+++ b/internal/route/poison.go
@@ -64,10 +64,13 @@
 // mayRunNow holds a suspect request back while another attempt of the same
 // fingerprint runs, and keeps it off the replicas that died of it.
 func (s *Shard) mayRunNow(req *request) bool {
+	if s.copyAwaited(req) {
+		return false
+	}
 	if !s.isSuspect(req) {
 		return true
 	}
-	if s.running[req.Fingerprint] > 0 {
+	if s.runningCopies(req.Fingerprint) > 0 {
 		return false
 	}
 	for _, id := range s.strikes.Struck(s.at, req.Fingerprint) {
--- a/internal/route/shard.go
+++ b/internal/route/shard.go
@@ -29,7 +29,7 @@
 
 	requests map[string]*request
 	attempts map[AttemptID]*attempt
-	running  map[upstream.Fingerprint]int // live attempts by fingerprint
+	copies   map[upstream.Fingerprint]*copies
 	teams    map[string]*teamState
 	waiting  waitQueue // online requests without an attempt, by deadline
 	batch    waitQueue // batch items without an attempt, by deadline
@@ -95,7 +95,7 @@
 		hints:    upstream.NewCacheHints(),
 		requests: make(map[string]*request),
 		attempts: make(map[AttemptID]*attempt),
-		running:  make(map[upstream.Fingerprint]int),
+		copies:   make(map[upstream.Fingerprint]*copies),
 		teams:    make(map[string]*teamState),
 		budget:   newRetryBudget(config.RetryShare, config.RetryReserve),
 	}
