--- /dev/null
+++ b/internal/route/hedge.go
@@ -0,0 +1,45 @@
+package route
+
+import (
+	"slices"
+	"time"
+
+	"slateway.example/slateway/internal/upstream"
+)
+
+// hedgeReserve is the part of the retry budget that hedges leave to retries.
+const hedgeReserve = 0.5
+
+// checkHedges sends a second attempt for repeatable requests whose first token
+// is later than nearly all others were.
+func (s *Shard) checkHedges() {
+	if s.config.HedgeMin == 0 || s.firstToken.mean == 0 {
+		return
+	}
+	after := max(s.config.HedgeMin, s.firstToken.high())
+	for _, r := range s.replicas {
+		for _, a := range slices.Clone(r.attempts) {
+			if s.mayHedge(a, after) {
+				s.hedge(a.req, r)
+			}
+		}
+	}
+}
+
+func (s *Shard) mayHedge(a *attempt, after time.Duration) bool {
+	req := a.req
+	return req.Class == Online && req.Repeatable && !req.delivered && a.tokens == 0 &&
+		len(req.live) == 1 && req.tried < s.config.MaxAttempts && s.at.Sub(a.started) >= after &&
+		s.strikes.Standing(s.at, req.Fingerprint) == upstream.StandingClear
+}
+
+func (s *Shard) hedge(req *request, slow *replica) {
+	req.avoid = append(req.avoid, slow.entry.Replica)
+	r := s.pick(req)
+	req.avoid = req.avoid[:len(req.avoid)-1]
+	if r == nil || !s.budget.take(hedgeReserve*s.config.RetryReserve*startShare) {
+		return
+	}
+	s.count(ReasonHedged)
+	s.dispatch(req, r, Hedge)
+}
--- a/internal/route/replica.go
+++ b/internal/route/replica.go
@@ -45,7 +45,6 @@
 	holdUntil   time.Time
 
 	health   health
-	probing  bool
 	probeAt  time.Time
 	probeGap time.Duration
 	missed   bool                   // a probe was not answered since it became suspect
--- a/internal/route/shard.go
+++ b/internal/route/shard.go
@@ -77,7 +77,6 @@
 	on       *replica
 	started  time.Time
 	progress time.Time // when anything last arrived
-	answered bool      // something has arrived
 	tokens   int
 	queued   bool // it may have to wait for a slot of the replica
 }
--- /dev/null
+++ b/internal/route/tick.go
@@ -0,0 +1,139 @@
+package route
+
+import (
+	"slices"
+	"time"
+
+	"slateway.example/slateway/internal/apierr"
+	"slateway.example/slateway/internal/upstream"
+)
+
+func (in Tick) apply(s *Shard) {
+	s.expire()
+	for _, r := range s.replicas {
+		s.checkSilence(r)
+		s.refreshUsage(r)
+		if r.health == suspect && !s.at.Before(r.probeAt) {
+			r.probeGap = min(2*r.probeGap, s.config.ProbeMax)
+			s.probe(r)
+		}
+	}
+	s.checkVerdicts()
+	s.checkWaiting()
+	s.checkHedges()
+	s.strikes.Expire(s.at)
+	s.expireCopies()
+	s.pump()
+}
+
+// checkSilence fails the attempts that have had no progress for too long.
+//
+// A connection can go silent for good when something between its two ends has
+// lost track of it: no error ever comes, and TCP alone would notice after many
+// minutes. The attempt is given up and the replica asked over a new connection.
+func (s *Shard) checkSilence(r *replica) {
+	if s.config.Disabled.Silence {
+		return
+	}
+	s.failQuiet(r, s.silenceLimit)
+	s.askIfQuiet(r)
+}
+
+// failQuiet fails the attempts on r that have been quiet for their limit.
+func (s *Shard) failQuiet(r *replica, limit func(*attempt) time.Duration) {
+	isSilent := func(a *attempt) bool { return s.at.Sub(a.progress) >= limit(a) }
+	if s.config.Disabled.Silence || !slices.ContainsFunc(r.attempts, isSilent) {
+		return
+	}
+	for _, a := range slices.Clone(r.attempts) {
+		if s.attempts[a.id] != nil && isSilent(a) {
+			s.emit(Cancel{ID: a.req.ID, Attempt: a.id, Cause: CancelSilent})
+			s.failed(a, CauseSilent)
+		}
+	}
+}
+
+// askIfQuiet probes an engine on which a stream is quiet, well before the
+// stream's own timeout: a frozen process is found soon, and a busy one is left
+// alone.
+func (s *Shard) askIfQuiet(r *replica) {
+	if r.health == suspect || s.at.Before(r.probeAt) || r.entry.Kind != upstream.KindEngine {
+		return
+	}
+	isQuiet := func(a *attempt) bool { return s.at.Sub(a.progress) >= s.config.ProbeAfter }
+	if slices.ContainsFunc(r.attempts, isQuiet) {
+		r.probeGap = s.config.ProbeAfter
+		s.probe(r)
+	}
+}
+
+// queuedFactor stretches the first timeout of a request that was sent to a full
+// replica: until a slot is free, nothing comes on a connection in good order.
+const queuedFactor = 4
+
+func (s *Shard) silenceLimit(a *attempt) time.Duration {
+	switch {
+	case a.on.entry.Kind == upstream.KindService:
+		return s.config.ServiceTimeout
+	case a.tokens > 0:
+		return s.config.TokenTimeout
+	case a.queued:
+		return queuedFactor * s.config.FirstTimeout
+	default:
+		return s.config.FirstTimeout
+	}
+}
+
+// checkVerdicts stops waiting for a probe that is not answered: a replica that
+// broke a connection and does not answer a new one counts as dead.
+func (s *Shard) checkVerdicts() {
+	var overdue []*replica
+	for _, queue := range []*waitQueue{&s.waiting, &s.batch} {
+		for _, req := range queue.list {
+			late := req.awaiting != nil && s.at.Sub(req.since) >= s.config.VerdictTimeout
+			if late && !slices.Contains(overdue, req.awaiting) {
+				overdue = append(overdue, req.awaiting)
+			}
+		}
+	}
+	for _, r := range overdue {
+		s.died(r)
+	}
+}
+
+// checkWaiting gives up, at once, requests whose deadline has passed or that
+// have waited long enough for any replica to come back.
+func (s *Shard) checkWaiting() {
+	for i := 0; i < len(s.waiting.list); {
+		req := s.waiting.list[i]
+		err := s.overdue(req)
+		if err == nil {
+			i++
+			continue
+		}
+		s.refuse(req, err)
+	}
+	for s.batch.len() > 0 && !s.at.Before(s.batch.list[0].Deadline) {
+		s.refuse(s.batch.list[0], deadlineError(s.batch.list[0]))
+	}
+}
+
+func (s *Shard) overdue(req *request) *apierr.Error {
+	if !s.at.Before(req.Deadline) {
+		return deadlineError(req)
+	}
+	if s.at.Sub(req.queuedAt) < s.config.OutageWait {
+		return nil
+	}
+	if s.readinessFor(req) != someReady {
+		return noReadyError(req)
+	}
+	return nil
+}
+
+func noReadyError(req *request) *apierr.Error {
+	return apierr.New(apierr.Unavailable, ReasonNoReadyUpstream,
+		"come back after the time given; `slatectl upstream list` shows what the replicas report",
+		"no replica with model %q can take work now", req.Model).
+		WithRan(req.ran()).WithRetryAfter(time.Second)
+}
