Spread loads as rows of numbers

A receiver merges whole announcements, so that a replica that timed out meanwhile is back with its first load. Other places get at most 12 replicas, chosen to stay, so that their list is sent when it changes and only their rows each second; before, 40 went each second.

--- a/internal/gate/exchange/exchange.go
+++ b/internal/gate/exchange/exchange.go
@@ -55,6 +55,7 @@
 	mu        sync.Mutex
 	direct    map[replicaKey]time.Time // replicas that announced to this gate, and when
 	published published
+	lists     map[string]identityList // by VM, or by place and publisher
 	wake      chan struct{}
 }
 
@@ -65,17 +66,23 @@
 
 // published is what was last spread of each kind.
 type published struct {
-	identity []byte
+	identity []byte // without what changes each second
+	listHash uint64 // of the list as spread
 	load     []byte
 	loadAt   time.Time
 	strikes  []byte
+
+	sumAt       time.Time
+	sumIdentity []byte
+	sumHash     uint64
+	sumReplicas []replicaKey
 }
 
 const (
 	// publishInterval is how often changes are looked for.
 	publishInterval = 100 * time.Millisecond
 	// loadInterval bounds how often a changed load is spread: at 13 replicas and
-	// 18 peers one digest a second is about 9 KB/s.
+	// 18 peers one digest a second is about 4 KB/s out and as much in.
 	loadInterval = time.Second
 	// gatesInterval is how often the live gates are read anew, beside changes of
 	// their state.
@@ -87,6 +94,7 @@
 	return &Exchange{
 		options: options,
 		direct:  make(map[replicaKey]time.Time),
+		lists:   make(map[string]identityList),
 		wake:    make(chan struct{}, 1),
 	}
 }
@@ -94,10 +102,13 @@
 // Attach sets the router, which itself needs the exchange to be made.
 func (e *Exchange) Attach(router *proxy.Router) {
 	e.router = router
-	e.options.Fleet.OnDigest(fleet.KindUpstreams, func(_ string, data []byte) { e.merge(data) })
-	e.options.Fleet.OnDigest(fleet.KindLoad, func(_ string, data []byte) { e.merge(data) })
+	e.options.Fleet.OnDigest(fleet.KindUpstreams, e.takeList)
+	e.options.Fleet.OnDigest(fleet.KindLoad, e.takeRows)
 	e.options.Fleet.OnDigest(fleet.KindPoison, func(_ string, data []byte) { e.merge(data) })
-	e.options.Fleet.OnSum(fleet.KindUpstreams, e.mergeNear)
+	// Both stay within the region: other regions are too far to serve an online
+	// request from here.
+	e.options.Fleet.OnSum(fleet.KindUpstreams, func(place, publisher string, data []byte) { e.takeList(place+"/"+publisher, data) })
+	e.options.Fleet.OnSum(fleet.KindLoad, func(place, publisher string, data []byte) { e.takeRows(place+"/"+publisher, data) })
 	e.options.Fleet.OnSum(fleet.KindPoison, func(_, _ string, data []byte) { e.merge(data) })
 	e.options.Fleet.OnState(func(string, member.State) { e.nudge() })
 	e.setGates()
@@ -177,20 +188,15 @@
 
 func (e *Exchange) merge(data []byte) {
 	var digests []upstream.Digest
-	if err := codec.Unmarshal(data, &digests); err != nil {
-		e.options.Log.Warn("digest of another gate not read", zap.Error(err))
-		return
+	if e.decode(data, &digests) {
+		e.router.Merge(digests)
 	}
-	e.router.Merge(digests)
 }
 
-// mergeNear takes in the replicas of another place, if it is in the same
-// region: other regions are too far to serve an online request from here.
-func (e *Exchange) mergeNear(place, _ string, data []byte) {
-	for _, area := range e.options.Fleet.Areas() {
-		if area.Place == place && area.Region == e.options.Region {
-			e.merge(data)
-			return
-		}
+func (e *Exchange) decode(data []byte, into any) bool {
+	if err := codec.Unmarshal(data, into); err != nil {
+		e.options.Log.Warn("digest of another gate not read", zap.Error(err))
+		return false
 	}
+	return true
 }
--- a/internal/gate/exchange/publish.go
+++ b/internal/gate/exchange/publish.go
@@ -6,6 +6,7 @@
 	"slices"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"go.uber.org/zap"
 
 	"slateway.example/slateway/internal/codec"
@@ -14,9 +15,12 @@
 	"slateway.example/slateway/internal/upstream"
 )
 
-// maxSumReplicas bounds the replicas of a place that other places hear of; the
-// encoded sum stays below the bound of one digest.
-const maxSumReplicas = 40
+// Bounds of the replicas of a place that other places hear of. Each takes some
+// 280 bytes when the list changes and 8 each second.
+const (
+	maxSumReplicas   = 12
+	maxSumPerService = 4
+)
 
 // publish spreads what changed. An urgent change does not wait for the next
 // turn of the load.
@@ -26,7 +30,7 @@
 	e.publishIdentity(own)
 	e.publishLoad(own, known, urgent)
 	e.publishStrikes(known)
-	e.options.Fleet.SetSum(fleet.KindUpstreams, codec.MustMarshal(e.placeSum(known)))
+	e.publishSum(known)
 }
 
 // own keeps of each digest the replicas that announce to this gate; the others
@@ -61,11 +65,15 @@
 	signature := codec.MustMarshal(withoutLoad(own))
 	e.mu.Lock()
 	same := bytes.Equal(signature, e.published.identity)
+	if same {
+		e.mu.Unlock()
+		return
+	}
+	data := codec.MustMarshal(own)
 	e.published.identity = signature
+	e.published.listHash = xxhash.Sum64(data)
 	e.mu.Unlock()
-	if !same {
-		e.setDigest(fleet.KindUpstreams, codec.MustMarshal(own))
-	}
+	e.setDigest(fleet.KindUpstreams, data)
 }
 
 func withoutLoad(digests []upstream.Digest) []upstream.Digest {
@@ -86,8 +94,8 @@
 // runs. The sequence of announcements rises even when the load stays, so the
 // digest also keeps the replicas from timing out at the other gates.
 func (e *Exchange) publishLoad(own, known []upstream.Digest, urgent bool) {
-	loads := codec.MustMarshal(loadsOf(own, known))
 	e.mu.Lock()
+	loads := encodeRows(e.published.listHash, own, known)
 	due := urgent || time.Since(e.published.loadAt) >= loadInterval
 	if !due || bytes.Equal(loads, e.published.load) {
 		e.mu.Unlock()
@@ -99,25 +107,6 @@
 	e.setDigest(fleet.KindLoad, loads)
 }
 
-func loadsOf(own, known []upstream.Digest) []upstream.Digest {
-	var loads []upstream.Digest
-	for _, digest := range own {
-		load := upstream.Digest{Service: digest.Service}
-		for _, a := range digest.Identity {
-			load.Loads = append(load.Loads, upstream.LoadDigest{
-				Replica: a.Replica, Incarnation: a.Incarnation, Sequence: a.Sequence, Load: a.Load,
-			})
-		}
-		loads = append(loads, load)
-	}
-	for _, digest := range known {
-		if len(digest.Feeding) > 0 {
-			loads = append(loads, upstream.Digest{Service: digest.Service, Feeding: digest.Feeding})
-		}
-	}
-	return loads
-}
-
 func (e *Exchange) publishStrikes(known []upstream.Digest) {
 	var strikes []upstream.Digest
 	for _, digest := range known {
@@ -137,9 +126,36 @@
 	e.options.Fleet.SetSum(fleet.KindPoison, data)
 }
 
-// placeSum selects the replicas of the own place that other places may send to:
-// those with the most room, and all that are leaving, so that nobody goes on
-// sending to them.
+// publishSum gives the other places of the region some replicas of this one and,
+// each second, their loads.
+func (e *Exchange) publishSum(known []upstream.Digest) {
+	e.mu.Lock()
+	if time.Since(e.published.sumAt) < loadInterval {
+		e.mu.Unlock()
+		return
+	}
+	e.published.sumAt = time.Now()
+	list := e.placeSum(known)
+	signature := codec.MustMarshal(withoutLoad(list))
+	changed := !bytes.Equal(signature, e.published.sumIdentity)
+	data := codec.MustMarshal(list)
+	if changed {
+		e.published.sumIdentity = signature
+		e.published.sumHash = xxhash.Sum64(data)
+	}
+	rows := encodeRows(e.published.sumHash, list, nil)
+	e.mu.Unlock()
+	if changed {
+		e.options.Fleet.SetSum(fleet.KindUpstreams, data)
+	}
+	e.options.Fleet.SetSum(fleet.KindLoad, rows)
+}
+
+// placeSum selects the replicas of the own place that other places may send to.
+// Those selected before stay while they are there, also when they get busy or
+// leave: their rows tell so, and a list that followed the load would be sent
+// anew each second. Free ones are added in order of their room. The caller
+// holds e.mu.
 func (e *Exchange) placeSum(known []upstream.Digest) []upstream.Digest {
 	var all []upstream.Announcement
 	for _, digest := range known {
@@ -149,17 +165,49 @@
 			}
 		}
 	}
+	selected := func(a *upstream.Announcement) bool {
+		return slices.Contains(e.published.sumReplicas, replicaKey{a.Service, a.Replica})
+	}
 	slices.SortStableFunc(all, func(a, b upstream.Announcement) int {
-		return cmp.Compare(sumRank(&a), sumRank(&b))
+		if selected(&a) != selected(&b) {
+			return cmp.Compare(rank(selected(&a)), rank(selected(&b)))
+		}
+		return cmp.Compare(a.Running+a.Queued-a.Slots, b.Running+b.Queued-b.Slots)
 	})
-	return byService(all[:min(maxSumReplicas, len(all))])
+	all = boundSum(all, selected)
+	slices.SortFunc(all, func(a, b upstream.Announcement) int {
+		return cmp.Or(cmp.Compare(a.Service, b.Service), cmp.Compare(a.Replica, b.Replica))
+	})
+	e.published.sumReplicas = nil
+	for i := range all {
+		e.published.sumReplicas = append(e.published.sumReplicas, replicaKey{all[i].Service, all[i].Replica})
+	}
+	return byService(all)
+}
+
+func rank(selected bool) int {
+	if selected {
+		return 0
+	}
+	return 1
 }
 
-func sumRank(a *upstream.Announcement) int {
-	if a.Leaving {
-		return -a.Slots
+// boundSum keeps the first usable replicas of each service, and those selected
+// before that are usable no more, so that the other places learn it.
+func boundSum(all []upstream.Announcement, selected func(*upstream.Announcement) bool) []upstream.Announcement {
+	var kept []upstream.Announcement
+	count := map[string]int{}
+	for _, a := range all {
+		usable := a.Ready && !a.Leaving
+		if len(kept) == maxSumReplicas || count[a.Service] == maxSumPerService || (!usable && !selected(&a)) {
+			continue
+		}
+		if usable {
+			count[a.Service]++
+		}
+		kept = append(kept, a)
 	}
-	return a.Running + a.Queued - a.Slots
+	return kept
 }
 
 func byService(all []upstream.Announcement) []upstream.Digest {
