--- a/cmd/capacity/main.go
+++ b/cmd/capacity/main.go
@@ -20,6 +20,10 @@
 			{Name: "place", Usage: "membership and loads within one place, by its VMs", Action: measurePlace},
 			{Name: "fleet", Usage: "the whole fleet of 6 regions and 22 places, by its VMs", Action: measureFleet},
 			{Name: "sockets", Usage: "membership over loopback sockets, by the VMs of a place", Action: measureSockets},
+			{
+				Name: "processes", Usage: "running daemons, by the gates of a fleet with 3 keepers", Action: measureProcesses,
+				Flags: []cli.Flag{&cli.IntSliceFlag{Name: "gates", Value: []int{4, 8, 16, 32}, Usage: "sizes to measure"}},
+			},
 			{Name: "replicas", Usage: "records of upstreams, by their number", Action: measureReplicas},
 			{Name: "teams", Usage: "configuration, by the number of teams", Action: measureTeams},
 		},
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -37,9 +37,9 @@
 // New makes the parts; Run starts them.
 func New(s settings.Settings, log *zap.Logger) (*Daemon, error) {
 	d := &Daemon{settings: s, log: log, metrics: telemetry.NewMetrics()}
-	d.calls = rpc.NewClient(peerClient(s.Timeouts.Dial))
+	d.calls = rpc.NewClient(peerClient(s.Timeouts.Dial, d.metrics))
 	if s.Is(settings.RoleKeeper) {
-		keeper, err := newKeeperRole(&s, log)
+		keeper, err := newKeeperRole(&s, log, d.metrics)
 		if err != nil {
 			return nil, err
 		}
@@ -69,15 +69,18 @@
 const (
 	// peerIdleTimeout is how long an idle connection to another process is kept.
 	peerIdleTimeout = 30 * time.Second
+	// peersCounter names the counters of bytes between the project's processes.
+	peersCounter = "peers"
 	// maxPeerConnections bounds the idle connections to one process.
 	maxPeerConnections = 32
 )
 
 // peerClient makes the HTTP client for calls to the project's own processes.
-// Deadlines come with each call.
-func peerClient(dialTimeout time.Duration) *http.Client {
+// Deadlines come with each call. Its bytes are counted with those of the peers
+// listener: they are what control costs.
+func peerClient(dialTimeout time.Duration, metrics *telemetry.Metrics) *http.Client {
 	return &http.Client{Transport: &http.Transport{
-		DialContext:         dialer(dialTimeout).DialContext,
+		DialContext:         metrics.CountDial(peersCounter, dialer(dialTimeout).DialContext),
 		MaxIdleConnsPerHost: maxPeerConnections,
 		IdleConnTimeout:     peerIdleTimeout,
 	}}
--- a/internal/daemon/keeper.go
+++ b/internal/daemon/keeper.go
@@ -11,6 +11,7 @@
 	"slateway.example/slateway/internal/keeper/keeperclient"
 	"slateway.example/slateway/internal/replica"
 	"slateway.example/slateway/internal/settings"
+	"slateway.example/slateway/internal/telemetry"
 )
 
 // exitDisk is the exit code after a failure of the data folder.
@@ -22,7 +23,7 @@
 	service *keeper.Service
 }
 
-func newKeeperRole(s *settings.Settings, log *zap.Logger) (*keeperRole, error) {
+func newKeeperRole(s *settings.Settings, log *zap.Logger, metrics *telemetry.Metrics) (*keeperRole, error) {
 	config := keeper.NewConfigMachine()
 	jobs := make([]*keeper.JobMachine, s.Quorum.JobGroups)
 	// A replica that cannot write a record would differ from the others from
@@ -51,7 +52,7 @@
 		SnapshotEntries: uint64(s.Quorum.SnapshotEntries),
 		ReplaceAfter:    s.Quorum.ReplaceAfter,
 		Logger:          log,
-		Client:          peerClient(s.Timeouts.Dial),
+		Client:          peerClient(s.Timeouts.Dial, metrics),
 	})
 	if err != nil {
 		return nil, err
--- a/internal/daemon/listen.go
+++ b/internal/daemon/listen.go
@@ -89,6 +89,9 @@
 		}
 		return err
 	}
+	if key == peersCounter {
+		l.socket = d.metrics.CountListener(peersCounter, l.socket)
+	}
 	d.listeners = append(d.listeners, l)
 	return nil
 }
--- /dev/null
+++ b/internal/telemetry/conn.go
@@ -0,0 +1,67 @@
+package telemetry
+
+import (
+	"context"
+	"net"
+)
+
+// Suffixes of the counters of bytes that connections carry, without the headers
+// of TCP and IP.
+const (
+	BytesInSuffix  = ".bytes_in"
+	BytesOutSuffix = ".bytes_out"
+)
+
+// DialFunc opens connections, as in net.Dialer.DialContext.
+type DialFunc func(ctx context.Context, network, address string) (net.Conn, error)
+
+// CountDial counts the bytes of the connections that dial opens, under name.
+func (m *Metrics) CountDial(name string, dial DialFunc) DialFunc {
+	return func(ctx context.Context, network, address string) (net.Conn, error) {
+		connection, err := dial(ctx, network, address)
+		if err != nil {
+			return nil, err
+		}
+		return &countedConn{Conn: connection, metrics: m, name: name}, nil
+	}
+}
+
+// CountListener counts the bytes of the connections that come in, under name.
+func (m *Metrics) CountListener(name string, listener net.Listener) net.Listener {
+	return &countedListener{Listener: listener, metrics: m, name: name}
+}
+
+type countedListener struct {
+	net.Listener
+	metrics *Metrics
+	name    string
+}
+
+// Accept waits for the next connection.
+func (l *countedListener) Accept() (net.Conn, error) {
+	connection, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	return &countedConn{Conn: connection, metrics: l.metrics, name: l.name}, nil
+}
+
+type countedConn struct {
+	net.Conn
+	metrics *Metrics
+	name    string
+}
+
+// Read reads and counts.
+func (c *countedConn) Read(buffer []byte) (int, error) {
+	n, err := c.Conn.Read(buffer)
+	c.metrics.Add(c.name+BytesInSuffix, int64(n))
+	return n, err
+}
+
+// Write writes and counts.
+func (c *countedConn) Write(data []byte) (int, error) {
+	n, err := c.Conn.Write(data)
+	c.metrics.Add(c.name+BytesOutSuffix, int64(n))
+	return n, err
+}
