--- a/test/drain_test.go
+++ b/test/drain_test.go
@@ -20,6 +20,7 @@
 	It("leaves the directory, finishes its streams and exits 0", func(ctx SpecContext) {
 		fleet, _ := startGuild(ctx, 2, "--token-every", "50ms", "--slots", "16")
 		gate := fleet.VMs[2]
+		Eventually(ctx, func() []string { return entries(ctx, fleet.VMs[0].Callers) }).Should(ConsistOf(fleet.Callers()))
 		client := load.NewClient([]string{gate.Callers}, token, wholeAnswer)
 		const streams = 8
 		answered := make(chan load.Result, streams)
