Test the batch runner against fakes

Red in a trial: with the reporter giving up after one attempt the first test timed out with the results of a group missing; with the heartbeat's answer ignored the second one did. Both pass with the guards.

--- /dev/null
+++ b/internal/gate/batch/runner_test.go
@@ -0,0 +1,216 @@
+package batch_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"sync"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+	"go.uber.org/zap"
+
+	"slateway.example/slateway/internal/apierr"
+	"slateway.example/slateway/internal/gate/batch"
+	"slateway.example/slateway/internal/gate/proxy"
+	"slateway.example/slateway/internal/job"
+	"slateway.example/slateway/internal/keeper/keeperapi"
+	"slateway.example/slateway/internal/route"
+	"slateway.example/slateway/internal/team"
+	"slateway.example/slateway/internal/upstream"
+)
+
+// keepers is a fake session: it leases the given items once each, and takes
+// results unless told to fail.
+type keepers struct {
+	mu       sync.Mutex
+	items    []keeperapi.LeasedItem
+	failures int // of Complete, before it works
+	ended    []job.ID
+	results  []job.Result
+	closed   bool
+}
+
+func (k *keepers) Lease(ctx context.Context, wants []job.Want, wait time.Duration) ([]keeperapi.LeasedItem, error) {
+	k.mu.Lock()
+	count := min(wants[0].Max, len(k.items))
+	items := k.items[:count]
+	k.items = k.items[count:]
+	k.mu.Unlock()
+	if count == 0 {
+		select {
+		case <-ctx.Done():
+		case <-time.After(min(wait, 5*time.Millisecond)):
+		}
+	}
+	return items, nil
+}
+
+func (k *keepers) Heartbeat(context.Context, []job.ID) ([]job.ID, error) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.ended, nil
+}
+
+func (k *keepers) Complete(_ context.Context, results []job.Result) error {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if k.failures > 0 {
+		k.failures--
+		return errors.New("no keeper answered")
+	}
+	k.results = append(k.results, results...)
+	return nil
+}
+
+func (k *keepers) Close(context.Context) error {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.closed = true
+	return nil
+}
+
+func (k *keepers) reported() []job.Result {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return append([]job.Result(nil), k.results...)
+}
+
+func (k *keepers) end(id job.ID) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.ended = append(k.ended, id)
+}
+
+// engines is a fake router with one replica that runs items by run.
+type engines struct {
+	run func(ctx context.Context, item proxy.BatchItem) (proxy.BatchResult, error)
+}
+
+func (e *engines) BatchTarget(string, route.Policy) int { return 4 }
+
+func (e *engines) RunBatch(ctx context.Context, item proxy.BatchItem) (proxy.BatchResult, error) {
+	return e.run(ctx, item)
+}
+
+func (e *engines) Upstreams() []proxy.Replica {
+	return []proxy.Replica{{Announcement: upstream.Announcement{Service: "wordroom", Models: []upstream.Model{{Name: "wordroom"}}}}}
+}
+
+type noPolicies struct{}
+
+func (noPolicies) Policy(string) (*team.Policy, bool) { return nil, false }
+
+func leased(id job.ID, count int) []keeperapi.LeasedItem {
+	items := make([]keeperapi.LeasedItem, count)
+	for i := range items {
+		items[i].Lease = job.Leased{Job: id, Item: uint32(i), Attempt: 1, Queue: job.Queue{Service: "wordroom", Model: "wordroom"}}
+		items[i].Item = job.Item{CustomID: fmt.Sprint(i), Endpoint: "/v1/completions", Body: []byte(`{}`)}
+	}
+	return items
+}
+
+// start runs a Runner until stop is called, which returns once it has ended.
+func start(k *keepers, e *engines) (stop func()) {
+	ctx, cancel := context.WithCancel(context.Background())
+	runner := batch.New(batch.Options{
+		Session: k, Router: e, Policies: noPolicies{}, Log: zap.NewNop(),
+		LeaseItems: 8, ResultFlush: time.Millisecond, ResultGroup: 16, Heartbeat: time.Millisecond,
+	})
+	done := make(chan struct{})
+	go func() {
+		runner.Run(ctx)
+		close(done)
+	}()
+	return func() {
+		cancel()
+		<-done
+	}
+}
+
+func answer(context.Context, proxy.BatchItem) (proxy.BatchResult, error) {
+	return proxy.BatchResult{Outcome: proxy.BatchDone, Status: 200, Body: []byte(`{}`)}, nil
+}
+
+// A caller sees its job stop at 99%. The keepers had no leader for a moment
+// when a gate reported its results, and the gate dropped them; the items wait
+// until the gate's session ends, and are run a second time.
+func TestResultsAreReportedUntilTheKeepersTakeThem(t *testing.T) {
+	g := NewWithT(t)
+	k := &keepers{items: leased("job-a", 20), failures: 3}
+	stop := start(k, &engines{run: answer})
+	defer stop()
+	g.Eventually(k.reported).WithTimeout(20 * time.Second).Should(HaveLen(20))
+	seen := make(map[uint32]bool)
+	for _, result := range k.reported() {
+		g.Expect(result.Outcome).To(Equal(job.OutcomeSucceeded))
+		seen[result.Item] = true
+	}
+	g.Expect(seen).To(HaveLen(20))
+}
+
+// An operator cancels a job and sees its requests go on at the engines until
+// each has ended. The gate learned of the cancel with its next heartbeat and
+// only stopped leasing; the streams in progress ran on.
+func TestCancelledJobStopsItsRunningItemsAndNoOthers(t *testing.T) {
+	g := NewWithT(t)
+	k := &keepers{items: append(leased("job-a", 2), leased("job-b", 1)...)}
+	started := make(chan string, 8)
+	stopped := make(chan string, 8)
+	release := make(chan struct{})
+	stop := start(k, &engines{run: func(ctx context.Context, item proxy.BatchItem) (proxy.BatchResult, error) {
+		started <- item.ID
+		select {
+		case <-ctx.Done():
+			stopped <- item.ID
+			return proxy.BatchResult{Outcome: proxy.BatchNotRun}, ctx.Err()
+		case <-release:
+			return answer(ctx, item)
+		}
+	}})
+	for range 3 {
+		g.Eventually(started).WithTimeout(10 * time.Second).Should(Receive())
+	}
+	k.end("job-a")
+	for range 2 {
+		g.Eventually(stopped).WithTimeout(10 * time.Second).Should(Receive(HavePrefix("job-a/")))
+	}
+	close(release)
+	g.Eventually(k.reported).WithTimeout(10 * time.Second).Should(HaveLen(1))
+	g.Expect(k.reported()[0].Job).To(Equal(job.ID("job-b")))
+	stop()
+	g.Expect(k.closed).To(BeTrue())
+}
+
+func TestOutcomesDecideWhetherAnItemIsTriedAgain(t *testing.T) {
+	failed := func(kind apierr.Kind, ran apierr.Ran) proxy.BatchResult {
+		return proxy.BatchResult{Outcome: proxy.BatchFailed, Err: apierr.New(kind, "cause", "", "it failed").WithRan(ran)}
+	}
+	cases := []struct {
+		name          string
+		nonIdempotent bool
+		result        proxy.BatchResult
+		want          job.Outcome
+	}{
+		{"answered", false, proxy.BatchResult{Outcome: proxy.BatchDone, Status: 200, Body: []byte(`{}`)}, job.OutcomeSucceeded},
+		{"refused by the upstream", false, proxy.BatchResult{Outcome: proxy.BatchDone, Status: 400, Body: []byte(`{}`)}, job.OutcomeFailed},
+		{"not run", false, proxy.BatchResult{Outcome: proxy.BatchNotRun}, job.OutcomeReturned},
+		{"not run, non-idempotent", true, proxy.BatchResult{Outcome: proxy.BatchNotRun}, job.OutcomeReturned},
+		{"upstream lost", false, failed(apierr.BadUpstream, apierr.RanUnknown), job.OutcomeRetry},
+		{"upstream lost, non-idempotent", true, failed(apierr.BadUpstream, apierr.RanUnknown), job.OutcomeUnknown},
+		{"poison", false, failed(apierr.Refused, apierr.RanUnknown), job.OutcomeFailed},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			g := NewWithT(t)
+			items := leased("job-a", 1)
+			items[0].Lease.NonIdempotent = c.nonIdempotent
+			k := &keepers{items: items}
+			stop := start(k, &engines{run: func(context.Context, proxy.BatchItem) (proxy.BatchResult, error) { return c.result, nil }})
+			defer stop()
+			g.Eventually(k.reported).WithTimeout(10 * time.Second).Should(HaveLen(1))
+			g.Expect(k.reported()[0].Outcome).To(Equal(c.want))
+		})
+	}
+}
