--- a/standin/engine/generate.go
+++ b/standin/engine/generate.go
@@ -68,6 +68,7 @@
 // generate waits for a slot and gives the tokens that follow req.resumeFrom to
 // out at the engine's pace. It returns the number of the last token given.
 func (e *Engine) generate(ctx context.Context, req *request, out sink) (int, error) {
+	arrived := time.Now()
 	queued, err := e.acquire(ctx)
 	if err != nil {
 		return req.resumeFrom, err
@@ -77,6 +78,7 @@
 	// Logged before anyone can see that it runs: a run that a caller was told
 	// of is in the log also if the process is killed next.
 	entry := req.entry()
+	entry.Waited = entry.Started.Sub(arrived)
 	e.log.start(entry)
 	tokens := req.resumeFrom
 	if err = out.admitted(queued); err == nil {
--- a/standin/engine/runlog.go
+++ b/standin/engine/runlog.go
@@ -31,9 +31,11 @@
 	Prompt         string    `json:"prompt"` // its first 128 bytes
 	ResumeFrom     int       `json:"resume_from,omitempty"`
 	Started        time.Time `json:"started"`
-	Ended          time.Time `json:"ended,omitzero"`
-	Outcome        Outcome   `json:"outcome,omitempty"` // empty while it runs
-	Tokens         int       `json:"tokens"`
+	// Waited is how long the request waited for its slot, in ns.
+	Waited  time.Duration `json:"waited"`
+	Ended   time.Time     `json:"ended,omitzero"`
+	Outcome Outcome       `json:"outcome,omitempty"` // empty while it runs
+	Tokens  int           `json:"tokens"`
 }
 
 // LogReport is what GET /v1/log answers. Waiting requests that were cancelled
