--- a/internal/keeper/measure_test.go
+++ b/internal/keeper/measure_test.go
@@ -3,18 +3,24 @@
 import (
 	"context"
 	"fmt"
+	"net/http"
+	"net/http/httptest"
 	"os"
 	"runtime"
 	"strconv"
+	"strings"
 	"sync/atomic"
 	"testing"
 	"time"
 
+	"go.uber.org/zap"
 	"golang.org/x/sync/errgroup"
 
 	"slateway.example/slateway/internal/job"
+	"slateway.example/slateway/internal/keeper"
 	"slateway.example/slateway/internal/keeper/keeperclient"
 	"slateway.example/slateway/internal/keeper/keepertest"
+	"slateway.example/slateway/internal/rpc"
 )
 
 const (
@@ -36,6 +42,7 @@
 // several jobs through 3 keepers, with 8 gates. ITEMS and JOBS set the size.
 func BenchmarkItemsEndToEnd(b *testing.B) {
 	items, jobs := setting("ITEMS", 20_000), setting("JOBS", 8)
+	items -= items % jobs
 	for b.Loop() {
 		cluster := keepertest.StartCluster(b, 3, measuredGroups, nil)
 		client := cluster.Client()
@@ -90,7 +97,9 @@
 	return ids
 }
 
-func execute(b testing.TB, client *keeperclient.Client, items int) {
+// execute runs at least items items, more if the last ones are leased together,
+// and gives their number.
+func execute(b testing.TB, client *keeperclient.Client, items int) int {
 	var done atomic.Int64
 	var gates errgroup.Group
 	for n := range measuredGates {
@@ -100,6 +109,7 @@
 	if err := gates.Wait(); err != nil {
 		b.Fatal(err)
 	}
+	return int(done.Load())
 }
 
 // gate leases and completes until all gates together have done all items.
@@ -144,6 +154,58 @@
 	return int(count.Load())
 }
 
+// BenchmarkState measures what items cost in memory, in a snapshot and at a
+// restart, in the job group of a single keeper. ITEMS and JOBS set the size.
+func BenchmarkState(b *testing.B) {
+	items, jobs := setting("ITEMS", 100_000), setting("JOBS", 1)
+	items -= items % jobs
+	for b.Loop() {
+		machine, client := openMachine(b)
+		empty := heapInUse()
+		ids := upload(b, client, items, jobs)
+		reportState(b, machine, "open", items, heapInUse()-empty)
+		done := execute(b, client, items/2)
+		reportState(b, machine, "half", items, heapInUse()-empty)
+		execute(b, client, items-done)
+		reportState(b, machine, "ended", items, heapInUse()-empty)
+		b.ReportMetric(float64(heapInUse()-empty)/float64(jobs), "ended-B/job")
+		if read := readAll(b, client, ids); read != items {
+			b.Fatalf("read %d results of %d", read, items)
+		}
+	}
+}
+
+// openMachine serves one job group without a log.
+func openMachine(b *testing.B) (*keeper.JobMachine, *keeperclient.Client) {
+	machine := keeper.NewJobMachine(b.TempDir(), func(err error) { panic(err) })
+	config := keeper.NewConfigMachine()
+	service := keeper.NewService(keeper.Options{
+		Self: keepertest.Self.ID, Proposer: keepertest.NewLocal(config, machine),
+		Config: config, Jobs: []*keeper.JobMachine{machine}, Log: zap.NewNop(),
+	})
+	mux := http.NewServeMux()
+	service.Mount(mux)
+	server := httptest.NewServer(mux)
+	b.Cleanup(server.Close)
+	return machine, keeperclient.New(rpc.NewClient(server.Client()), []string{strings.TrimPrefix(server.URL, "http://")})
+}
+
+func reportState(b *testing.B, machine *keeper.JobMachine, when string, items int, heap uint64) {
+	b.ReportMetric(float64(heap)/float64(items), when+"-B/item")
+	started := time.Now()
+	snapshot, err := machine.Snapshot()
+	if err != nil {
+		b.Fatal(err)
+	}
+	b.ReportMetric(float64(time.Since(started).Milliseconds()), when+"-snapshot-ms")
+	b.ReportMetric(float64(len(snapshot.State))/float64(items)*100_000, when+"-snapshot-B/100k")
+	started = time.Now()
+	if err := machine.Restore(snapshot); err != nil {
+		b.Fatal(err)
+	}
+	b.ReportMetric(float64(time.Since(started).Milliseconds()), when+"-restore-ms")
+}
+
 // heapInUse gives the bytes of live objects.
 func heapInUse() uint64 {
 	runtime.GC()
