Do not queue at an engine while another has a slot; hold for 50 ms

Two samples may both be full while a third replica is not, and affinity could choose a full one: such a request now looks at all replicas.

--- a/internal/route/config.go
+++ b/internal/route/config.go
@@ -142,7 +142,7 @@
 // finds one without waiting for a preemption, and starts no batch beyond three
 // quarters of the slots.
 func TailPolicy() Policy {
-	return Policy{Headroom: 0.25, MinFree: 1, Hold: 250 * time.Millisecond, Victim: VictimLeastWork}
+	return Policy{Headroom: 0.25, MinFree: 1, Hold: 50 * time.Millisecond, Victim: VictimLeastWork}
 }
 
 // reserve gives the slots of a replica that new batch leaves free.
--- a/internal/route/pick.go
+++ b/internal/route/pick.go
@@ -20,7 +20,25 @@
 	if chosen != nil && s.ratio(chosen) < s.config.SpillAt {
 		return chosen
 	}
-	return s.spill(chosen, s.sampleTwo(req, s.remote))
+	chosen = s.spill(chosen, s.sampleTwo(req, s.remote))
+	if chosen != nil && !s.hasSlot(chosen) {
+		// The request would wait in an engine's queue; two samples may both be
+		// full while another replica is not.
+		return s.leastLoaded(req, chosen)
+	}
+	return chosen
+}
+
+// leastLoaded looks at all replicas for one that is less loaded than chosen.
+func (s *Shard) leastLoaded(req *request, chosen *replica) *replica {
+	for _, list := range [...][]*replica{s.local, s.remote} {
+		for _, r := range list {
+			if s.ratio(r) < s.ratio(chosen) && s.fits(req, r) {
+				chosen = r
+			}
+		}
+	}
+	return chosen
 }
 
 func (s *Shard) spill(near, far *replica) *replica {
@@ -115,7 +133,7 @@
 		}
 	}
 	for i, r := range [...]*replica{best, second} {
-		if r != nil && i < s.config.AffinityTries && s.fits(req, r) && s.ratio(r) <= bound {
+		if r != nil && i < s.config.AffinityTries && s.hasSlot(r) && s.ratio(r) <= bound && s.fits(req, r) {
 			return r
 		}
 	}
--- a/internal/route/replica.go
+++ b/internal/route/replica.go
@@ -132,6 +132,10 @@
 	return s.onlineLoad(r) < slots+extra
 }
 
+// hasSlot says whether an online request finds a slot at once, or one that
+// batch gives up for it.
+func (s *Shard) hasSlot(r *replica) bool { return s.onlineLoad(r) < s.slots(r) }
+
 // observeReport works out which part of a new load report no gate accounts for.
 // The report lags, so it is set against the highest count of the time that it
 // may speak of: what is left was surely not this gate's.
