Trim the messages between VMs

A first publication and a changed head are sent whole three times, so a new delegate is known at once all the same.

--- a/cmd/capacity/main.go
+++ b/cmd/capacity/main.go
@@ -22,7 +22,10 @@
 			{Name: "sockets", Usage: "membership over loopback sockets, by the VMs of a place", Action: measureSockets},
 			{
 				Name: "processes", Usage: "running daemons, by the gates of a fleet with 3 keepers", Action: measureProcesses,
-				Flags: []cli.Flag{&cli.IntSliceFlag{Name: "gates", Value: []int{4, 8, 16, 32}, Usage: "sizes to measure"}},
+				Flags: []cli.Flag{
+					&cli.IntSliceFlag{Name: "gates", Value: []int{4, 8, 16, 32}, Usage: "sizes to measure"},
+					&cli.StringFlag{Name: "settings", Usage: "TOML text added to each VM's settings"},
+				},
 			},
 			{Name: "replicas", Usage: "records of upstreams, by their number", Action: measureReplicas},
 			{Name: "teams", Usage: "configuration, by the number of teams", Action: measureTeams},
--- a/cmd/capacity/members.go
+++ b/cmd/capacity/members.go
@@ -74,7 +74,8 @@
 const (
 	regions        = 6
 	places         = 22
-	plannedSpill   = 600 // bytes of a place's sum within its region
+	replicasListed = 12  // replicas that a place names to others
+	identityBytes  = 284 // of one replica, by the subcommand replicas
 	plannedPerSite = 19
 )
 
@@ -88,7 +89,7 @@
 		heap := heapBytes()
 		w := newNetwork()
 		w.rowBytes = numberRow
-		w.spillBytes = plannedSpill
+		w.listBytes = replicasListed * identityBytes
 		for place := range places {
 			for i := range perPlace {
 				w.add(fmt.Sprintf("region-%d", place%regions), fmt.Sprintf("place-%02d", place), i, "10.0.0.0:8082", "10.0.0.1:8082")
--- a/cmd/capacity/network.go
+++ b/cmd/capacity/network.go
@@ -15,7 +15,7 @@
 const (
 	tick   = 100 * time.Millisecond
 	warmUp = 30 * time.Second
-	window = 30 * time.Second
+	window = 40 * time.Second
 )
 
 // A load digest at the planned size: 13 replicas announce to a gate, and one row
@@ -23,7 +23,7 @@
 const (
 	replicasPerGate = 13
 	loadKind        = member.FirstVolatile
-	spillKind       = member.FirstNear
+	listKind        = member.FirstNear
 )
 
 // node is one VM with its traffic.
@@ -45,8 +45,9 @@
 	// rowBytes is the size of a replica's row in the load digest that each VM
 	// spreads a second; zero spreads none.
 	rowBytes int
-	// spillBytes is the size of the sum that each place renews a second.
-	spillBytes int
+	// listBytes is the size of the list of replicas that each place gives the
+	// others; its loads change each second, the list does not.
+	listBytes int
 }
 
 func newNetwork() *network {
@@ -122,8 +123,9 @@
 		}
 		w.take(n, output)
 	}
-	if w.spillBytes > 0 {
-		n.member.SetSum(spillKind, w.changing(w.spillBytes))
+	if w.listBytes > 0 {
+		n.member.SetSum(listKind, make([]byte, w.listBytes))
+		n.member.SetSum(loadKind, w.changing(w.rowBytes*replicasListed))
 	}
 	return nil
 }
--- a/cmd/capacity/processes.go
+++ b/cmd/capacity/processes.go
@@ -67,7 +67,7 @@
 	fmt.Printf("\n### Daemons on loopback: %d keepers, %d places, %d engines, no callers\n\n", keepersMeasured, placesMeasured, replicasMeasured)
 	gates, keepers := newRoleSeries("gate"), newRoleSeries("keeper")
 	for _, size := range command.IntSlice("gates") {
-		gateCosts, keeperCosts, err := processesOf(ctx, folder, programs, size)
+		gateCosts, keeperCosts, err := processesOf(ctx, folder, programs, size, command.String("settings"))
 		if err != nil {
 			return err
 		}
@@ -78,12 +78,12 @@
 	return nil
 }
 
-func processesOf(ctx context.Context, parent string, programs harness.Programs, gates int) (gateCosts, keeperCosts []vmCost, err error) {
+func processesOf(ctx context.Context, parent string, programs harness.Programs, gates int, settings string) (gateCosts, keeperCosts []vmCost, err error) {
 	folder, err := os.MkdirTemp(parent, "fleet-")
 	if err != nil {
 		return nil, nil, err
 	}
-	fleet, err := harness.New(folder, programs, harness.Options{VMs: layout(gates)})
+	fleet, err := harness.New(folder, programs, harness.Options{VMs: layout(gates), Settings: settings})
 	if err != nil {
 		return nil, nil, err
 	}
--- a/internal/member/merge.go
+++ b/internal/member/merge.go
@@ -12,6 +12,9 @@
 func (n *Node) mergeRecords(now time.Time, m *message) {
 	for i := range m.Records {
 		record := &m.Records[i]
+		if record.VM.Name == "" {
+			record.VM.Name = m.From
+		}
 		if record.VM.Name == n.self.VM.Name {
 			n.defend(record)
 			continue
--- a/internal/member/publish.go
+++ b/internal/member/publish.go
@@ -15,7 +15,7 @@
 
 const (
 	// wholeEvery is how many publications there are for each whole one.
-	wholeEvery = 5
+	wholeEvery = 10
 	// headRepeats is how often a changed head is sent: a lost packet must not
 	// leave a draining gate in the answers of other places until the next
 	// whole publication.
--- a/internal/member/spread.go
+++ b/internal/member/spread.go
@@ -78,7 +78,7 @@
 		return n.self
 	}
 	record := n.self
-	record.VM = VM{Name: n.self.VM.Name}
+	record.VM = VM{} // the sender's own; its name is in the message already
 	record.Digests = nil
 	for _, digest := range n.self.Digests {
 		if slices.Contains(d.digest, digest.Kind) {
