--- a/client/roundtrip.go
+++ b/client/roundtrip.go
@@ -173,7 +173,7 @@
 // gateReasons are the refusals that concern the gate and not the request: the
 // next gate may well serve it. Any other refusal would come from each gate
 // alike, and asking them all would multiply the load when it is highest.
-var gateReasons = []string{"draining", "no_configuration", "configuration_lease_expired", "keepers_unavailable"}
+var gateReasons = []string{"gate_draining", "draining", "no_configuration", "configuration_lease_expired", "keepers_unavailable"}
 
 type refusal struct {
 	Error struct {
