Remove settings that have no effect

config.renew, limits.max_peer_bytes, timeouts.keeper_call, timeouts.max_request and upstream.announce_interval were read by nothing: who sets such a key believes in something that does not happen. The renewal's pace follows from the lease, the longest deadline is a team's parameter. The settings of the whole-process tests named config.renew, which changed nothing in them either.

--- a/cmd/capacity/network.go
+++ b/cmd/capacity/network.go
@@ -41,7 +41,6 @@
 	nodes map[string]*node
 	order []*node
 	queue []member.Packet
-	from  []*node
 	// rowBytes is the size of a replica's row in the load digest that each VM
 	// spreads a second; zero spreads none.
 	rowBytes int
--- a/cmd/capacity/processes.go
+++ b/cmd/capacity/processes.go
@@ -133,7 +133,7 @@
 			return err
 		}
 	}
-	return nil
+	return fleet.WaitReady(ctx, map[string]int{"wordroom": replicasMeasured})
 }
 
 // reading is what a VM's counters and its process had used at a moment.
--- a/internal/settings/check.go
+++ b/internal/settings/check.go
@@ -149,9 +149,6 @@
 	const raise = "raise the second or lower the first"
 	c.less("member.heartbeat", s.Member.Heartbeat, "member.suspect_after", s.Member.SuspectAfter, 2, raise)
 	c.less("quorum.heartbeat", s.Quorum.Heartbeat, "quorum.election", s.Quorum.Election, 3, raise)
-	c.less("config.renew", s.Config.Renew, "config.lease", s.Config.Lease, 2, raise)
-	c.less("upstream.announce_interval", s.Upstream.AnnounceInterval, "upstream.expire_after", s.Upstream.ExpireAfter, 2, raise)
-	c.less("timeouts.request", s.Timeouts.Request, "timeouts.max_request", s.Timeouts.MaxRequest, 1, raise)
 	c.less("directory.answer_lifetime", s.Directory.AnswerLifetime, "timeouts.drain", s.Timeouts.Drain, 1, raise)
 	if s.Config.Lease > MaxConfigLease {
 		c.add("config.lease", s.Config.Lease.String(), "a change could not be in force everywhere within 9 s", "set it to at most "+MaxConfigLease.String())
@@ -159,9 +156,6 @@
 	if s.Limits.MaxItemBytes > s.Limits.MaxPartBytes {
 		c.add("limits.max_item_bytes", fmt.Sprint(s.Limits.MaxItemBytes), "larger than limits.max_part_bytes", "lower it")
 	}
-	if s.Limits.MaxPartBytes > s.Limits.MaxPeerBytes {
-		c.add("limits.max_part_bytes", fmt.Sprint(s.Limits.MaxPartBytes), "larger than limits.max_peer_bytes, so a part could not reach a keeper", "lower it")
-	}
 }
 
 // less refuses a first value that, times factor, exceeds the second.
--- a/internal/settings/numbers.go
+++ b/internal/settings/numbers.go
@@ -27,17 +27,13 @@
 		{"quorum.heartbeat", s.Quorum.Heartbeat},
 		{"quorum.election", s.Quorum.Election},
 		{"config.lease", s.Config.Lease},
-		{"config.renew", s.Config.Renew},
 		{"directory.answer_lifetime", s.Directory.AnswerLifetime},
-		{"upstream.announce_interval", s.Upstream.AnnounceInterval},
 		{"upstream.expire_after", s.Upstream.ExpireAfter},
 		{"batch.lease", s.Batch.Lease},
 		{"batch.result_flush", s.Batch.ResultFlush},
 		{"batch.retention", s.Batch.Retention},
 		{"timeouts.dial", s.Timeouts.Dial},
-		{"timeouts.keeper_call", s.Timeouts.KeeperCall},
 		{"timeouts.request", s.Timeouts.Request},
-		{"timeouts.max_request", s.Timeouts.MaxRequest},
 		{"timeouts.stream_idle", s.Timeouts.StreamIdle},
 		{"timeouts.drain", s.Timeouts.Drain},
 	}
@@ -64,7 +60,6 @@
 		{"limits.max_item_bytes", s.Limits.MaxItemBytes},
 		{"limits.max_queue", s.Limits.MaxQueue},
 		{"limits.max_in_progress", s.Limits.MaxInProgress},
-		{"limits.max_peer_bytes", s.Limits.MaxPeerBytes},
 	}
 }
 
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -80,7 +80,6 @@
 // Config sets how long a gate may serve under the configuration it holds.
 type Config struct {
 	Lease     time.Duration `toml:"lease"`      // serving time after the last confirmed contact with keepers
-	Renew     time.Duration `toml:"renew"`      // pace of renewal
 	WhenAlone WhenAlone     `toml:"when_alone"` // what a gate without a lease does
 }
 
@@ -101,8 +100,7 @@
 
 // Upstream sets how announcements of upstreams age.
 type Upstream struct {
-	AnnounceInterval time.Duration `toml:"announce_interval"` // asked of upstreams
-	ExpireAfter      time.Duration `toml:"expire_after"`      // silence until a replica is dropped
+	ExpireAfter time.Duration `toml:"expire_after"` // silence until a replica is dropped
 }
 
 // Batch sets how gates lease and run batch items.
@@ -122,15 +120,12 @@
 	MaxItemBytes  int `toml:"max_item_bytes"`  // one item of a part
 	MaxQueue      int `toml:"max_queue"`       // online requests waiting in a gate
 	MaxInProgress int `toml:"max_in_progress"` // online requests running in a gate
-	MaxPeerBytes  int `toml:"max_peer_bytes"`  // one message between processes
 }
 
 // Timeouts bound waiting.
 type Timeouts struct {
 	Dial       time.Duration `toml:"dial"`        // opening a connection
-	KeeperCall time.Duration `toml:"keeper_call"` // one call to a keeper
 	Request    time.Duration `toml:"request"`     // deadline of a request that names none
-	MaxRequest time.Duration `toml:"max_request"` // longest deadline that a caller may ask for
 	StreamIdle time.Duration `toml:"stream_idle"` // silence of a stream until its connection is suspect
 	Drain      time.Duration `toml:"drain"`       // longest drain after SIGTERM
 }
@@ -150,20 +145,19 @@
 		VM:        VM{Roles: []Role{RoleGate}},
 		Member:    Member{Heartbeat: 500 * time.Millisecond, SuspectAfter: 2 * time.Second, LostAfter: 3 * time.Second},
 		Quorum:    Quorum{Heartbeat: 100 * time.Millisecond, Election: time.Second, JobGroups: 2, SnapshotEntries: 4096, ReplaceAfter: time.Minute},
-		Config:    Config{Lease: 4 * time.Second, Renew: time.Second, WhenAlone: Refuse},
+		Config:    Config{Lease: 4 * time.Second, WhenAlone: Refuse},
 		Directory: Directory{AnswerLifetime: 10 * time.Second, MaxEntries: 8},
-		Upstream:  Upstream{AnnounceInterval: time.Second, ExpireAfter: 6 * time.Second},
+		Upstream:  Upstream{ExpireAfter: 6 * time.Second},
 		Batch: Batch{
 			Lease: 10 * time.Second, LeaseItems: 64, MaxAttempts: 5,
 			ResultFlush: 20 * time.Millisecond, ResultGroup: 256, Retention: 7 * 24 * time.Hour,
 		},
 		Limits: Limits{
 			MaxBodyBytes: 8 << 20, MaxPartBytes: 16 << 20, MaxItemBytes: 1 << 20,
-			MaxQueue: 1024, MaxInProgress: 4096, MaxPeerBytes: 32 << 20,
+			MaxQueue: 1024, MaxInProgress: 4096,
 		},
 		Timeouts: Timeouts{
-			Dial: time.Second, KeeperCall: 2 * time.Second, Request: 2 * time.Minute,
-			MaxRequest: 30 * time.Minute, StreamIdle: 10 * time.Second, Drain: 30 * time.Minute,
+			Dial: time.Second, Request: 2 * time.Minute, StreamIdle: 10 * time.Second, Drain: 30 * time.Minute,
 		},
 		Log: Log{Level: "info", Format: "json"},
 	}
--- a/test/api_test.go
+++ b/test/api_test.go
@@ -63,7 +63,6 @@
 election = "500ms"
 [config]
 lease = "3s"
-renew = "500ms"
 [directory]
 answer_lifetime = "1s"
 [batch]
