--- a/standin/link/link.go
+++ b/standin/link/link.go
@@ -31,9 +31,13 @@
 	listener net.Listener
 	target   string
 
+	// source names the side that connects; nil if all are treated alike.
+	source func(net.Conn) string
+
 	mu        sync.Mutex
 	condition Condition
-	changed   chan struct{} // closed at each change of condition
+	bySource  map[string]Condition // instead of condition
+	changed   chan struct{}        // closed at each change of condition
 	random    *rand.Rand
 	open      map[*connection]struct{}
 	closed    bool
@@ -41,6 +45,7 @@
 
 // connection is one relayed connection.
 type connection struct {
+	source    string
 	near, far net.Conn
 	silent    chan struct{} // closed once the connection passes nothing more
 	done      chan struct{}
@@ -50,6 +55,13 @@
 // Listen starts a relay on address, IP:port, to target. Losses are drawn from
 // seed.
 func Listen(address, target string, seed uint64) (*Relay, error) {
+	return ListenFrom(address, target, seed, nil)
+}
+
+// ListenFrom starts a relay that can treat connections by who opened them:
+// source names the process at a connection's other end, for SetFor. Connections
+// of nobody that it knows are closed, so that none escapes a cut.
+func ListenFrom(address, target string, seed uint64, source func(net.Conn) string) (*Relay, error) {
 	listener, err := net.Listen("tcp", address)
 	if err != nil {
 		return nil, err
@@ -57,6 +69,8 @@
 	relay := &Relay{
 		listener: listener,
 		target:   target,
+		source:   source,
+		bySource: make(map[string]Condition),
 		changed:  make(chan struct{}),
 		random:   rand.New(rand.NewPCG(seed, 0)),
 		open:     make(map[*connection]struct{}),
@@ -68,15 +82,38 @@
 // Address is where the relay listens, IP:port.
 func (r *Relay) Address() string { return r.listener.Addr().String() }
 
-// Set changes the link's condition for all connections, old and new.
+// Set changes the link's condition for all connections, old and new, but for
+// those from a source with a condition of its own.
 func (r *Relay) Set(condition Condition) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.condition = condition
+	r.announceChange()
+}
+
+// SetFor changes the condition of a source's connections, old and new.
+func (r *Relay) SetFor(source string, condition Condition) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.bySource[source] = condition
+	r.announceChange()
+}
+
+// announceChange wakes what waits for another condition. The caller holds r.mu.
+func (r *Relay) announceChange() {
 	close(r.changed)
 	r.changed = make(chan struct{})
 }
 
+// conditionOf gives the condition of a source's connections. The caller holds
+// r.mu.
+func (r *Relay) conditionOf(source string) Condition {
+	if own, ok := r.bySource[source]; ok {
+		return own
+	}
+	return r.condition
+}
+
 // SilenceOpen makes the connections that are open now pass nothing any more,
 // and leaves them open; new ones are not affected. It returns their number.
 func (r *Relay) SilenceOpen() int {
@@ -119,12 +156,19 @@
 }
 
 func (r *Relay) serve(near net.Conn) {
+	source := ""
+	if r.source != nil {
+		if source = r.source(near); source == "" {
+			near.Close()
+			return
+		}
+	}
 	far, err := net.Dial("tcp", r.target)
 	if err != nil {
 		near.Close()
 		return
 	}
-	relayed := &connection{near: near, far: far, silent: make(chan struct{}), done: make(chan struct{})}
+	relayed := &connection{source: source, near: near, far: far, silent: make(chan struct{}), done: make(chan struct{})}
 	if !r.add(relayed) {
 		relayed.close()
 		return
--- a/standin/link/pass.go
+++ b/standin/link/pass.go
@@ -26,7 +26,7 @@
 		for {
 			buffer := make([]byte, chunkBytes)
 			n, err := from.Read(buffer)
-			if n > 0 && !relayed.queue(onWay, chunk{buffer[:n], r.due()}) {
+			if n > 0 && !relayed.queue(onWay, chunk{buffer[:n], r.due(relayed.source)}) {
 				return
 			}
 			if err != nil {
@@ -75,12 +75,13 @@
 }
 
 // due draws when a chunk that was read now arrives.
-func (r *Relay) due() time.Time {
+func (r *Relay) due(source string) time.Time {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	arrival := time.Now().Add(r.condition.Delay)
-	if r.condition.Loss > 0 && r.random.Float64() < r.condition.Loss {
-		arrival = arrival.Add(r.condition.Retransmit)
+	condition := r.conditionOf(source)
+	arrival := time.Now().Add(condition.Delay)
+	if condition.Loss > 0 && r.random.Float64() < condition.Loss {
+		arrival = arrival.Add(condition.Retransmit)
 	}
 	return arrival
 }
@@ -90,7 +91,7 @@
 func (r *Relay) waitOpen(relayed *connection, stalled func(Condition) bool) bool {
 	for {
 		r.mu.Lock()
-		held := stalled(r.condition)
+		held := stalled(r.conditionOf(relayed.source))
 		changed := r.changed
 		r.mu.Unlock()
 		select {
--- a/test/harness/fleet.go
+++ b/test/harness/fleet.go
@@ -9,6 +9,8 @@
 	"path/filepath"
 	"sync"
 	"time"
+
+	"slateway.example/slateway/standin/link"
 )
 
 // Ports of every VM, on an IP address of its own.
@@ -22,6 +24,7 @@
 // Last numbers of IP addresses.
 const (
 	firstVM       = 1
+	firstPeerLink = 51
 	firstUpstream = 101
 	relayHost     = 250
 )
@@ -47,6 +50,8 @@
 	// LinkDelay is the one-way delay between places. If it is not zero, gates
 	// reach upstreams through links; upstreams of their own place without delay.
 	LinkDelay time.Duration
+	// PeerLinks puts a link before the peers address of each VM, for Cut.
+	PeerLinks bool
 }
 
 // Fleet is a set of VMs and upstreams. Its methods may be called at the same
@@ -60,9 +65,11 @@
 	network string // first three numbers of all addresses
 
 	mu        sync.Mutex
+	processes map[int]string // names of VMs by process ID, also of ended ones
 	upstreams []*Upstream
 	relays    int
 	closers   []func() error
+	cuts      [][2]*VM // from, to
 }
 
 // VM is one machine of the system.
@@ -73,11 +80,14 @@
 	Callers   string // IP:port
 	Operators string
 	Peers     string
+	Advertise string // peers address that others use; Peers or a link before it
 	Data      string // data folder
 	Settings  string // path of its TOML file
 	*Process         // nil until started
 
-	fleet *Fleet
+	fleet   *Fleet
+	streams *link.Relay   // TCP to Peers; nil without PeerLinks
+	packets *link.Packets // UDP to Peers
 }
 
 // New lays out a fleet in folder and writes its settings. Nothing is started.
@@ -86,10 +96,14 @@
 	if err != nil {
 		return nil, err
 	}
-	fleet := &Fleet{Folder: folder, Programs: programs, options: options, network: network}
+	fleet := &Fleet{Folder: folder, Programs: programs, options: options, network: network, processes: map[int]string{}}
 	for i, vm := range options.VMs {
 		fleet.VMs = append(fleet.VMs, fleet.newVM(i, vm))
 	}
+	if err := fleet.addPeerLinks(); err != nil {
+		fleet.Close()
+		return nil, err
+	}
 	for _, vm := range fleet.VMs {
 		if err := os.MkdirAll(vm.Data, 0o755); err != nil {
 			return nil, err
@@ -125,6 +139,7 @@
 		Callers:   fmt.Sprintf("%s:%d", ip, callersPort),
 		Operators: fmt.Sprintf("%s:%d", ip, operatorsPort),
 		Peers:     fmt.Sprintf("%s:%d", ip, peersPort),
+		Advertise: fmt.Sprintf("%s:%d", ip, peersPort),
 		Data:      filepath.Join(f.Folder, name),
 		Settings:  filepath.Join(f.Folder, name+".toml"),
 		fleet:     f,
@@ -138,6 +153,9 @@
 		return err
 	}
 	v.Process = process
+	v.fleet.mu.Lock()
+	v.fleet.processes[process.PID()] = v.Name
+	v.fleet.mu.Unlock()
 	return nil
 }
 
--- a/test/harness/settings.go
+++ b/test/harness/settings.go
@@ -14,9 +14,10 @@
 		fmt.Fprintf(&text, "data_folder = %q\n", vm.Data)
 	}
 	fmt.Fprintf(&text, "[listen]\ncallers = %q\noperators = %q\npeers = %q\n", vm.Callers, vm.Operators, vm.Peers)
+	fmt.Fprintf(&text, "[advertise]\npeers = %q\n", vm.Advertise)
 	for _, keeper := range f.VMs {
 		if keeper.Keeper {
-			fmt.Fprintf(&text, "[[keeper]]\nvm = %q\npeers = %q\n", keeper.Name, keeper.Peers)
+			fmt.Fprintf(&text, "[[keeper]]\nvm = %q\npeers = %q\n", keeper.Name, keeper.Advertise)
 		}
 	}
 	return text.String()
