--- a/internal/route/admission.go
+++ b/internal/route/admission.go
@@ -4,7 +4,6 @@
 	"time"
 
 	"slateway.example/slateway/internal/apierr"
-	"slateway.example/slateway/internal/upstream"
 )
 
 // teamState is what one team has in this shard.
@@ -103,7 +102,7 @@
 			"come back after the time given", "%d requests wait at this gate, its limit", waiting).
 			WithRetryAfter(s.retryAfter(waiting))
 	}
-	wait := s.drain.wait(s.at, waiting)
+	wait := s.waitOf(waiting)
 	if waiting > 0 && s.at.Add(wait).After(req.Deadline) {
 		return apierr.New(apierr.Overloaded, ReasonWaitTooLong,
 			"come back after the time given, or give a later deadline",
@@ -113,11 +112,16 @@
 	return nil
 }
 
-// retryAfter tells when n requests will have drained at the measured rate.
-func (s *Shard) retryAfter(n int) time.Duration {
-	return clampRetry(s.drain.wait(s.at, n))
+// waitOf estimates how long the nth of the queue waits: the requests that run
+// end at the rate of their number over the mean time of an answer. The rate of
+// answers alone would mislead after a quiet time.
+func (s *Shard) waitOf(n int) time.Duration {
+	return time.Duration(n) * s.answer.mean / time.Duration(max(s.onlineRunning, 1))
 }
 
+// retryAfter tells when n requests will have drained.
+func (s *Shard) retryAfter(n int) time.Duration { return clampRetry(s.waitOf(n)) }
+
 func clampRetry(d time.Duration) time.Duration {
 	return min(max(d, minRetryAfter), maxRetryAfter)
 }
@@ -162,6 +166,13 @@
 	if !s.mayRunNow(req) {
 		return held
 	}
+	if r := s.boundTo(req); r != nil {
+		if !s.fits(req, r) {
+			return held
+		}
+		s.dispatch(req, r, req.next)
+		return started
+	}
 	r := s.pick(req)
 	if r == nil && s.onlyAvoided(req) {
 		req.avoid = nil
@@ -194,142 +205,3 @@
 	}
 	return true
 }
-
-func (s *Shard) dispatch(req *request, r *replica, kind DispatchKind) {
-	s.nextAttempt++
-	a := &attempt{id: s.nextAttempt, req: req, on: r, started: s.at, progress: s.at}
-	a.queued = s.totalLoad(r) >= r.entry.Slots
-	s.attempts[a.id] = a
-	s.running[req.Fingerprint]++
-	req.live = append(req.live, a)
-	req.tried++
-	r.attempts = append(r.attempts, a)
-	s.countOn(r, req.Class, 1)
-	resume := req.tokens > 0 && req.Resumable && r.entry.CanResume
-	s.emit(Dispatch{ID: req.ID, Attempt: a.id, Kind: kind, Target: &r.entry.Announcement, Resume: resume})
-	if req.Class == Online {
-		s.yieldSlots(r)
-	}
-}
-
-func (s *Shard) countOn(r *replica, class Class, by int) {
-	if class == Online {
-		r.online += by
-	} else {
-		r.batch += by
-	}
-	s.noteKnown(r)
-	s.tellFeeder(r)
-}
-
-// end takes an attempt off its replica.
-func (s *Shard) end(a *attempt) {
-	delete(s.attempts, a.id)
-	if s.running[a.req.Fingerprint]--; s.running[a.req.Fingerprint] <= 0 {
-		delete(s.running, a.req.Fingerprint)
-	}
-	a.req.live = without(a.req.live, a)
-	a.on.attempts = without(a.on.attempts, a)
-	s.countOn(a.on, a.req.Class, -1)
-}
-
-func without(list []*attempt, a *attempt) []*attempt {
-	for i, other := range list {
-		if other == a {
-			copy(list[i:], list[i+1:])
-			list[len(list)-1] = nil
-			return list[:len(list)-1]
-		}
-	}
-	return list
-}
-
-// cancel stops an attempt.
-func (s *Shard) cancel(a *attempt, cause CancelCause) {
-	s.end(a)
-	s.count(ReasonCancelPrefix + apierr.Reason(cause))
-	s.emit(Cancel{ID: a.req.ID, Attempt: a.id, Cause: cause})
-}
-
-// forget ends all that is known of a request.
-func (s *Shard) forget(req *request, cause CancelCause) {
-	for len(req.live) > 0 {
-		s.cancel(req.live[0], cause)
-	}
-	s.waiting.remove(req)
-	s.batch.remove(req)
-	delete(s.requests, req.ID)
-	if req.Class == Online {
-		s.team(req.Team).inFlight--
-	}
-}
-
-// refuse gives a request its final answer.
-func (s *Shard) refuse(req *request, err *apierr.Error) {
-	s.forget(req, CancelAbandoned)
-	s.count(err.Reason)
-	s.emit(Refuse{ID: req.ID, Err: err})
-}
-
-func (in Abandon) apply(s *Shard) {
-	if req := s.requests[in.ID]; req != nil {
-		if req.awaiting != nil {
-			req.awaiting.orphans = append(req.awaiting.orphans, req.Fingerprint)
-		}
-		s.forget(req, CancelAbandoned)
-		s.pump()
-	}
-}
-
-func (in Progress) apply(s *Shard) {
-	a := s.attempts[in.Attempt]
-	if a == nil {
-		return
-	}
-	a.progress = s.at
-	a.answered = true
-	if in.Tokens > 0 && a.tokens == 0 {
-		s.firstToken.observe(s.at.Sub(a.started))
-		s.settle(a)
-	}
-	a.tokens = max(a.tokens, in.Tokens)
-	a.req.tokens = max(a.req.tokens, in.Tokens)
-	a.req.delivered = a.req.delivered || in.Delivered
-}
-
-// settle stops the other attempts of a request: the first to answer wins.
-//
-// Without it two attempts would write into one answer, each with its own words.
-func (s *Shard) settle(winner *attempt) {
-	if s.config.Disabled.Settle {
-		return
-	}
-	for _, other := range append([]*attempt(nil), winner.req.live...) {
-		if other != winner {
-			s.cancel(other, CancelHedgeLost)
-		}
-	}
-}
-
-func (in Finished) apply(s *Shard) {
-	a := s.attempts[in.Attempt]
-	if a == nil {
-		return
-	}
-	req := a.req
-	a.on.failures = 0
-	s.end(a)
-	s.forget(req, CancelHedgeLost)
-	s.drain.observe(s.at)
-	s.clearStrikes(req)
-	s.pump()
-}
-
-func (s *Shard) clearStrikes(req *request) {
-	if s.strikes.Standing(s.at, req.Fingerprint) == upstream.StandingClear {
-		return
-	}
-	if cleared := s.strikes.Clear(req.Fingerprint); len(cleared) > 0 {
-		s.emit(Spread{Strikes: cleared})
-	}
-}
--- a/internal/route/failure.go
+++ b/internal/route/failure.go
@@ -1,11 +1,9 @@
 package route
 
 import (
-	"slices"
 	"time"
 
 	"slateway.example/slateway/internal/apierr"
-	"slateway.example/slateway/internal/upstream"
 )
 
 func (in Failed) apply(s *Shard) {
@@ -26,6 +24,10 @@
 	}
 	req.avoidReplica(r.entry.Replica)
 	s.judge(r, cause)
+	if cause == CauseSilent || (cause == CauseBroken && len(req.live) > 0) {
+		// Not held back, and struck all the same if the replica proves dead.
+		r.orphans = append(r.orphans, req.Fingerprint)
+	}
 	if len(req.live) > 0 {
 		return // a hedge still runs
 	}
@@ -35,22 +37,14 @@
 	s.tryAgain(req, cause)
 }
 
-// await holds a request's next attempt or final answer until the probe of its
-// replica tells whether the replica died of it. A caller that is answered
-// sooner could send a harmful request through another gate before that gate
-// knows of the death.
-func (s *Shard) await(req *request, r *replica) {
-	req.awaiting = r
-	req.since = s.at
-}
-
-// maxFailures is the number of error answers in a row after which a replica is
-// suspect. One that fails at once would otherwise look idle and draw all
-// requests to it.
+// maxFailures is the number of failed attempts in a row after which a replica
+// stays out of use for a while, even if it answers probes. One that fails at
+// once would otherwise look idle and draw all requests to it.
 const maxFailures = 3
 
 // judge draws conclusions about the replica from a failed attempt.
 func (s *Shard) judge(r *replica, cause FailureCause) {
+	r.failures++
 	switch cause {
 	case CauseNotSent, CauseBroken, CauseSilent, CauseDied:
 		s.suspectReplica(r)
@@ -60,7 +54,7 @@
 		// The connection may carry the answer of an earlier request.
 		s.emit(Reset{Replica: r.entry.Replica})
 	}
-	if r.failures++; r.failures >= maxFailures {
+	if r.failures >= maxFailures {
 		s.suspectReplica(r)
 	}
 }
@@ -122,250 +116,3 @@
 		"the request is not marked repeatable: find out whether it ran before sending it again",
 		"the upstream failed by %s", cause).WithRan(req.ran())
 }
-
-// suspectReplica takes a replica out of use until a probe is answered. A new
-// request would otherwise be sent to a process that has died or frozen, and
-// wait there until its timeout.
-func (s *Shard) suspectReplica(r *replica) {
-	if s.config.Disabled.Probe || r.health == suspect {
-		return
-	}
-	r.health = suspect
-	r.probeGap = s.config.ProbeMin
-	s.stale = true
-	s.count(ReasonReplicaSuspect)
-	s.probe(r)
-}
-
-func (s *Shard) probe(r *replica) {
-	r.probing = true
-	r.probeAt = s.at.Add(r.probeGap)
-	s.emit(Probe{Replica: r.entry.Replica, Address: r.entry.Address})
-}
-
-func (in Probed) apply(s *Shard) {
-	r := s.replica(in.Replica)
-	if r == nil {
-		return
-	}
-	r.probing = false
-	restarted := in.Alive && in.Incarnation > r.entry.Incarnation
-	switch {
-	case in.Alive && !restarted:
-		s.answerHeld(s.release(r))
-		s.recover(r)
-	case restarted || in.Refused || s.isAwaited(r):
-		s.died(r)
-	}
-	s.pump()
-}
-
-func (s *Shard) isAwaited(r *replica) bool {
-	awaited := func(req *request) bool { return req.awaiting == r }
-	return slices.ContainsFunc(s.waiting.list, awaited) || slices.ContainsFunc(s.batch.list, awaited)
-}
-
-// recover puts a replica back into use, with few requests at first.
-func (s *Shard) recover(r *replica) {
-	if r.health == suspect {
-		s.count(ReasonReplicaReturned)
-	}
-	r.health = healthy
-	r.dead = false
-	r.failures = 0
-	r.rampFrom = s.at
-	s.stale = true
-}
-
-// answerHeld gives the final answers that waited for a probe.
-func (s *Shard) answerHeld(released []*request) {
-	for _, req := range released {
-		if req.verdict != nil && s.requests[req.ID] == req {
-			s.refuse(req, req.verdict)
-		}
-	}
-}
-
-// release lets the requests go on that waited for the probe of a replica.
-func (s *Shard) release(r *replica) []*request {
-	var released []*request
-	r.orphans = nil
-	for _, queue := range []*waitQueue{&s.waiting, &s.batch} {
-		for _, req := range queue.list {
-			if req.awaiting == r {
-				req.awaiting = nil
-				released = append(released, req)
-			}
-		}
-	}
-	return released
-}
-
-// died records a replica's death against all requests that ran on it: those
-// whose connections broke and those that have not noticed yet.
-func (s *Shard) died(r *replica) {
-	orphans := r.orphans
-	held := s.release(r)
-	suspects := slices.Clone(held)
-	for _, a := range r.attempts {
-		suspects = append(suspects, a.req)
-	}
-	if !r.dead {
-		r.dead = true
-		s.count(ReasonReplicaDied)
-	}
-	s.strike(r, suspects, orphans)
-	s.answerHeld(held)
-	for _, a := range slices.Clone(r.attempts) {
-		if s.attempts[a.id] != nil {
-			s.emit(Cancel{ID: a.req.ID, Attempt: a.id, Cause: CancelDied})
-			s.failed(a, CauseDied)
-		}
-	}
-}
-
-func (in Tick) apply(s *Shard) {
-	s.expire()
-	for _, r := range s.replicas {
-		s.checkSilence(r)
-		s.refreshUsage(r)
-		if r.health == suspect && !s.at.Before(r.probeAt) {
-			r.probeGap = min(2*r.probeGap, s.config.ProbeMax)
-			s.probe(r)
-		}
-	}
-	s.checkVerdicts()
-	s.checkWaiting()
-	s.checkHedges()
-	s.strikes.Expire(s.at)
-	s.pump()
-}
-
-// checkSilence fails the attempts that have had no progress for too long.
-//
-// A connection can go silent for good when something between its two ends has
-// lost track of it: no error ever comes, and TCP alone would notice after many
-// minutes. The attempt is given up and the replica asked over a new connection.
-func (s *Shard) checkSilence(r *replica) {
-	if s.config.Disabled.Silence {
-		return
-	}
-	isSilent := func(a *attempt) bool { return s.at.Sub(a.progress) >= s.silenceLimit(a) }
-	if !slices.ContainsFunc(r.attempts, isSilent) {
-		return
-	}
-	for _, a := range slices.Clone(r.attempts) {
-		if s.attempts[a.id] != nil && isSilent(a) {
-			s.emit(Cancel{ID: a.req.ID, Attempt: a.id, Cause: CancelSilent})
-			s.failed(a, CauseSilent)
-		}
-	}
-}
-
-// queuedFactor stretches the first timeout of a request that was sent to a full
-// replica: until a slot is free, nothing comes on a connection in good order.
-const queuedFactor = 4
-
-func (s *Shard) silenceLimit(a *attempt) time.Duration {
-	switch {
-	case a.on.entry.Kind == upstream.KindService:
-		return s.config.ServiceTimeout
-	case a.tokens > 0:
-		return s.config.TokenTimeout
-	case a.queued:
-		return queuedFactor * s.config.FirstTimeout
-	default:
-		return s.config.FirstTimeout
-	}
-}
-
-// checkVerdicts stops waiting for a probe that is not answered: a replica that
-// broke a connection and does not answer a new one counts as dead.
-func (s *Shard) checkVerdicts() {
-	var overdue []*replica
-	for _, queue := range []*waitQueue{&s.waiting, &s.batch} {
-		for _, req := range queue.list {
-			late := req.awaiting != nil && s.at.Sub(req.since) >= s.config.VerdictTimeout
-			if late && !slices.Contains(overdue, req.awaiting) {
-				overdue = append(overdue, req.awaiting)
-			}
-		}
-	}
-	for _, r := range overdue {
-		s.died(r)
-	}
-}
-
-// checkWaiting gives up, at once, requests whose deadline has passed or that
-// have waited long enough for any replica to come back.
-func (s *Shard) checkWaiting() {
-	for i := 0; i < len(s.waiting.list); {
-		req := s.waiting.list[i]
-		err := s.overdue(req)
-		if err == nil {
-			i++
-			continue
-		}
-		s.refuse(req, err)
-	}
-	for s.batch.len() > 0 && !s.at.Before(s.batch.list[0].Deadline) {
-		s.refuse(s.batch.list[0], deadlineError(s.batch.list[0]))
-	}
-}
-
-func (s *Shard) overdue(req *request) *apierr.Error {
-	if !s.at.Before(req.Deadline) {
-		return deadlineError(req)
-	}
-	if s.at.Sub(req.queuedAt) < s.config.OutageWait {
-		return nil
-	}
-	if s.readinessFor(req) != someReady {
-		return noReadyError(req)
-	}
-	return nil
-}
-
-func noReadyError(req *request) *apierr.Error {
-	return apierr.New(apierr.Unavailable, ReasonNoReadyUpstream,
-		"come back after the time given; `slatectl upstream list` shows what the replicas report",
-		"no replica with model %q can take work now", req.Model).
-		WithRan(req.ran()).WithRetryAfter(time.Second)
-}
-
-// hedgeReserve is the part of the retry budget that hedges leave to retries.
-const hedgeReserve = 0.5
-
-// checkHedges sends a second attempt for repeatable requests whose first token
-// is later than nearly all others were.
-func (s *Shard) checkHedges() {
-	if s.config.HedgeMin == 0 || s.firstToken.mean == 0 {
-		return
-	}
-	after := max(s.config.HedgeMin, s.firstToken.high())
-	for _, r := range s.replicas {
-		for _, a := range slices.Clone(r.attempts) {
-			if s.mayHedge(a, after) {
-				s.hedge(a.req, r)
-			}
-		}
-	}
-}
-
-func (s *Shard) mayHedge(a *attempt, after time.Duration) bool {
-	req := a.req
-	return req.Class == Online && req.Repeatable && !req.delivered && a.tokens == 0 &&
-		len(req.live) == 1 && req.tried < s.config.MaxAttempts && s.at.Sub(a.started) >= after &&
-		s.strikes.Standing(s.at, req.Fingerprint) == upstream.StandingClear
-}
-
-func (s *Shard) hedge(req *request, slow *replica) {
-	req.avoid = append(req.avoid, slow.entry.Replica)
-	r := s.pick(req)
-	req.avoid = req.avoid[:len(req.avoid)-1]
-	if r == nil || !s.budget.take(hedgeReserve*s.config.RetryReserve*startShare) {
-		return
-	}
-	s.count(ReasonHedged)
-	s.dispatch(req, r, Hedge)
-}
