--- a/internal/gate/proxy/weigh_test.go
+++ b/internal/gate/proxy/weigh_test.go
@@ -20,7 +20,8 @@
 	"slateway.example/slateway/standin/engine"
 )
 
-// The fleet that the ways are weighed on: 48 slots, 223 requests a second.
+// The fleet that the ways are weighed on: 48 slots, 240 requests a second with
+// cached prefixes.
 const (
 	weighGates    = 4
 	weighEngines  = 6
@@ -28,12 +29,13 @@
 	weighTokens   = 40
 	weighFirst    = 20 * time.Millisecond
 	weighToken    = 5 * time.Millisecond
-	weighAnswer   = weighFirst + (weighTokens-1)*weighToken
+	weighAnswer   = weighFirst/4 + (weighTokens-1)*weighToken
 	weighLength   = 12 * time.Second
 	weighReport   = 500 * time.Millisecond // between announcements
 	weighGossip   = 250 * time.Millisecond // between digests of two gates
 	weighWorkers  = 64                     // batch items that each gate holds ready
 	weighPrefixes = 48                     // different prompt starts
+	weighJobs     = 4                      // different starts of batch prompts
 	weighSeed     = 11
 )
 
@@ -44,6 +46,7 @@
 	noBatch    bool
 	disabled   route.Guards
 	noAffinity bool
+	mixedBatch bool // no two items start alike
 }
 
 func weighWays() []way {
@@ -60,6 +63,7 @@
 		{name: "batch without control", policy: throughput, disabled: route.Guards{Preempt: true, Yield: true, Feeder: true}},
 		{name: "fixed share of a half", policy: share, disabled: route.Guards{Preempt: true, Yield: true}},
 		{name: "throughput", policy: throughput},
+		{name: "throughput, unlike items", policy: throughput, mixedBatch: true},
 		{name: "throughput, packed", policy: packed},
 		{name: "throughput, newest first", policy: newest},
 		{name: "throughput, hold of 100 ms", policy: held},
@@ -203,12 +207,16 @@
 	}
 }
 
-// body gives a request. Online prompts start with one of a few instructions,
-// of which an engine caches a quarter; each batch prompt starts differently.
+// body gives a request. Online prompts start with one of weighPrefixes
+// instructions, of which an engine caches a quarter; batch prompts start with
+// one of a few, as the items of a job do, or each differently.
 func (f *fleet) body(n int, online bool) string {
 	start := fmt.Sprintf("item %d ", n)
-	if online {
+	switch {
+	case online:
 		start = strings.Repeat(fmt.Sprintf("instructions %02d ", n*7919%weighPrefixes), 20)
+	case !f.way.mixedBatch:
+		start = strings.Repeat(fmt.Sprintf("job %02d ", n%weighJobs), 40)
 	}
 	return fmt.Sprintf(`{"model":"small","stream":%t,"prompt":"%s %d"}`, online, start, n)
 }
--- a/internal/route/shard.go
+++ b/internal/route/shard.go
@@ -29,16 +29,17 @@
 
 	requests map[string]*request
 	attempts map[AttemptID]*attempt
-	running  map[upstream.Fingerprint]int // live attempts by fingerprint
+	copies   map[upstream.Fingerprint]*copies
 	teams    map[string]*teamState
 	waiting  waitQueue // online requests without an attempt, by deadline
 	batch    waitQueue // batch items without an attempt, by deadline
 
-	budget      retryBudget
-	drain       rateMeter
-	firstToken  delayMeter
-	nextAttempt AttemptID
-	draining    bool
+	budget        retryBudget
+	answer        delayMeter // of whole online answers
+	firstToken    delayMeter
+	onlineRunning int // live online attempts
+	nextAttempt   AttemptID
+	draining      bool
 
 	out []Output
 }
@@ -76,7 +77,6 @@
 	on       *replica
 	started  time.Time
 	progress time.Time // when anything last arrived
-	answered bool      // something has arrived
 	tokens   int
 	queued   bool // it may have to wait for a slot of the replica
 }
@@ -85,15 +85,16 @@
 // outputs.
 func NewShard(config Config, rng *rand.Rand) *Shard {
 	config = config.WithDefaults()
+	table := upstream.NewTable(config.EntryLifetime)
 	return &Shard{
 		config:   config,
 		rng:      rng,
-		table:    upstream.NewTable(config.EntryLifetime),
-		strikes:  upstream.NewStrikes(config.StrikeLifetime),
+		table:    table,
+		strikes:  upstream.NewStrikes(config.StrikeLifetime, table.Bump),
 		hints:    upstream.NewCacheHints(),
 		requests: make(map[string]*request),
 		attempts: make(map[AttemptID]*attempt),
-		running:  make(map[upstream.Fingerprint]int),
+		copies:   make(map[upstream.Fingerprint]*copies),
 		teams:    make(map[string]*teamState),
 		budget:   newRetryBudget(config.RetryShare, config.RetryReserve),
 	}
@@ -122,16 +123,15 @@
 	return s.replicas[i]
 }
 
-// Changes gives the digest of what changed after version since, with all
-// strikes and the batch that this gate feeds, and the version now.
+// Changes gives the digest of what changed after version since: replicas,
+// strikes and the load of the replicas that this gate feeds; and the version now.
 func (s *Shard) Changes(since uint64) (upstream.Digest, uint64) {
 	d, version := s.table.Changes(since)
-	d.Strikes = s.strikes.All()
+	d.Strikes = s.strikes.Changes(since)
 	for _, r := range s.replicas {
-		if r.batch > 0 || r.fedBefore {
-			d.Feeding = append(d.Feeding, upstream.Feeding{Replica: r.entry.Replica, Batch: r.batch})
+		if s.feeds(r) && r.feedVersion > since {
+			d.Feeding = append(d.Feeding, s.feeding(r))
 		}
-		r.fedBefore = r.batch > 0
 	}
 	return d, version
 }
