--- a/internal/quorum/status.go
+++ b/internal/quorum/status.go
@@ -56,6 +56,26 @@
 	return p.state == Replicating && p.idle < n.config.ElectionTicks && p.match >= n.earlierCommit
 }
 
+// NeededAfter gives the index after which some member in reach still needs
+// entries of this leader's memory; the applied index if none does.
+func (n *Node) NeededAfter() uint64 {
+	needed := n.log.applied
+	for _, id := range n.memberIDs() {
+		p := n.progress[id]
+		if p == nil || id == n.config.ID || p.state == Snapshotting || p.idle >= n.config.ElectionTicks {
+			continue
+		}
+		held := p.match
+		if p.state == Probing {
+			held = p.next - 1
+		}
+		if held >= n.log.offset {
+			needed = min(needed, held)
+		}
+	}
+	return needed
+}
+
 // markCommit remembers, every election timeout, what was committed by then.
 func (n *Node) markCommit() {
 	n.sinceMark++
--- a/internal/replica/cluster_test.go
+++ b/internal/replica/cluster_test.go
@@ -306,6 +306,29 @@
 	return found
 }
 
+// viewOf gives the leader's view of a member of group 0.
+func (c *cluster) viewOf(v *vm) MemberStatus {
+	for _, m := range c.leader().host.Status()[0].Members {
+		if m.VM == v.name {
+			return m
+		}
+	}
+	return MemberStatus{}
+}
+
+// idleTicks gives for how long the leader of group 0 has not heard a member.
+func (c *cluster) idleTicks(v *vm) int {
+	g := c.leader().host.groups[0]
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for _, m := range g.node.Status().Members {
+		if m.VM == v.name {
+			return m.IdleTicks
+		}
+	}
+	return 0
+}
+
 // change proposes data at whichever VM leads, until it is acknowledged. After
 // an unknown outcome it asks the next leader whether the change was made.
 func (c *cluster) change(data string) {
--- a/internal/replica/config.go
+++ b/internal/replica/config.go
@@ -78,6 +78,9 @@
 	maxAppendBytes  = 512 << 10
 	maxInflight     = 16
 	maxProposalSize = 4 << 20
+	// maxKeptEntries bounds the memory that a slow member costs the leader; one
+	// that falls further behind takes a snapshot.
+	maxKeptEntries = 200_000
 )
 
 func (c Config) withDefaults() Config {
--- a/internal/replica/group.go
+++ b/internal/replica/group.go
@@ -484,15 +484,16 @@
 }
 
 // entriesToKeep gives how many entries before a snapshot stay in memory. Those
-// after a snapshot that is being sent must: the member needs them next, and
-// without them it would need another snapshot, for as long as the changes go on
-// faster than a transfer. The mutex is held.
+// after a snapshot that is being sent must, and those that a slower member has
+// not acknowledged: without them it would need another snapshot, for as long as
+// the changes go on faster than a transfer. The mutex is held.
 func (g *group) entriesToKeep(index uint64) uint64 {
-	keep := g.host.config.KeepEntries
+	needed := g.node.NeededAfter()
 	for _, sent := range g.sending {
-		keep = max(keep, index-min(index, sent))
+		needed = min(needed, sent)
 	}
-	return keep
+	keep := max(g.host.config.KeepEntries, index-min(index, needed))
+	return min(keep, maxKeptEntries)
 }
 
 // install puts a snapshot that has arrived in full in place of the state.
--- a/internal/replica/host_test.go
+++ b/internal/replica/host_test.go
@@ -221,6 +221,9 @@
 	})
 	away := c.others(c.leader())[0]
 	away.kill()
+	c.eventually("the member counts as away", func() bool {
+		return c.idleTicks(away) > 3*defaultElectionTicks
+	})
 	for i := range 100 {
 		c.change(fmt.Sprintf("%0*d", size, i))
 	}
@@ -241,12 +244,8 @@
 		})
 	}
 	c.eventually("the member takes entries one by one", func() bool {
-		for _, m := range c.leader().host.Status()[0].Members {
-			if m.VM == away.name {
-				return m.Reachable && m.Match > reached
-			}
-		}
-		return false
+		m := c.viewOf(away)
+		return m.Reachable && m.Match > reached
 	})
 	close(stop)
 	wait.Wait()
