--- a/internal/replica/bench_test.go
+++ b/internal/replica/bench_test.go
@@ -7,6 +7,7 @@
 	"path/filepath"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
@@ -115,3 +116,38 @@
 	b.ReportMetric(float64(snapshotBytes), "snapshot-bytes")
 	b.ReportMetric(float64(logBytes), "log-bytes")
 }
+
+// BenchmarkIdle measures what the members of quiet groups cost: bytes a second
+// on the connections of all of them together, and the process's time.
+func BenchmarkIdle(b *testing.B) {
+	for _, groups := range []uint32{1, 4, 16} {
+		b.Run(fmt.Sprintf("groups=%d", groups), func(b *testing.B) {
+			c := start(b, 3, 3, func(config *Config) { config.Groups = groups })
+			c.change("first")
+			time.Sleep(time.Second)
+			bytes, used := c.bytes(), processorTime()
+			b.ResetTimer()
+			for range b.N {
+				time.Sleep(time.Second)
+			}
+			b.ReportMetric(float64(c.bytes()-bytes)/b.Elapsed().Seconds()/3, "B/s/member")
+			b.ReportMetric((processorTime()-used).Seconds()/b.Elapsed().Seconds()/3*100, "%core/member")
+		})
+	}
+}
+
+func (c *cluster) bytes() int64 {
+	sum := int64(0)
+	for _, v := range c.vms {
+		sum += v.silent.bytes.Load()
+	}
+	return sum
+}
+
+func processorTime() time.Duration {
+	var usage syscall.Rusage
+	if err := syscall.Getrusage(syscall.RUSAGE_SELF, &usage); err != nil {
+		panic(err)
+	}
+	return time.Duration(usage.Utime.Nano() + usage.Stime.Nano())
+}
--- a/internal/replica/cluster_test.go
+++ b/internal/replica/cluster_test.go
@@ -91,6 +91,7 @@
 // connections that it has opened.
 type silence struct {
 	transport http.Transport
+	bytes     atomic.Int64 // sent and received on connections opened here
 
 	mu    sync.Mutex
 	on    bool
@@ -102,12 +103,14 @@
 type silentConn struct {
 	net.Conn
 	lost   atomic.Bool
+	bytes  *atomic.Int64 // of all connections that the VM has opened
 	closed chan struct{}
 	once   sync.Once
 }
 
 func (c *silentConn) Read(data []byte) (int, error) {
 	n, err := c.Conn.Read(data)
+	c.bytes.Add(int64(n))
 	if c.lost.Load() {
 		<-c.closed
 		return 0, net.ErrClosed
@@ -119,6 +122,7 @@
 	if c.lost.Load() {
 		return len(data), nil
 	}
+	c.bytes.Add(int64(len(data)))
 	return c.Conn.Write(data)
 }
 
@@ -133,7 +137,7 @@
 	if err != nil {
 		return nil, err
 	}
-	tracked := &silentConn{Conn: conn, closed: make(chan struct{})}
+	tracked := &silentConn{Conn: conn, bytes: &s.bytes, closed: make(chan struct{})}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.conns = append(s.conns, tracked)
