Send the heartbeats of all groups in one call

Quiet groups cost more by calls than by bytes: each group's heartbeat and each answer went alone or in pairs. Heartbeats now go by the host's ticks and the answers to one call go in one. Appends are still sent under the group's mutex: sent after it, one could overtake another.

--- a/internal/quorum/election.go
+++ b/internal/quorum/election.go
@@ -127,7 +127,6 @@
 	n.transferee = None
 	n.reads = readQueue{}
 	n.elapsed = 0
-	n.beat = 0
 	n.progress = map[ID]*progress{}
 	n.recentCommit, n.earlierCommit, n.sinceMark = n.log.commit, n.log.commit, 0
 	n.adopt()
@@ -153,8 +152,7 @@
 	if n.transferee != None && n.elapsed >= n.config.ElectionTicks {
 		n.transferee = None
 	}
-	n.beat++
-	if n.beat >= n.config.HeartbeatTicks {
+	if n.ticks%n.config.HeartbeatTicks == 0 {
 		n.broadcastHeartbeat()
 	}
 }
--- a/internal/quorum/node.go
+++ b/internal/quorum/node.go
@@ -65,7 +65,9 @@
 
 	elapsed int // ticks since the last message of a leader, or since campaigning
 	timeout int // elapsed at which to campaign
-	beat    int // ticks since the last heartbeat sent
+	// ticks since the start. Heartbeats go by it, so that the groups of a VM
+	// send theirs together.
+	ticks int
 
 	votes      map[ID]bool
 	progress   map[ID]*progress // of a leader only
@@ -111,6 +113,7 @@
 
 // Tick passes one interval of the shell's clock.
 func (n *Node) Tick() {
+	n.ticks++
 	n.elapsed++
 	if n.role == Leader {
 		n.tickLeader()
--- a/internal/quorum/replication.go
+++ b/internal/quorum/replication.go
@@ -38,7 +38,6 @@
 }
 
 func (n *Node) broadcastHeartbeat() {
-	n.beat = 0
 	for _, id := range n.memberIDs() {
 		if id == n.config.ID {
 			continue
--- a/internal/replica/group.go
+++ b/internal/replica/group.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"math/rand/v2"
 	"path/filepath"
+	"slices"
 	"strconv"
 	"sync"
 	"time"
@@ -141,9 +142,18 @@
 }
 
 // flush hands on what waits for no disk. The caller holds the mutex.
-func (g *group) flush() {
+func (g *group) flush() { g.host.transport.send(g.drain()) }
+
+// drain does the same but leaves the messages to its caller to send, all but
+// the appends: sent outside the mutex, one could overtake the one before it, and
+// the member would have to reject it.
+func (g *group) drain() outbound {
 	outbox := g.node.TakeOutbox()
-	g.host.transport.send(g.id, g.node.Membership(), outbox.Messages)
+	isAppend := func(m quorum.Message) bool { return m.Type == quorum.MsgAppend }
+	if slices.ContainsFunc(outbox.Messages, isAppend) {
+		g.host.transport.send(g.outbound(outbox.Messages))
+		outbox.Messages = nil
+	}
 	for _, confirmed := range outbox.Reads {
 		if waiting := g.reads[confirmed.ID]; waiting != nil {
 			waiting.index = confirmed.Index
@@ -158,6 +168,11 @@
 		g.leadChanged()
 	}
 	g.signal()
+	return g.outbound(outbox.Messages)
+}
+
+func (g *group) outbound(messages []quorum.Message) outbound {
+	return outbound{group: g.id, members: g.node.Membership(), messages: messages}
 }
 
 func (g *group) leadChanged() {
@@ -176,21 +191,21 @@
 	}
 }
 
-func (g *group) step(m quorum.Message) {
+func (g *group) step(m quorum.Message) outbound {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.node.Step(m)
-	g.flush()
+	return g.drain()
 }
 
-func (g *group) tick() {
+func (g *group) tick() outbound {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	limit := 2 * g.host.config.electionTimeout()
 	g.node.SetStalled(!g.syncSince.IsZero() && time.Since(g.syncSince) > limit)
 	g.node.Tick()
 	g.giveUpWaiting()
-	g.flush()
+	return g.drain()
 }
 
 // giveUpWaiting ends the waits of a member that no longer leads. An entry that
@@ -349,7 +364,7 @@
 		return false, err
 	}
 	g.mu.Lock()
-	g.host.transport.send(g.id, g.node.Membership(), ready.AfterSync)
+	g.host.transport.send(g.outbound(ready.AfterSync))
 	g.node.Advance()
 	g.flush()
 	g.mu.Unlock()
--- a/internal/replica/host.go
+++ b/internal/replica/host.go
@@ -118,11 +118,13 @@
 		return nil, err
 	}
 	h.transport.hear(b.From, b.Address)
+	answers := make([]outbound, 0, len(b.Envelopes))
 	for _, e := range b.Envelopes {
 		if e.Group < uint32(len(h.groups)) {
-			h.groups[e.Group].step(e.Message)
+			answers = append(answers, h.groups[e.Group].step(e.Message))
 		}
 	}
+	h.transport.send(answers...)
 	return &ack{}, nil
 }
 
@@ -154,9 +156,11 @@
 		case <-h.ctx.Done():
 			return
 		case <-ticker.C:
+			sent := make([]outbound, 0, len(h.groups))
 			for _, g := range h.groups {
-				g.tick()
+				sent = append(sent, g.tick())
 			}
+			h.transport.send(sent...)
 		}
 	}
 }
--- a/internal/replica/transport.go
+++ b/internal/replica/transport.go
@@ -98,30 +98,43 @@
 	}
 }
 
-// send queues messages; those to members without an address are dropped.
-func (t *transport) send(group uint32, members quorum.Membership, messages []quorum.Message) {
-	if len(messages) == 0 {
-		return
-	}
+// outbound are messages of one group.
+type outbound struct {
+	group    uint32
+	members  quorum.Membership
+	messages []quorum.Message
+}
+
+// send queues messages; those to members without an address are dropped. What
+// is given at once to a member goes in one call, up to its bound: the calls, not
+// their bytes, are what heartbeats of many groups cost.
+func (t *transport) send(all ...outbound) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	for _, m := range messages {
-		address := t.address(members, m.To)
-		if address == "" || t.stopped {
-			continue
-		}
-		p := t.peer(address)
-		if len(p.queue) >= maxQueued {
-			continue
-		}
-		p.queue = append(p.queue, envelope{Group: group, Message: m})
-		select {
-		case p.wake <- struct{}{}:
-		default:
+	for _, o := range all {
+		for _, m := range o.messages {
+			t.queue(o, m)
 		}
 	}
 }
 
+// queue adds one message. The mutex is held.
+func (t *transport) queue(o outbound, m quorum.Message) {
+	address := t.address(o.members, m.To)
+	if address == "" || t.stopped {
+		return
+	}
+	p := t.peer(address)
+	if len(p.queue) >= maxQueued {
+		return
+	}
+	p.queue = append(p.queue, envelope{Group: o.group, Message: m})
+	select {
+	case p.wake <- struct{}{}:
+	default:
+	}
+}
+
 func (t *transport) address(members quorum.Membership, to quorum.ID) string {
 	if address := t.heard[to]; address != "" {
 		return address
