Keep ended jobs on the disk, their index in memory

Their records now go to the result files; memory holds key, place, expiry and team.

Ruled out: leaving out only the page references (most of the bytes are the strings of the job and its maps).

--- a/internal/job/lease.go
+++ b/internal/job/lease.go
@@ -302,7 +302,7 @@
 func (t *Table) EndedAmong(ids []ID) []ID {
 	var ended []ID
 	for _, id := range ids {
-		if job, found := t.jobs[id]; !found || job.state.Ended() {
+		if _, running := t.jobs[id]; !running {
 			ended = append(ended, id)
 		}
 	}
--- a/internal/job/pages.go
+++ b/internal/job/pages.go
@@ -105,14 +105,6 @@
 	t.results.add(ref)
 }
 
-// forget deletes an ended job.
-func (t *Table) forget(job *entry) {
-	for segment, count := range job.used {
-		t.results.subtract(segment, count)
-	}
-	delete(t.jobs, job.id)
-}
-
 // PartSegmentInUse reports whether a segment holds parts of open jobs.
 func (t *Table) PartSegmentInUse(segment uint32) bool { return t.bodies[segment] > 0 }
 
--- a/internal/job/snapshot.go
+++ b/internal/job/snapshot.go
@@ -11,6 +11,8 @@
 	Sessions []storedSession `cbor:"2,keyasint,omitempty"`
 	Created  uint64          `cbor:"3,keyasint"`
 	Dropped  Dropped         `cbor:"4,keyasint"`
+	Ended    storedEnded     `cbor:"5,keyasint"`
+	Results  segmentUse      `cbor:"6,keyasint,omitempty"`
 }
 
 type storedJob struct {
@@ -48,7 +50,7 @@
 
 // Snapshot encodes the table; the records in its storage are not part of it.
 func (t *Table) Snapshot() ([]byte, error) {
-	s := state{Created: t.created, Dropped: t.dropped}
+	s := state{Created: t.created, Dropped: t.dropped, Ended: t.ended.stored(), Results: t.results}
 	for _, id := range sortedKeys(t.jobs) {
 		s.Jobs = append(s.Jobs, t.jobs[id].stored())
 	}
@@ -82,6 +84,10 @@
 	t := NewTable(storage)
 	t.created = s.Created
 	t.dropped = s.Dropped
+	t.ended = restoreEnded(s.Ended)
+	if s.Results != nil {
+		t.results = s.Results
+	}
 	for _, stored := range s.Sessions {
 		t.OpenSession(stored.ID, stored.VM)
 		t.sessions[stored.ID].last = stored.Last
@@ -93,25 +99,8 @@
 }
 
 func (t *Table) restoreJob(stored *storedJob) {
-	job := &entry{
-		id: stored.ID, spec: stored.Spec, state: stored.State, sequence: stored.Sequence,
-		created: stored.Created, deadline: stored.Deadline, finished: stored.Finished,
-		items: stored.Items, received: stored.Received, parts: stored.Parts,
-		next: stored.Next, returned: stored.Returned, attempts: stored.Attempts, leases: stored.Leases,
-		used: stored.Used, succeeded: stored.Succeeded, failed: stored.Failed, unknown: stored.Unknown,
-	}
-	job.restoreMaps()
-	for _, p := range stored.Pages {
-		job.pages = append(job.pages, restorePage(p))
-	}
+	job := stored.entry()
 	t.jobs[job.id] = job
-	for segment, count := range job.used {
-		t.results[segment] += count
-	}
-	if job.state.Ended() {
-		t.expiry.ReplaceOrInsert(expiryKey{at: job.expires(), sequence: job.sequence, job: job})
-		return
-	}
 	for i := range job.parts {
 		if job.parts[i].Count > 0 {
 			t.bodies.add(job.parts[i].Ref)
@@ -127,6 +116,22 @@
 	}
 }
 
+// entry gives the job without the indexes of its table.
+func (s *storedJob) entry() *entry {
+	job := &entry{
+		id: s.ID, spec: s.Spec, state: s.State, sequence: s.Sequence,
+		created: s.Created, deadline: s.Deadline, finished: s.Finished,
+		items: s.Items, received: s.Received, parts: s.Parts,
+		next: s.Next, returned: s.Returned, attempts: s.Attempts, leases: s.Leases,
+		used: s.Used, succeeded: s.Succeeded, failed: s.Failed, unknown: s.Unknown,
+	}
+	job.restoreMaps()
+	for _, p := range s.Pages {
+		job.pages = append(job.pages, restorePage(p))
+	}
+	return job
+}
+
 func (j *entry) restoreMaps() {
 	if j.attempts == nil {
 		j.attempts = make(map[uint32]int)
--- a/internal/job/table.go
+++ b/internal/job/table.go
@@ -14,9 +14,9 @@
 // Table holds the jobs of one group.
 type Table struct {
 	storage  Storage
-	jobs     map[ID]*entry
+	jobs     map[ID]*entry // that have not ended
+	ended    endedJobs
 	ready    map[Queue]*btree.BTreeG[readyKey] // jobs that have an item to lease
-	expiry   *btree.BTreeG[expiryKey]          // ended jobs
 	sessions map[SessionID]*session
 	dropped  Dropped
 	created  uint64 // jobs so far, orders jobs of equal deadlines
@@ -77,19 +77,6 @@
 	return k.sequence < other.sequence
 }
 
-type expiryKey struct {
-	at       instant.Micros
-	sequence uint64
-	job      *entry
-}
-
-func (k expiryKey) less(other expiryKey) bool {
-	if k.at != other.at {
-		return k.at < other.at
-	}
-	return k.sequence < other.sequence
-}
-
 const btreeDegree = 16
 
 // NewTable makes an empty table that keeps its records in storage.
@@ -98,7 +85,7 @@
 		storage:  storage,
 		jobs:     make(map[ID]*entry),
 		ready:    make(map[Queue]*btree.BTreeG[readyKey]),
-		expiry:   btree.NewG(btreeDegree, expiryKey.less),
+		ended:    newEndedJobs(),
 		sessions: make(map[SessionID]*session),
 		bodies:   make(segmentUse),
 		results:  make(segmentUse),
@@ -109,7 +96,7 @@
 // time; other content under the same key is a conflict.
 func (t *Table) Create(spec Spec, now instant.Micros) (Status, *apierr.Error) {
 	id := NewID(spec.Team, spec.Key)
-	if existing, found := t.jobs[id]; found {
+	if existing, refusal := t.find(id); refusal == nil {
 		if !existing.spec.sameContent(&spec) {
 			return Status{}, apierr.New(apierr.Conflict, ReasonJobConflict, "use another job key",
 				"job key %q of team %q belongs to a different job", spec.Key, spec.Team)
@@ -272,7 +259,7 @@
 	if state == StateCancelled {
 		job.parts = nil
 	}
-	t.expiry.ReplaceOrInsert(expiryKey{at: job.expires(), sequence: job.sequence, job: job})
+	t.archive(job)
 }
 
 func (j *entry) expires() instant.Micros {
@@ -282,26 +269,6 @@
 	return j.finished.Add(j.spec.Retention)
 }
 
-// Expire deletes the jobs whose retention is over and returns how many.
-func (t *Table) Expire(now instant.Micros) int {
-	deleted := 0
-	for {
-		first, found := t.expiry.Min()
-		if !found || first.at > now {
-			return deleted
-		}
-		t.expiry.DeleteMin()
-		t.forget(first.job)
-		deleted++
-	}
-}
-
-// Expired reports whether Expire would delete a job.
-func (t *Table) Expired(now instant.Micros) bool {
-	first, found := t.expiry.Min()
-	return found && first.at <= now
-}
-
 // Status gives the status of a job.
 func (t *Table) Status(id ID) (Status, *apierr.Error) {
 	job, refusal := t.find(id)
@@ -319,6 +286,9 @@
 			list = append(list, job.status())
 		}
 	}
+	for _, ref := range t.ended.ofTeam(team) {
+		list = append(list, t.load(ref).status())
+	}
 	slices.SortFunc(list, func(a, b Status) int {
 		return cmp.Or(cmp.Compare(b.Created, a.Created), cmp.Compare(a.ID, b.ID))
 	})
@@ -328,10 +298,15 @@
 // Dropped gives the counts of results that were not used.
 func (t *Table) Dropped() Dropped { return t.dropped }
 
+// find gives a job; an ended one is read from the storage and must not be
+// changed.
 func (t *Table) find(id ID) (*entry, *apierr.Error) {
 	if job, found := t.jobs[id]; found {
 		return job, nil
 	}
+	if ended, found := t.ended.find(id); found {
+		return t.load(ended.record), nil
+	}
 	return nil, apierr.New(apierr.NotFound, ReasonUnknownJob, "check the ID; results are deleted when their retention is over", "there is no job %q", string(id))
 }
 
--- a/internal/job/table_test.go
+++ b/internal/job/table_test.go
@@ -33,6 +33,7 @@
 }
 
 func (m *memory) ReadPart(ref job.Ref) []byte            { return m.parts[ref.Offset] }
+func (m *memory) ReadRecord(ref job.Ref) []byte          { return m.results[ref.Offset] }
 func (m *memory) ReadResult(ref job.Ref) ([]byte, error) { return m.results[ref.Offset], nil }
 func (m *memory) stored(t *rapid.T, ref job.Ref) (s job.StoredResult) {
 	if err := codec.Unmarshal(m.results[ref.Offset], &s); err != nil {
--- a/internal/job/types.go
+++ b/internal/job/types.go
@@ -39,7 +39,7 @@
 // NewID gives the ID of the team's job with this key.
 func NewID(team, key string) ID {
 	sum := sha256.Sum256([]byte(team + "\x00" + key))
-	return ID("job-" + hex.EncodeToString(sum[:16]))
+	return ID(idPrefix + hex.EncodeToString(sum[:16]))
 }
 
 // SessionID names one run of a gate; its leases end with it.
@@ -153,7 +153,9 @@
 	AppendResult(data []byte) Ref
 	// ReadPart reads what AppendPart stored.
 	ReadPart(ref Ref) []byte
-	// ReadResult reads what AppendResult stored.
+	// ReadRecord reads what AppendResult stored, for a command.
+	ReadRecord(ref Ref) []byte
+	// ReadResult reads what AppendResult stored, for a reader.
 	ReadResult(ref Ref) ([]byte, error)
 }
 
--- a/internal/keeper/files.go
+++ b/internal/keeper/files.go
@@ -73,6 +73,15 @@
 	return data
 }
 
+// ReadRecord reads the record of an ended job for a command.
+func (f *files) ReadRecord(ref job.Ref) []byte {
+	data, err := f.read(resultFiles, ref)
+	if err != nil {
+		f.fail(err)
+	}
+	return data
+}
+
 // ReadResult reads a result or index page.
 func (f *files) ReadResult(ref job.Ref) ([]byte, error) { return f.read(resultFiles, ref) }
 
--- a/internal/keeper/measure_test.go
+++ b/internal/keeper/measure_test.go
@@ -26,6 +26,7 @@
 const (
 	measuredGroups = 5
 	measuredGates  = 8
+	uploaders      = 16
 	partSize       = 500
 	bodyBytes      = 400
 )
@@ -68,6 +69,7 @@
 	ids := make([]job.ID, jobs)
 	body := make([]byte, bodyBytes)
 	var uploads errgroup.Group
+	uploads.SetLimit(uploaders)
 	for n := range jobs {
 		uploads.Go(func() error {
 			ctx := context.Background()
@@ -135,6 +137,7 @@
 func readAll(b testing.TB, client *keeperclient.Client, ids []job.ID) int {
 	var count atomic.Int64
 	var reads errgroup.Group
+	reads.SetLimit(uploaders)
 	for _, id := range ids {
 		reads.Go(func() error {
 			for from, end := uint32(0), false; !end; {
