--- a/internal/quorum/fault_test.go
+++ b/internal/quorum/fault_test.go
@@ -57,6 +57,8 @@
 	nodes     map[ID]*Node
 	disks     map[ID]*disk
 	lost      map[ID]bool // disks that are gone
+	cut       ID          // member that no message reaches or leaves
+	stuck     ID          // member whose disk does not answer
 	nextID    ID
 	network   []Message
 	leaders   map[uint64]ID    // by term
@@ -189,25 +191,30 @@
 	m := r.network[at]
 	r.network[at] = r.network[len(r.network)-1]
 	r.network = r.network[:len(r.network)-1]
-	if n := r.nodes[m.To]; n != nil {
-		n.Step(m)
-		r.collect(m.To)
+	r.receive(m)
+}
+
+func (r *run) receive(m Message) {
+	n := r.nodes[m.To]
+	if n == nil || r.cut != None && (m.To == r.cut || m.From == r.cut) {
+		return
 	}
+	n.Step(m)
+	r.collect(m.To)
 }
 
-// flow delivers everything, in order, with all disks working.
+// flow delivers everything that is not cut off, in order, with all disks working.
 func (r *run) flow() {
 	for range 50 {
 		sent := r.network
 		r.network = nil
 		for _, m := range sent {
-			if n := r.nodes[m.To]; n != nil {
-				n.Step(m)
-				r.collect(m.To)
-			}
+			r.receive(m)
 		}
 		for _, id := range r.ids() {
-			r.work(id, false)
+			if id != r.stuck {
+				r.work(id, false)
+			}
 		}
 		if len(r.network) == 0 {
 			return
@@ -269,6 +276,28 @@
 	}
 }
 
+// shuffle lets any member that takes itself for the leader add a member or
+// remove one that works.
+func (r *run) shuffle() {
+	id, other := r.pick(), r.pick()
+	n := r.nodes[id]
+	change := Change{Kind: AddLearner, Member: Member{ID: other}}
+	if n.Membership().IsVoter(other) {
+		change.Kind = Remove
+	}
+	for _, m := range n.Membership().Members {
+		if change.Kind == Remove && r.lost[m.ID] {
+			return
+		}
+	}
+	if change.Kind == Remove && n.Membership().Voters() <= 3 {
+		return
+	}
+	if _, err := n.ProposeChange(change); err == nil {
+		r.collect(id)
+	}
+}
+
 func (r *run) step(count int) {
 	switch action := r.choose.Intn(20); {
 	case action < 5 && len(r.network) > 0:
@@ -286,7 +315,12 @@
 	case action < 13:
 		r.work(r.pick(), false)
 	case action < 14:
-		r.work(r.pick(), true)
+		id := r.pick()
+		if r.stuck != None && r.nodes[r.stuck] != nil {
+			id = r.stuck
+		}
+		r.work(id, true)
+		r.stuck = None
 	case action < 15:
 		r.flow()
 	case action < 17:
@@ -300,17 +334,27 @@
 		_ = r.nodes[id].Read(r.nextRead)
 		r.collect(id)
 	case action < 19:
-		r.repair()
+		if r.choose.Intn(2) == 0 {
+			r.repair()
+		} else {
+			r.shuffle()
+		}
 	default:
 		r.rare()
 	}
 }
 
 func (r *run) rare() {
-	switch r.choose.Intn(3) {
-	case 0:
+	switch r.choose.Intn(10) {
+	case 0, 1, 2:
 		r.loseDisk()
-	case 1:
+	case 3, 4:
+		r.cut = None
+	case 5:
+		r.cut = r.pick()
+	case 6, 7:
+		r.stuck = r.pick()
+	case 8:
 		id := r.pick()
 		if meta, err := r.nodes[id].Compact(r.nodes[id].Applied(), 2); err == nil {
 			d := r.disks[id]
@@ -325,15 +369,20 @@
 	}
 }
 
-// heal lets all messages through and expects that the group goes on, with
-// every entry that was ever committed.
-func (r *run) heal() {
-	for range 150 {
+func (r *run) settle(ticks int) {
+	for range ticks {
 		for _, id := range r.ids() {
 			r.tick(id)
 		}
 		r.flow()
 	}
+}
+
+// heal lets all messages through and expects that the group goes on, with
+// every entry that was ever committed.
+func (r *run) heal() {
+	r.cut, r.stuck = None, None
+	r.settle(150)
 	leader := r.leader()
 	if leader == nil {
 		r.breaks("no leader after all faults are over")
@@ -344,9 +393,11 @@
 		return
 	}
 	r.collect(leader.config.ID)
-	r.flow()
-	if leader.log.commit != leader.log.lastIndex() {
-		r.breaks("the leader cannot commit after all faults are over")
+	r.settle(30)
+	for _, m := range leader.Membership().Members {
+		if n := r.nodes[m.ID]; n != nil && n.log.commit != leader.log.lastIndex() {
+			r.breaks("member %v is at %d of %d after all faults are over", m.ID, n.log.commit, leader.log.lastIndex())
+		}
 	}
 	for index, entry := range r.committed {
 		if index > leader.log.offset && !leader.log.matches(index, entry.Term) {
--- a/internal/route/batch.go
+++ b/internal/route/batch.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"time"
 
 	"github.com/cespare/xxhash/v2"
 
@@ -47,7 +48,11 @@
 	s.gates = slices.Clone(in.Gates)
 	s.stale = true
 	for _, r := range s.replicas {
-		r.feeder = s.feederOf(r)
+		feeder := s.feederOf(r)
+		if feeder != r.feeder {
+			r.fedAt = time.Time{} // the old feeder's word is void
+		}
+		r.feeder = feeder
 		if !s.feeds(r) {
 			s.preemptAll(r)
 		}
@@ -112,10 +117,35 @@
 	return max(0, room-s.batch.len())
 }
 
+// prefetchShare is the part of the batch on the fed replicas that waits in the
+// gate, so that a slot that becomes free is filled at once: one in four.
+const prefetchShare = 4
+
+// BatchTarget gives the number of batch items that the gate should hold:
+// those that run, those that could start, and a few that wait for the next free
+// slots.
+func (s *Shard) BatchTarget(policy Policy) int {
+	if s.draining {
+		return 0
+	}
+	s.rebuild()
+	if len(s.fed) == 0 {
+		return 0
+	}
+	places := 0
+	for _, r := range s.fed {
+		places += r.batch + max(0, s.batchFree(r, policy))
+	}
+	return places + places/prefetchShare + 1
+}
+
 func (s *Shard) startBatch(req *request) startResult {
 	if !s.mayRunNow(req) {
 		return held
 	}
+	if r := s.boundTo(req); r != nil {
+		return s.startBatchOn(req, r)
+	}
 	r := s.pickBatch(req)
 	if r == nil && s.onlyAvoided(req) {
 		req.avoid = nil
@@ -132,6 +162,14 @@
 	}
 }
 
+func (s *Shard) startBatchOn(req *request, r *replica) startResult {
+	if !s.feeds(r) || s.batchFree(r, req.Policy) <= 0 || !s.mayServe(req, r) {
+		return held
+	}
+	s.dispatch(req, r, req.next)
+	return started
+}
+
 // pickBatch chooses the fed replica with the most free slots, or the fewest if
 // the policy packs.
 func (s *Shard) pickBatch(req *request) *replica {
@@ -165,14 +203,14 @@
 }
 
 // yieldSlots preempts batch on r until each batch request's policy has the
-// slots that it leaves to online work.
+// slots that it keeps free.
 func (s *Shard) yieldSlots(r *replica) {
 	if s.config.Disabled.Preempt {
 		return
 	}
 	for {
 		victim := s.victim(r)
-		if victim == nil || s.totalLoad(r) <= s.slots(r)-victim.req.Policy.reserve(s.slots(r)) {
+		if victim == nil || s.totalLoad(r) <= s.slots(r)-victim.req.Policy.MinFree {
 			return
 		}
 		s.preempt(victim)
@@ -183,8 +221,8 @@
 // repeated runs to its end.
 func (a *attempt) preemptible() bool { return a.req.Class == Batch && a.req.Repeatable }
 
-// victim chooses the batch attempt to stop: those of the policy that leaves the
-// most slots first, then by the policy's rule.
+// victim chooses the batch attempt to stop: those of the policy that keeps the
+// most slots free first, then by the policy's rule.
 func (s *Shard) victim(r *replica) *attempt {
 	var worst *attempt
 	for _, a := range r.attempts {
@@ -196,9 +234,8 @@
 }
 
 func (s *Shard) yieldsBefore(a, b *attempt) bool {
-	slots := a.on.entry.Slots
-	if mine, other := a.req.Policy.reserve(slots), b.req.Policy.reserve(slots); mine != other {
-		return mine > other
+	if a.req.Policy.MinFree != b.req.Policy.MinFree {
+		return a.req.Policy.MinFree > b.req.Policy.MinFree
 	}
 	if a.req.Policy.Victim == VictimLeastWork && a.tokens != b.tokens {
 		return a.tokens < b.tokens
@@ -211,6 +248,7 @@
 	req := a.req
 	a.on.holdUntil = s.at.Add(req.Policy.Hold)
 	s.cancel(a, CancelPreempted)
+	req.maybeRan = true
 	req.tried-- // a preemption is not the item's failure
 	req.next = Resume
 	s.enqueue(req)
--- a/internal/route/config.go
+++ b/internal/route/config.go
@@ -34,6 +34,7 @@
 	TokenTimeout   time.Duration // a stream without a token for so long is silent
 	ServiceTimeout time.Duration // the same for the answer of a plain service
 	VerdictTimeout time.Duration // how long a broken attempt waits for the probe of its replica
+	ProbeAfter     time.Duration // an engine with a stream quiet for so long is asked whether it lives
 	ProbeMin       time.Duration // first delay between probes of a suspect replica
 	ProbeMax       time.Duration // longest delay between probes
 	SlowStart      time.Duration // from the first request to the full load after a recovery
@@ -43,7 +44,7 @@
 
 // Guards names protections that a test can switch off one by one.
 type Guards struct {
-	Leaving, Probe, Silence, Poison, Holder, Trial, Preempt, Yield, Feeder, Budget, Retry, Settle bool
+	Leaving, Probe, Silence, Poison, Holder, Trial, Copies, Preempt, Yield, Feeder, Budget, Retry, Settle bool
 }
 
 // Defaults of Config.
@@ -66,6 +67,7 @@
 	defaultTokenTimeout   = 2 * time.Second
 	defaultServiceTimeout = 30 * time.Second
 	defaultVerdictTimeout = 500 * time.Millisecond
+	defaultProbeAfter     = 700 * time.Millisecond
 	defaultProbeMin       = 100 * time.Millisecond
 	defaultProbeMax       = 2 * time.Second
 	defaultSlowStart      = 5 * time.Second
@@ -98,6 +100,7 @@
 	orDefault(&c.TokenTimeout, defaultTokenTimeout)
 	orDefault(&c.ServiceTimeout, defaultServiceTimeout)
 	orDefault(&c.VerdictTimeout, defaultVerdictTimeout)
+	orDefault(&c.ProbeAfter, defaultProbeAfter)
 	orDefault(&c.ProbeMin, defaultProbeMin)
 	orDefault(&c.ProbeMax, defaultProbeMax)
 	orDefault(&c.SlowStart, defaultSlowStart)
@@ -106,10 +109,12 @@
 
 // Policy says how batch work of a team shares replicas with online work.
 type Policy struct {
-	// Headroom is the share of a replica's slots that batch leaves free, at
-	// least MinFree slots.
+	// Headroom is the share of a replica's slots beyond which no batch starts.
+	// Online work uses it up before any batch is preempted, so that single
+	// requests cost no preemption.
 	Headroom float64 `json:"headroom"`
-	MinFree  int     `json:"min_free"`
+	// MinFree is the number of slots that are kept free by preemption.
+	MinFree int `json:"min_free"`
 	// Hold is how long a replica gets no new batch after a preemption.
 	Hold time.Duration `json:"hold"`
 	// Pack fills the fullest replica first; otherwise batch spreads thin.
@@ -130,16 +135,17 @@
 // ThroughputPolicy turns all idle slots into batch work; an online request
 // takes its slot back at once.
 func ThroughputPolicy() Policy {
-	return Policy{Headroom: 0, MinFree: 0, Hold: 100 * time.Millisecond, Victim: VictimLeastWork}
+	return Policy{Hold: 0, Victim: VictimLeastWork}
 }
 
-// TailPolicy keeps slots free so that an online request finds one without
-// waiting for a preemption.
+// TailPolicy keeps a slot of each replica free, so that an online request
+// finds one without waiting for a preemption, and starts no batch beyond three
+// quarters of the slots.
 func TailPolicy() Policy {
-	return Policy{Headroom: 0.25, MinFree: 1, Hold: time.Second, Victim: VictimLeastWork}
+	return Policy{Headroom: 0.25, MinFree: 1, Hold: 50 * time.Millisecond, Victim: VictimLeastWork}
 }
 
-// reserve gives the slots of a replica that batch leaves free.
+// reserve gives the slots of a replica that new batch leaves free.
 func (p Policy) reserve(slots int) int {
 	share := int(p.Headroom*float64(slots) + 0.5)
 	return max(share, p.MinFree)
--- a/internal/route/poison.go
+++ b/internal/route/poison.go
@@ -64,10 +64,13 @@
 // mayRunNow holds a suspect request back while another attempt of the same
 // fingerprint runs, and keeps it off the replicas that died of it.
 func (s *Shard) mayRunNow(req *request) bool {
+	if s.copyAwaited(req) {
+		return false
+	}
 	if !s.isSuspect(req) {
 		return true
 	}
-	if s.running[req.Fingerprint] > 0 {
+	if s.runningCopies(req.Fingerprint) > 0 {
 		return false
 	}
 	for _, id := range s.strikes.Struck(s.at, req.Fingerprint) {
@@ -204,14 +207,8 @@
 		req := a.req
 		req.maybeRan = true
 		s.cancel(a, CancelSuspect)
-		if len(req.live) > 0 {
-			continue
-		}
-		if !req.Repeatable || (req.delivered && !req.Resumable) {
-			s.refuse(req, failedError(req, CauseBroken))
-			continue
+		if len(req.live) == 0 {
+			s.tryAgain(req, CauseSuspect)
 		}
-		req.next = Retry
-		s.enqueue(req)
 	}
 }
