Keep late copies of lease requests and reports from freeing or taking items

A call that was given up and sent again can still reach the log after its resend. A late lease request took items that its gate never learned of; a late "returned" report ended the next lease of the same number while its gate ran the item, so that a second gate ran it too, also a non-idempotent one.

Lease requests are numbered by session, a number is used up once it has got items, and the answer says so in the same log entry. Attempt numbers rise with each lease, also after a return; attempts that count are counted apart.

Ruled out: random request IDs (a late copy looks new), and moving on after an empty answer (the late copy of that number could still take items).

--- a/internal/job/complete.go
+++ b/internal/job/complete.go
@@ -69,12 +69,16 @@
 	case OutcomeRetry:
 		t.dropLease(job, result.Item)
 		if job.spec.NonIdempotent {
-			t.endItem(job, result.Item, now, OutcomeUnknown, ReasonOutcomeUnknown, result.Message)
+			t.endItem(job, result.Item, result.Attempt, now, OutcomeUnknown, ReasonOutcomeUnknown, result.Message)
 			return
 		}
 		t.retryItem(job, result.Item, result.Attempt, now, result.Message)
 	case OutcomeReturned:
 		t.dropLease(job, result.Item)
+		// Numbered as before, the next lease could be ended by a late copy of
+		// this report while its gate runs the item, and a second gate would run
+		// it too.
+		job.tries[result.Item] = tries{Leases: result.Attempt, Counted: job.tries[result.Item].Counted}
 		t.returnItem(job, result.Item)
 	default:
 		t.dropped.Invalid++
@@ -82,10 +86,10 @@
 }
 
 // endItem ends an item for which no gate reports a final result.
-func (t *Table) endItem(job *entry, item uint32, now instant.Micros, outcome Outcome, reason apierr.Reason, message string) {
+func (t *Table) endItem(job *entry, item uint32, attempt int, now instant.Micros, outcome Outcome, reason apierr.Reason, message string) {
 	t.store(job, &StoredResult{
 		Item:     item,
-		Attempt:  job.attempts[item] + 1,
+		Attempt:  attempt,
 		Outcome:  outcome,
 		CustomID: t.customID(job, item),
 		Reason:   reason,
@@ -124,7 +128,7 @@
 	default:
 		job.failed++
 	}
-	delete(job.attempts, result.Item)
+	delete(job.tries, result.Item)
 	t.setResult(job, result.Item, ref)
 	if job.succeeded+job.failed+job.unknown == job.items {
 		t.end(job, StateCompleted, now)
--- a/internal/job/lease.go
+++ b/internal/job/lease.go
@@ -30,7 +30,7 @@
 
 // leaseAnswer is the last answer of a session to a lease request.
 type leaseAnswer struct {
-	Request string   `cbor:"1,keyasint"`
+	Request uint64   `cbor:"1,keyasint"`
 	Items   []Leased `cbor:"2,keyasint,omitempty"`
 }
 
@@ -44,7 +44,7 @@
 type Leased struct {
 	Job           ID             `cbor:"1,keyasint"`
 	Item          uint32         `cbor:"2,keyasint"`
-	Attempt       int            `cbor:"3,keyasint"` // from 1
+	Attempt       int            `cbor:"3,keyasint"` // rises with each lease of the item, from 1
 	Team          string         `cbor:"4,keyasint"`
 	Queue         Queue          `cbor:"5,keyasint"`
 	Class         string         `cbor:"6,keyasint,omitempty"`
@@ -98,19 +98,20 @@
 	attempt := job.leases[item].Attempt
 	t.dropLease(job, item)
 	if job.spec.NonIdempotent {
-		t.endItem(job, item, now, OutcomeUnknown, ReasonOutcomeUnknown, "the gate that ran the item was lost before it reported")
+		t.endItem(job, item, attempt, now, OutcomeUnknown, ReasonOutcomeUnknown, "the gate that ran the item was lost before it reported")
 		return
 	}
 	t.retryItem(job, item, attempt, now, "the gate that ran the item was lost")
 }
 
-// retryItem makes an item available again after a counted attempt.
+// retryItem makes an item available again after an attempt that counts.
 func (t *Table) retryItem(job *entry, item uint32, attempt int, now instant.Micros, cause string) {
-	if attempt >= job.spec.MaxAttempts {
-		t.endItem(job, item, now, OutcomeFailed, ReasonAttemptsExhausted, fmt.Sprintf("attempt %d of %d: %s", attempt, job.spec.MaxAttempts, cause))
+	counted := job.tries[item].Counted + 1
+	if counted >= job.spec.MaxAttempts {
+		t.endItem(job, item, attempt, now, OutcomeFailed, ReasonAttemptsExhausted, fmt.Sprintf("attempt %d of %d: %s", counted, job.spec.MaxAttempts, cause))
 		return
 	}
-	job.attempts[item] = attempt
+	job.tries[item] = tries{Leases: attempt, Counted: counted}
 	t.returnItem(job, item)
 }
 
@@ -129,30 +130,37 @@
 }
 
 // Lease gives the session items of the wanted queues, earliest deadline first.
+// A session numbers its requests upwards from 1. Taken tells that this number
+// has got items, now or before; the session goes on to the next one only then.
 //
 // A gate that lost the answer resends the request. Leased anew, the items of
 // the first answer would stay with a session that does not know of them, and
-// their jobs would never end; so the same request gets the same items.
-func (t *Table) Lease(id SessionID, request string, wants []Want, now instant.Micros) ([]Leased, *apierr.Error) {
+// their jobs would never end; so the same number gets the same items, as far as
+// they are still leased, and a copy that arrives after the answer gets no others.
+func (t *Table) Lease(id SessionID, request uint64, wants []Want, now instant.Micros) (items []Leased, taken bool, refusal *apierr.Error) {
 	holder, found := t.sessions[id]
 	if !found {
-		return nil, unknownSession(id)
+		return nil, false, unknownSession(id)
 	}
-	if again := t.repeatedLease(id, holder, request); len(again) > 0 {
-		return again, nil
+	if holder.taken(request) {
+		return t.repeatedLease(id, holder, request), true, nil
 	}
-	var items []Leased
 	for _, want := range wants {
 		items = append(items, t.leaseFrom(id, holder, want, now)...)
 	}
 	holder.last = leaseAnswer{Request: request, Items: items}
-	return items, nil
+	return items, len(items) > 0, nil
+}
+
+// taken reports whether a request of this number has got items.
+func (s *session) taken(request uint64) bool {
+	return request < s.last.Request || request == s.last.Request && len(s.last.Items) > 0
 }
 
 // repeatedLease gives the items of the session's last request, if it is this
 // one, as far as the session still holds them.
-func (t *Table) repeatedLease(id SessionID, holder *session, request string) []Leased {
-	if request == "" || holder.last.Request != request {
+func (t *Table) repeatedLease(id SessionID, holder *session, request uint64) []Leased {
+	if holder.last.Request != request {
 		return nil
 	}
 	var items []Leased
@@ -165,10 +173,10 @@
 	return items
 }
 
-// Answered reports whether a resend of the request would get items again.
-func (t *Table) Answered(id SessionID, request string) bool {
+// Taken reports whether a request of the session has got items before.
+func (t *Table) Taken(id SessionID, request uint64) bool {
 	holder, found := t.sessions[id]
-	return found && len(t.repeatedLease(id, holder, request)) > 0
+	return found && holder.taken(request)
 }
 
 func unknownSession(id SessionID) *apierr.Error {
@@ -184,7 +192,7 @@
 				t.setUnready(job)
 				break
 			}
-			attempt := job.attempts[item] + 1
+			attempt := job.tries[item].Leases + 1
 			job.leases[item] = lease{Session: id, Attempt: attempt}
 			holder.leases[itemKey{Job: job.id, Item: item}] = struct{}{}
 			items = append(items, job.leased(item, attempt))
--- a/internal/job/snapshot.go
+++ b/internal/job/snapshot.go
@@ -28,7 +28,7 @@
 	Parts     []part           `cbor:"10,keyasint,omitempty"`
 	Next      uint32           `cbor:"11,keyasint,omitempty"`
 	Returned  []uint32         `cbor:"12,keyasint,omitempty"`
-	Attempts  map[uint32]int   `cbor:"13,keyasint,omitempty"`
+	Tries     map[uint32]tries `cbor:"13,keyasint,omitempty"`
 	Leases    map[uint32]lease `cbor:"14,keyasint,omitempty"`
 	Pages     []storedPage     `cbor:"15,keyasint,omitempty"`
 	Used      segmentUse       `cbor:"16,keyasint,omitempty"`
@@ -66,7 +66,7 @@
 		ID: j.id, Spec: j.spec, State: j.state, Sequence: j.sequence,
 		Created: j.created, Deadline: j.deadline, Finished: j.finished,
 		Items: j.items, Received: j.received, Parts: j.parts,
-		Next: j.next, Returned: j.returned, Attempts: j.attempts, Leases: j.leases,
+		Next: j.next, Returned: j.returned, Tries: j.tries, Leases: j.leases,
 		Used: j.used, Succeeded: j.succeeded, Failed: j.failed, Unknown: j.unknown,
 	}
 	for _, p := range j.pages {
@@ -122,7 +122,7 @@
 		id: s.ID, spec: s.Spec, state: s.State, sequence: s.Sequence,
 		created: s.Created, deadline: s.Deadline, finished: s.Finished,
 		items: s.Items, received: s.Received, parts: s.Parts,
-		next: s.Next, returned: s.Returned, attempts: s.Attempts, leases: s.Leases,
+		next: s.Next, returned: s.Returned, tries: s.Tries, leases: s.Leases,
 		used: s.Used, succeeded: s.Succeeded, failed: s.Failed, unknown: s.Unknown,
 	}
 	job.restoreMaps()
@@ -133,8 +133,8 @@
 }
 
 func (j *entry) restoreMaps() {
-	if j.attempts == nil {
-		j.attempts = make(map[uint32]int)
+	if j.tries == nil {
+		j.tries = make(map[uint32]tries)
 	}
 	if j.leases == nil {
 		j.leases = make(map[uint32]lease)
--- a/internal/job/table.go
+++ b/internal/job/table.go
@@ -42,7 +42,7 @@
 
 	next     uint32           // first item that was never leased
 	returned []uint32         // items to lease again
-	attempts map[uint32]int   // counted attempts of items that were returned
+	tries    map[uint32]tries // of items that were leased and came back
 	leases   map[uint32]lease // running items
 	pages    []page
 	used     segmentUse // result segments
@@ -58,6 +58,12 @@
 	Ref    Ref    `cbor:"4,keyasint"`
 }
 
+// tries counts the leases of an item.
+type tries struct {
+	Leases  int `cbor:"1,keyasint"` // all of them
+	Counted int `cbor:"2,keyasint"` // without those that were returned
+}
+
 type lease struct {
 	Session SessionID `cbor:"1,keyasint"`
 	Attempt int       `cbor:"2,keyasint"`
@@ -114,7 +120,7 @@
 		sequence: t.created,
 		created:  now,
 		deadline: spec.Deadline,
-		attempts: make(map[uint32]int),
+		tries:    make(map[uint32]tries),
 		leases:   make(map[uint32]lease),
 		used:     make(segmentUse),
 	}
@@ -252,7 +258,7 @@
 	}
 	job.state = state
 	job.finished = now
-	job.returned, job.attempts, job.leases = nil, nil, nil
+	job.returned, job.tries, job.leases = nil, nil, nil
 	// A client that lost its answers sends the whole job again. The digests of a
 	// completed job's parts stay, so that it finds what it sent instead of a
 	// conflict; a cancelled job refuses all parts.
--- a/internal/job/table_test.go
+++ b/internal/job/table_test.go
@@ -61,6 +61,7 @@
 type attempt struct {
 	session job.SessionID
 	leased  job.Leased
+	number  int // of all attempts
 }
 
 // machine drives a Table at random and checks what users were promised.
@@ -72,11 +73,12 @@
 	specs     map[job.ID]job.Spec
 	sealed    map[job.ID]uint32 // items
 	attempts  []attempt
-	runs      map[string]int // counted attempts by item
+	live      map[string]attempt // last lease by item
+	runs      map[string]int     // counted attempts by item
 	first     map[string]job.StoredResult
 	cancelled map[job.ID]int // results at that time
 	sessions  int
-	requests  int
+	requests  uint64
 }
 
 func itemKey(id job.ID, item uint32) string { return fmt.Sprintf("%s/%d", id, item) }
@@ -156,19 +158,24 @@
 	session := job.SessionID(fmt.Sprint(rapid.IntRange(m.sessions, m.sessions+1).Draw(t, "session")))
 	m.table.OpenSession(session, "vm")
 	m.requests++
-	request := fmt.Sprint(m.requests)
+	request := m.requests
 	wants := []job.Want{{Queue: queue, Max: rapid.IntRange(1, 5).Draw(t, "max")}}
-	items, refusal := m.table.Lease(session, request, wants, m.now)
+	items, _, refusal := m.table.Lease(session, request, wants, m.now)
 	if refusal != nil {
 		t.Fatalf("lease: %v", refusal)
 	}
-	again, _ := m.table.Lease(session, request, wants, m.now)
+	again, _, _ := m.table.Lease(session, request, wants, m.now)
 	if len(items) > 0 && fmt.Sprint(items) != fmt.Sprint(again) {
 		t.Fatalf("a resent lease request got %v after %v", again, items)
 	}
+	if late, _, _ := m.table.Lease(session, request-1, wants, m.now); len(late) > 0 {
+		t.Fatalf("a late copy of an earlier lease request got %v", late)
+	}
 	for _, item := range items {
 		m.checkLease(t, item)
-		m.attempts = append(m.attempts, attempt{session: session, leased: item})
+		run := attempt{session: session, leased: item, number: len(m.attempts)}
+		m.attempts = append(m.attempts, run)
+		m.live[itemKey(item.Job, item.Item)] = run
 	}
 }
 
@@ -210,6 +217,9 @@
 	after, _ := m.table.Status(run.leased.Job)
 	// A returned item did not run, so it may be leased once more.
 	if outcome == job.OutcomeReturned && after.Leased < before.Leased {
+		if live := m.live[itemKey(run.leased.Job, run.leased.Item)]; live != run {
+			t.Fatalf("a late report of %v ended the lease of %v", run, live)
+		}
 		m.runs[itemKey(run.leased.Job, run.leased.Item)]--
 	}
 }
@@ -291,7 +301,8 @@
 		m.loseGate(t)
 		session := job.SessionID(fmt.Sprint(m.sessions + 1))
 		m.table.OpenSession(session, "vm")
-		items, _ := m.table.Lease(session, "", []job.Want{{Queue: queue, Max: 100}}, m.now)
+		m.requests++
+		items, _, _ := m.table.Lease(session, m.requests+1, []job.Want{{Queue: queue, Max: 100}}, m.now)
 		for _, item := range items {
 			m.report(t, attempt{session: session, leased: item}, job.OutcomeSucceeded)
 		}
@@ -317,7 +328,7 @@
 		m := &machine{
 			table: job.NewTable(storage), storage: storage, now: 1,
 			specs: make(map[job.ID]job.Spec), sealed: make(map[job.ID]uint32),
-			cancelled: make(map[job.ID]int), runs: make(map[string]int), first: make(map[string]job.StoredResult),
+			cancelled: make(map[job.ID]int), live: make(map[string]attempt), runs: make(map[string]int), first: make(map[string]job.StoredResult),
 		}
 		m.start(t)
 		t.Repeat(map[string]func(*rapid.T){
@@ -349,10 +360,10 @@
 	table.AddPart(status.ID, 0, partItems, encodedPart(0))
 	table.Seal(status.ID, 1, 1)
 	lost := 0
-	for {
+	for request := uint64(1); ; request++ {
 		session := job.SessionID(fmt.Sprint("s", lost))
 		table.OpenSession(session, "vm")
-		items, _ := table.Lease(session, "", []job.Want{{Queue: queue, Max: 1}}, 2)
+		items, _, _ := table.Lease(session, request, []job.Want{{Queue: queue, Max: 1}}, 2)
 		if len(items) == 0 {
 			break
 		}
@@ -361,7 +372,7 @@
 			lost++
 			continue
 		}
-		table.Complete(session, []job.Result{{Job: status.ID, Item: items[0].Item, Attempt: 1, Outcome: job.OutcomeSucceeded}}, 2)
+		table.Complete(session, []job.Result{{Job: status.ID, Item: items[0].Item, Attempt: items[0].Attempt, Outcome: job.OutcomeSucceeded}}, 2)
 	}
 	status, _ = table.Status(status.ID)
 	if lost != 2 || status.State != job.StateCompleted || status.Failed != 1 || status.Succeeded != 2 {
--- a/internal/job/types.go
+++ b/internal/job/types.go
@@ -117,10 +117,12 @@
 // Outcomes of an attempt. The last two leave the item to be leased again.
 const (
 	OutcomeSucceeded Outcome = "succeeded"
-	OutcomeFailed    Outcome = "failed"   // for good
-	OutcomeUnknown   Outcome = "unknown"  // non-idempotent, may have run
-	OutcomeRetry     Outcome = "retry"    // it ran or may have run, the attempt counts
-	OutcomeReturned  Outcome = "returned" // preempted or not started, the attempt does not count
+	OutcomeFailed    Outcome = "failed"  // for good
+	OutcomeUnknown   Outcome = "unknown" // non-idempotent, may have run
+	OutcomeRetry     Outcome = "retry"   // it ran or may have run, the attempt counts
+	// OutcomeReturned is of an attempt that was preempted or not started and does
+	// not count. A non-idempotent item may be returned only if it was not sent.
+	OutcomeReturned Outcome = "returned"
 )
 
 // Result is how an attempt at an item ended.
--- a/internal/keeper/command.go
+++ b/internal/keeper/command.go
@@ -49,7 +49,7 @@
 
 type leaseItems struct {
 	Session job.SessionID `cbor:"1,keyasint"`
-	Request string        `cbor:"2,keyasint"`
+	Request uint64        `cbor:"2,keyasint"`
 	Wants   []job.Want    `cbor:"3,keyasint"`
 }
 
@@ -64,4 +64,5 @@
 	Status  *job.Status   `cbor:"2,keyasint,omitempty"`
 	Leased  []job.Leased  `cbor:"3,keyasint,omitempty"`
 	Claim   *claim.Answer `cbor:"4,keyasint,omitempty"`
+	Taken   bool          `cbor:"5,keyasint,omitempty"` // of Leased: its request's number is used up
 }
--- a/internal/keeper/jobcalls.go
+++ b/internal/keeper/jobcalls.go
@@ -181,11 +181,10 @@
 	}
 	s.touch(request.Group, request.Session, time.Now())
 	wants := boundWants(request.Wants)
-	if !machine.hasWork(wants) && !machine.answered(request) {
+	if !machine.hasWork(wants) && !machine.taken(request) {
 		return &keeperapi.LeaseResponse{}, nil
 	}
-	items, err := s.proposeLease(ctx, machine, request, wants)
-	return &keeperapi.LeaseResponse{Items: items}, err
+	return s.proposeLease(ctx, machine, request, wants)
 }
 
 // checkSession refuses a session that has ended.
@@ -209,27 +208,27 @@
 	return bounded
 }
 
-// answered reports whether the request was answered before: a resend gets the
-// same items, also when no other is left.
-func (m *JobMachine) answered(request *keeperapi.LeaseRequest) (found bool) {
-	m.read(func(jobs *job.Table, _ *claim.Table) { found = jobs.Answered(request.Session, request.Request) })
-	return found
+// taken reports whether the request got items before: a resend gets the same,
+// also when no others are left.
+func (m *JobMachine) taken(request *keeperapi.LeaseRequest) (taken bool) {
+	m.read(func(jobs *job.Table, _ *claim.Table) { taken = jobs.Taken(request.Session, request.Request) })
+	return taken
 }
 
-func (s *Service) proposeLease(ctx context.Context, machine *JobMachine, request *keeperapi.LeaseRequest, wants []job.Want) ([]keeperapi.LeasedItem, error) {
+func (s *Service) proposeLease(ctx context.Context, machine *JobMachine, request *keeperapi.LeaseRequest, wants []job.Want) (*keeperapi.LeaseResponse, error) {
 	answer, err := s.propose(ctx, request.Group, command{Lease: &leaseItems{Session: request.Session, Request: request.Request, Wants: wants}})
 	if err != nil {
 		return nil, err
 	}
-	items := make([]keeperapi.LeasedItem, 0, len(answer.Leased))
+	response := &keeperapi.LeaseResponse{Taken: answer.Taken}
 	for _, leased := range answer.Leased {
 		item, err := s.parts.item(machine, request.Group, leased)
 		if err != nil {
 			return nil, err
 		}
-		items = append(items, keeperapi.LeasedItem{Lease: leased, Item: item})
+		response.Items = append(response.Items, keeperapi.LeasedItem{Lease: leased, Item: item})
 	}
-	return items, nil
+	return response, nil
 }
 
 func (s *Service) completeItems(ctx context.Context, request *keeperapi.CompleteRequest) (*keeperapi.CompleteResponse, error) {
--- a/internal/keeper/jobmachine.go
+++ b/internal/keeper/jobmachine.go
@@ -73,8 +73,8 @@
 	case cmd.EndSessions != nil:
 		m.endSessions(cmd.EndSessions, now)
 	case cmd.Lease != nil:
-		leased, refusal := m.jobs.Lease(cmd.Lease.Session, cmd.Lease.Request, cmd.Lease.Wants, now)
-		return result{Leased: leased, Refusal: refusal}
+		leased, taken, refusal := m.jobs.Lease(cmd.Lease.Session, cmd.Lease.Request, cmd.Lease.Wants, now)
+		return result{Leased: leased, Taken: taken, Refusal: refusal}
 	case cmd.Complete != nil:
 		m.jobs.Complete(cmd.Complete.Session, cmd.Complete.Results, now)
 	case cmd.Expire:
--- a/internal/keeper/keeperapi/api.go
+++ b/internal/keeper/keeperapi/api.go
@@ -222,13 +222,14 @@
 type LeaseRequest struct {
 	Group   uint32        `cbor:"1,keyasint"`
 	Session job.SessionID `cbor:"2,keyasint"`
-	Request string        `cbor:"3,keyasint"`
+	Request uint64        `cbor:"3,keyasint"` // from 1, the next one after an answer that took it
 	Wants   []job.Want    `cbor:"4,keyasint"`
 }
 
 // LeaseResponse gives items to run; none if there are none to run.
 type LeaseResponse struct {
 	Items []LeasedItem `cbor:"1,keyasint,omitempty"`
+	Taken bool         `cbor:"2,keyasint,omitempty"` // the request's number is used up
 }
 
 // LeasedItem is an item to run and its request.
--- a/internal/keeper/keeperclient/session.go
+++ b/internal/keeper/keeperclient/session.go
@@ -36,7 +36,7 @@
 	mu      sync.Mutex
 	open    bool
 	epoch   int    // how often it was opened anew after it had ended
-	request string // ID of a lease request without an answer
+	request uint64 // number of the last lease request that took items
 }
 
 // NewSession makes the session of one run of the gate on vm.
@@ -88,7 +88,7 @@
 	}
 	in.open = false
 	in.epoch++
-	in.request = ""
+	in.request = 0
 	return true
 }
 
@@ -231,26 +231,25 @@
 	if err != nil {
 		return nil, err
 	}
-	in.answered()
+	if response.Taken {
+		in.answered(request)
+	}
 	return response.Items, nil
 }
 
-// pendingRequest gives the ID for the next lease request: that of the last one
-// as long as it has no answer. Its items are leased to this session already and
-// would wait for its end if the answer were not asked for again.
-func (g *groupSession) pendingRequest() string {
+// pendingRequest gives the number for the next lease request, that of the last
+// one as long as it has no answer. Its items may be leased to this session
+// already and would wait for its end if the answer were not asked for again.
+func (g *groupSession) pendingRequest() uint64 {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if g.request == "" {
-		g.request = uuid.NewString()
-	}
-	return g.request
+	return g.request + 1
 }
 
-func (g *groupSession) answered() {
+func (g *groupSession) answered(request uint64) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.request = ""
+	g.request = request
 }
 
 // await waits until some group has an item.
