Refuse late copies of claims that were given up

A gate that gives a claim up frees its key; a copy of the claim that reached the log after that was granted to nobody, and callers were told "still running" for as long as the gate lived. Freed IDs are remembered for ten minutes.

Ruled out: a time limit in the claim, which would hang on the clocks of gate and keeper agreeing.

--- a/internal/claim/claim.go
+++ b/internal/claim/claim.go
@@ -23,6 +23,7 @@
 	ReasonKeyReused      apierr.Reason = "idempotency_key_reused"
 	ReasonUnknownClaim   apierr.Reason = "unknown_claim"
 	ReasonInvalidClaim   apierr.Reason = "invalid_claim"
+	ReasonClaimFreed     apierr.Reason = "claim_freed"
 	ReasonUnknownSession apierr.Reason = job.ReasonUnknownSession
 )
 
@@ -40,8 +41,16 @@
 	StateRunning State = "running" // another attempt runs it
 	StateDone    State = "done"    // the outcome is stored
 	StateUnknown State = "unknown" // its gate was lost; it may have run
+	stateFree    State = "free"    // not run; the entry remembers whose claims are over
 )
 
+// freedRetention is how long a late copy of a claim is known after the claim
+// was freed; calls are given up within seconds.
+const freedRetention = 10 * time.Minute
+
+// maxFreed bounds the claims of one key that are remembered as freed.
+const maxFreed = 16
+
 // Request asks for the right to run a request.
 type Request struct {
 	Team        string        `cbor:"1,keyasint"`
@@ -91,6 +100,7 @@
 	State       State          `cbor:"5,keyasint"`
 	Outcome     job.Ref        `cbor:"6,keyasint"`
 	Expires     instant.Micros `cbor:"7,keyasint,omitempty"` // zero while it runs
+	Freed       []string       `cbor:"8,keyasint,omitempty"` // IDs of claims that are over without a run
 }
 
 func (e *entry) lessExpiry(other *entry) bool {
@@ -134,13 +144,23 @@
 	}
 	at := key{Team: request.Team, Key: request.Key}
 	existing, found := t.claims[at]
-	if found {
+	if found && existing.State != stateFree {
 		return existing.answer(&request)
 	}
+	var freed []string
+	if found {
+		freed = existing.Freed
+	}
+	if slices.Contains(freed, request.ID) {
+		return Answer{}, apierr.New(apierr.Conflict, ReasonClaimFreed, "claim it under a new ID", "the claim of key %q was given up", request.Key)
+	}
 	if !sessionOpen {
 		return Answer{}, apierr.New(apierr.NotFound, ReasonUnknownSession, "open a new session", "session %q is not open", string(request.Session))
 	}
-	t.insert(&entry{Key: at, Fingerprint: request.Fingerprint, ID: request.ID, Session: request.Session, State: StateRunning})
+	if found {
+		t.expiry.Delete(existing)
+	}
+	t.insert(&entry{Key: at, Fingerprint: request.Fingerprint, ID: request.ID, Session: request.Session, State: StateRunning, Freed: freed})
 	return Answer{State: StateGranted}, nil
 }
 
@@ -183,18 +203,17 @@
 // Finish ends a claim; it may be resent. An outcome that comes after the claim
 // was given up as unknown is still stored: more is known, and nothing runs again.
 func (t *Table) Finish(finish Finish, now instant.Micros) *apierr.Error {
+	if finish.NotRun {
+		t.free(key{Team: finish.Team, Key: finish.Key}, finish.ID, now)
+		return nil
+	}
 	claimed, found := t.claims[key{Team: finish.Team, Key: finish.Key}]
-	if !found || claimed.ID != finish.ID {
-		if finish.NotRun {
-			return nil // freed by the first copy of a resent Finish
-		}
+	if !found || claimed.ID != finish.ID || claimed.State == stateFree {
 		return apierr.New(apierr.NotFound, ReasonUnknownClaim, "claim the key first", "there is no claim of key %q with this ID", finish.Key)
 	}
 	switch {
 	case claimed.State == StateDone:
 		return nil
-	case finish.NotRun:
-		t.free(claimed)
 	case finish.Unknown:
 		t.giveUp(claimed, now)
 	default:
@@ -203,15 +222,31 @@
 	return nil
 }
 
-// free forgets a claim whose request was not sent, so that a resend can run. A
-// claim that was given up meanwhile stays unknown: its caller may have been
-// told so, and an answer must not change from that back to a first run.
-func (t *Table) free(claimed *entry) {
-	if claimed.State != StateRunning {
+// free ends a claim whose request was not sent, so that a resend can run. A
+// claim that was given up meanwhile stays unknown.
+//
+// A claim that was given up by its gate can still reach the log after this. It
+// would be granted to nobody, and the key would be "running" for as long as the
+// gate lives; so its ID is remembered and refused.
+func (t *Table) free(at key, id string, now instant.Micros) {
+	existing, found := t.claims[at]
+	switch {
+	case !found:
+		existing = &entry{Key: at}
+	case existing.State == stateFree:
+		t.expiry.Delete(existing)
+	case existing.State == StateRunning && existing.ID == id:
+		t.release(existing)
+	default:
 		return
 	}
-	t.release(claimed)
-	delete(t.claims, claimed.Key)
+	if !slices.Contains(existing.Freed, id) {
+		existing.Freed = append(existing.Freed, id)
+	}
+	existing.Freed = existing.Freed[max(0, len(existing.Freed)-maxFreed):]
+	existing.ID, existing.State = id, stateFree
+	existing.Expires = now.Add(freedRetention)
+	t.insert(existing)
 }
 
 func (t *Table) done(claimed *entry, outcome []byte, now instant.Micros) {
--- a/internal/claim/claim_test.go
+++ b/internal/claim/claim_test.go
@@ -31,6 +31,7 @@
 	granted []claim.Request
 	sent    map[string]string // attempt that sent the request, by key
 	done    map[string]string // outcome told, by key
+	freed   []claim.Request   // given up without a run
 	next    int
 }
 
@@ -57,6 +58,7 @@
 	}
 	if rapid.IntRange(0, 3).Draw(t, "not run") == 0 {
 		m.finish(t, claim.Finish{Team: "registry", Key: key, ID: request.ID, NotRun: true})
+		m.freed = append(m.freed, request)
 		return
 	}
 	if first, ran := m.sent[key]; ran {
@@ -66,6 +68,17 @@
 	m.granted = append(m.granted, request)
 }
 
+// lateCopy lets a claim arrive that its gate has given up.
+func (m *machine) lateCopy(t *rapid.T) {
+	if len(m.freed) == 0 {
+		t.Skip("none given up")
+	}
+	request := m.freed[max(0, len(m.freed)-rapid.IntRange(1, 5).Draw(t, "copy"))]
+	if answer, refusal := m.table.Claim(request, true); refusal == nil && answer.State == claim.StateGranted {
+		t.Fatalf("claim %s of key %s was granted after it was given up", request.ID, request.Key)
+	}
+}
+
 func (m *machine) told(t *rapid.T, key, outcome string) {
 	if first, told := m.done[key]; told && first != outcome {
 		t.Fatalf("key %s was answered %q after %q", key, outcome, first)
@@ -109,7 +122,8 @@
 // which are lost with the request under way: it runs at most once, and all who
 // get its outcome get the same.
 //
-// Red without its guard: giveUp deleting the claim gives "runs twice".
+// Red without its guards: giveUp deleting the claim, "runs twice"; Claim not
+// asking for freed IDs, "was granted after it was given up".
 func TestRunsAtMostOnce(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		storage := &memory{}
@@ -117,7 +131,7 @@
 		t.Repeat(map[string]func(*rapid.T){
 			"":       func(*rapid.T) { m.now++ },
 			"ask":    m.ask,
-			"answer": m.answerArrives, "lose": m.loseGate, "restart": m.restart,
+			"answer": m.answerArrives, "lose": m.loseGate, "late": m.lateCopy, "restart": m.restart,
 		})
 	})
 }
