Ask another keeper after a second of silence; prove and measure the state

A call to a frozen leader waited three seconds before it went elsewhere. The first attempt now has one second and each further one twice as long, so that slow keepers are not asked for ever.

--- a/internal/keeper/keeperclient/client.go
+++ b/internal/keeper/keeperclient/client.go
@@ -15,10 +15,13 @@
 )
 
 const (
-	// attemptTimeout bounds one attempt, beside the wait of a long poll. A
-	// connection can go silent for good while new ones work; the call then goes
-	// to another keeper in place of waiting for its own deadline.
-	attemptTimeout = 3 * time.Second
+	// attemptTimeout bounds the first attempt, beside the wait of a long poll;
+	// it doubles with each further one up to maxAttemptTimeout, for keepers that
+	// are slow and not gone. A frozen keeper, or a connection that went silent
+	// for good, shows as no answer at all; the call then goes to another keeper
+	// in place of waiting for its own deadline.
+	attemptTimeout    = time.Second
+	maxAttemptTimeout = 8 * time.Second
 	// retryDelay is the pause before asking again; an election takes a few.
 	retryDelay    = 20 * time.Millisecond
 	maxRetryDelay = 320 * time.Millisecond
@@ -43,10 +46,10 @@
 // call sends a request to the leader of a group. Wait is how long the keeper
 // may hold it.
 func call[Req, Res any](ctx context.Context, c *Client, group uint32, wait time.Duration, p rpc.Procedure[Req, keeperapi.Reply[Res]], request *Req) (*Res, error) {
-	attempts := attempts{ran: apierr.RanNo, delay: retryDelay}
+	attempts := attempts{ran: apierr.RanNo, delay: retryDelay, timeout: attemptTimeout}
 	for ctx.Err() == nil {
 		address, hinted := c.target(group)
-		attempt, cancel := context.WithTimeout(ctx, attemptTimeout+wait)
+		attempt, cancel := context.WithTimeout(ctx, attempts.timeout+wait)
 		reply, err := rpc.Call(attempt, c.rpc, address, p, request)
 		cancel()
 		if err == nil && reply.NotLeader == nil {
@@ -86,13 +89,15 @@
 
 // attempts keeps what is known of a call that is repeated.
 type attempts struct {
-	ran   apierr.Ran // whether a keeper may have acted on it
-	last  error
-	delay time.Duration
+	ran     apierr.Ran // whether a keeper may have acted on it
+	last    error
+	delay   time.Duration // before the next one
+	timeout time.Duration // of the next one
 }
 
 func (a *attempts) note(err error) {
 	a.last = err
+	a.timeout = min(2*a.timeout, maxAttemptTimeout)
 	// Without an answer the keeper may have committed the call before the
 	// connection broke.
 	if apierr.From(err).Ran != apierr.RanNo {
--- a/internal/keeper/keepertest/cluster.go
+++ b/internal/keeper/keepertest/cluster.go
@@ -204,3 +204,18 @@
 	}
 	return response, err
 }
+
+// Leader waits for the keeper that leads a group.
+func (c *Cluster) Leader(group uint32) *Keeper {
+	c.tb.Helper()
+	const patience = 30 * time.Second
+	for deadline := time.Now().Add(patience); time.Now().Before(deadline); time.Sleep(5 * time.Millisecond) {
+		for _, k := range c.Keepers {
+			if k.Host.Status()[group].Leads {
+				return k
+			}
+		}
+	}
+	c.tb.Fatalf("group %d has no leader", group)
+	return nil
+}
--- a/internal/keeper/measure_test.go
+++ b/internal/keeper/measure_test.go
@@ -20,6 +20,7 @@
 	"slateway.example/slateway/internal/keeper"
 	"slateway.example/slateway/internal/keeper/keeperclient"
 	"slateway.example/slateway/internal/keeper/keepertest"
+	"slateway.example/slateway/internal/replica"
 	"slateway.example/slateway/internal/rpc"
 )
 
@@ -40,12 +41,15 @@
 }
 
 // BenchmarkItemsEndToEnd uploads, leases, completes and reads the items of
-// several jobs through 3 keepers, with 8 gates. ITEMS and JOBS set the size.
+// several jobs through 3 keepers, with 8 gates. ITEMS and JOBS set the size;
+// MAX_BATCH=1 makes the log sync once for each entry.
 func BenchmarkItemsEndToEnd(b *testing.B) {
 	items, jobs := setting("ITEMS", 20_000), setting("JOBS", 8)
 	items -= items % jobs
 	for b.Loop() {
-		cluster := keepertest.StartCluster(b, 3, measuredGroups, nil)
+		cluster := keepertest.StartCluster(b, 3, measuredGroups, func(config *replica.Config, _ *keeper.Options) {
+			config.WAL.MaxBatch = setting("MAX_BATCH", 0)
+		})
 		client := cluster.Client()
 		started := time.Now()
 		ids := upload(b, client, items, jobs)
