Refresh usages every 5 s, do not count copies of announcements as stale

A gate at the planned size has about 69 requests in progress on as many replicas, so a refresh each second would be up to 18 messages a second; each change is told anyway. (Sums, not measured.)

--- a/internal/route/replica.go
+++ b/internal/route/replica.go
@@ -156,7 +156,7 @@
 		s.count(upstream.ReasonBadAnnouncement)
 		return
 	}
-	s.applyChange(in.Announcement.Replica, change)
+	s.applyChange(in.Announcement.Replica, in.Announcement.Sequence, change)
 }
 
 func (in Reported) apply(s *Shard) {
@@ -165,13 +165,15 @@
 		s.count(upstream.ReasonBadAnnouncement)
 		return
 	}
-	s.applyChange(in.Digest.Replica, change)
+	s.applyChange(in.Digest.Replica, in.Digest.Sequence, change)
 }
 
-func (s *Shard) applyChange(id upstream.ReplicaID, change upstream.Change) {
+func (s *Shard) applyChange(id upstream.ReplicaID, sequence uint64, change upstream.Change) {
 	switch change {
 	case upstream.ChangeNone:
-		s.count(upstream.ReasonStaleAnnouncement)
+		if known := s.table.Get(id); known != nil && sequence != known.Sequence {
+			s.count(upstream.ReasonStaleAnnouncement) // late; a copy of the last one is usual
+		}
 		return
 	case upstream.ChangeJoin:
 		s.join(id)
--- a/internal/route/usage.go
+++ b/internal/route/usage.go
@@ -17,8 +17,8 @@
 // Times of the word between gates. It is sent at each change, and again for as
 // long as there is something to tell, so that one lost message does no harm.
 const (
-	usageRefresh  = time.Second
-	usageLifetime = 3500 * time.Millisecond
+	usageRefresh  = 5 * time.Second
+	usageLifetime = 16 * time.Second
 )
 
 // tellFeeder tells the gate that feeds a replica how many requests this gate
