Tell other places of a draining gate at once

Measured in the planned fleet (cmd/capacity losses): after a change of delegate the other places of the region named a gate for 8.8 s after its drain had begun, longer than the 5 s that a drain waited for them: callers would have met a closed port.

timeouts.drain must leave room for the answers that may name the gate.

--- a/cmd/capacity/network.go
+++ b/cmd/capacity/network.go
@@ -28,7 +28,11 @@
 
 // node is one VM with its traffic.
 type node struct {
+	name     string
+	place    string
+	region   string
 	address  string
+	stopped  bool // its process neither runs nor receives
 	member   *member.Node
 	bytesOut int
 	bytesIn  int
@@ -40,7 +44,9 @@
 	now   time.Time
 	nodes map[string]*node
 	order []*node
-	queue []member.Packet
+	ticks int
+	queue []flight
+	cut   func(from, to *node) bool // nil: no packet is lost
 	// rowBytes is the size of a replica's row in the load digest that each VM
 	// spreads a second; zero spreads none.
 	rowBytes int
@@ -62,7 +68,7 @@
 	}
 	random := rand.New(rand.NewPCG(1, uint64(len(w.order))))
 	config := member.Config{Seeds: seeds, BytesPerSecond: 1 << 20} // the cost unbounded is what is asked
-	n := &node{address: vm.Peers, member: member.New(config, vm, uint64(w.now.UnixMilli()), random, w.now)}
+	n := &node{name: vm.Name, place: place, region: region, address: vm.Peers, member: member.New(config, vm, uint64(w.now.UnixMilli()), random, w.now)}
 	w.nodes[n.address] = n
 	w.order = append(w.order, n)
 }
@@ -71,20 +77,26 @@
 	for _, packet := range output.Packets {
 		from.bytesOut += len(packet.Data) + datagramHeader
 		from.packets++
-		w.queue = append(w.queue, packet)
+		w.queue = append(w.queue, flight{from, packet})
 	}
 }
 
+// flight is a packet on its way.
+type flight struct {
+	from   *node
+	packet member.Packet
+}
+
 func (w *network) deliver() error {
 	for len(w.queue) > 0 {
-		packet := w.queue[0]
+		f := w.queue[0]
 		w.queue = w.queue[1:]
-		to := w.nodes[packet.To]
-		if to == nil {
+		to := w.nodes[f.packet.To]
+		if to == nil || to.stopped || (w.cut != nil && w.cut(f.from, to)) {
 			continue
 		}
-		to.bytesIn += len(packet.Data) + datagramHeader
-		output, err := to.member.Receive(w.now, packet.Data)
+		to.bytesIn += len(f.packet.Data) + datagramHeader
+		output, err := to.member.Receive(w.now, f.packet.Data)
 		if err != nil {
 			return err
 		}
@@ -94,19 +106,21 @@
 }
 
 func (w *network) run(d time.Duration) error {
-	second := 0
 	for elapsed := time.Duration(0); elapsed < d; elapsed += tick {
 		w.now = w.now.Add(tick)
+		w.ticks++
 		for i, n := range w.order {
+			if n.stopped {
+				continue
+			}
 			w.take(n, n.member.Tick(w.now))
 			// VMs spread their loads at different moments of the second.
-			if (second+i)%int(time.Second/tick) == 0 {
+			if (w.ticks+i)%int(time.Second/tick) == 0 {
 				if err := w.spreadLoad(n); err != nil {
 					return err
 				}
 			}
 		}
-		second++
 		if err := w.deliver(); err != nil {
 			return err
 		}
--- a/internal/directory/drain.go
+++ b/internal/directory/drain.go
@@ -14,9 +14,11 @@
 )
 
 // DefaultSpread is how long after its drain begins other gates may still name a
-// gate: one publication to the places of the region (2 s), its way to every gate
-// there (1 s), and a lost packet, made good by the next publication (2 s).
-const DefaultSpread = 5 * time.Second
+// gate: the publication to the places of the region (0.5 s), its way to every gate
+// there (1 s), and either a lost packet, made good by the next publication (2 s),
+// or the answer of an earlier delegate, left out when it missed one (3 s). The
+// rest is a reserve.
+const DefaultSpread = 6 * time.Second
 
 // Drain decides when a gate that was told to stop may do so.
 //
--- a/internal/member/area.go
+++ b/internal/member/area.go
@@ -74,11 +74,18 @@
 	}
 }
 
-// Areas lists the areas of other places.
+// Areas lists the areas of other places. A place that is split has several, one
+// of each publisher.
+//
+// One that missed a publication while another publisher of the place made its own
+// is left out: the delegate has changed, and a gate that drained since would
+// still be named to callers, who find its port closed when it has gone.
 func (n *Node) Areas(now time.Time) []PlaceArea {
+	latest := n.areas.latest()
 	var areas []PlaceArea
 	for _, entry := range n.areas.list {
-		if entry.area.Place != n.self.VM.Place {
+		missed := latest[entry.area.Place].Sub(entry.heardAt) > n.interval(entry)*3/2
+		if entry.area.Place != n.self.VM.Place && !missed {
 			areas = append(areas, PlaceArea{Area: entry.area, Stale: n.stale(now, entry)})
 		}
 	}
@@ -90,11 +97,25 @@
 }
 
 // keepalive is the pace at which an unchanged area is published.
-func (n *Node) keepalive(entry *areaEntry) time.Duration {
+func (n *Node) keepalive(entry *areaEntry) time.Duration { return keepaliveFactor * n.interval(entry) }
+
+// interval is the pace at which a changing area is published.
+func (n *Node) interval(entry *areaEntry) time.Duration {
 	if entry.area.Region == n.self.VM.Region {
-		return keepaliveFactor * n.config.NearInterval
+		return n.config.NearInterval
 	}
-	return keepaliveFactor * n.config.FarInterval
+	return n.config.FarInterval
+}
+
+// latest gives for each place when it was last heard of.
+func (t *areaTable) latest() map[string]time.Time {
+	latest := map[string]time.Time{}
+	for _, entry := range t.list {
+		if entry.heardAt.After(latest[entry.area.Place]) {
+			latest[entry.area.Place] = entry.heardAt
+		}
+	}
+	return latest
 }
 
 // ranked lists the alive VMs of the place, this one included, in the order of
@@ -244,12 +265,7 @@
 // a keepalive while another publisher of the same place kept its own: the
 // delegate has changed.
 func (n *Node) forgetAreas(now time.Time) {
-	latest := map[string]time.Time{}
-	for _, entry := range n.areas.list {
-		if entry.heardAt.After(latest[entry.area.Place]) {
-			latest[entry.area.Place] = entry.heardAt
-		}
-	}
+	latest := n.areas.latest()
 	n.areas.list = slices.DeleteFunc(n.areas.list, func(entry *areaEntry) bool {
 		replaced := latest[entry.area.Place].Sub(entry.heardAt) > n.keepalive(entry)*3/2
 		return replaced || now.Sub(entry.heardAt) >= n.config.ForgetAfter
--- a/internal/member/member_test.go
+++ b/internal/member/member_test.go
@@ -211,3 +211,36 @@
 		}
 	})
 }
+
+// A place's delegate dies and another VM speaks for the place for a while. The
+// first comes back, and a gate is drained by its operators. The other places
+// still held what the second had said last, and sent callers to the drained gate
+// when it had gone: its port was closed. Within the spread that a drain waits for,
+// six seconds, no gate may name it any more, whichever VM was the delegate.
+func TestDrainedGateIsForgottenAfterAChangeOfDelegate(t *testing.T) {
+	const spread = 6 * time.Second
+	for dead := range 4 {
+		g := NewWithT(t)
+		w := newNetwork(7)
+		for _, place := range []string{"a", "b"} {
+			for i := range 4 {
+				w.add(place, i, "a:0", "b:0")
+			}
+		}
+		w.run(20 * time.Second)
+		w.paused[fmt.Sprintf("a:%d", dead)] = true
+		w.run(10 * time.Second)
+		w.paused[fmt.Sprintf("a:%d", dead)] = false
+		w.run(time.Second)
+		drained := fmt.Sprintf("a:%d", (dead+1)%4)
+		w.take(drained, w.nodes[drained].SetDraining(w.now))
+		w.run(spread)
+		for i := range 4 {
+			for _, a := range w.nodes[fmt.Sprintf("b:%d", i)].Areas(w.now) {
+				for _, entry := range a.Entries {
+					g.Expect(entry.Callers).NotTo(Equal("callers-"+drained), "after a-%d was lost", dead)
+				}
+			}
+		}
+	}
+}
--- a/internal/member/publish.go
+++ b/internal/member/publish.go
@@ -16,7 +16,7 @@
 const (
 	// wholeEvery is how many publications there are for each whole one.
 	wholeEvery = 10
-	// headRepeats is how often a changed head is sent: a lost packet must not
+	// headRepeats is how often an area is sent whole after its head changed: a lost packet must not
 	// leave a draining gate in the answers of other places until the next
 	// whole publication.
 	headRepeats = 3
@@ -27,16 +27,13 @@
 	return a.VMs == b.VMs && a.Gates == b.Gates && slices.Equal(a.Contacts, b.Contacts) && slices.Equal(a.Entries, b.Entries)
 }
 
-// changedSince leaves out the sums that are as in last and, if withHead is not
-// set, the head.
-func (a Area) changedSince(last *Area, withHead bool) Area {
+// changedSince keeps only the sums that differ from those in last.
+func (a Area) changedSince(last *Area) Area {
 	a.Sums = slices.DeleteFunc(slices.Clone(a.Sums), func(sum Digest) bool {
 		return slices.ContainsFunc(last.Sums, func(d Digest) bool { return d.Kind == sum.Kind && d.Version == sum.Version })
 	})
-	if !withHead {
-		a.Partial = true
-		a.VMs, a.Gates, a.Contacts, a.Entries = 0, 0, nil, nil
-	}
+	a.Partial = true
+	a.VMs, a.Gates, a.Contacts, a.Entries = 0, 0, nil, nil
 	return a
 }
 
@@ -86,22 +83,28 @@
 	if near {
 		interval = n.config.NearInterval
 	}
-	if now.Sub(p.sentAt) < interval {
+	if now.Sub(p.sentAt) < min(interval, n.config.Heartbeat) {
 		return
 	}
 	whole := n.ownArea(now)
 	if !near {
 		whole = whole.forRegion("")
 	}
-	if !whole.sameHead(&p.last) {
+	changed := !whole.sameHead(&p.last)
+	if now.Sub(p.sentAt) < interval && !(near && changed) {
+		return // a draining gate is told to the region at once, all else at the pace
+	}
+	if changed {
 		p.heads = headRepeats
 	}
-	area := whole.changedSince(&p.last, p.heads > 0)
+	area := whole.changedSince(&p.last)
 	unchanged := p.heads == 0 && len(area.Sums) == 0
 	if unchanged && now.Sub(p.sentAt) < keepaliveFactor*interval {
 		return
 	}
-	if p.count%wholeEvery == 0 {
+	// Whoever does not know this publisher yet can use a whole area only, so a
+	// changed head never goes without the sums.
+	if p.heads > 0 || p.count%wholeEvery == 0 {
 		area = whole
 	}
 	p.sentAt, p.last = now, whole
--- a/internal/settings/check.go
+++ b/internal/settings/check.go
@@ -8,6 +8,8 @@
 	"slices"
 	"strings"
 	"time"
+
+	"slateway.example/slateway/internal/directory"
 )
 
 // MaxConfigLease is the longest configuration lease. A change is in force once
@@ -149,7 +151,9 @@
 	const raise = "raise the second or lower the first"
 	c.less("member.heartbeat", s.Member.Heartbeat, "member.suspect_after", s.Member.SuspectAfter, 2, raise)
 	c.less("quorum.heartbeat", s.Quorum.Heartbeat, "quorum.election", s.Quorum.Election, 3, raise)
-	c.less("directory.answer_lifetime", s.Directory.AnswerLifetime, "timeouts.drain", s.Timeouts.Drain, 1, raise)
+	if least := s.Directory.AnswerLifetime + directory.DefaultSpread; s.Timeouts.Drain < least {
+		c.add("timeouts.drain", s.Timeouts.Drain.String(), "a gate would stop while callers may still hold its address", "set it to at least "+least.String())
+	}
 	if s.Config.Lease > MaxConfigLease {
 		c.add("config.lease", s.Config.Lease.String(), "a change could not be in force everywhere within 9 s", "set it to at most "+MaxConfigLease.String())
 	}
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -52,6 +52,7 @@
 		{"heartbeat", `[listen]`, "[member]\nheartbeat = \"2s\"\n[listen]", `member.heartbeat = 2s: must be at most a 2. part of member.suspect_after = 2s; raise the second or lower the first`},
 		{"no unit", `[listen]`, "[timeouts]\ndial = 500\n[listen]", `timeouts.dial: a duration without a unit; write it with its unit, such as "500ms" or "10s"`},
 		{"lease too long", `[listen]`, "[config]\nlease = \"1m\"\n[listen]", `config.lease = 1m0s: a change could not be in force everywhere within 9 s; set it to at most 8s`},
+		{"drain too short", `[listen]`, "[timeouts]\ndrain = \"10s\"\n[listen]", `timeouts.drain = 10s: a gate would stop while callers may still hold its address; set it to at least 16s`},
 		{"own keeper differs", `"10.0.0.1:8082"` + "\n[[", `"10.0.0.1:9082"` + "\n[[", `keeper[0].peers = "10.0.0.1:8082": this VM's peers address is "10.0.0.1:9082"; write the same address in both`},
 		{"wrong type", `"10.0.0.1:8080"`, `8080`, `line 9 (last key "listen.callers"): incompatible types`},
 		{"zero", `[listen]`, "[limits]\nmax_queue = 0\n[listen]", `limits.max_queue = 0: must be positive; set it to at least 1`},
