--- a/test/api_test.go
+++ b/test/api_test.go
@@ -83,7 +83,13 @@
 // the other, with the team guild.
 func startGuild(ctx context.Context, engines int, flags ...string) (*harness.Fleet, []*harness.Upstream) {
 	GinkgoHelper()
-	fleet := newFleet(threeVMs())
+	return startSite(ctx, threeVMs(), engines, flags...)
+}
+
+// startSite does the same for other VMs.
+func startSite(ctx context.Context, options harness.Options, engines int, flags ...string) (*harness.Fleet, []*harness.Upstream) {
+	GinkgoHelper()
+	fleet := newFleet(options)
 	Expect(fleet.Start()).To(Succeed())
 	upstreams := make([]*harness.Upstream, engines)
 	for i := range upstreams {
--- a/test/history_test.go
+++ b/test/history_test.go
@@ -78,7 +78,7 @@
 	configClients = 4
 	jobClients    = 3
 	claimClients  = 3
-	operationsOf  = 12 // of each client
+	operationsOf  = 20 // of each client
 )
 
 // clients runs all clients of a seed to their end.
@@ -115,7 +115,7 @@
 			}
 			return output
 		})
-		rest(ctx, time.Duration(random.IntN(20))*time.Millisecond)
+		rest(ctx, time.Duration(random.IntN(60))*time.Millisecond)
 	}
 }
 
@@ -167,7 +167,7 @@
 		Expect(err).NotTo(HaveOccurred())
 		for range operationsOf / 2 {
 			r.jobOperation(ctx, client, key, id, random)
-			rest(ctx, time.Duration(random.IntN(50))*time.Millisecond)
+			rest(ctx, time.Duration(random.IntN(100))*time.Millisecond)
 		}
 	}
 }
@@ -257,6 +257,21 @@
 	}
 }
 
+// report counts what happened in a seed's run.
+func (r *seedRun) report(faults int) {
+	answered, clerks := 0, 0
+	for _, answers := range r.claims {
+		for _, got := range answers {
+			clerks++
+			if got.status == http.StatusOK {
+				answered++
+			}
+		}
+	}
+	AddReportEntry(fmt.Sprintf("seed %d", r.seed), fmt.Sprintf("%d faults, %d configuration and %d job operations, %d of %d confirmations answered",
+		faults, len(r.config.operations), len(r.jobs.operations), answered, clerks))
+}
+
 // seeds reads seedsVariable.
 func seeds() (first, last uint64) {
 	GinkgoHelper()
@@ -272,14 +287,16 @@
 	return first, last
 }
 
-var _ = Describe("concurrent histories while VMs are killed and frozen", func() {
+var _ = Describe("concurrent histories while VMs are killed, frozen and cut off", func() {
 	// Operators race and resend, callers create, seal and cancel shared jobs,
 	// and clerks confirm the same plates through several gates, while one VM
-	// after the other is killed or frozen in the middle of it. Whatever was
+	// after the other is killed, frozen or cut off, also in one direction only. Whatever was
 	// answered must be explained by one order of the operations, each acting
 	// once, and no plate may be confirmed twice.
 	It("are linearizable, and non-idempotent requests run at most once", func(ctx SpecContext) {
-		fleet, _ := startGuild(ctx, 2)
+		options := threeVMs()
+		options.PeerLinks = true
+		fleet, _ := startSite(ctx, options, 2)
 		service, err := fleet.StartService("pagedesk", "pagedesk-1", places[0], "--delay", "20ms")
 		Expect(err).NotTo(HaveOccurred())
 		Expect(fleet.WaitReady(ctx, map[string]int{"pagedesk": 1})).To(Succeed())
@@ -292,10 +309,15 @@
 			}
 			disturbing, peace := context.WithCancel(ctx)
 			var nemesis sync.WaitGroup
-			nemesis.Go(func() { disturb(disturbing, fleet.VMs, rand.New(rand.NewPCG(seed, 1000))) })
+			faults := 0
+			nemesis.Go(func() {
+				defer GinkgoRecover()
+				faults = disturb(disturbing, fleet, rand.New(rand.NewPCG(seed, 1000)))
+			})
 			run.clients(ctx)
 			peace()
 			nemesis.Wait()
+			run.report(faults)
 			run.config.expectLinearizable(configModel, fmt.Sprintf("config-seed-%d", seed))
 			run.jobs.expectLinearizable(jobModel.ToModel(), fmt.Sprintf("jobs-seed-%d", seed))
 			run.expectAtMostOnce(service)
--- a/test/nemesis_test.go
+++ b/test/nemesis_test.go
@@ -5,7 +5,6 @@
 	"math/rand/v2"
 	"time"
 
-	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
 	"slateway.example/slateway/test/harness"
@@ -13,21 +12,57 @@
 
 // disturbance is one fault of a VM, with the way back.
 type disturbance struct {
-	name  string
-	bring func(vm *harness.VM) error
-	heal  func(vm *harness.VM) error
+	bring func(fleet *harness.Fleet, vm *harness.VM) error
+	heal  func(fleet *harness.Fleet, vm *harness.VM) error
 }
 
 var disturbances = []disturbance{
-	{"kill", kill, (*harness.VM).Start},
-	{"freeze", func(vm *harness.VM) error { return vm.Freeze() }, func(vm *harness.VM) error { return vm.Thaw() }},
+	{kill, restart},
+	{freeze, thaw},
+	{isolate, heal},
+	{deafen, heal},
+	{mute, heal},
 }
 
-func kill(vm *harness.VM) error {
+func kill(_ *harness.Fleet, vm *harness.VM) error {
 	vm.Kill()
 	return nil
 }
 
+func restart(_ *harness.Fleet, vm *harness.VM) error { return vm.Start() }
+func freeze(_ *harness.Fleet, vm *harness.VM) error  { return vm.Freeze() }
+func thaw(_ *harness.Fleet, vm *harness.VM) error    { return vm.Thaw() }
+
+func isolate(fleet *harness.Fleet, vm *harness.VM) error {
+	fleet.Isolate(vm, true)
+	return nil
+}
+
+// deafen lets nothing reach a VM that still sends.
+func deafen(fleet *harness.Fleet, vm *harness.VM) error {
+	for _, other := range fleet.VMs {
+		if other != vm {
+			fleet.Cut(other, vm, true)
+		}
+	}
+	return nil
+}
+
+// mute lets nothing out of a VM that still receives.
+func mute(fleet *harness.Fleet, vm *harness.VM) error {
+	for _, other := range fleet.VMs {
+		if other != vm {
+			fleet.Cut(vm, other, true)
+		}
+	}
+	return nil
+}
+
+func heal(fleet *harness.Fleet, vm *harness.VM) error {
+	fleet.Isolate(vm, false)
+	return nil
+}
+
 // Lengths of faults and of the times between them.
 const (
 	shortestFault = 100 * time.Millisecond
@@ -37,17 +72,18 @@
 
 // disturb brings one VM after the other down, as drawn from random, until ctx
 // ends; then all are up. Two faults in a row may hit different VMs before the
-// first one has caught up.
-func disturb(ctx context.Context, vms []*harness.VM, random *rand.Rand) {
-	defer GinkgoRecover()
+// first one has caught up. It returns the number of faults.
+func disturb(ctx context.Context, fleet *harness.Fleet, random *rand.Rand) (faults int) {
 	for ctx.Err() == nil {
-		vm := vms[random.IntN(len(vms))]
+		vm := fleet.VMs[random.IntN(len(fleet.VMs))]
 		fault := disturbances[random.IntN(len(disturbances))]
-		Expect(fault.bring(vm)).To(Succeed())
+		Expect(fault.bring(fleet, vm)).To(Succeed())
 		rest(ctx, shortestFault+time.Duration(random.Int64N(int64(longestFault-shortestFault))))
-		Expect(fault.heal(vm)).To(Succeed())
+		Expect(fault.heal(fleet, vm)).To(Succeed())
 		rest(ctx, time.Duration(random.Int64N(int64(longestPeace))))
+		faults++
 	}
+	return faults
 }
 
 func rest(ctx context.Context, length time.Duration) {
