Order engines: rights under fencing numbers, and the shell that sends orders

One gate a place holds the right to order, granted in the replicated state; the decision was there, nothing carried it out. Off by default.

--- a/internal/daemon/gate.go
+++ b/internal/daemon/gate.go
@@ -3,16 +3,20 @@
 import (
 	"context"
 	"hash/maphash"
+	"net/http"
 	"sync"
 
+	"github.com/google/uuid"
 	"go.uber.org/zap"
 
 	"slateway.example/slateway/internal/fleet"
 	"slateway.example/slateway/internal/gate"
 	"slateway.example/slateway/internal/gate/batch"
 	"slateway.example/slateway/internal/gate/exchange"
+	"slateway.example/slateway/internal/gate/orders"
 	"slateway.example/slateway/internal/gate/proxy"
 	"slateway.example/slateway/internal/keeper/keeperclient"
+	"slateway.example/slateway/internal/order"
 	"slateway.example/slateway/internal/route"
 	"slateway.example/slateway/internal/settings"
 )
@@ -29,6 +33,7 @@
 	front    *gate.Front
 	runner   *batch.Runner
 	draining *drain
+	orders   *orders.Shell // nil unless orders are enabled
 
 	stopBatch  context.CancelFunc
 	stopOthers context.CancelFunc
@@ -79,9 +84,35 @@
 		ResultGroup: s.Batch.ResultGroup,
 		Heartbeat:   s.Batch.Lease / heartbeatsPerLease,
 	})
+	if s.Orders.Enabled {
+		g.orders = newOrders(d, client, g)
+	}
 	return g
 }
 
+// newOrders makes this gate's part in ordering the place's engines.
+func newOrders(d *Daemon, client *keeperclient.Client, g *gateRole) *orders.Shell {
+	s := &d.settings
+	return orders.New(orders.Options{
+		Place:    s.VM.Place,
+		Holder:   s.VM.Name + "/" + uuid.NewString(),
+		Keepers:  client,
+		Policies: g.watcher,
+		Router:   g.router,
+		Client:   &http.Client{Transport: &http.Transport{DialContext: dialer(s.Timeouts.Dial).DialContext}},
+		Metrics:  d.metrics,
+		Log:      d.log,
+		Order: order.Config{
+			LongestOrder:        s.Orders.LongestOrder,
+			SendMargin:          s.Orders.Lease / 5,
+			StoreBytesPerSecond: s.Orders.StoreBytesPerSecond,
+		},
+		Step:        s.Orders.Lease / 10,
+		WeightBytes: s.Orders.WeightBytes,
+		MaxModels:   s.Orders.MaxModels,
+	})
+}
+
 // heartbeatsPerLease is how often a batch session is renewed in its lifetime,
 // so that a few lost heartbeats do not end it. A heartbeat also tells the gate
 // which jobs were cancelled, so the pace bounds how long their items run on.
@@ -95,6 +126,9 @@
 	g.others.Go(func() {
 		publishGateLoad(othersContext, g.fleet, g.router.InFlight, g.settings.Limits.MaxInProgress, g.log)
 	})
+	if g.orders != nil {
+		g.others.Go(func() { g.orders.Run(othersContext) })
+	}
 	batchContext, stopBatch := context.WithCancel(ctx)
 	g.stopBatch = stopBatch
 	g.batch.Go(func() { g.runner.Run(batchContext) })
--- a/internal/daemon/keeper.go
+++ b/internal/daemon/keeper.go
@@ -65,6 +65,7 @@
 		Log:         log,
 		ConfigLease: s.Config.Lease,
 		SessionTTL:  s.Batch.Lease,
+		TenureTTL:   s.Orders.Lease,
 	})
 	return &keeperRole{host: host, service: service}, nil
 }
--- a/internal/keeper/command.go
+++ b/internal/keeper/command.go
@@ -8,9 +8,12 @@
 	"slateway.example/slateway/internal/team"
 )
 
-// configCommand is an entry in the log of the configuration group.
+// configCommand is an entry in the log of the configuration group: exactly one
+// operation.
 type configCommand struct {
-	Change *team.Change `cbor:"1,keyasint,omitempty"`
+	Change  *team.Change   `cbor:"1,keyasint,omitempty"`
+	Acquire *acquireTenure `cbor:"2,keyasint,omitempty"`
+	End     *endTenure     `cbor:"3,keyasint,omitempty"`
 }
 
 // command is an entry in the log of a job group: the time at which it was
--- a/internal/keeper/configmachine.go
+++ b/internal/keeper/configmachine.go
@@ -7,30 +7,52 @@
 	"slateway.example/slateway/internal/codec"
 	"slateway.example/slateway/internal/replica"
 	"slateway.example/slateway/internal/team"
+	"slateway.example/slateway/internal/tenure"
 )
 
 // ConfigMachine is the state machine of the configuration group.
 type ConfigMachine struct {
 	mu       sync.RWMutex
 	registry *team.Registry
+	tenures  *tenure.Table
 	changed  notifier
 }
 
 // NewConfigMachine makes an empty machine; it keeps no files.
 func NewConfigMachine() *ConfigMachine {
-	return &ConfigMachine{registry: team.NewRegistry()}
+	return &ConfigMachine{registry: team.NewRegistry(), tenures: &tenure.Table{}}
 }
 
 var _ replica.Machine = (*ConfigMachine)(nil)
 
-// Apply executes a change and returns its encoded team.Outcome.
+// Apply executes a change and returns its encoded team.Outcome, or a grant or
+// its end and returns the encoded tenure.Grant.
 func (m *ConfigMachine) Apply(entry replica.Entry) []byte {
 	var cmd configCommand
-	if err := codec.Unmarshal(entry.Data, &cmd); err != nil || cmd.Change == nil {
+	err := codec.Unmarshal(entry.Data, &cmd)
+	switch {
+	case err == nil && cmd.Change != nil:
+		return m.applyChange(cmd.Change)
+	case err == nil && (cmd.Acquire != nil || cmd.End != nil):
+		return m.applyTenure(&cmd)
+	default:
 		return codec.MustMarshal(team.Outcome{Refusal: unreadableCommand(entry.Index)})
 	}
+}
+
+func (m *ConfigMachine) applyTenure(cmd *configCommand) []byte {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if cmd.Acquire != nil {
+		return codec.MustMarshal(m.tenures.Acquire(cmd.Acquire.Name, cmd.Acquire.Holder))
+	}
+	m.tenures.End(cmd.End.Name, cmd.End.Fence)
+	return codec.MustMarshal(m.tenures.Get(cmd.End.Name))
+}
+
+func (m *ConfigMachine) applyChange(change *team.Change) []byte {
 	m.mu.Lock()
-	outcome := m.registry.Apply(*cmd.Change)
+	outcome := m.registry.Apply(*change)
 	m.mu.Unlock()
 	if outcome.Refusal == nil {
 		m.changed.notify()
@@ -44,31 +66,66 @@
 	return apierr.New(apierr.Internal, "unreadable_command", "run the same version on all keepers", "log entry %d cannot be read", index)
 }
 
-// Snapshot encodes the registry.
+// configState is the encoded state of the machine.
+type configState struct {
+	Registry []byte `cbor:"1,keyasint"`
+	Tenures  []byte `cbor:"2,keyasint"`
+}
+
+// Snapshot encodes the registry and the grants.
 func (m *ConfigMachine) Snapshot() (replica.Snapshot, error) {
 	m.mu.RLock()
 	defer m.mu.RUnlock()
-	state, err := m.registry.Snapshot()
-	return replica.Snapshot{State: state}, err
+	registry, err := m.registry.Snapshot()
+	if err != nil {
+		return replica.Snapshot{}, err
+	}
+	state := configState{Registry: registry, Tenures: m.tenures.Snapshot()}
+	return replica.Snapshot{State: codec.MustMarshal(state)}, nil
 }
 
-// Restore replaces the registry.
+// Restore replaces the registry and the grants.
 func (m *ConfigMachine) Restore(s replica.Snapshot) error {
-	registry := team.NewRegistry()
+	registry, tenures := team.NewRegistry(), &tenure.Table{}
 	if len(s.State) > 0 {
-		restored, err := team.RestoreRegistry(s.State)
-		if err != nil {
+		var err error
+		if registry, tenures, err = restoreConfig(s.State); err != nil {
 			return err
 		}
-		registry = restored
 	}
 	m.mu.Lock()
-	m.registry = registry
+	m.registry, m.tenures = registry, tenures
 	m.mu.Unlock()
 	m.changed.notify()
 	return nil
 }
 
+func restoreConfig(data []byte) (*team.Registry, *tenure.Table, error) {
+	var state configState
+	if err := codec.Unmarshal(data, &state); err != nil {
+		return nil, nil, err
+	}
+	registry, err := team.RestoreRegistry(state.Registry)
+	if err != nil {
+		return nil, nil, err
+	}
+	tenures, err := tenure.Restore(state.Tenures)
+	return registry, tenures, err
+}
+
+// tenure gives a grant as it is now.
+func (m *ConfigMachine) tenure(name string) tenure.Grant {
+	m.mu.RLock()
+	defer m.mu.RUnlock()
+	return m.tenures.Get(name)
+}
+
+func (m *ConfigMachine) heldTenures() []tenure.Grant {
+	m.mu.RLock()
+	defer m.mu.RUnlock()
+	return m.tenures.Held()
+}
+
 // since gives the update after a revision.
 func (m *ConfigMachine) since(revision uint64) team.Update {
 	m.mu.RLock()
--- a/internal/keeper/keeperapi/api.go
+++ b/internal/keeper/keeperapi/api.go
@@ -89,6 +89,24 @@
 	FinishClaim   rpc.Procedure[claim.Finish, Reply[FinishClaimResponse]]   = "/slateway.keeper/FinishClaim"
 )
 
+// AcquireTenure grants or renews a right that one holder has at a time.
+const AcquireTenure rpc.Procedure[TenureRequest, Reply[TenureResponse]] = "/slateway.keeper/AcquireTenure"
+
+// TenureRequest asks for a right, such as to order the engines of a place.
+type TenureRequest struct {
+	Name    string
+	Holder  string // VM and run of its process
+	Leaving bool   // gives the right up
+}
+
+// TenureResponse tells who holds the right. Fence is set only if it is the
+// asker; Lease then counts from before the request was sent.
+type TenureResponse struct {
+	Holder string
+	Fence  uint64
+	Lease  time.Duration
+}
+
 // InfoRequest asks a keeper about the groups.
 type InfoRequest struct{}
 
--- a/internal/keeper/keeperclient/watcher.go
+++ b/internal/keeper/keeperclient/watcher.go
@@ -117,6 +117,14 @@
 	return w.view.Policy(name)
 }
 
+// Policies gives the policies of all teams. They are shared and must not be
+// changed.
+func (w *Watcher) Policies() []*team.Policy {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.view.Policies()
+}
+
 func sleep(ctx context.Context, d time.Duration) {
 	timer := time.NewTimer(d)
 	defer timer.Stop()
--- a/internal/keeper/leadership.go
+++ b/internal/keeper/leadership.go
@@ -54,7 +54,11 @@
 	// meanwhile. It starts over as a new leader.
 	paused := now.Sub(s.previousTick(now)) > maxTickGap
 	for group := range s.options.Proposer.Groups() {
-		if !s.updateLeadership(group, now, paused) || group == keeperapi.ConfigGroup {
+		if !s.updateLeadership(group, now, paused) {
+			continue
+		}
+		if group == keeperapi.ConfigGroup {
+			s.endSilentTenures(ctx, now)
 			continue
 		}
 		s.endSilentSessions(ctx, group, now)
--- a/internal/keeper/service.go
+++ b/internal/keeper/service.go
@@ -29,6 +29,7 @@
 
 	ConfigLease time.Duration // zero: DefaultConfigLease
 	SessionTTL  time.Duration // zero: DefaultSessionTTL
+	TenureTTL   time.Duration // zero: DefaultTenureTTL
 }
 
 // Defaults of Options.
@@ -39,6 +40,9 @@
 	// DefaultSessionTTL is long enough for a gate to find a new leader, and short
 	// beside the hours that batch jobs have.
 	DefaultSessionTTL = 10 * time.Second
+	// DefaultTenureTTL is how long a silent orderer keeps its place's engines
+	// from being ordered by another.
+	DefaultTenureTTL = 10 * time.Second
 )
 
 // Service answers the calls of gates and operators on one keeper. Run must run
@@ -51,6 +55,7 @@
 	mu       sync.Mutex
 	leading  []leadership // by group
 	lastTick time.Time
+	tenures  map[string]heardTenure // by the name of the right
 }
 
 // NewService makes a service; Mount attaches it to a server.
@@ -58,6 +63,9 @@
 	if options.ConfigLease == 0 {
 		options.ConfigLease = DefaultConfigLease
 	}
+	if options.TenureTTL == 0 {
+		options.TenureTTL = DefaultTenureTTL
+	}
 	if options.SessionTTL == 0 {
 		options.SessionTTL = DefaultSessionTTL
 	}
@@ -66,6 +74,7 @@
 		gates:   newGateLeases(),
 		parts:   newPartCache(),
 		leading: make([]leadership, options.Proposer.Groups()),
+		tenures: make(map[string]heardTenure),
 	}
 }
 
@@ -91,6 +100,7 @@
 	handle(s, mux, keeperapi.CompleteItems, s.completeItems)
 	handle(s, mux, keeperapi.Claim, s.claim)
 	handle(s, mux, keeperapi.FinishClaim, s.finishClaim)
+	handle(s, mux, keeperapi.AcquireTenure, s.acquireTenure)
 }
 
 // handle mounts one call and turns the errors of the replicated groups into
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -31,6 +31,7 @@
 	Directory Directory `toml:"directory"`
 	Upstream  Upstream  `toml:"upstream"`
 	Batch     Batch     `toml:"batch"`
+	Orders    Orders    `toml:"orders"`
 	Limits    Limits    `toml:"limits"`
 	Timeouts  Timeouts  `toml:"timeouts"`
 	Log       Log       `toml:"log"`
@@ -113,6 +114,17 @@
 	Retention   time.Duration `toml:"retention"`    // results stay readable after a job's end
 }
 
+// Orders set whether and how the engines of a place are told which models to
+// load, as the teams' templates ask.
+type Orders struct {
+	Enabled             bool          `toml:"enabled"`                // off: engines are left as they are
+	Lease               time.Duration `toml:"lease"`                  // silence of the ordering gate until another takes over
+	LongestOrder        time.Duration `toml:"longest_order"`          // until an order has taken effect or never will
+	StoreBytesPerSecond int           `toml:"store_bytes_per_second"` // limit of the weight store for this place
+	WeightBytes         int           `toml:"weight_bytes"`           // size of a model's weights
+	MaxModels           int           `toml:"max_models"`             // that fit beside each other in an engine
+}
+
 // Limits bound what one client or peer can make the daemon hold.
 type Limits struct {
 	MaxBodyBytes  int `toml:"max_body_bytes"`  // online request body
@@ -152,6 +164,10 @@
 			Lease: 10 * time.Second, LeaseItems: 64, MaxAttempts: 5,
 			ResultFlush: 20 * time.Millisecond, ResultGroup: 256, Retention: 7 * 24 * time.Hour,
 		},
+		Orders: Orders{
+			Lease: 10 * time.Second, LongestOrder: 2 * time.Minute,
+			StoreBytesPerSecond: 200 << 20, WeightBytes: 16 << 30, MaxModels: 1,
+		},
 		Limits: Limits{
 			MaxBodyBytes: 8 << 20, MaxPartBytes: 16 << 20, MaxItemBytes: 1 << 20,
 			MaxQueue: 1024, MaxInProgress: 4096,
--- a/internal/team/update.go
+++ b/internal/team/update.go
@@ -156,6 +156,18 @@
 	return team, ok
 }
 
+// Policies gives the policies of all teams, in no order. The results are shared
+// and must not be changed.
+func (v *View) Policies() []*Policy {
+	policies := make([]*Policy, 0, len(v.teams))
+	for name := range v.teams {
+		if policy, found := v.Policy(name); found {
+			policies = append(policies, policy)
+		}
+	}
+	return policies
+}
+
 // Policy gives the policy of a team. The result is shared and must not be
 // changed.
 func (v *View) Policy(name string) (*Policy, bool) {
