--- a/internal/route/attempt.go
+++ b/internal/route/attempt.go
@@ -8,7 +8,7 @@
 func (s *Shard) dispatch(req *request, r *replica, kind DispatchKind) {
 	s.nextAttempt++
 	a := &attempt{id: s.nextAttempt, req: req, on: r, started: s.at, progress: s.at}
-	a.queued = s.totalLoad(r) >= r.entry.Slots
+	a.queued = !s.hasSlot(r)
 	s.attempts[a.id] = a
 	s.copyStarted(req.Fingerprint, r)
 	req.live = append(req.live, a)
--- a/internal/route/config.go
+++ b/internal/route/config.go
@@ -29,7 +29,7 @@
 	RetryShare     float64       // retries as a share of the offered requests
 	RetryReserve   float64       // retries saved up at most; a new shard starts with a fifth of it
 	BatchBackoff   time.Duration // delay before a failed batch item is tried again
-	HedgeMin       time.Duration // the shortest wait before a hedge; 0 turns hedging off
+	HedgeMin       time.Duration // the shortest wait before a hedge; negative turns hedging off
 	FirstTimeout   time.Duration // an attempt without any answer for so long is silent
 	TokenTimeout   time.Duration // a stream without a token for so long is silent
 	ServiceTimeout time.Duration // the same for the answer of a plain service
@@ -63,6 +63,7 @@
 	defaultRetryShare     = 0.1
 	defaultRetryReserve   = 100
 	defaultBatchBackoff   = 200 * time.Millisecond
+	defaultHedgeMin       = 500 * time.Millisecond
 	defaultFirstTimeout   = 5 * time.Second
 	defaultTokenTimeout   = 2 * time.Second
 	defaultServiceTimeout = 30 * time.Second
@@ -96,6 +97,7 @@
 	orDefault(&c.RetryShare, defaultRetryShare)
 	orDefault(&c.RetryReserve, defaultRetryReserve)
 	orDefault(&c.BatchBackoff, defaultBatchBackoff)
+	orDefault(&c.HedgeMin, defaultHedgeMin)
 	orDefault(&c.FirstTimeout, defaultFirstTimeout)
 	orDefault(&c.TokenTimeout, defaultTokenTimeout)
 	orDefault(&c.ServiceTimeout, defaultServiceTimeout)
--- a/internal/route/hedge.go
+++ b/internal/route/hedge.go
@@ -11,9 +11,11 @@
 const hedgeReserve = 0.5
 
 // checkHedges sends a second attempt for repeatable requests whose first token
-// is later than nearly all others were.
+// is later than nearly all others were: their connection may have gone silent,
+// or their engine may be frozen or slow. The first attempt goes on, so that a
+// slow one is not lost.
 func (s *Shard) checkHedges() {
-	if s.config.HedgeMin == 0 || s.firstToken.mean == 0 {
+	if s.config.HedgeMin < 0 || s.firstToken.mean == 0 {
 		return
 	}
 	after := max(s.config.HedgeMin, s.firstToken.high())
