--- a/cmd/capacity/main.go
+++ b/cmd/capacity/main.go
@@ -19,6 +19,7 @@
 		Commands: []*cli.Command{
 			{Name: "place", Usage: "membership and loads within one place, by its VMs", Action: measurePlace},
 			{Name: "fleet", Usage: "the whole fleet of 6 regions and 22 places, by its VMs", Action: measureFleet},
+			{Name: "announcement", Usage: "bytes of one announcement of an upstream", Action: measureAnnouncement},
 			{Name: "losses", Usage: "until losses in the whole fleet are noticed and healed, in virtual time", Action: measureLosses},
 			{Name: "sockets", Usage: "membership over loopback sockets, by the VMs of a place", Action: measureSockets},
 			{
