--- a/internal/quorum/election.go
+++ b/internal/quorum/election.go
@@ -3,6 +3,9 @@
 func (n *Node) resetElection() {
 	n.elapsed = 0
 	n.timeout = n.config.ElectionTicks + n.config.Rand(n.config.ElectionTicks)
+	if members := n.Membership(); members.Voters() == 1 && members.IsVoter(n.config.ID) {
+		n.timeout = 1 // nobody else could lead
+	}
 }
 
 func (n *Node) becomeFollower(term uint64, leader ID) {
@@ -126,6 +129,7 @@
 	n.elapsed = 0
 	n.beat = 0
 	n.progress = map[ID]*progress{}
+	n.recentCommit, n.earlierCommit, n.sinceMark = n.log.commit, n.log.commit, 0
 	n.adopt()
 	// Entries of earlier terms count as committed only below one of this term:
 	// a majority may hold them and a later leader still overwrite them.
@@ -145,6 +149,7 @@
 		n.becomeFollower(n.term, None)
 		return
 	}
+	n.markCommit()
 	if n.transferee != None && n.elapsed >= n.config.ElectionTicks {
 		n.transferee = None
 	}
