Stop sending to an engine while it is being asked whether it lives

A frozen engine still got new requests for 0.7 s until it was asked and 0.4 s until the first probe had timed out. It is now asked once a stream is quiet for 0.25 s, or for as long as nearly all first tokens take, and gets nothing new while the probe is under way; a live one answers in milliseconds.

In the replayed traces live replicas now answer probes, and kill, freeze and thaw are steps of a trace; they were told by scripted answers before.

--- a/internal/route/config.go
+++ b/internal/route/config.go
@@ -68,7 +68,7 @@
 	defaultTokenTimeout   = 2 * time.Second
 	defaultServiceTimeout = 30 * time.Second
 	defaultVerdictTimeout = 500 * time.Millisecond
-	defaultProbeAfter     = 700 * time.Millisecond
+	defaultProbeAfter     = 250 * time.Millisecond
 	defaultProbeMin       = 100 * time.Millisecond
 	defaultProbeMax       = 2 * time.Second
 	defaultSlowStart      = 5 * time.Second
--- a/internal/route/probe.go
+++ b/internal/route/probe.go
@@ -25,7 +25,11 @@
 	s.probe(r)
 }
 
+// probe asks a replica whether it lives. A live one answers within milliseconds,
+// so that it is hardly missed, and a frozen one gets nothing new from now on.
 func (s *Shard) probe(r *replica) {
+	r.probing = true
+	s.stale = true
 	r.probeAt = s.at.Add(r.probeGap)
 	s.emit(Probe{Replica: r.entry.Replica, Address: r.entry.Address})
 }
@@ -35,6 +39,8 @@
 	if r == nil {
 		return
 	}
+	r.probing = false
+	s.stale = true
 	restarted := in.Alive && in.Incarnation > r.entry.Incarnation
 	switch {
 	case in.Alive && !restarted:
@@ -56,7 +62,7 @@
 func (s *Shard) unanswered(r *replica) {
 	if r.health == suspect {
 		r.missed = true
-		s.failQuiet(r, func(*attempt) time.Duration { return s.config.ProbeAfter })
+		s.failQuiet(r, func(*attempt) time.Duration { return s.quietAfter() })
 		return
 	}
 	s.suspectReplica(r)
--- a/internal/route/replay_test.go
+++ b/internal/route/replay_test.go
@@ -24,6 +24,7 @@
 	state    map[string]string // final state of requests
 	cancels  map[string]int
 	dead     map[upstream.ReplicaID]bool
+	frozen   map[upstream.ReplicaID]bool
 	peak     int // highest number of attempts at once on one replica, batch being there
 	failures []string
 	later    []delayed
@@ -52,7 +53,8 @@
 func newBench(tr trace, guards route.Guards) *bench {
 	b := &bench{
 		trace: tr, shards: map[string]*route.Shard{}, attempts: map[string]*ran{}, byID: map[string]*ran{},
-		tried: map[string]int{}, state: map[string]string{}, cancels: map[string]int{}, dead: map[upstream.ReplicaID]bool{},
+		tried: map[string]int{}, state: map[string]string{}, cancels: map[string]int{},
+		dead: map[upstream.ReplicaID]bool{}, frozen: map[upstream.ReplicaID]bool{},
 	}
 	for i, name := range tr.Gates {
 		config := route.Config{
@@ -112,9 +114,7 @@
 	case route.Refuse:
 		b.state[o.ID] = string(o.Err.Reason)
 	case route.Probe:
-		if b.dead[o.Replica] {
-			b.after(2, gate, route.Probed{Replica: o.Replica, Refused: true})
-		}
+		b.answerProbe(gate, o.Replica)
 	case route.YieldTo:
 		b.give(o.Gate, route.YieldAsked{Gate: gate, Replica: o.Replica, Online: o.Online, Batch: o.Batch})
 	case route.Spread:
@@ -126,6 +126,32 @@
 	}
 }
 
+// Times of the replay, in ms.
+const (
+	probeTime    = 2   // a probe of a live replica, or of a VM whose process has ended
+	probeTimeout = 400 // a probe of a frozen replica
+	breakTime    = 5   // until the connections to a killed process break
+)
+
+func (b *bench) answerProbe(gate string, id upstream.ReplicaID) {
+	answer := route.Probed{Replica: id, Alive: !b.dead[id] && !b.frozen[id], Refused: b.dead[id]}
+	if b.frozen[id] {
+		b.after(probeTimeout, gate, answer)
+		return
+	}
+	b.after(probeTime, gate, answer)
+}
+
+// killReplica ends a replica's process: all connections to it break.
+func (b *bench) killReplica(id upstream.ReplicaID) {
+	b.dead[id] = true
+	for _, key := range slices.Sorted(maps.Keys(b.byID)) {
+		if r := b.byID[key]; r.live && r.replica == id {
+			b.after(breakTime, r.gate, route.Failed{Attempt: r.attempt, Cause: route.CauseBroken})
+		}
+	}
+}
+
 func (b *bench) dispatched(gate string, o route.Dispatch) {
 	b.tried[o.ID]++
 	r := &ran{
@@ -136,12 +162,7 @@
 	b.byID[fmt.Sprint(gate, o.Attempt)] = r
 	b.state[o.ID] = string(r.replica)
 	if b.trace.Crash > 0 && strings.HasPrefix(o.ID, "poison") || b.dead[r.replica] {
-		b.dead[r.replica] = true
-		for _, other := range b.byID {
-			if other.live && other.replica == r.replica {
-				b.after(5, other.gate, route.Failed{Attempt: other.attempt, Cause: route.CauseBroken})
-			}
-		}
+		b.killReplica(r.replica)
 	}
 }
 
@@ -203,7 +224,7 @@
 		return
 	}
 	for _, key := range slices.Sorted(maps.Keys(b.byID)) {
-		if r := b.byID[key]; r.live && !b.dead[r.replica] {
+		if r := b.byID[key]; r.live && !b.dead[r.replica] && !b.frozen[r.replica] {
 			r.tokens++
 			b.give(r.gate, route.Progress{Attempt: r.attempt, Tokens: r.tokens, Delivered: !r.batch})
 		}
@@ -244,8 +265,12 @@
 	case "fail":
 		b.end(r.gate, r.attempt)
 		b.give(r.gate, route.Failed{Attempt: r.attempt, Cause: route.FailureCause(st.Cause)})
-	case "probed":
-		b.give(gate, route.Probed{Replica: b.replicaOf(st), Alive: st.Alive, Refused: st.Refused})
+	case "kill":
+		b.killReplica(b.replicaOf(st))
+	case "freeze":
+		b.frozen[b.replicaOf(st)] = true
+	case "thaw":
+		delete(b.frozen, b.replicaOf(st))
 	case "announce":
 		st.Replica = string(b.replicaOf(st))
 		b.announce(st)
--- a/internal/route/replica.go
+++ b/internal/route/replica.go
@@ -49,6 +49,7 @@
 	holdUntil   time.Time
 
 	health   health
+	probing  bool // a probe is under way; until it is answered nothing new goes there
 	probeAt  time.Time
 	probeGap time.Duration
 	missed   bool                   // a probe was not answered since it became suspect
@@ -60,7 +61,7 @@
 // takesWork says whether new requests may go to the replica.
 func (s *Shard) takesWork(r *replica) bool {
 	leaving := r.entry.Leaving && !s.config.Disabled.Leaving
-	return r.entry.Ready && !leaving && r.health == healthy && !r.expired
+	return r.entry.Ready && !leaving && r.health == healthy && !r.probing && !r.expired
 }
 
 // slots gives the slots to use, fewer while the replica starts slowly: a
--- a/internal/route/tick.go
+++ b/internal/route/tick.go
@@ -13,7 +13,7 @@
 	for _, r := range s.replicas {
 		s.checkSilence(r)
 		s.refreshUsage(r)
-		if r.health == suspect && !s.at.Before(r.probeAt) {
+		if r.health == suspect && !r.probing && !s.at.Before(r.probeAt) {
 			r.probeGap = min(2*r.probeGap, s.config.ProbeMax)
 			s.probe(r)
 		}
@@ -57,16 +57,24 @@
 // stream's own timeout: a frozen process is found soon, and a busy one is left
 // alone.
 func (s *Shard) askIfQuiet(r *replica) {
-	if r.health == suspect || s.at.Before(r.probeAt) || r.entry.Kind != upstream.KindEngine {
+	if r.health == suspect || r.probing || s.at.Before(r.probeAt) || r.entry.Kind != upstream.KindEngine {
 		return
 	}
-	isQuiet := func(a *attempt) bool { return s.at.Sub(a.progress) >= s.config.ProbeAfter }
+	after := s.quietAfter()
+	isQuiet := func(a *attempt) bool { return s.at.Sub(a.progress) >= after }
 	if slices.ContainsFunc(r.attempts, isQuiet) {
-		r.probeGap = s.config.ProbeAfter
+		r.probeGap = after
 		s.probe(r)
 	}
 }
 
+// quietAfter is how long a stream may be quiet before its replica is asked:
+// longer than nearly all first tokens take, so that a loaded fleet is not asked
+// all the time.
+func (s *Shard) quietAfter() time.Duration {
+	return max(s.config.ProbeAfter, min(s.firstToken.high(), s.config.FirstTimeout))
+}
+
 // queuedFactor stretches the first timeout of a request that was sent to a full
 // replica: until a slot is free, nothing comes on a connection in good order.
 const queuedFactor = 4
--- a/internal/route/trace_test.go
+++ b/internal/route/trace_test.go
@@ -45,8 +45,6 @@
 	Tokens   int               `json:"tokens"`
 	Cause    string            `json:"cause"`
 	Replica  string            `json:"replica"`
-	Alive    bool              `json:"alive"`
-	Refused  bool              `json:"refused"`
 	Leaving  bool              `json:"leaving"`
 	Sequence int               `json:"sequence"`
 	Running  int               `json:"running"`
