--- a/internal/job/types.go
+++ b/internal/job/types.go
@@ -39,7 +39,7 @@
 // NewID gives the ID of the team's job with this key.
 func NewID(team, key string) ID {
 	sum := sha256.Sum256([]byte(team + "\x00" + key))
-	return ID("job-" + hex.EncodeToString(sum[:16]))
+	return ID(idPrefix + hex.EncodeToString(sum[:16]))
 }
 
 // SessionID names one run of a gate; its leases end with it.
@@ -117,10 +117,12 @@
 // Outcomes of an attempt. The last two leave the item to be leased again.
 const (
 	OutcomeSucceeded Outcome = "succeeded"
-	OutcomeFailed    Outcome = "failed"   // for good
-	OutcomeUnknown   Outcome = "unknown"  // non-idempotent, may have run
-	OutcomeRetry     Outcome = "retry"    // it ran or may have run, the attempt counts
-	OutcomeReturned  Outcome = "returned" // preempted or not started, the attempt does not count
+	OutcomeFailed    Outcome = "failed"  // for good
+	OutcomeUnknown   Outcome = "unknown" // non-idempotent, may have run
+	OutcomeRetry     Outcome = "retry"   // it ran or may have run, the attempt counts
+	// OutcomeReturned is of an attempt that was preempted or not started and does
+	// not count. A non-idempotent item may be returned only if it was not sent.
+	OutcomeReturned Outcome = "returned"
 )
 
 // Result is how an attempt at an item ended.
@@ -153,7 +155,9 @@
 	AppendResult(data []byte) Ref
 	// ReadPart reads what AppendPart stored.
 	ReadPart(ref Ref) []byte
-	// ReadResult reads what AppendResult stored.
+	// ReadRecord reads what AppendResult stored, for a command.
+	ReadRecord(ref Ref) []byte
+	// ReadResult reads what AppendResult stored, for a reader.
 	ReadResult(ref Ref) ([]byte, error)
 }
 
