--- a/internal/gate/batch/runner.go
+++ b/internal/gate/batch/runner.go
@@ -59,7 +59,7 @@
 	// leaseWait is how long a lease call waits at the keepers for work. The
 	// wanted queues are decided before it, so it also bounds how long a newly
 	// announced model waits for its first item.
-	leaseWait = time.Second
+	leaseWait = 5 * time.Second
 	// leaseTimeout bounds a lease call with its repetitions.
 	leaseTimeout = 10 * time.Second
 	// leaseRetry is the pause after a failed lease call.
--- a/internal/keeper/configcalls.go
+++ b/internal/keeper/configcalls.go
@@ -32,7 +32,9 @@
 	if request.VM == "" {
 		return nil, apierr.New(apierr.Invalid, keeperapi.ReasonInvalidRequest, "name the gate's VM", "the watch names no VM")
 	}
-	if err := s.options.Proposer.ReadBarrier(ctx, keeperapi.ConfigGroup); err != nil {
+	// No barrier yet: the one after the wait decides whether there is a lease, and
+	// twice a second for each gate it was most of the leader's messages.
+	if err := s.requireLeader(keeperapi.ConfigGroup); err != nil {
 		return nil, err
 	}
 	if request.Leaving {
--- a/internal/keeper/jobcalls.go
+++ b/internal/keeper/jobcalls.go
@@ -51,6 +51,29 @@
 	return machine, nil
 }
 
+// ownMachine gives the machine of a group that this VM leads, as new as the
+// group was when its term began.
+//
+// It asks the majority once a term, where barrier asks at each call: the calls
+// that idle gates make all the time would otherwise cost most of the messages
+// between keepers. A leader that was replaced without knowing it may answer by
+// it. So it serves hints only: a lease or a result needs the majority anyway,
+// and a heartbeat that such a leader takes renews nothing at the next one. A new
+// leader that has not applied the last entries yet would not know sessions that
+// are open, hence the question at the begin of its term.
+func (s *Service) ownMachine(ctx context.Context, group uint32) (*JobMachine, error) {
+	machine, err := s.machine(group)
+	if err != nil || s.termConfirmed(group) {
+		return machine, err
+	}
+	term, _ := s.termOf(group)
+	if err := s.options.Proposer.ReadBarrier(ctx, group); err != nil {
+		return nil, err
+	}
+	s.confirmTerm(group, term)
+	return machine, nil
+}
+
 func (s *Service) jobStatus(ctx context.Context, request *keeperapi.JobRequest) (*job.Status, error) {
 	machine, err := s.barrier(ctx, s.groupOf(request.Job))
 	if err != nil {
@@ -134,7 +157,7 @@
 }
 
 func (s *Service) heartbeat(ctx context.Context, request *keeperapi.HeartbeatRequest) (*keeperapi.HeartbeatResponse, error) {
-	machine, err := s.barrier(ctx, request.Group)
+	machine, err := s.ownMachine(ctx, request.Group)
 	if err != nil {
 		return nil, err
 	}
@@ -150,7 +173,7 @@
 // awaitWork waits on the state of the leader, so that idle gates cost no log
 // entries.
 func (s *Service) awaitWork(ctx context.Context, request *keeperapi.AwaitWorkRequest) (*keeperapi.AwaitWorkResponse, error) {
-	machine, err := s.barrier(ctx, request.Group)
+	machine, err := s.ownMachine(ctx, request.Group)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/keeper/leadership.go
+++ b/internal/keeper/leadership.go
@@ -31,6 +31,8 @@
 	heard      map[job.SessionID]time.Time // sessions of the group
 	ending     bool                        // a proposal that ends sessions is on its way
 	lastExpire time.Time
+	// confirmed is the term in which a read barrier has passed, zero if none.
+	confirmed uint64
 }
 
 // Run keeps track of leadership and ends sessions, jobs and claims whose time is
@@ -116,6 +118,34 @@
 	return current.since, leads && current.leads && current.term == term
 }
 
+// requireLeader refuses a call if this VM does not believe that it leads the
+// group; a leader that was replaced may not know it yet.
+func (s *Service) requireLeader(group uint32) error {
+	if _, leads := s.termOf(group); leads {
+		return nil
+	}
+	leader, _ := s.options.Proposer.Leader(group)
+	return &replica.NotLeaderError{Group: group, Leader: leader, Address: leader.Address}
+}
+
+// termConfirmed reports whether this VM leads the group in a term in which a
+// read barrier has passed.
+func (s *Service) termConfirmed(group uint32) bool {
+	term, leads := s.termOf(group)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	current := &s.leading[group]
+	return leads && current.leads && term != 0 && current.confirmed == term
+}
+
+// confirmTerm notes that a read barrier has passed which began in a term. If the
+// term changed meanwhile, the barrier says nothing of the present one.
+func (s *Service) confirmTerm(group uint32, term uint64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.leading[group].confirmed = term
+}
+
 // touch notes that a session of a group was heard of.
 func (s *Service) touch(group uint32, session job.SessionID, now time.Time) {
 	s.mu.Lock()
