Give up abandoned uploads; fail answers that are too large for a call

A client lost during its upload left its job in memory for ever; such a job is cancelled once its retention, counted from its creation, is over. An answer of more than 4 MiB was refused by the keepers at each try, so its job never ended; it now ends as failed with its reason. A part that is too large is refused before it is sent.

--- a/internal/job/ended.go
+++ b/internal/job/ended.go
@@ -17,14 +17,14 @@
 // storage: at 72,000 jobs a day and three days of retention, whole records would
 // take more memory than a keeper may use.
 type endedJobs struct {
-	byKey  map[endedKey]endedJob
+	byKey  map[jobKey]endedJob
 	expiry *btree.BTreeG[expiryKey]
 	teams  []string // by number
 	number map[string]uint32
 }
 
-// endedKey is an ID without its text form.
-type endedKey [16]byte
+// jobKey is an ID without its text form.
+type jobKey [16]byte
 
 type endedJob struct {
 	record  Ref
@@ -34,7 +34,7 @@
 
 type expiryKey struct {
 	at  instant.Micros
-	key endedKey
+	key jobKey
 }
 
 func (k expiryKey) less(other expiryKey) bool {
@@ -46,7 +46,7 @@
 
 func newEndedJobs() endedJobs {
 	return endedJobs{
-		byKey:  make(map[endedKey]endedJob),
+		byKey:  make(map[jobKey]endedJob),
 		expiry: btree.NewG(btreeDegree, expiryKey.less),
 		number: make(map[string]uint32),
 	}
@@ -55,7 +55,7 @@
 // idPrefix begins each job ID; the hexadecimal form of a key follows.
 const idPrefix = "job-"
 
-func (id ID) key() (key endedKey, ok bool) {
+func (id ID) key() (key jobKey, ok bool) {
 	digits, ours := strings.CutPrefix(string(id), idPrefix)
 	if !ours || len(digits) != hex.EncodedLen(len(key)) {
 		return key, false
@@ -64,6 +64,8 @@
 	return key, err == nil
 }
 
+func (k jobKey) id() ID { return ID(idPrefix + hex.EncodeToString(k[:])) }
+
 func (e *endedJobs) find(id ID) (endedJob, bool) {
 	key, ok := id.key()
 	if !ok {
@@ -73,7 +75,7 @@
 	return ended, found
 }
 
-func (e *endedJobs) insert(key endedKey, ended endedJob) {
+func (e *endedJobs) insert(key jobKey, ended endedJob) {
 	e.byKey[key] = ended
 	e.expiry.ReplaceOrInsert(expiryKey{at: ended.expires, key: key})
 }
@@ -122,8 +124,16 @@
 	return stored.entry()
 }
 
-// Expire deletes the jobs whose retention is over and returns how many.
+// Expire cancels the jobs whose upload was given up, deletes those whose
+// retention is over, and returns how many it deleted.
 func (t *Table) Expire(now instant.Micros) int {
+	for {
+		oldest, found := t.uploads.Min()
+		if !found || oldest.at > now {
+			break
+		}
+		t.end(t.jobs[oldest.key.id()], StateCancelled, now)
+	}
 	deleted := 0
 	for {
 		first, found := t.ended.expiry.Min()
@@ -136,14 +146,15 @@
 	}
 }
 
-// Expired reports whether Expire would delete a job.
+// Expired reports whether Expire would change anything.
 func (t *Table) Expired(now instant.Micros) bool {
 	first, found := t.ended.expiry.Min()
-	return found && first.at <= now
+	oldest, uploading := t.uploads.Min()
+	return found && first.at <= now || uploading && oldest.at <= now
 }
 
 // forget gives up the records of an ended job.
-func (t *Table) forget(key endedKey) {
+func (t *Table) forget(key jobKey) {
 	record := t.ended.byKey[key].record
 	for segment, count := range t.load(record).used {
 		t.results.subtract(segment, count)
@@ -159,7 +170,7 @@
 	Jobs  []byte   `cbor:"2,keyasint,omitempty"` // in order of expiry
 }
 
-const endedBytes = len(endedKey{}) + refBytes + 8 + 4 // key, record, expiry, team
+const endedBytes = len(jobKey{}) + refBytes + 8 + 4 // key, record, expiry, team
 
 func (e *endedJobs) stored() storedEnded {
 	data := make([]byte, 0, len(e.byKey)*endedBytes)
@@ -180,7 +191,7 @@
 		e.teamNumber(team)
 	}
 	for data := stored.Jobs; len(data) >= endedBytes; data = data[endedBytes:] {
-		var key endedKey
+		var key jobKey
 		rest := data[copy(key[:], data):]
 		e.insert(key, endedJob{
 			record:  decodePage(rest[:refBytes])[0],
--- a/internal/job/snapshot.go
+++ b/internal/job/snapshot.go
@@ -101,6 +101,9 @@
 func (t *Table) restoreJob(stored *storedJob) {
 	job := stored.entry()
 	t.jobs[job.id] = job
+	if job.state == StateOpen {
+		t.uploads.ReplaceOrInsert(job.uploadKey())
+	}
 	for i := range job.parts {
 		if job.parts[i].Count > 0 {
 			t.bodies.add(job.parts[i].Ref)
--- a/internal/job/table.go
+++ b/internal/job/table.go
@@ -16,6 +16,7 @@
 	storage  Storage
 	jobs     map[ID]*entry // that have not ended
 	ended    endedJobs
+	uploads  *btree.BTreeG[expiryKey]          // open jobs, by when they are given up
 	ready    map[Queue]*btree.BTreeG[readyKey] // jobs that have an item to lease
 	sessions map[SessionID]*session
 	dropped  Dropped
@@ -92,6 +93,7 @@
 		jobs:     make(map[ID]*entry),
 		ready:    make(map[Queue]*btree.BTreeG[readyKey]),
 		ended:    newEndedJobs(),
+		uploads:  btree.NewG(btreeDegree, expiryKey.less),
 		sessions: make(map[SessionID]*session),
 		bodies:   make(segmentUse),
 		results:  make(segmentUse),
@@ -128,9 +130,17 @@
 		job.deadline = now.Add(spec.Within)
 	}
 	t.jobs[id] = job
+	t.uploads.ReplaceOrInsert(job.uploadKey())
 	return job.status(), nil
 }
 
+// uploadKey orders an open job by when its upload is given up. A client that is
+// lost during its upload would otherwise leave the job behind for ever.
+func (j *entry) uploadKey() expiryKey {
+	key, _ := j.id.key()
+	return expiryKey{at: j.created.Add(j.spec.Retention), key: key}
+}
+
 // AddPart stores the items of part number of an open job. A part sent twice is
 // stored once; different items under the same number are a conflict. Data is
 // the encoding of count items.
@@ -209,6 +219,7 @@
 		job.parts[i].First = first
 		first += job.parts[i].Count
 	}
+	t.uploads.Delete(job.uploadKey())
 	job.state = StateRunning
 	job.pages = newPages(job.items)
 	if job.items == 0 {
@@ -250,6 +261,7 @@
 		t.dropLease(job, item)
 	}
 	t.setUnready(job)
+	t.uploads.Delete(job.uploadKey())
 	for i := range job.pages {
 		t.flushPage(job, i)
 	}
--- a/internal/job/table_test.go
+++ b/internal/job/table_test.go
@@ -387,3 +387,29 @@
 		t.Fatalf("result %+v", first)
 	}
 }
+
+// A client is lost during its upload, another reads its results too late: both
+// jobs leave the keepers' memory and disk when their time is over.
+func TestExpire(t *testing.T) {
+	storage := &memory{}
+	table := job.NewTable(storage)
+	spec := job.Spec{Team: "t", Key: "lost", Queue: queue, MaxAttempts: 1, Retention: time.Minute}
+	upload, _ := table.Create(spec, 1)
+	table.AddPart(upload.ID, 0, partItems, encodedPart(0))
+	spec.Key = "ended"
+	ended, _ := table.Create(spec, 1)
+	table.Seal(ended.ID, 0, 1)
+	early, late := instant.Micros(1).Add(time.Minute-1), instant.Micros(1).Add(time.Minute)
+	if table.Expired(early) || !table.Expired(late) {
+		t.Fatal("the jobs expire at the wrong time")
+	}
+	if deleted := table.Expire(late); deleted != 1 || table.PartSegmentInUse(1) {
+		t.Fatalf("deleted %d jobs, parts in use: %v", deleted, table.PartSegmentInUse(1))
+	}
+	if status, refusal := table.Status(upload.ID); refusal != nil || status.State != job.StateCancelled {
+		t.Fatalf("the abandoned upload: %+v, %v", status, refusal)
+	}
+	if table.Expire(late.Add(time.Minute)) != 1 || table.ResultSegmentInUse(1) || len(table.List("t")) != 0 {
+		t.Fatal("something was kept")
+	}
+}
--- a/internal/keeper/keeperapi/api.go
+++ b/internal/keeper/keeperapi/api.go
@@ -23,8 +23,12 @@
 // its encoding.
 const MaxMessageBytes = 8 << 20
 
+// MaxResultBytes bounds the answer to one item.
+const MaxResultBytes = 4 << 20
+
 // Reasons of this service's errors.
 const (
+	ReasonResultTooLarge apierr.Reason = "result_too_large"
 	ReasonUnavailable    apierr.Reason = "keepers_unavailable"
 	ReasonOutcomeUnknown apierr.Reason = "outcome_unknown"
 	ReasonOverloaded     apierr.Reason = "keepers_overloaded"
--- a/internal/keeper/keeperclient/jobs.go
+++ b/internal/keeper/keeperclient/jobs.go
@@ -7,6 +7,7 @@
 
 	"golang.org/x/sync/errgroup"
 
+	"slateway.example/slateway/internal/apierr"
 	"slateway.example/slateway/internal/job"
 	"slateway.example/slateway/internal/keeper/keeperapi"
 )
@@ -32,6 +33,13 @@
 // AddPart stores part number of an open job; it is acknowledged once a majority
 // of the keepers has synced it.
 func (c *Client) AddPart(ctx context.Context, id job.ID, number int, items []job.Item) (*job.Status, error) {
+	size := 0
+	for i := range items {
+		size += len(items[i].Body)
+	}
+	if size > job.MaxPartBytes {
+		return nil, apierr.New(apierr.TooLarge, job.ReasonInvalidPart, "send smaller parts", "a part holds at most %d bytes, not %d", job.MaxPartBytes, size)
+	}
 	group, err := c.jobGroup(ctx, id)
 	if err != nil {
 		return nil, err
--- a/internal/keeper/keeperclient/session.go
+++ b/internal/keeper/keeperclient/session.go
@@ -296,7 +296,7 @@
 	byGroup := make(map[uint32][]job.Result)
 	for _, result := range results {
 		group := keeperapi.GroupOfJob(result.Job, groups)
-		byGroup[group] = append(byGroup[group], result)
+		byGroup[group] = append(byGroup[group], bounded(result))
 	}
 	var calls errgroup.Group
 	for group, results := range byGroup {
@@ -305,6 +305,17 @@
 	return calls.Wait()
 }
 
+// bounded replaces an answer that is too large for a call by a failure. The
+// keepers would refuse it at each try, and its job would never end.
+func bounded(result job.Result) job.Result {
+	if len(result.Body) <= keeperapi.MaxResultBytes {
+		return result
+	}
+	result.Message = fmt.Sprintf("the answer has %d bytes, %d are allowed", len(result.Body), keeperapi.MaxResultBytes)
+	result.Outcome, result.Reason, result.Body = job.OutcomeFailed, keeperapi.ReasonResultTooLarge, nil
+	return result
+}
+
 // maxCompleteBytes bounds the answers in one call, the last one excepted.
 const maxCompleteBytes = keeperapi.MaxMessageBytes / 4
 
