Show what the keepers hold and drop, count retries of calls to them

Results that were dropped were counted in the state but nowhere to be seen. Each keeper now sets gauges for jobs, sessions, claims and dropped results, counts its refusals by reason, and gates count repeated calls by reason.

--- a/internal/claim/claim.go
+++ b/internal/claim/claim.go
@@ -314,6 +314,9 @@
 	return found && first.Expires <= now
 }
 
+// Len is the number of claims, ended ones included.
+func (t *Table) Len() int { return len(t.claims) }
+
 // SegmentInUse reports whether a segment holds kept outcomes.
 func (t *Table) SegmentInUse(segment uint32) bool { return t.segments[segment] > 0 }
 
--- a/internal/daemon/keeper.go
+++ b/internal/daemon/keeper.go
@@ -63,6 +63,7 @@
 		Config:      config,
 		Jobs:        jobs,
 		Log:         log,
+		Metrics:     metrics,
 		ConfigLease: s.Config.Lease,
 		SessionTTL:  s.Batch.Lease,
 		TenureTTL:   s.Orders.Lease,
@@ -94,5 +95,7 @@
 	for i, k := range d.settings.Keepers {
 		addresses[i] = k.Peers
 	}
-	return keeperclient.New(d.calls, addresses)
+	client := keeperclient.New(d.calls, addresses)
+	client.CountRetries(d.metrics)
+	return client
 }
--- a/internal/job/table.go
+++ b/internal/job/table.go
@@ -313,8 +313,30 @@
 	return list
 }
 
-// Dropped gives the counts of results that were not used.
-func (t *Table) Dropped() Dropped { return t.dropped }
+// Counts says how much a table holds.
+type Counts struct {
+	Open     int // jobs that have not ended
+	Ended    int // jobs whose results are kept
+	Sessions int
+	Dropped  Dropped
+}
+
+// Counts gives the sizes of the table.
+func (t *Table) Counts() Counts {
+	return Counts{Open: len(t.jobs), Ended: len(t.ended.byKey), Sessions: len(t.sessions), Dropped: t.dropped}
+}
+
+// Add gives the counts of two tables together.
+func (c Counts) Add(other Counts) Counts {
+	c.Open += other.Open
+	c.Ended += other.Ended
+	c.Sessions += other.Sessions
+	c.Dropped.Doubled += other.Dropped.Doubled
+	c.Dropped.Late += other.Dropped.Late
+	c.Dropped.Ended += other.Dropped.Ended
+	c.Dropped.Invalid += other.Dropped.Invalid
+	return c
+}
 
 // find gives a job; an ended one is read from the storage and must not be
 // changed.
--- a/internal/keeper/keeperclient/client.go
+++ b/internal/keeper/keeperclient/client.go
@@ -12,6 +12,7 @@
 	"slateway.example/slateway/internal/apierr"
 	"slateway.example/slateway/internal/keeper/keeperapi"
 	"slateway.example/slateway/internal/rpc"
+	"slateway.example/slateway/internal/telemetry"
 )
 
 const (
@@ -31,6 +32,7 @@
 type Client struct {
 	rpc       *rpc.Client
 	addresses []string
+	metrics   *telemetry.Metrics // nil: retries are not counted
 
 	mu      sync.Mutex
 	leaders map[uint32]string // last known, by group
@@ -43,6 +45,24 @@
 	return &Client{rpc: client, addresses: addresses, leaders: make(map[uint32]string)}
 }
 
+// CountRetries makes the client count its retries by reason. It is called
+// before the first call.
+func (c *Client) CountRetries(metrics *telemetry.Metrics) { c.metrics = metrics }
+
+// retried counts a retry. An error without a reason is a broken connection or a
+// keeper that did not answer.
+func (c *Client) retried(err error) {
+	if c.metrics == nil {
+		return
+	}
+	reason := keeperapi.ReasonUnavailable
+	var known *apierr.Error
+	if errors.As(err, &known) {
+		reason = known.Reason
+	}
+	c.metrics.Retried("keeper_" + reason)
+}
+
 // call sends a request to the leader of a group. Wait is how long the keeper
 // may hold it.
 func call[Req, Res any](ctx context.Context, c *Client, group uint32, wait time.Duration, p rpc.Procedure[Req, keeperapi.Reply[Res]], request *Req) (*Res, error) {
@@ -67,6 +87,7 @@
 			return nil, err
 		}
 		attempts.note(err)
+		c.retried(err)
 		c.follow(group, address, "")
 		attempts.pause(ctx)
 	}
--- a/internal/keeper/leadership.go
+++ b/internal/keeper/leadership.go
@@ -64,6 +64,7 @@
 		s.endSilentSessions(ctx, group, now)
 		s.expire(ctx, group, now)
 	}
+	s.showState(now)
 }
 
 // termOf gives the term in which this VM leads a group; ok is false if it does
--- a/internal/keeper/service.go
+++ b/internal/keeper/service.go
@@ -17,6 +17,7 @@
 	"slateway.example/slateway/internal/quorum"
 	"slateway.example/slateway/internal/replica"
 	"slateway.example/slateway/internal/rpc"
+	"slateway.example/slateway/internal/telemetry"
 )
 
 // Options are what a Service needs. All but the durations must be set.
@@ -26,6 +27,7 @@
 	Config   *ConfigMachine
 	Jobs     []*JobMachine // of groups 1 and up
 	Log      *zap.Logger
+	Metrics  *telemetry.Metrics // nil: counted, but not shown
 
 	ConfigLease time.Duration // zero: DefaultConfigLease
 	SessionTTL  time.Duration // zero: DefaultSessionTTL
@@ -55,7 +57,9 @@
 	mu       sync.Mutex
 	leading  []leadership // by group
 	lastTick time.Time
-	tenures  map[string]heardTenure // by the name of the right
+
+	lastGauges time.Time              // of Run alone
+	tenures    map[string]heardTenure // by the name of the right
 }
 
 // NewService makes a service; Mount attaches it to a server.
@@ -69,6 +73,9 @@
 	if options.SessionTTL == 0 {
 		options.SessionTTL = DefaultSessionTTL
 	}
+	if options.Metrics == nil {
+		options.Metrics = telemetry.NewMetrics()
+	}
 	return &Service{
 		options: options,
 		gates:   newGateLeases(),
@@ -113,7 +120,9 @@
 			return &keeperapi.Reply[Res]{NotLeader: &keeperapi.NotLeader{Group: other.Group, Address: other.Address}}, nil
 		}
 		if err != nil {
-			return nil, s.callError(string(p), err)
+			refusal := s.callError(string(p), err)
+			s.options.Metrics.Refused(refusal.Reason)
+			return nil, refusal
 		}
 		return &keeperapi.Reply[Res]{Value: value}, nil
 	})
@@ -123,7 +132,7 @@
 // off in groups within a few syncs of the disk.
 const overloadRetry = 100 * time.Millisecond
 
-func (s *Service) callError(call string, err error) error {
+func (s *Service) callError(call string, err error) *apierr.Error {
 	var (
 		known      *apierr.Error
 		unknown    *replica.OutcomeUnknownError
--- a/internal/keeper/service_test.go
+++ b/internal/keeper/service_test.go
@@ -24,6 +24,7 @@
 	"slateway.example/slateway/internal/replica"
 	"slateway.example/slateway/internal/rpc"
 	"slateway.example/slateway/internal/team"
+	"slateway.example/slateway/internal/telemetry"
 )
 
 func TestKeeper(t *testing.T) {
@@ -37,6 +38,7 @@
 type bench struct {
 	local  *keepertest.Local
 	client *keeperclient.Client
+	counts *telemetry.Metrics
 }
 
 func newBench(sessionTTL, configLease time.Duration) *bench {
@@ -50,9 +52,10 @@
 		machines = append(machines, machine)
 	}
 	local := keepertest.NewLocal(machines...)
+	counts := telemetry.NewMetrics()
 	service := keeper.NewService(keeper.Options{
 		Self: keepertest.Self.ID, Proposer: local, Config: config, Jobs: jobs, Log: zap.NewNop(),
-		SessionTTL: sessionTTL, ConfigLease: configLease,
+		SessionTTL: sessionTTL, ConfigLease: configLease, Metrics: counts,
 	})
 	mux := http.NewServeMux()
 	service.Mount(mux)
@@ -62,7 +65,7 @@
 	DeferCleanup(cancel)
 	go service.Run(ctx)
 	address := strings.TrimPrefix(server.URL, "http://")
-	return &bench{local: local, client: keeperclient.New(rpc.NewClient(server.Client()), []string{address})}
+	return &bench{local: local, counts: counts, client: keeperclient.New(rpc.NewClient(server.Client()), []string{address})}
 }
 
 func (b *bench) restart() {
@@ -174,6 +177,8 @@
 		Eventually(status).WithTimeout(10 * time.Second).Should(HaveField("State", job.StateCompleted))
 		Expect(lost.Complete(ctx, []job.Result{answer(held[0])})).To(Succeed())
 		Expect(status().Succeeded).To(Equal(10))
+		dropped := func() int64 { return b.counts.Snapshot().Gauges["keeper.results_dropped.job_ended"] }
+		Eventually(dropped).WithTimeout(10 * time.Second).Should(BeNumerically(">=", 1))
 	}, NodeTimeout(20*time.Second))
 
 	// A clerk cancels a job while gates run its items. The gates learn it with
