--- a/internal/keeper/files.go
+++ b/internal/keeper/files.go
@@ -35,10 +35,10 @@
 	unused [fileKinds][]uint32
 }
 
-func newFiles(folder string, fail func(error)) *files {
+func newFiles(folder string, segmentBytes int64, fail func(error)) *files {
 	f := &files{fail: fail}
 	for kind := range f.logs {
-		f.logs[kind] = blob.Open(folder, prefixes[kind], blob.DefaultSegmentBytes)
+		f.logs[kind] = blob.Open(folder, prefixes[kind], segmentBytes)
 	}
 	return f
 }
--- /dev/null
+++ b/internal/keeper/files_test.go
@@ -0,0 +1,117 @@
+package keeper
+
+import (
+	"fmt"
+	"os"
+	"testing"
+	"time"
+
+	"slateway.example/slateway/internal/codec"
+	"slateway.example/slateway/internal/job"
+	"slateway.example/slateway/internal/replica"
+)
+
+// applier applies commands to a machine as its log does.
+type applier struct {
+	machine *JobMachine
+	log     []command
+}
+
+func (a *applier) apply(t *testing.T, cmd command) {
+	t.Helper()
+	a.log = append(a.log, cmd)
+	var answer result
+	if err := codec.Unmarshal(a.machine.Apply(replica.Entry{Data: codec.MustMarshal(cmd)}), &answer); err != nil {
+		t.Fatal(err)
+	}
+	if answer.Refusal != nil {
+		t.Fatal(answer.Refusal)
+	}
+}
+
+// runJob makes a job of one item and runs it.
+func (a *applier) runJob(t *testing.T, key string) job.ID {
+	id := job.NewID("t", key)
+	a.apply(t, command{At: 1, Create: &job.Spec{Team: "t", Key: key, MaxAttempts: 1, Retention: time.Minute}})
+	a.apply(t, command{At: 1, AddPart: &addPart{Job: id, Count: 1, Data: codec.MustMarshal([]job.Item{{CustomID: key}})}})
+	a.apply(t, command{At: 1, Seal: &sealJob{Job: id, Parts: 1}})
+	a.apply(t, command{At: 1, Complete: &completeItems{Results: []job.Result{{Job: id, Outcome: job.OutcomeSucceeded, Body: []byte(key)}}}})
+	return id
+}
+
+func (m *JobMachine) body(t *testing.T, id job.ID) string {
+	t.Helper()
+	located, err := m.jobs.Locate(id, 0, 1)
+	if err != nil {
+		t.Fatal(err)
+	}
+	response, err := m.readResults(located)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return string(response.Results[0].Body)
+}
+
+func fileCount(t *testing.T, folder string) int {
+	t.Helper()
+	entries, err := os.ReadDir(folder)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return len(entries)
+}
+
+// The disk of a keeper must not fill up with results whose retention is over.
+// But a keeper can be lost while it takes the next snapshot: it then starts from
+// the one before and applies the log again, and that snapshot still names the
+// files of results that expired since. Deleted at once, they would be missing
+// and the keeper could not start.
+//
+// Red without the wait for the next snapshot: "no such file or a short one".
+func TestExpiredFilesOutliveTheSnapshotThatNamesThem(t *testing.T) {
+	folder := t.TempDir()
+	fail := func(err error) { t.Fatal(err) }
+	a := &applier{machine: newJobMachine(folder, 1, fail)} // one record a segment
+	for n := range 5 {
+		a.runJob(t, fmt.Sprint("old-", n))
+	}
+	snapshot, err := a.machine.Snapshot()
+	if err != nil {
+		t.Fatal(err)
+	}
+	a.log = nil
+	a.apply(t, command{At: 1 << 40, Expire: true})
+	kept := a.runJob(t, "new")
+	if _, err := a.machine.Snapshot(); err != nil {
+		t.Fatal(err)
+	}
+	// The second snapshot is lost with the process: back to the first.
+	if err := a.machine.Close(); err != nil {
+		t.Fatal(err)
+	}
+	restarted := newJobMachine(folder, 1, fail)
+	if err := restarted.Restore(snapshot); err != nil {
+		t.Fatalf("no such file or a short one: %v", err)
+	}
+	if body := restarted.body(t, job.NewID("t", "old-3")); body != "old-3" {
+		t.Fatalf("result %q", body)
+	}
+	for _, cmd := range a.log {
+		restarted.Apply(replica.Entry{Data: codec.MustMarshal(cmd)})
+	}
+	before := fileCount(t, folder)
+	for range 2 {
+		if snapshot, err = restarted.Snapshot(); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if after := fileCount(t, folder); after >= before {
+		t.Errorf("%d files, %d before the results expired", after, before)
+	}
+	if err := restarted.Restore(snapshot); err != nil {
+		t.Fatal(err)
+	}
+	if body := restarted.body(t, kept); body != "new" {
+		t.Errorf("result %q", body)
+	}
+}
--- a/internal/keeper/jobmachine.go
+++ b/internal/keeper/jobmachine.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"slateway.example/slateway/internal/apierr"
+	"slateway.example/slateway/internal/blob"
 	"slateway.example/slateway/internal/claim"
 	"slateway.example/slateway/internal/codec"
 	"slateway.example/slateway/internal/instant"
@@ -29,7 +30,11 @@
 // must exist. When a file cannot be written or read it calls fail, which must
 // not return: a replica that went on would differ from the others.
 func NewJobMachine(folder string, fail func(error)) *JobMachine {
-	m := &JobMachine{files: newFiles(folder, fail)}
+	return newJobMachine(folder, blob.DefaultSegmentBytes, fail)
+}
+
+func newJobMachine(folder string, segmentBytes int64, fail func(error)) *JobMachine {
+	m := &JobMachine{files: newFiles(folder, segmentBytes, fail)}
 	m.jobs = job.NewTable(m.files)
 	m.claims = claim.NewTable(m.files)
 	return m
