Serve late jobs in one lease request of eight

A job that had missed its deadline was served only when no other job had items; under lasting load it would never have ended. One request in eight now takes late jobs first, so that the others lose an eighth at most.

Ruled out: late jobs in plain order of deadlines, which makes each late job the first and the others late too. Least laxity first in place of earliest deadline: it needs a service time per item, which differs by model and load, and for items that run independently on shared slots earliest deadline first already meets all deadlines that can be met.

--- a/internal/job/lease.go
+++ b/internal/job/lease.go
@@ -146,7 +146,7 @@
 		return t.repeatedLease(id, holder, request), true, nil
 	}
 	for _, want := range wants {
-		items = append(items, t.leaseFrom(id, holder, want, now)...)
+		items = append(items, t.leaseFrom(id, holder, want, t.inOrder(want.Queue, now, request%lateTurn == 0))...)
 	}
 	holder.last = leaseAnswer{Request: request, Items: items}
 	return items, len(items) > 0, nil
@@ -183,9 +183,9 @@
 	return apierr.New(apierr.NotFound, ReasonUnknownSession, "open a new session", "session %q is not open", string(id))
 }
 
-func (t *Table) leaseFrom(id SessionID, holder *session, want Want, now instant.Micros) []Leased {
+func (t *Table) leaseFrom(id SessionID, holder *session, want Want, jobs []*entry) []Leased {
 	var items []Leased
-	for _, job := range t.inOrder(want.Queue, now) {
+	for _, job := range jobs {
 		for len(items) < want.Max {
 			item, found := job.takeItem()
 			if !found {
@@ -204,23 +204,31 @@
 	return items
 }
 
+// lateTurn is the share of lease requests that serve late jobs first: one in 8.
+const lateTurn = 8
+
 // inOrder gives the jobs of a queue that have items to lease: earliest deadline
 // first, those whose deadline has passed last, so that one job that is late
-// anyhow does not make the others late too.
-func (t *Table) inOrder(queue Queue, now instant.Micros) []*entry {
+// anyhow does not make the others late too. With lateFirst it is the other way
+// round: under lasting load a late job would otherwise never end.
+func (t *Table) inOrder(queue Queue, now instant.Micros, lateFirst bool) []*entry {
 	var due, late []*entry
 	tree := t.ready[queue]
 	if tree == nil {
 		return nil
 	}
-	tree.Ascend(func(key readyKey) bool {
-		if key.deadline <= now {
-			late = append(late, key.job)
-		} else {
-			due = append(due, key.job)
-		}
+	from := readyKey{deadline: now + 1}
+	tree.AscendGreaterOrEqual(from, func(key readyKey) bool {
+		due = append(due, key.job)
 		return len(due) < maxJobsPerLease
 	})
+	tree.AscendLessThan(from, func(key readyKey) bool {
+		late = append(late, key.job)
+		return len(late) < maxJobsPerLease
+	})
+	if lateFirst {
+		return append(late, due...)
+	}
 	return append(due, late...)
 }
 
--- a/internal/job/table_test.go
+++ b/internal/job/table_test.go
@@ -413,3 +413,27 @@
 		t.Fatal("something was kept")
 	}
 }
+
+// Jobs with deadlines keep coming while one has missed its own. Served last for
+// ever it would never end; served first it would make the others late as well.
+func TestLateJobIsServedLastButServed(t *testing.T) {
+	table := job.NewTable(&memory{})
+	add := func(key string, within time.Duration) job.ID {
+		status, _ := table.Create(job.Spec{Team: "t", Key: key, Queue: queue, Within: within, MaxAttempts: 1, Retention: time.Hour}, 1)
+		for number := range 5 {
+			table.AddPart(status.ID, number, partItems, encodedPart(number))
+		}
+		table.Seal(status.ID, 5, 1)
+		return status.ID
+	}
+	late, second, first := add("late", 0), add("second", 2*time.Hour), add("first", time.Hour)
+	table.OpenSession("s", "vm")
+	var order []job.ID
+	for request := uint64(1); request <= 17; request++ {
+		items, _, _ := table.Lease("s", request, []job.Want{{Queue: queue, Max: 1}}, 2)
+		order = append(order, items[0].Job)
+	}
+	if order[0] != first || order[6] != first || order[7] != late || order[15] != late || order[16] != first {
+		t.Fatalf("late %s, first %s, second %s: order %v", late, first, second, order)
+	}
+}
