--- a/internal/job/table_test.go
+++ b/internal/job/table_test.go
@@ -387,3 +387,53 @@
 		t.Fatalf("result %+v", first)
 	}
 }
+
+// A client is lost during its upload, another reads its results too late: both
+// jobs leave the keepers' memory and disk when their time is over.
+func TestExpire(t *testing.T) {
+	storage := &memory{}
+	table := job.NewTable(storage)
+	spec := job.Spec{Team: "t", Key: "lost", Queue: queue, MaxAttempts: 1, Retention: time.Minute}
+	upload, _ := table.Create(spec, 1)
+	table.AddPart(upload.ID, 0, partItems, encodedPart(0))
+	spec.Key = "ended"
+	ended, _ := table.Create(spec, 1)
+	table.Seal(ended.ID, 0, 1)
+	early, late := instant.Micros(1).Add(time.Minute-1), instant.Micros(1).Add(time.Minute)
+	if table.Expired(early) || !table.Expired(late) {
+		t.Fatal("the jobs expire at the wrong time")
+	}
+	if deleted := table.Expire(late); deleted != 1 || table.PartSegmentInUse(1) {
+		t.Fatalf("deleted %d jobs, parts in use: %v", deleted, table.PartSegmentInUse(1))
+	}
+	if status, refusal := table.Status(upload.ID); refusal != nil || status.State != job.StateCancelled {
+		t.Fatalf("the abandoned upload: %+v, %v", status, refusal)
+	}
+	if table.Expire(late.Add(time.Minute)) != 1 || table.ResultSegmentInUse(1) || len(table.List("t")) != 0 {
+		t.Fatal("something was kept")
+	}
+}
+
+// Jobs with deadlines keep coming while one has missed its own. Served last for
+// ever it would never end; served first it would make the others late as well.
+func TestLateJobIsServedLastButServed(t *testing.T) {
+	table := job.NewTable(&memory{})
+	add := func(key string, within time.Duration) job.ID {
+		status, _ := table.Create(job.Spec{Team: "t", Key: key, Queue: queue, Within: within, MaxAttempts: 1, Retention: time.Hour}, 1)
+		for number := range 5 {
+			table.AddPart(status.ID, number, partItems, encodedPart(number))
+		}
+		table.Seal(status.ID, 5, 1)
+		return status.ID
+	}
+	late, second, first := add("late", 0), add("second", 2*time.Hour), add("first", time.Hour)
+	table.OpenSession("s", "vm")
+	var order []job.ID
+	for request := uint64(1); request <= 17; request++ {
+		items, _, _ := table.Lease("s", request, []job.Want{{Queue: queue, Max: 1}}, 2)
+		order = append(order, items[0].Job)
+	}
+	if order[0] != first || order[6] != first || order[7] != late || order[15] != late || order[16] != first {
+		t.Fatalf("late %s, first %s, second %s: order %v", late, first, second, order)
+	}
+}
