--- a/internal/upstream/table.go
+++ b/internal/upstream/table.go
@@ -87,7 +87,7 @@
 
 func (t *Table) update(now time.Time, e *Entry, a Announcement) Change {
 	if !fresher(a.Incarnation, a.Sequence, e) {
-		return ChangeNone
+		return t.leaveLate(e, &a)
 	}
 	change := classify(e, &a)
 	// A replica that said it leaves may send an older thread's "ready" after
@@ -106,6 +106,18 @@
 	return change
 }
 
+// leaveLate takes the news that a replica leaves also from an announcement that
+// a later one has overtaken: gates that hear the two in different orders would
+// otherwise differ for good.
+func (t *Table) leaveLate(e *Entry, a *Announcement) Change {
+	if a.Incarnation != e.Incarnation || !a.Leaving || e.Leaving {
+		return ChangeNone
+	}
+	e.Leaving = true
+	e.version = t.Bump()
+	return ChangeLoad
+}
+
 func fresher(incarnation, sequence uint64, e *Entry) bool {
 	if incarnation != e.Incarnation {
 		return incarnation > e.Incarnation
