Do not stop a second batch item for one whose slot is on its way

An engine that queues an online request while it stops a batch request says queued, and the gate took that for a full replica and stopped one more.

--- a/internal/route/batch.go
+++ b/internal/route/batch.go
@@ -188,8 +188,13 @@
 	return best
 }
 
-// Queued comes when the load estimate was wrong: the replica was full although
-// it seemed to have room. One batch request gives way.
+// yieldTime is how long an engine may take to free the slot of a batch request
+// that was stopped.
+const yieldTime = 200 * time.Millisecond
+
+// Queued comes when the replica was full although it seemed to have room. One
+// batch request gives way, unless one was stopped a moment ago and its slot is
+// on its way.
 func (in Queued) apply(s *Shard) {
 	a := s.attempts[in.Attempt]
 	if a == nil || a.req.Class == Batch {
@@ -197,6 +202,9 @@
 	}
 	a.queued = true
 	s.count(ReasonBatchBehind)
+	if s.config.Disabled.Preempt || s.at.Sub(a.on.yieldedAt) < yieldTime {
+		return
+	}
 	if victim := s.victim(a.on); victim != nil {
 		s.preempt(victim)
 	}
@@ -246,6 +254,7 @@
 // preempt stops a batch attempt; its item waits and goes on later.
 func (s *Shard) preempt(a *attempt) {
 	req := a.req
+	a.on.yieldedAt = s.at
 	a.on.holdUntil = s.at.Add(req.Policy.Hold)
 	s.cancel(a, CancelPreempted)
 	req.maybeRan = true
--- a/internal/route/replica.go
+++ b/internal/route/replica.go
@@ -47,6 +47,7 @@
 	feedVersion uint64 // table version of the last change of batch
 	feeder      string // the gate that feeds it with batch
 	holdUntil   time.Time
+	yieldedAt   time.Time // when batch of this gate was last stopped on it
 
 	health   health
 	probing  bool // a probe is under way; until it is answered nothing new goes there
