Let no call or batch item reach an engine but by its completion paths

A batch item names its path, and the gate posted it to whatever the item said: one with the URL /v1/orders would have given an engine an order, and a path that does not begin with a slash could have changed the address. Engines now only get the two completion paths, calls of plain services only reach plain services. Checked by a spec; no such request was seen.

--- a/internal/gate/proxy/batch.go
+++ b/internal/gate/proxy/batch.go
@@ -58,6 +58,10 @@
 	request := r.batchRequest(&item)
 	form := batchForm(&item)
 	request.Resumable = form.resumable()
+	request.Kind = form.kind()
+	if err := form.check(); err != nil {
+		return BatchResult{Outcome: BatchFailed, Err: err}, nil
+	}
 	flight := newFlight(s, request, form)
 	r.options.Metrics.Count(CountBatchStarted)
 	s.open(flight)
@@ -93,7 +97,7 @@
 }
 
 func batchForm(item *BatchItem) form {
-	if item.Plain {
+	if item.Plain && item.Path != PathChat && item.Path != PathCompletions {
 		header := http.Header{"Content-Type": {"application/json"}}
 		return serviceForm(http.MethodPost, item.Path, header, item.Body)
 	}
--- a/internal/gate/proxy/form.go
+++ b/internal/gate/proxy/form.go
@@ -3,8 +3,12 @@
 import (
 	"encoding/json"
 	"net/http"
+	"strings"
 
 	"github.com/cespare/xxhash/v2"
+
+	"slateway.example/slateway/internal/apierr"
+	"slateway.example/slateway/internal/upstream"
 )
 
 // form is how a request is sent to an upstream and answered to its caller.
@@ -44,6 +48,30 @@
 	return f
 }
 
+// ReasonBadPath counts requests whose path no upstream of their kind may be sent.
+const ReasonBadPath apierr.Reason = "bad_path"
+
+// check refuses paths beyond those that callers may use: an engine takes orders
+// on others, and one that does not begin with a slash would change the address
+// that the request goes to.
+func (f *form) check() *apierr.Error {
+	if f.engine && f.path != PathChat && f.path != PathCompletions {
+		return apierr.New(apierr.Invalid, ReasonBadPath, "use "+PathChat+" or "+PathCompletions,
+			"engines are not asked for %q", f.path)
+	}
+	if !strings.HasPrefix(f.path, "/") {
+		return apierr.New(apierr.Invalid, ReasonBadPath, "begin the path with a slash", "the path %q is not absolute", f.path)
+	}
+	return nil
+}
+
+func (f *form) kind() upstream.Kind {
+	if f.engine {
+		return upstream.KindEngine
+	}
+	return upstream.KindService
+}
+
 // simple says whether the answer is one text, which can be resumed.
 func (f *form) simple() bool {
 	if f.fields == nil || (f.path != PathChat && f.path != PathCompletions) {
--- a/internal/gate/proxy/gates_test.go
+++ b/internal/gate/proxy/gates_test.go
@@ -167,6 +167,24 @@
 		Expect(w.Header().Get("X-Plate")).To(Equal("tx"))
 	})
 
+	It("are the only ones that a call to a service reaches, under a path of their own", func() {
+		e := newFakeEngine("r1", 5, 0)
+		router := newGates(1, e)[0]
+		call := func(path string) *apierr.Error {
+			w := httptest.NewRecorder()
+			router.ServeService(w, httptest.NewRequest(http.MethodPost, "/", nil), proxy.ServiceRequest{
+				ID: "call-" + path, Service: "wordroom", Method: http.MethodPost, Path: path, Deadline: time.Now().Add(wait),
+			})
+			return apierr.ParseHTTP(w.Body.Bytes())
+		}
+		Expect(call("/v1/orders").Reason).To(Equal(route.ReasonNoUpstream))
+		Expect(call("@10.0.0.9/").Reason).To(Equal(proxy.ReasonBadPath))
+		result, err := router.RunBatch(context.Background(), proxy.BatchItem{ID: "item", Service: "wordroom", Path: "/v1/orders"})
+		Expect(err).NotTo(HaveOccurred())
+		Expect(result.Err.Reason).To(Equal(proxy.ReasonBadPath))
+		Expect(e.count(func(e *fakeEngine) int { return e.served })()).To(BeZero())
+	})
+
 	It("run a call once that may not be repeated, also when it carries a key", func() {
 		// The connection ends after the service has confirmed the plate. An HTTP
 		// client would send a request with an idempotency key again by itself.
--- a/internal/gate/proxy/online.go
+++ b/internal/gate/proxy/online.go
@@ -95,6 +95,12 @@
 		request.Deadline = time.Now().Add(r.options.DefaultTimeout)
 	}
 	w.Header().Set(HeaderRequestID, request.ID)
+	request.Kind = f.kind()
+	if err := f.check(); err != nil {
+		r.options.Metrics.Count(string(err.Reason))
+		apierr.WriteHTTP(w, err)
+		return
+	}
 	s := r.find(service)
 	if s == nil {
 		r.options.Metrics.Count(string(route.ReasonNoUpstream))
--- a/internal/route/messages.go
+++ b/internal/route/messages.go
@@ -32,6 +32,7 @@
 	ID          string               `json:"id"` // unique within the shard
 	Team        string               `json:"team"`
 	Class       Class                `json:"class"`
+	Kind        upstream.Kind        `json:"kind,omitempty"` // of the upstreams it is for; empty: any
 	Model       string               `json:"model,omitempty"`
 	Version     string               `json:"version,omitempty"`
 	Deadline    time.Time            `json:"deadline"`
--- a/internal/route/pick.go
+++ b/internal/route/pick.go
@@ -95,10 +95,20 @@
 	return !s.isSuspect(req) || !s.sharesTrial(r)
 }
 
+// serves says whether the replica is of the kind that the request is for and
+// has its model. A call to a plain service must never reach an engine, where its
+// path could be an order.
+func (r *replica) serves(req *request) bool {
+	if req.Kind != "" && req.Kind != r.entry.Kind {
+		return false
+	}
+	return r.entry.Serves(req.Model, req.Version)
+}
+
 // mayServe says whether the replica has the model and has not failed the
 // request before.
 func (s *Shard) mayServe(req *request, r *replica) bool {
-	if !r.entry.Serves(req.Model, req.Version) {
+	if !r.serves(req) {
 		return false
 	}
 	if req.delivered && !r.entry.CanResume {
@@ -160,13 +170,13 @@
 	s.rebuild()
 	for _, list := range [...][]*replica{s.local, s.remote} {
 		for _, r := range list {
-			if r.entry.Serves(req.Model, req.Version) {
+			if r.serves(req) {
 				return someReady
 			}
 		}
 	}
 	for _, r := range s.replicas {
-		if r.entry.Serves(req.Model, req.Version) {
+		if r.serves(req) {
 			return noneReady
 		}
 	}
