Make the preemption specs wait for events instead of the clock

Two specs had 200 ms for an online request to meet running batch items, which a busy machine can miss; the fake engine now holds its tokens until the preemption has been seen. A replica that is out of use for its failures is probed as soon as that time is over.

--- a/internal/gate/proxy/engine_test.go
+++ b/internal/gate/proxy/engine_test.go
@@ -22,6 +22,7 @@
 	mu        sync.Mutex
 	tokens    int           // length of an answer
 	pace      time.Duration // between tokens
+	hold      chan struct{} // no token is sent before it is closed; nil: none waits
 	breakAt   int           // close the connection before this token; 0: never
 	silentAt  int           // stop sending before this token and keep the connection; 0: never
 	otherID   bool          // echo another request's ID
@@ -122,13 +123,23 @@
 		case <-r.Context().Done():
 			e.with(func(e *fakeEngine) { e.stopped++ })
 			return
-		case <-time.After(pace):
+		case <-e.paced(pace):
 		}
 		fmt.Fprintf(w, "data: {\"id\":\"c\",\"model\":\"m\",\"choices\":[{\"delta\":{\"content\":\"t%d \"}}],\"slateway\":{\"token\":%d}}\n\n", token, token)
 		flusher.Flush()
 	}
 }
 
+// paced gives a channel that is ready when the next token may be sent.
+func (e *fakeEngine) paced(pace time.Duration) <-chan struct{} {
+	if e.hold != nil {
+		return e.hold
+	}
+	due := make(chan struct{})
+	time.AfterFunc(pace, func() { close(due) })
+	return due
+}
+
 // words is the text of the tokens up to last.
 func words(last int) string {
 	var text strings.Builder
--- a/internal/gate/proxy/gates_test.go
+++ b/internal/gate/proxy/gates_test.go
@@ -27,7 +27,7 @@
 		id := fmt.Sprint("gate-", i)
 		gates = append(gates, route.Gate{ID: id, Place: "glas-a"})
 		routers = append(routers, proxy.New(proxy.Options{
-			Self: id, Place: "glas-a",
+			Self: id, Place: "glas-a", Route: route.Config{FirstTimeout: wait},
 			SendUsage: func(_ context.Context, gate string, u []proxy.Usage) ([]upstream.Feeding, error) {
 				to, err := strconv.Atoi(gate[len("gate-"):])
 				return routers[to].Yield(u), err
@@ -72,7 +72,8 @@
 		// An editor's request comes to a gate that runs no batch; another gate has
 		// filled the only engine with it. The request must not wait for an item
 		// to end, though no gate sees both.
-		e := newFakeEngine("r1", 40, 5*time.Millisecond)
+		e := newFakeEngine("r1", 40, 0)
+		e.hold = make(chan struct{})
 		gates := newGates(2, e)
 		feeder, other := gates[0], gates[1]
 		if gates[0].Upstreams()[0].Feeder != "gate-0" {
@@ -93,6 +94,7 @@
 		answer := make(chan string, 1)
 		go func() { answer <- ask(other, "headlines").Body.String() }()
 		Eventually(e.count(func(e *fakeEngine) int { return e.stopped }), wait).Should(Equal(1), "one item gave way")
+		close(e.hold)
 		var data string
 		Eventually(answer, wait).Should(Receive(&data))
 		Expect(plainText(data)).To(Equal(words(40)))
@@ -143,7 +145,7 @@
 			handler(w, r)
 		}))
 		DeferCleanup(server.Close)
-		router := proxy.New(proxy.Options{Self: "gate-1", Place: "glas-a"})
+		router := proxy.New(proxy.Options{Self: "gate-1", Place: "glas-a", Route: route.Config{OutageWait: 4 * time.Second}})
 		DeferCleanup(router.Close)
 		Expect(router.Announce(upstream.Announcement{
 			Service: "plate-app", Kind: upstream.KindService, Replica: "p1", Incarnation: 1, Sequence: 1,
--- a/internal/gate/proxy/proxy_test.go
+++ b/internal/gate/proxy/proxy_test.go
@@ -232,8 +232,9 @@
 		// An editor's request arrives while batch fills every slot. Its first
 		// token must not wait for a batch item to end, and each item that gave
 		// way must still end whole.
-		e := newFakeEngine("r1", 40, 5*time.Millisecond)
-		g := newGate(route.Config{}, e)
+		e := newFakeEngine("r1", 40, 0)
+		e.hold = make(chan struct{})
+		g := newGate(route.Config{FirstTimeout: wait}, e)
 		policy := route.ThroughputPolicy()
 		Expect(g.router.BatchRoom("wordroom", policy)).To(Equal(4))
 		results := make(chan proxy.BatchResult, 4)
@@ -250,7 +251,16 @@
 		}
 		Eventually(e.count(func(e *fakeEngine) int { return e.served }), wait).Should(Equal(4))
 		Expect(g.router.BatchRoom("wordroom", policy)).To(BeZero())
-		_, data := g.post(plainBody)
+		answer := make(chan string, 1)
+		go func() {
+			defer GinkgoRecover()
+			_, data := g.post(plainBody)
+			answer <- data
+		}()
+		Eventually(g.count("cancel_preempted"), wait).Should(Equal(1))
+		close(e.hold)
+		var data string
+		Eventually(answer, wait).Should(Receive(&data))
 		Expect(plainText(data)).To(Equal(words(40)))
 		for range 4 {
 			var result proxy.BatchResult
--- a/internal/route/probe.go
+++ b/internal/route/probe.go
@@ -31,6 +31,9 @@
 	r.probing = true
 	s.stale = true
 	r.probeAt = s.at.Add(r.probeGap)
+	if s.at.Before(r.penalty) && r.penalty.Before(r.probeAt) {
+		r.probeAt = r.penalty
+	}
 	s.emit(Probe{Replica: r.entry.Replica, Address: r.entry.Address})
 }
 
