Name a gate to callers only when it can serve them

A test that restarts every VM in turn under load found it: callers that follow the directory strictly, with one connection a request and no second try, got 3 or 4 errors in 4 of 5 runs, all 'no replica of service has announced itself'. A gate that had just restarted was named as soon as it was seen alive, before it knew an upstream.

--- a/cmd/capacity/network.go
+++ b/cmd/capacity/network.go
@@ -69,6 +69,7 @@
 	random := rand.New(rand.NewPCG(1, uint64(len(w.order))))
 	config := member.Config{Seeds: seeds, BytesPerSecond: 1 << 20} // the cost unbounded is what is asked
 	n := &node{name: vm.Name, place: place, region: region, address: vm.Peers, member: member.New(config, vm, uint64(w.now.UnixMilli()), random, w.now)}
+	w.take(n, n.member.SetReady(w.now))
 	w.nodes[n.address] = n
 	w.order = append(w.order, n)
 }
--- a/cmd/capacity/sockets.go
+++ b/cmd/capacity/sockets.go
@@ -84,6 +84,7 @@
 			return nil, err
 		}
 		f.Start()
+		f.SetReady()
 		fleets = append(fleets, f)
 	}
 	return fleets, nil
--- a/internal/daemon/gate.go
+++ b/internal/daemon/gate.go
@@ -126,6 +126,7 @@
 	g.others.Go(func() {
 		publishGateLoad(othersContext, g.fleet, g.router.InFlight, g.settings.Limits.MaxInProgress, g.log)
 	})
+	g.others.Go(func() { g.awaitReady(othersContext) })
 	if g.orders != nil {
 		g.others.Go(func() { g.orders.Run(othersContext) })
 	}
--- a/internal/directory/directory_test.go
+++ b/internal/directory/directory_test.go
@@ -18,7 +18,7 @@
 	return member.Member{
 		Self: name == "a1",
 		Record: member.Record{
-			VM: member.VM{Name: name, Place: "a", Region: "north", Callers: name + ":80"}, State: state, Draining: draining,
+			VM: member.VM{Name: name, Place: "a", Region: "north", Callers: name + ":80"}, State: state, Draining: draining, Ready: true,
 			Digests: []member.Digest{{Kind: loadKind, Data: load.Encode()}},
 		},
 	}
@@ -94,6 +94,13 @@
 	g.Expect(err).NotTo(HaveOccurred())
 	g.Expect(names(answer)).To(Equal([]string{"a2", "b1"}))
 
+	// One that has just started knows no upstream yet.
+	starting := input()
+	starting.Members[1].Ready = false
+	answer, err = dir.Decide(starting)
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(names(answer)).To(Equal([]string{"a1", "b1"}))
+
 	cut.Members, cut.Areas = cut.Members[:1], cut.Areas[2:]
 	answer, err = dir.Decide(cut)
 	g.Expect(err).NotTo(HaveOccurred())
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -184,6 +184,14 @@
 	return err
 }
 
+// SetReady tells the place that this gate can serve callers.
+func (f *Fleet) SetReady() {
+	f.mu.Lock()
+	output := f.node.SetReady(time.Now())
+	f.mu.Unlock()
+	f.carryOut(output)
+}
+
 // SetDraining tells the place that this VM takes no new callers.
 func (f *Fleet) SetDraining() {
 	f.mu.Lock()
--- a/internal/member/area.go
+++ b/internal/member/area.go
@@ -164,7 +164,7 @@
 		if len(area.Contacts) < maxContacts {
 			area.Contacts = append(area.Contacts, Contact{VM: name, Peers: record.VM.Peers})
 		}
-		if !record.VM.Gate() || record.Draining {
+		if !record.takesCallers() {
 			continue
 		}
 		area.Gates++
--- a/internal/member/merge.go
+++ b/internal/member/merge.go
@@ -102,9 +102,10 @@
 
 func (n *Node) mergeState(now time.Time, p *peer, incoming *Record) {
 	known := &p.record
-	changed := incoming.Draining && !known.Draining
+	changed := (incoming.Draining && !known.Draining) || (incoming.Ready && !known.Ready)
 	n.dropFromHash(p)
 	known.Draining = known.Draining || incoming.Draining
+	known.Ready = known.Ready || incoming.Ready
 	if incoming.Incarnation > known.Incarnation || (incoming.Incarnation == known.Incarnation && incoming.State > known.State) {
 		state := n.softened(known, incoming)
 		if known.State != state {
--- a/internal/member/message.go
+++ b/internal/member/message.go
@@ -65,6 +65,9 @@
 	if r.Draining {
 		sum++
 	}
+	if r.Ready {
+		sum++
+	}
 	return sum
 }
 
--- a/internal/member/network_test.go
+++ b/internal/member/network_test.go
@@ -57,6 +57,7 @@
 		w.order = append(w.order, vm.Peers)
 	}
 	w.nodes[vm.Peers] = node
+	w.take(vm.Peers, node.SetReady(w.now))
 	return vm.Peers
 }
 
--- a/internal/member/node.go
+++ b/internal/member/node.go
@@ -172,6 +172,18 @@
 	return n.take(), nil
 }
 
+// SetReady tells all VMs of the place that this gate can serve callers. Before,
+// no answer names it: a gate that has just started knows no upstream yet, and
+// would refuse what the other gates could serve.
+func (n *Node) SetReady(now time.Time) Output {
+	if !n.self.Ready {
+		n.self.Ready = true
+		n.markOwn()
+	}
+	n.flush(now)
+	return n.take()
+}
+
 // SetDraining tells all VMs of the place that this one takes no new callers.
 func (n *Node) SetDraining(now time.Time) Output {
 	if !n.self.Draining {
--- a/internal/member/types.go
+++ b/internal/member/types.go
@@ -85,8 +85,12 @@
 	State       State    `cbor:"4,keyasint"`
 	Draining    bool     `cbor:"5,keyasint,omitempty"` // takes no new callers; holds for the epoch
 	Digests     []Digest `cbor:"6,keyasint,omitempty"`
+	Ready       bool     `cbor:"7,keyasint,omitempty"` // can serve callers; holds for the epoch
 }
 
+// takesCallers reports whether the VM is a gate that is ready and does not drain.
+func (r *Record) takesCallers() bool { return r.VM.Gate() && r.Ready && !r.Draining }
+
 // Entry is a gate as other places see it.
 type Entry struct {
 	VM      string `cbor:"1,keyasint"`
@@ -218,7 +222,7 @@
 }
 
 // Serving reports whether callers may be sent to the VM.
-func (m Member) Serving() bool { return m.VM.Gate() && m.State == Alive && !m.Draining }
+func (m Member) Serving() bool { return m.State == Alive && m.takesCallers() }
 
 // PlaceArea is an area with its freshness.
 type PlaceArea struct {
