--- a/test/history_test.go
+++ b/test/history_test.go
@@ -294,33 +294,51 @@
 	// answered must be explained by one order of the operations, each acting
 	// once, and no plate may be confirmed twice.
 	It("are linearizable, and non-idempotent requests run at most once", func(ctx SpecContext) {
-		options := threeVMs()
-		options.PeerLinks = true
-		fleet, _ := startSite(ctx, options, 2)
-		service, err := fleet.StartService("pagedesk", "pagedesk-1", places[0], "--delay", "20ms")
-		Expect(err).NotTo(HaveOccurred())
-		Expect(fleet.WaitReady(ctx, map[string]int{"pagedesk": 1})).To(Succeed())
 		first, last := seeds()
-		for seed := first; seed <= last; seed++ {
-			By(fmt.Sprintf("seed %d", seed))
-			run := &seedRun{
-				seed: seed, operators: fleet.Operators(), gates: fleet.Callers(),
-				config: newHistory(), jobs: newHistory(), claims: map[string][]*answer{},
-			}
-			disturbing, peace := context.WithCancel(ctx)
-			var nemesis sync.WaitGroup
-			faults := 0
-			nemesis.Go(func() {
+		var lanes sync.WaitGroup
+		for lane := range uint64(historyLanes) {
+			options := threeVMs()
+			options.PeerLinks = true
+			fleet, _ := startSite(ctx, options, 2)
+			service, err := fleet.StartService("pagedesk", "pagedesk-1", places[0], "--delay", "20ms")
+			Expect(err).NotTo(HaveOccurred())
+			Expect(fleet.WaitReady(ctx, map[string]int{"pagedesk": 1})).To(Succeed())
+			lanes.Go(func() {
 				defer GinkgoRecover()
-				faults = disturb(disturbing, fleet, rand.New(rand.NewPCG(seed, 1000)))
+				for seed := first + lane; seed <= last; seed += historyLanes {
+					checkSeed(ctx, fleet, service, seed)
+				}
 			})
-			run.clients(ctx)
-			peace()
-			nemesis.Wait()
-			run.report(faults)
-			run.config.expectLinearizable(configModel, fmt.Sprintf("config-seed-%d", seed))
-			run.jobs.expectLinearizable(jobModel.ToModel(), fmt.Sprintf("jobs-seed-%d", seed))
-			run.expectAtMostOnce(service)
 		}
+		lanes.Wait()
 	}, NodeTimeout(time.Hour))
 })
+
+// historyLanes are the fleets whose seeds run at the same time: each spends
+// most of its time waiting for faults to pass.
+const historyLanes = 3
+
+// checkSeed runs a seed's clients under its faults, and checks what they saw.
+func checkSeed(ctx context.Context, fleet *harness.Fleet, service *harness.Upstream, seed uint64) {
+	GinkgoHelper()
+	By(fmt.Sprintf("seed %d", seed))
+	run := &seedRun{
+		seed: seed, operators: fleet.Operators(), gates: fleet.Callers(),
+		config: newHistory(), jobs: newHistory(), claims: map[string][]*answer{},
+	}
+	disturbing, peace := context.WithCancel(ctx)
+	defer peace()
+	var nemesis sync.WaitGroup
+	faults := 0
+	nemesis.Go(func() {
+		defer GinkgoRecover()
+		faults = disturb(disturbing, fleet, rand.New(rand.NewPCG(seed, 1000)))
+	})
+	run.clients(ctx)
+	peace()
+	nemesis.Wait()
+	run.report(faults)
+	run.config.expectLinearizable(configModel, fmt.Sprintf("config-seed-%d", seed))
+	run.jobs.expectLinearizable(jobModel.ToModel(), fmt.Sprintf("jobs-seed-%d", seed))
+	run.expectAtMostOnce(service)
+}
