--- a/internal/keeper/measure_test.go
+++ b/internal/keeper/measure_test.go
@@ -20,12 +20,14 @@
 	"slateway.example/slateway/internal/keeper"
 	"slateway.example/slateway/internal/keeper/keeperclient"
 	"slateway.example/slateway/internal/keeper/keepertest"
+	"slateway.example/slateway/internal/replica"
 	"slateway.example/slateway/internal/rpc"
 )
 
 const (
 	measuredGroups = 5
 	measuredGates  = 8
+	uploaders      = 16
 	partSize       = 500
 	bodyBytes      = 400
 )
@@ -39,12 +41,15 @@
 }
 
 // BenchmarkItemsEndToEnd uploads, leases, completes and reads the items of
-// several jobs through 3 keepers, with 8 gates. ITEMS and JOBS set the size.
+// several jobs through 3 keepers, with 8 gates. ITEMS and JOBS set the size;
+// MAX_BATCH=1 makes the log sync once for each entry.
 func BenchmarkItemsEndToEnd(b *testing.B) {
 	items, jobs := setting("ITEMS", 20_000), setting("JOBS", 8)
 	items -= items % jobs
 	for b.Loop() {
-		cluster := keepertest.StartCluster(b, 3, measuredGroups, nil)
+		cluster := keepertest.StartCluster(b, 3, measuredGroups, func(config *replica.Config, _ *keeper.Options) {
+			config.WAL.MaxBatch = setting("MAX_BATCH", 0)
+		})
 		client := cluster.Client()
 		started := time.Now()
 		ids := upload(b, client, items, jobs)
@@ -68,6 +73,7 @@
 	ids := make([]job.ID, jobs)
 	body := make([]byte, bodyBytes)
 	var uploads errgroup.Group
+	uploads.SetLimit(uploaders)
 	for n := range jobs {
 		uploads.Go(func() error {
 			ctx := context.Background()
@@ -135,6 +141,7 @@
 func readAll(b testing.TB, client *keeperclient.Client, ids []job.ID) int {
 	var count atomic.Int64
 	var reads errgroup.Group
+	reads.SetLimit(uploaders)
 	for _, id := range ids {
 		reads.Go(func() error {
 			for from, end := uint32(0), false; !end; {
--- a/internal/route/replica.go
+++ b/internal/route/replica.go
@@ -49,6 +49,7 @@
 	holdUntil   time.Time
 
 	health   health
+	probing  bool // a probe is under way; until it is answered nothing new goes there
 	probeAt  time.Time
 	probeGap time.Duration
 	missed   bool                   // a probe was not answered since it became suspect
@@ -60,7 +61,7 @@
 // takesWork says whether new requests may go to the replica.
 func (s *Shard) takesWork(r *replica) bool {
 	leaving := r.entry.Leaving && !s.config.Disabled.Leaving
-	return r.entry.Ready && !leaving && r.health == healthy && !r.expired
+	return r.entry.Ready && !leaving && r.health == healthy && !r.probing && !r.expired
 }
 
 // slots gives the slots to use, fewer while the replica starts slowly: a
@@ -156,7 +157,7 @@
 		s.count(upstream.ReasonBadAnnouncement)
 		return
 	}
-	s.applyChange(in.Announcement.Replica, change)
+	s.applyChange(in.Announcement.Replica, in.Announcement.Sequence, change)
 }
 
 func (in Reported) apply(s *Shard) {
@@ -165,13 +166,15 @@
 		s.count(upstream.ReasonBadAnnouncement)
 		return
 	}
-	s.applyChange(in.Digest.Replica, change)
+	s.applyChange(in.Digest.Replica, in.Digest.Sequence, change)
 }
 
-func (s *Shard) applyChange(id upstream.ReplicaID, change upstream.Change) {
+func (s *Shard) applyChange(id upstream.ReplicaID, sequence uint64, change upstream.Change) {
 	switch change {
 	case upstream.ChangeNone:
-		s.count(upstream.ReasonStaleAnnouncement)
+		if known := s.table.Get(id); known != nil && sequence != known.Sequence {
+			s.count(upstream.ReasonStaleAnnouncement) // late; a copy of the last one is usual
+		}
 		return
 	case upstream.ChangeJoin:
 		s.join(id)
