--- a/internal/ctl/submit.go
+++ b/internal/ctl/submit.go
@@ -47,7 +47,7 @@
 	if err != nil {
 		return err
 	}
-	deadline, err := parseDeadline(command.String("deadline"), time.Now())
+	deadline, fromNow, err := parseDeadline(command.String("deadline"), time.Now())
 	if err != nil {
 		return err
 	}
@@ -63,6 +63,11 @@
 		a.note("job key %s; to send the same job again: --key %s", key, key)
 	}
 	client := a.client(command)
+	if fromNow && command.IsSet("key") {
+		if deadline, err = deadlineOf(ctx, client, key, deadline); err != nil {
+			return err
+		}
+	}
 	var job jobStatus
 	_, err = client.send(ctx, http.MethodPost, jobsPath, createJob{
 		JobKey:        key,
@@ -88,18 +93,34 @@
 	return a.print(command, raw, func(w io.Writer) { writeJobs(w, []jobStatus{job}) })
 }
 
-// parseDeadline accepts RFC 3339 or a duration from now.
-func parseDeadline(text string, now time.Time) (string, error) {
+// deadlineOf gives the deadline of the job that has the key already, else the
+// new one. Sent again later, a time from now would be another deadline, and the
+// job that the first sending made would be refused as another job's.
+func deadlineOf(ctx context.Context, client *Client, key, otherwise string) (string, error) {
+	var jobs []jobStatus
+	if _, err := client.get(ctx, jobsPath, nil, &jobs); err != nil {
+		return "", err
+	}
+	for _, job := range jobs {
+		if job.JobKey == key {
+			return job.Deadline, nil
+		}
+	}
+	return otherwise, nil
+}
+
+// parseDeadline accepts RFC 3339 or a duration from now, and says which.
+func parseDeadline(text string, now time.Time) (deadline string, fromNow bool, err error) {
 	if text == "" {
-		return "", nil
+		return "", false, nil
 	}
-	if fromNow, err := time.ParseDuration(text); err == nil {
-		return now.Add(fromNow).UTC().Format(time.RFC3339), nil
+	if duration, err := time.ParseDuration(text); err == nil {
+		return now.Add(duration).UTC().Format(time.RFC3339), true, nil
 	}
 	if _, err := time.Parse(time.RFC3339, text); err != nil {
-		return "", &UsageError{Message: fmt.Sprintf("--deadline %q is neither RFC 3339, such as 2026-01-31T06:00:00Z, nor a time from now, such as 8h", text)}
+		return "", false, &UsageError{Message: fmt.Sprintf("--deadline %q is neither RFC 3339, such as 2026-01-31T06:00:00Z, nor a time from now, such as 8h", text)}
 	}
-	return text, nil
+	return text, false, nil
 }
 
 // openItems opens a file of items, or standard input if its name is -, and
