--- a/internal/keeper/command.go
+++ b/internal/keeper/command.go
@@ -8,9 +8,12 @@
 	"slateway.example/slateway/internal/team"
 )
 
-// configCommand is an entry in the log of the configuration group.
+// configCommand is an entry in the log of the configuration group: exactly one
+// operation.
 type configCommand struct {
-	Change *team.Change `cbor:"1,keyasint,omitempty"`
+	Change  *team.Change   `cbor:"1,keyasint,omitempty"`
+	Acquire *acquireTenure `cbor:"2,keyasint,omitempty"`
+	End     *endTenure     `cbor:"3,keyasint,omitempty"`
 }
 
 // command is an entry in the log of a job group: the time at which it was
@@ -49,7 +52,7 @@
 
 type leaseItems struct {
 	Session job.SessionID `cbor:"1,keyasint"`
-	Request string        `cbor:"2,keyasint"`
+	Request uint64        `cbor:"2,keyasint"`
 	Wants   []job.Want    `cbor:"3,keyasint"`
 }
 
@@ -64,4 +67,5 @@
 	Status  *job.Status   `cbor:"2,keyasint,omitempty"`
 	Leased  []job.Leased  `cbor:"3,keyasint,omitempty"`
 	Claim   *claim.Answer `cbor:"4,keyasint,omitempty"`
+	Taken   bool          `cbor:"5,keyasint,omitempty"` // of Leased: its request's number is used up
 }
--- a/internal/keeper/keeperclient/client.go
+++ b/internal/keeper/keeperclient/client.go
@@ -12,13 +12,17 @@
 	"slateway.example/slateway/internal/apierr"
 	"slateway.example/slateway/internal/keeper/keeperapi"
 	"slateway.example/slateway/internal/rpc"
+	"slateway.example/slateway/internal/telemetry"
 )
 
 const (
-	// attemptTimeout bounds one attempt, beside the wait of a long poll. A
-	// connection can go silent for good while new ones work; the call then goes
-	// to another keeper in place of waiting for its own deadline.
-	attemptTimeout = 3 * time.Second
+	// attemptTimeout bounds the first attempt, beside the wait of a long poll;
+	// it doubles with each further one up to maxAttemptTimeout, for keepers that
+	// are slow and not gone. A frozen keeper, or a connection that went silent
+	// for good, shows as no answer at all; the call then goes to another keeper
+	// in place of waiting for its own deadline.
+	attemptTimeout    = time.Second
+	maxAttemptTimeout = 8 * time.Second
 	// retryDelay is the pause before asking again; an election takes a few.
 	retryDelay    = 20 * time.Millisecond
 	maxRetryDelay = 320 * time.Millisecond
@@ -28,6 +32,7 @@
 type Client struct {
 	rpc       *rpc.Client
 	addresses []string
+	metrics   *telemetry.Metrics // nil: retries are not counted
 
 	mu      sync.Mutex
 	leaders map[uint32]string // last known, by group
@@ -40,13 +45,31 @@
 	return &Client{rpc: client, addresses: addresses, leaders: make(map[uint32]string)}
 }
 
+// CountRetries makes the client count its retries by reason. It is called
+// before the first call.
+func (c *Client) CountRetries(metrics *telemetry.Metrics) { c.metrics = metrics }
+
+// retried counts a retry. An error without a reason is a broken connection or a
+// keeper that did not answer.
+func (c *Client) retried(err error) {
+	if c.metrics == nil {
+		return
+	}
+	reason := keeperapi.ReasonUnavailable
+	var known *apierr.Error
+	if errors.As(err, &known) {
+		reason = known.Reason
+	}
+	c.metrics.Retried("keeper_" + reason)
+}
+
 // call sends a request to the leader of a group. Wait is how long the keeper
 // may hold it.
 func call[Req, Res any](ctx context.Context, c *Client, group uint32, wait time.Duration, p rpc.Procedure[Req, keeperapi.Reply[Res]], request *Req) (*Res, error) {
-	attempts := attempts{ran: apierr.RanNo, delay: retryDelay}
+	attempts := attempts{ran: apierr.RanNo, delay: retryDelay, timeout: attemptTimeout}
 	for ctx.Err() == nil {
 		address, hinted := c.target(group)
-		attempt, cancel := context.WithTimeout(ctx, attemptTimeout+wait)
+		attempt, cancel := context.WithTimeout(ctx, attempts.timeout+wait)
 		reply, err := rpc.Call(attempt, c.rpc, address, p, request)
 		cancel()
 		if err == nil && reply.NotLeader == nil {
@@ -64,6 +87,7 @@
 			return nil, err
 		}
 		attempts.note(err)
+		c.retried(err)
 		c.follow(group, address, "")
 		attempts.pause(ctx)
 	}
@@ -86,13 +110,15 @@
 
 // attempts keeps what is known of a call that is repeated.
 type attempts struct {
-	ran   apierr.Ran // whether a keeper may have acted on it
-	last  error
-	delay time.Duration
+	ran     apierr.Ran // whether a keeper may have acted on it
+	last    error
+	delay   time.Duration // before the next one
+	timeout time.Duration // of the next one
 }
 
 func (a *attempts) note(err error) {
 	a.last = err
+	a.timeout = min(2*a.timeout, maxAttemptTimeout)
 	// Without an answer the keeper may have committed the call before the
 	// connection broke.
 	if apierr.From(err).Ran != apierr.RanNo {
--- a/internal/keeper/service.go
+++ b/internal/keeper/service.go
@@ -17,6 +17,7 @@
 	"slateway.example/slateway/internal/quorum"
 	"slateway.example/slateway/internal/replica"
 	"slateway.example/slateway/internal/rpc"
+	"slateway.example/slateway/internal/telemetry"
 )
 
 // Options are what a Service needs. All but the durations must be set.
@@ -26,9 +27,11 @@
 	Config   *ConfigMachine
 	Jobs     []*JobMachine // of groups 1 and up
 	Log      *zap.Logger
+	Metrics  *telemetry.Metrics // nil: counted, but not shown
 
 	ConfigLease time.Duration // zero: DefaultConfigLease
 	SessionTTL  time.Duration // zero: DefaultSessionTTL
+	TenureTTL   time.Duration // zero: DefaultTenureTTL
 }
 
 // Defaults of Options.
@@ -39,6 +42,9 @@
 	// DefaultSessionTTL is long enough for a gate to find a new leader, and short
 	// beside the hours that batch jobs have.
 	DefaultSessionTTL = 10 * time.Second
+	// DefaultTenureTTL is how long a silent orderer keeps its place's engines
+	// from being ordered by another.
+	DefaultTenureTTL = 10 * time.Second
 )
 
 // Service answers the calls of gates and operators on one keeper. Run must run
@@ -51,6 +57,9 @@
 	mu       sync.Mutex
 	leading  []leadership // by group
 	lastTick time.Time
+
+	lastGauges time.Time              // of Run alone
+	tenures    map[string]heardTenure // by the name of the right
 }
 
 // NewService makes a service; Mount attaches it to a server.
@@ -58,14 +67,21 @@
 	if options.ConfigLease == 0 {
 		options.ConfigLease = DefaultConfigLease
 	}
+	if options.TenureTTL == 0 {
+		options.TenureTTL = DefaultTenureTTL
+	}
 	if options.SessionTTL == 0 {
 		options.SessionTTL = DefaultSessionTTL
 	}
+	if options.Metrics == nil {
+		options.Metrics = telemetry.NewMetrics()
+	}
 	return &Service{
 		options: options,
 		gates:   newGateLeases(),
 		parts:   newPartCache(),
 		leading: make([]leadership, options.Proposer.Groups()),
+		tenures: make(map[string]heardTenure),
 	}
 }
 
@@ -91,6 +107,7 @@
 	handle(s, mux, keeperapi.CompleteItems, s.completeItems)
 	handle(s, mux, keeperapi.Claim, s.claim)
 	handle(s, mux, keeperapi.FinishClaim, s.finishClaim)
+	handle(s, mux, keeperapi.AcquireTenure, s.acquireTenure)
 }
 
 // handle mounts one call and turns the errors of the replicated groups into
@@ -103,7 +120,9 @@
 			return &keeperapi.Reply[Res]{NotLeader: &keeperapi.NotLeader{Group: other.Group, Address: other.Address}}, nil
 		}
 		if err != nil {
-			return nil, s.callError(string(p), err)
+			refusal := s.callError(string(p), err)
+			s.options.Metrics.Refused(refusal.Reason)
+			return nil, refusal
 		}
 		return &keeperapi.Reply[Res]{Value: value}, nil
 	})
@@ -113,7 +132,7 @@
 // off in groups within a few syncs of the disk.
 const overloadRetry = 100 * time.Millisecond
 
-func (s *Service) callError(call string, err error) error {
+func (s *Service) callError(call string, err error) *apierr.Error {
 	var (
 		known      *apierr.Error
 		unknown    *replica.OutcomeUnknownError
