--- a/internal/replica/host_test.go
+++ b/internal/replica/host_test.go
@@ -191,6 +191,39 @@
 	}
 }
 
+// The disk under the leader hangs in a sync without an error. Its heartbeats go
+// on, so the others would follow it for good while every change that it takes
+// waits. It must give up its office; when the disk answers again, the member
+// catches up.
+func TestDiskOfTheLeaderHangs(t *testing.T) {
+	var hanging atomic.Pointer[string]
+	released := make(chan struct{})
+	release := sync.OnceFunc(func() { close(released) })
+	c := start(t, 3, 3, func(config *Config) {
+		name := config.VM
+		config.WAL.Create = func(path string) (wal.File, error) {
+			file, err := os.OpenFile(path, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+			return failSync{file, func() bool {
+				if target := hanging.Load(); target != nil && *target == name {
+					<-released
+				}
+				return false
+			}}, err
+		}
+	})
+	t.Cleanup(release)
+	c.change("first")
+	bad := c.leader()
+	hanging.Store(&bad.name)
+	c.change("second")
+	if c.leader() == bad {
+		t.Error("the VM with the hanging disk still leads")
+	}
+	hanging.Store(nil)
+	release()
+	c.expect(bad, "second")
+}
+
 // Something between the VMs loses track of their connections: they stay open
 // and nothing passes, while new ones work. The members must notice and open new
 // ones; without the bound on a call the group would stand still for good.
