--- a/internal/replica/group.go
+++ b/internal/replica/group.go
@@ -1,7 +1,6 @@
 package replica
 
 import (
-	"context"
 	"fmt"
 	"math/rand/v2"
 	"path/filepath"
@@ -53,23 +52,6 @@
 	snapshotBytes int
 }
 
-// proposal waits for its entry to be applied.
-type proposal struct {
-	term uint64
-	done chan outcome
-}
-
-type outcome struct {
-	result []byte
-	err    error
-}
-
-// read waits for a barrier: first for its index, then for that to be applied.
-type read struct {
-	index uint64 // zero until a majority has confirmed the leader
-	done  chan error
-}
-
 func openGroup(h *Host, id uint32) (*group, error) {
 	folder := filepath.Join(h.config.Folder, groupFolder, strconv.FormatUint(uint64(id), 10))
 	held, err := openStore(folder)
@@ -184,13 +166,6 @@
 	g.host.logger.Info("leadership", zap.Uint32("group", g.id), zap.Bool("leads", g.leads), zap.Uint64("term", g.node.Term()))
 }
 
-func (g *group) finishRead(id uint64, waiting *read) {
-	if waiting.index != 0 && waiting.index <= g.applied {
-		waiting.done <- nil
-		delete(g.reads, id)
-	}
-}
-
 func (g *group) step(m quorum.Message) outbound {
 	g.mu.Lock()
 	defer g.mu.Unlock()
@@ -208,121 +183,11 @@
 	return g.drain()
 }
 
-// giveUpWaiting ends the waits of a member that no longer leads. An entry that
-// was proposed here may still be committed by the next leader, so its proposer
-// first gets an election timeout in which to learn that.
-func (g *group) giveUpWaiting() {
-	if g.node.IsLeader() {
-		g.lostLead = 0
-		return
-	}
-	for id, waiting := range g.reads {
-		waiting.done <- g.notLeader()
-		delete(g.reads, id)
-	}
-	if len(g.proposals) == 0 {
-		g.lostLead = 0
-		return
-	}
-	g.lostLead++
-	if g.lostLead > g.host.config.ElectionTicks {
-		g.failProposals(errLeadershipLost)
-	}
-}
-
-func (g *group) failProposals(cause error) {
-	for index, waiting := range g.proposals {
-		waiting.done <- outcome{err: &OutcomeUnknownError{Group: g.id, Cause: cause}}
-		delete(g.proposals, index)
-	}
-}
-
-// notLeader names the leader that this member knows. It never names this VM,
-// which has just refused: a caller would come back at once, again and again.
-// The mutex is held.
-func (g *group) notLeader() error {
-	leader, _ := g.leader()
-	if leader.ID == g.host.self.ID {
-		leader = Member{}
-	}
-	return &NotLeaderError{Group: g.id, Leader: leader, Address: leader.Address}
-}
-
 func (g *group) leader() (Member, bool) {
 	member, ok := g.node.Membership().Find(g.node.Leader())
 	return Member{ID: member.ID, VM: member.VM, Address: member.Address}, ok
 }
 
-func (g *group) propose(ctx context.Context, data []byte) ([]byte, error) {
-	waiting, err := g.startProposal(data)
-	if err != nil {
-		return nil, err
-	}
-	select {
-	case result := <-waiting.done:
-		return result.result, result.err
-	case <-ctx.Done():
-		return nil, &OutcomeUnknownError{Group: g.id, Cause: ctx.Err()}
-	}
-}
-
-func (g *group) startProposal(data []byte) (*proposal, error) {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	if err := g.host.stopped(); err != nil {
-		return nil, err
-	}
-	if limit := g.host.config.MaxProposals; len(g.proposals) >= limit {
-		return nil, &OverloadedError{Group: g.id, Limit: limit}
-	}
-	index, term, err := g.node.Propose(data)
-	if err != nil {
-		return nil, g.notLeader()
-	}
-	if older := g.proposals[index]; older != nil {
-		// Its entry was overwritten by a newer leader before this VM led again.
-		older.done <- outcome{err: g.notLeader()}
-	}
-	waiting := &proposal{term: term, done: make(chan outcome, 1)}
-	g.proposals[index] = waiting
-	g.flush()
-	return waiting, nil
-}
-
-func (g *group) readBarrier(ctx context.Context) error {
-	id, waiting, err := g.startRead()
-	if err != nil {
-		return err
-	}
-	select {
-	case err := <-waiting.done:
-		return err
-	case <-ctx.Done():
-		g.mu.Lock()
-		defer g.mu.Unlock()
-		delete(g.reads, id)
-		return fmt.Errorf("read barrier of group %d: %w", g.id, ctx.Err())
-	}
-}
-
-func (g *group) startRead() (uint64, *read, error) {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	if err := g.host.stopped(); err != nil {
-		return 0, nil, err
-	}
-	g.nextRead++
-	id := g.nextRead
-	waiting := &read{done: make(chan error, 1)}
-	g.reads[id] = waiting
-	if err := g.node.Read(id); err != nil {
-		delete(g.reads, id)
-		return 0, nil, g.notLeader()
-	}
-	g.flush()
-	return id, waiting, nil
-}
-
 // run does the work that the decision hands out, until the host stops.
 func (g *group) run(stop <-chan struct{}) {
 	for {
@@ -438,109 +303,3 @@
 		g.finishRead(id, waiting)
 	}
 }
-
-// finishProposal answers the proposer of the entry's index. An entry of another
-// term there proves that its own was overwritten and never committed.
-func (g *group) finishProposal(entry quorum.Entry, result []byte) {
-	waiting := g.proposals[entry.Index]
-	if waiting == nil {
-		return
-	}
-	delete(g.proposals, entry.Index)
-	if waiting.term != entry.Term {
-		waiting.done <- outcome{err: g.notLeader()}
-		return
-	}
-	waiting.done <- outcome{result: result}
-}
-
-func (g *group) snapshotIfDue() error {
-	config := g.host.config
-	bytes, oldest, several := g.host.log.Size()
-	// A quiet group must not keep old segments for good.
-	pinning := several && oldest == g.id && bytes > 4*config.SnapshotBytes
-	due := g.sinceSnapshot >= config.SnapshotEntries || g.bytesSince >= config.SnapshotBytes
-	if g.sinceSnapshot == 0 || !due && !pinning {
-		return nil
-	}
-	return g.snapshot()
-}
-
-// snapshot makes the state durable and lets go of the log before it.
-func (g *group) snapshot() error {
-	taken, err := g.machine.Snapshot()
-	if err != nil {
-		return fmt.Errorf("snapshot: %w", err)
-	}
-	g.mu.Lock()
-	meta, ok := g.node.MetaAt(g.applied)
-	g.mu.Unlock()
-	if !ok {
-		return nil // a snapshot of the leader has just replaced the log
-	}
-	stored := storedSnapshot{Meta: meta, State: taken.State, Files: taken.Files}
-	bytes, err := g.store.save(stored)
-	if err != nil {
-		return err
-	}
-	g.mu.Lock()
-	_, err = g.node.Compact(meta.Index, g.entriesToKeep(meta.Index))
-	g.status = groupCounters{snapshotIndex: meta.Index, snapshotBytes: bytes}
-	g.mu.Unlock()
-	if err != nil {
-		return nil // as above: the newer snapshot follows in the next cycle
-	}
-	stored.State = nil
-	g.installed = stored
-	g.sinceSnapshot, g.bytesSince = 0, 0
-	g.host.config.Metrics.Count(metricSnapshots)
-	g.host.logger.Debug("snapshot", zap.Uint32("group", g.id), zap.Uint64("index", meta.Index), zap.Int("bytes", bytes))
-	return g.host.log.Release(g.id, meta.Index)
-}
-
-// entriesToKeep gives how many entries before a snapshot stay in memory. Those
-// after a snapshot that is being sent must, and those that a slower member has
-// not acknowledged: without them it would need another snapshot, for as long as
-// the changes go on faster than a transfer. The mutex is held.
-func (g *group) entriesToKeep(index uint64) uint64 {
-	needed := g.node.NeededAfter()
-	for _, sent := range g.sending {
-		needed = min(needed, sent)
-	}
-	keep := max(g.host.config.KeepEntries, index-min(index, needed))
-	return min(keep, maxKeptEntries)
-}
-
-// install puts a snapshot that has arrived in full in place of the state.
-func (g *group) install(meta quorum.SnapshotMeta) error {
-	if err := g.staging.handOver(g.store.path(installFolder)); err != nil {
-		return err
-	}
-	if err := g.store.finishInstall(); err != nil {
-		return err
-	}
-	stored, err := g.store.load()
-	if err != nil {
-		return err
-	}
-	if stored.Meta.Index != meta.Index {
-		return fmt.Errorf("installed a snapshot at %d where %d was announced", stored.Meta.Index, meta.Index)
-	}
-	if err := g.machine.Restore(Snapshot{State: stored.State, Files: stored.Files}); err != nil {
-		return fmt.Errorf("restore: %w", err)
-	}
-	stored.State = nil
-	g.installed = stored
-	g.sinceSnapshot, g.bytesSince = 0, 0
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	g.applied = meta.Index
-	g.status.snapshotIndex = meta.Index
-	for index, waiting := range g.proposals {
-		if index <= meta.Index {
-			waiting.done <- outcome{err: &OutcomeUnknownError{Group: g.id, Cause: errLeadershipLost}}
-			delete(g.proposals, index)
-		}
-	}
-	return nil
-}
