--- a/internal/keeper/measure_test.go
+++ b/internal/keeper/measure_test.go
@@ -16,6 +16,7 @@
 	"go.uber.org/zap"
 	"golang.org/x/sync/errgroup"
 
+	"slateway.example/slateway/internal/claim"
 	"slateway.example/slateway/internal/job"
 	"slateway.example/slateway/internal/keeper"
 	"slateway.example/slateway/internal/keeper/keeperclient"
@@ -182,6 +183,32 @@
 	}
 }
 
+// BenchmarkClaim measures what the claim of a non-idempotent online request adds
+// before it is sent, and its report afterwards, through 3 keepers.
+func BenchmarkClaim(b *testing.B) {
+	client := keepertest.StartCluster(b, 3, measuredGroups, nil).Client()
+	session := client.NewSession("vm-gate")
+	ctx := context.Background()
+	var claiming, reporting time.Duration
+	n := 0
+	for b.Loop() {
+		n++
+		id := fmt.Sprint("request-", n)
+		started := time.Now()
+		if _, err := session.Claim(ctx, "registry", id, 1, id); err != nil {
+			b.Fatal(err)
+		}
+		claimed := time.Now()
+		if err := session.FinishClaim(ctx, claim.Finish{Team: "registry", Key: id, ID: id, Outcome: make([]byte, bodyBytes)}); err != nil {
+			b.Fatal(err)
+		}
+		claiming += claimed.Sub(started)
+		reporting += time.Since(claimed)
+	}
+	b.ReportMetric(float64(claiming.Microseconds())/float64(n), "µs/claim")
+	b.ReportMetric(float64(reporting.Microseconds())/float64(n), "µs/report")
+}
+
 // openMachine serves one job group without a log.
 func openMachine(b *testing.B) (*keeper.JobMachine, *keeperclient.Client) {
 	machine := keeper.NewJobMachine(b.TempDir(), func(err error) { panic(err) })
