Restart every gate with answers that outlive a hasty stop

With answers of 1 s the test stayed green when a gate stopped without waiting for them: stopping alone took that long.

--- a/test/rolling_test.go
+++ b/test/rolling_test.go
@@ -183,7 +183,11 @@
 	// and read streams all the while. None of them may see an error or half an
 	// answer, and each VM must end by itself with 0.
 	It("see nothing of a restart of every gate in turn", func(ctx SpecContext) {
-		fleet, _ := startGuild(ctx, 3, "--token-every", streamPace, "--slots", "16")
+		// Answers live longer than a daemon takes to stop without waiting for them.
+		options := threeVMs()
+		options.Settings = strings.Replace(options.Settings, `answer_lifetime = "1s"`, `answer_lifetime = "4s"`, 1)
+		Expect(options.Settings).To(ContainSubstring(`"4s"`))
+		fleet, _ := startSite(ctx, options, 3, "--token-every", streamPace, "--slots", "16")
 		reading, stop := context.WithCancel(ctx)
 		defer stop()
 		running := startReaders(reading, fleet)
