Ask upstreams to announce less often to a gate that has many

An announcement takes 676 bytes with its answer (capacity announcement): 13 each second are 8.8 KB/s, more than half of a gate's allowance. The answer now asks for a quarter of a second for each replica that announces to the gate, at least one second and at most half of the lifetime: 3 s and 2.9 KB/s at the planned size. The stand-ins announce at their own pace and are not changed by it.

--- a/internal/api/upstreams.go
+++ b/internal/api/upstreams.go
@@ -14,11 +14,9 @@
 	Announce(a upstream.Announcement) error
 	CacheEvent(service string, e upstream.CacheEvent)
 	Upstreams() []proxy.Replica
+	AnnounceEvery() time.Duration
 }
 
-// announceInterval is how often upstreams are asked to announce themselves.
-const announceInterval = time.Second
-
 type upstreamsService struct{ *Server }
 
 // Announce takes in what an upstream says of itself.
@@ -26,7 +24,7 @@
 	if err := s.options.Router.Announce(announcement(payload)); err != nil {
 		return nil, err
 	}
-	return &upstreams.AnnounceResult{IntervalMs: announceInterval.Milliseconds()}, nil
+	return &upstreams.AnnounceResult{IntervalMs: s.options.Router.AnnounceEvery().Milliseconds()}, nil
 }
 
 func announcement(payload *upstreams.Announcement) upstream.Announcement {
--- a/internal/gate/exchange/exchange.go
+++ b/internal/gate/exchange/exchange.go
@@ -128,6 +128,24 @@
 	return nil
 }
 
+// Announcements take some 700 bytes of a gate's allowance each.
+const (
+	leastAnnounceInterval = time.Second
+	announceIntervalPer   = 250 * time.Millisecond // for each replica that announces here
+	// announcesPerLifetime leaves room for a lost announcement.
+	announcesPerLifetime = 2
+)
+
+// AnnounceEvery gives how often a replica is to announce itself to this gate:
+// each second while few do, less often with more, so that the bytes of all stay
+// bounded. What cannot wait, readiness and leaving, replicas announce at once.
+func (e *Exchange) AnnounceEvery() time.Duration {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	wanted := time.Duration(len(e.direct)) * announceIntervalPer
+	return max(leastAnnounceInterval, min(wanted, e.options.DirectLifetime/announcesPerLifetime))
+}
+
 // CacheEvent passes a cache event on to the router; such hints are not spread.
 func (e *Exchange) CacheEvent(service string, event upstream.CacheEvent) {
 	e.router.CacheEvent(service, event)
--- a/internal/gate/exchange/exchange_test.go
+++ b/internal/gate/exchange/exchange_test.go
@@ -166,6 +166,7 @@
 		busy.Running, busy.Queued = 31, 2
 		g.Expect(e.Announce(busy)).To(Succeed())
 	}
+	g.Expect(e.AnnounceEvery()).To(Equal(13 * 250 * time.Millisecond))
 	run(t, e)
 	size := func() int {
 		one.mu.Lock()
