--- a/cmd/experiment/report.go
+++ b/cmd/experiment/report.go
@@ -23,6 +23,7 @@
 	BatchRate   float64          `json:"batch_items_per_second"`
 	IdleShare   float64          `json:"idle_share"` // of the capacity that online left over
 	LostEngines int              `json:"lost_engines"`
+	MachineLoad string           `json:"machine_load"` // load average over a minute, at the end
 	Counters    map[string]int64 `json:"counters"` // of all gates that lived to the end
 	Curve       []float64        `json:"first_token_curve_ms"`
 }
@@ -36,6 +37,7 @@
 		BatchItems:  items,
 		BatchRate:   items / online.Seconds,
 		LostEngines: lost,
+		MachineLoad: machineLoad(),
 		Counters:    counters,
 		Curve:       recorder.FirstTokenCurve(curveQuantiles()),
 	}
@@ -45,6 +47,14 @@
 	return result
 }
 
+// machineLoad gives the machine's load average over the last minute: figures
+// from a machine that is busy otherwise say little.
+func machineLoad() string {
+	content, _ := os.ReadFile("/proc/loadavg")
+	minute, _, _ := strings.Cut(string(content), " ")
+	return minute
+}
+
 // report is a whole experiment.
 type report struct {
 	Command  string  `json:"command"`
@@ -89,11 +99,11 @@
 	fmt.Fprintf(out, "\n%s, policy %s, %d gates, seed %d, capacity %.0f requests/s, online %.0f%% of it for %s\n",
 		r.Workload, r.Policy, r.Gates, r.Seed, r.Capacity, 100*r.Share, r.Length)
 	table := tabwriter.NewWriter(out, 0, 8, 2, ' ', tabwriter.AlignRight)
-	fmt.Fprintln(table, "fault\tmode\toffered\tanswered\tmedian ms\tp95\tp99\tp99.9\tp99 ratio\titems/s\tof idle\tengines lost\t")
+	fmt.Fprintln(table, "fault\tmode\toffered\tanswered\tmedian ms\tp95\tp99\tp99.9\tp99 ratio\titems/s\tof idle\tengines lost\tload\t")
 	for _, c := range r.Cells {
 		first := c.Online.FirstToken
-		fmt.Fprintf(table, "%s\t%s\t%d\t%d\t%.1f\t%.1f\t%.1f\t%.1f\t%.2f\t%.1f\t%.0f%%\t%d\t\n", c.Fault, c.Mode, c.Online.Offered, c.Online.Answered,
-			first.Median, first.P95, first.P99, first.P999, c.P99Ratio, c.BatchRate, 100*c.IdleShare, c.LostEngines)
+		fmt.Fprintf(table, "%s\t%s\t%d\t%d\t%.1f\t%.1f\t%.1f\t%.1f\t%.2f\t%.1f\t%.0f%%\t%d\t%s\t\n", c.Fault, c.Mode, c.Online.Offered, c.Online.Answered,
+			first.Median, first.P95, first.P99, first.P999, c.P99Ratio, c.BatchRate, 100*c.IdleShare, c.LostEngines, c.MachineLoad)
 	}
 	table.Flush()
 }
