--- a/cmd/experiment/report.go
+++ b/cmd/experiment/report.go
@@ -24,7 +24,7 @@
 	IdleShare   float64          `json:"idle_share"` // of the capacity that online left over
 	LostEngines int              `json:"lost_engines"`
 	MachineLoad string           `json:"machine_load"` // load average over a minute, at the end
-	Counters    map[string]int64 `json:"counters"` // of all gates that lived to the end
+	Counters    map[string]int64 `json:"counters"`     // of all gates that lived to the end
 	Curve       []float64        `json:"first_token_curve_ms"`
 }
 
