Give batch items back that wait in a gate which feeds no replica for them

Symptom: a job of 30 items stood at 11 for good, all engines idle; the new test of slatectl timed out in three runs of the whole suite. A dump of the feeding gate showed it waiting for work; the counters of another showed 11 items begun and none done. At its start that gate had not heard of the others, took the replica for its own and leased items for it; then it learned who feeds the replica, and its items waited where nothing would start them. Such items are now given back after 1 s. The trace items_not_fed is red without the guard; the test passes in three of three runs (8.4 to 8.7 s).

--- a/Makefile
+++ b/Makefile
@@ -6,10 +6,15 @@
 build:
 	$(GO) build -o bin/ ./cmd/...
 
-# test runs everything that must pass before a commit lands.
+# PROCESSES is how many tests of whole processes run at a time.
+PROCESSES ?= 4
+
+# test runs everything that must pass before a commit lands. The tests of whole
+# processes mostly wait, so several of them run beside each other.
 test:
 	$(GO) vet ./...
-	$(GO) test -race -timeout 8m ./...
+	$(GO) test -race -timeout 8m $$($(GO) list ./... | grep -v '/test$$')
+	$(GO) tool ginkgo -race -procs $(PROCESSES) -timeout 8m ./test
 
 lint:
 	@unformatted=$$($(GO) tool -modfile=tools/go.mod gofumpt -l $$(git ls-files '*.go' | grep -v '^gen/')); \
--- a/internal/route/batch.go
+++ b/internal/route/batch.go
@@ -83,6 +83,34 @@
 		"the gate is shutting down").WithRan(req.ran())
 }
 
+// unfedLimit is how long a batch item waits in a gate that feeds no replica for
+// it. Who feeds a replica may change for a moment as gates come and go.
+const unfedLimit = time.Second
+
+// checkUnfed gives waiting batch items back that this gate cannot start.
+//
+// A gate that starts up takes all replicas for its own until it has heard of
+// the others, and leases items for them; a gate that joins takes replicas over
+// from one that holds items for them. Those items would wait here for good, and
+// their job would stop short of its end though every replica is idle.
+func (s *Shard) checkUnfed() {
+	if s.config.Disabled.Unfed {
+		return
+	}
+	s.rebuild()
+	for _, req := range slices.Clone(s.batch.list) {
+		switch {
+		case slices.ContainsFunc(s.fed, func(r *replica) bool { return r.serves(req) }):
+			req.unfedAt = time.Time{}
+		case req.unfedAt.IsZero():
+			req.unfedAt = s.at
+		case s.at.Sub(req.unfedAt) >= unfedLimit && (req.Repeatable || !req.maybeRan):
+			s.refuse(req, apierr.New(apierr.Unavailable, ReasonNotFed, "run the item through another gate",
+				"another gate feeds the replicas that could run the item").WithRan(req.ran()))
+		}
+	}
+}
+
 func (s *Shard) admitBatch(req *request) *apierr.Error {
 	if s.draining {
 		return drainingError(req)
--- a/internal/route/config.go
+++ b/internal/route/config.go
@@ -44,7 +44,7 @@
 
 // Guards names protections that a test can switch off one by one.
 type Guards struct {
-	Leaving, Probe, Silence, Poison, Holder, Trial, Copies, Preempt, Yield, Feeder, Budget, Retry, Settle bool
+	Leaving, Probe, Silence, Poison, Holder, Trial, Copies, Preempt, Yield, Feeder, Budget, Retry, Settle, Unfed bool
 }
 
 // Defaults of Config.
--- a/internal/route/reasons.go
+++ b/internal/route/reasons.go
@@ -18,6 +18,7 @@
 	ReasonRetryBudget     apierr.Reason = "retry_budget_spent"     // too many retries of late
 	ReasonCannotResume    apierr.Reason = "stream_cannot_resume"   // part was delivered, no replica can go on
 	ReasonDraining        apierr.Reason = "draining"               // the gate is shutting down
+	ReasonNotFed          apierr.Reason = "not_fed_here"           // another gate feeds the replicas that could run the item
 	ReasonDuplicateID     apierr.Reason = "request_id_in_progress" // the same request ID runs already
 )
 
--- a/internal/route/shard.go
+++ b/internal/route/shard.go
@@ -62,6 +62,7 @@
 	awaiting  *replica      // a probe of it decides before the next attempt
 	since     time.Time     // when it began to await
 	verdict   *apierr.Error // its final answer, held back until then; nil: it is tried again
+	unfedAt   time.Time     // of a waiting batch item: since when this gate feeds no replica for it
 }
 
 func (r *request) avoidReplica(id upstream.ReplicaID) {
--- a/internal/route/tick.go
+++ b/internal/route/tick.go
@@ -20,6 +20,7 @@
 	}
 	s.checkVerdicts()
 	s.checkWaiting()
+	s.checkUnfed()
 	s.checkHedges()
 	s.strikes.Expire(s.at)
 	s.expireCopies()
