--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -7,8 +7,6 @@
 	"context"
 	"errors"
 	"fmt"
-	"net/http"
-	"time"
 
 	"go.uber.org/zap"
 
@@ -37,7 +35,7 @@
 // New makes the parts; Run starts them.
 func New(s settings.Settings, log *zap.Logger) (*Daemon, error) {
 	d := &Daemon{settings: s, log: log, metrics: telemetry.NewMetrics()}
-	d.calls = rpc.NewClient(peerClient(s.Timeouts.Dial, d.metrics))
+	d.calls = rpc.NewClient(peerClient(&s, d.metrics))
 	if s.Is(settings.RoleKeeper) {
 		keeper, err := newKeeperRole(&s, log, d.metrics)
 		if err != nil {
@@ -66,26 +64,6 @@
 	return d.keeper.host
 }
 
-const (
-	// peerIdleTimeout is how long an idle connection to another process is kept.
-	peerIdleTimeout = 30 * time.Second
-	// peersCounter names the counters of bytes between the project's processes.
-	peersCounter = "peers"
-	// maxPeerConnections bounds the idle connections to one process.
-	maxPeerConnections = 32
-)
-
-// peerClient makes the HTTP client for calls to the project's own processes.
-// Deadlines come with each call. Its bytes are counted with those of the peers
-// listener: they are what control costs.
-func peerClient(dialTimeout time.Duration, metrics *telemetry.Metrics) *http.Client {
-	return &http.Client{Transport: &http.Transport{
-		DialContext:         metrics.CountDial(peersCounter, dialer(dialTimeout).DialContext),
-		MaxIdleConnsPerHost: maxPeerConnections,
-		IdleConnTimeout:     peerIdleTimeout,
-	}}
-}
-
 // Run serves until ctx ends, then drains: the gate finishes what is in
 // progress, and only then the keeper and the listeners stop.
 func (d *Daemon) Run(ctx context.Context) error {
--- a/internal/daemon/keeper.go
+++ b/internal/daemon/keeper.go
@@ -52,7 +52,7 @@
 		SnapshotEntries: uint64(s.Quorum.SnapshotEntries),
 		ReplaceAfter:    s.Quorum.ReplaceAfter,
 		Logger:          log,
-		Client:          peerClient(s.Timeouts.Dial, metrics),
+		Client:          peerClient(s, metrics),
 	})
 	if err != nil {
 		return nil, err
--- a/internal/daemon/listen.go
+++ b/internal/daemon/listen.go
@@ -18,10 +18,6 @@
 	shutdownTimeout = 2 * time.Second
 )
 
-func dialer(timeout time.Duration) *net.Dialer {
-	return &net.Dialer{Timeout: timeout, KeepAlive: 15 * time.Second}
-}
-
 // listener is one HTTP server on one address.
 type listener struct {
 	server *http.Server
--- a/test/harness/fleet.go
+++ b/test/harness/fleet.go
@@ -68,7 +68,6 @@
 	network string // first three numbers of all addresses
 
 	mu        sync.Mutex
-	processes map[int]string // names of VMs by process ID, also of ended ones
 	upstreams []*Upstream
 	relays    int
 	closers   []func() error
@@ -99,7 +98,7 @@
 	if err != nil {
 		return nil, err
 	}
-	fleet := &Fleet{Folder: folder, Programs: programs, options: options, network: network, processes: map[int]string{}}
+	fleet := &Fleet{Folder: folder, Programs: programs, options: options, network: network}
 	for i, vm := range options.VMs {
 		fleet.VMs = append(fleet.VMs, fleet.newVM(i, vm))
 	}
@@ -156,9 +155,6 @@
 		return err
 	}
 	v.Process = process
-	v.fleet.mu.Lock()
-	v.fleet.processes[process.PID()] = v.Name
-	v.fleet.mu.Unlock()
 	return nil
 }
 
--- a/test/harness/partition.go
+++ b/test/harness/partition.go
@@ -1,14 +1,10 @@
 package harness
 
 import (
-	"bufio"
 	"fmt"
 	"net"
 	"net/netip"
-	"os"
-	"path/filepath"
 	"slices"
-	"strings"
 
 	"slateway.example/slateway/standin/link"
 )
@@ -81,70 +77,17 @@
 	return ""
 }
 
-// streamSource names the VM that opened a connection. All connections come from
-// 127.0.0.1 here, so the name is found by the process that owns the socket.
+// streamSource names the VM that opened a connection: daemons connect to each
+// other from the IP address that they listen on.
 func (f *Fleet) streamSource(conn net.Conn) string {
-	inode, err := inodeOf(conn.RemoteAddr().String(), conn.LocalAddr().String())
+	address, err := netip.ParseAddrPort(conn.RemoteAddr().String())
 	if err != nil {
 		return ""
 	}
-	f.mu.Lock()
-	processes := make(map[int]string, len(f.processes))
-	for pid, name := range f.processes {
-		processes[pid] = name
-	}
-	f.mu.Unlock()
-	wanted := "socket:[" + inode + "]"
-	for pid, name := range processes {
-		descriptors, _ := filepath.Glob(fmt.Sprintf("/proc/%d/fd/*", pid))
-		for _, descriptor := range descriptors {
-			if target, err := os.Readlink(descriptor); err == nil && target == wanted {
-				return name
-			}
+	for _, vm := range f.VMs {
+		if address.Addr().String() == vm.IP {
+			return vm.Name
 		}
 	}
 	return ""
 }
-
-// Columns of /proc/net/tcp.
-const (
-	columnLocal  = 1
-	columnRemote = 2
-	columnInode  = 9
-)
-
-// inodeOf finds the socket with a local and a remote address. The local one
-// alone is not enough: connections to other addresses may share its port.
-func inodeOf(local, remote string) (string, error) {
-	wantedLocal, err := tableAddress(local)
-	if err != nil {
-		return "", err
-	}
-	wantedRemote, err := tableAddress(remote)
-	if err != nil {
-		return "", err
-	}
-	file, err := os.Open("/proc/net/tcp")
-	if err != nil {
-		return "", err
-	}
-	defer file.Close()
-	lines := bufio.NewScanner(file)
-	for lines.Scan() {
-		fields := strings.Fields(lines.Text())
-		if len(fields) > columnInode && fields[columnLocal] == wantedLocal && fields[columnRemote] == wantedRemote {
-			return fields[columnInode], nil
-		}
-	}
-	return "", fmt.Errorf("no socket connects %s to %s", local, remote)
-}
-
-// tableAddress writes an IP:port as /proc/net/tcp does.
-func tableAddress(text string) (string, error) {
-	address, err := netip.ParseAddrPort(text)
-	if err != nil {
-		return "", err
-	}
-	ip := address.Addr().As4()
-	return fmt.Sprintf("%02X%02X%02X%02X:%04X", ip[3], ip[2], ip[1], ip[0], address.Port()), nil
-}
