--- a/test/api_test.go
+++ b/test/api_test.go
@@ -107,6 +107,7 @@
 		Message string `json:"message"`
 		Reason  string `json:"reason"`
 		Ran     string `json:"ran"`
+		Remedy  string `json:"remedy"`
 	} `json:"error"`
 }
 
