--- a/internal/gate/proxy/online.go
+++ b/internal/gate/proxy/online.go
@@ -8,6 +8,7 @@
 
 	"slateway.example/slateway/internal/apierr"
 	"slateway.example/slateway/internal/route"
+	"slateway.example/slateway/internal/telemetry"
 	"slateway.example/slateway/internal/upstream"
 )
 
@@ -97,13 +98,13 @@
 	w.Header().Set(HeaderRequestID, request.ID)
 	request.Kind = f.kind()
 	if err := f.check(); err != nil {
-		r.options.Metrics.Count(string(err.Reason))
+		r.options.Metrics.Count(telemetry.RefusedPrefix + string(err.Reason))
 		apierr.WriteHTTP(w, err)
 		return
 	}
 	s := r.find(service)
 	if s == nil {
-		r.options.Metrics.Count(string(route.ReasonNoUpstream))
+		r.options.Metrics.Count(counterName(route.ReasonNoUpstream))
 		apierr.WriteHTTP(w, unknownService(service))
 		return
 	}
--- a/internal/gate/proxy/proxy_test.go
+++ b/internal/gate/proxy/proxy_test.go
@@ -177,7 +177,7 @@
 			Expect(whole).To(BeTrue())
 			Expect(text).To(Equal(words(6)))
 		}
-		Expect(g.count("retry_silent")()).To(BeNumerically(">", 0))
+		Expect(g.count("retried.silent")()).To(BeNumerically(">", 0))
 	})
 
 	It("never passes on the answer to another request", func() {
@@ -189,7 +189,7 @@
 			Expect(status).To(Equal(http.StatusOK))
 			Expect(plainText(data)).To(Equal(words(3)))
 		}
-		Expect(g.count("retry_mismatch")()).To(BeNumerically(">", 0))
+		Expect(g.count("retried.mismatch")()).To(BeNumerically(">", 0))
 	})
 
 	It("does not repeat a request that may have run, and says so", func() {
--- a/internal/gate/proxy/shard.go
+++ b/internal/gate/proxy/shard.go
@@ -101,7 +101,7 @@
 		case route.Spread:
 			ready = s.spread(o.Strikes)
 		case route.Count:
-			s.router.options.Metrics.Count(string(o.Reason))
+			s.router.options.Metrics.Count(counterName(o.Reason))
 		}
 	}
 }
--- a/internal/keeper/service.go
+++ b/internal/keeper/service.go
@@ -110,6 +110,11 @@
 	handle(s, mux, keeperapi.AcquireTenure, s.acquireTenure)
 }
 
+// refusedPrefix begins the counters of refused calls. They stand apart from the
+// refusals that gates and operators' listeners count: those pass a keeper's
+// refusal on, and on a VM with both roles it would count twice.
+const refusedPrefix = "keeper.refused."
+
 // handle mounts one call and turns the errors of the replicated groups into
 // replies and typed errors.
 func handle[Req, Res any](s *Service, mux *http.ServeMux, p rpc.Procedure[Req, keeperapi.Reply[Res]], fn func(context.Context, *Req) (*Res, error)) {
@@ -122,7 +127,7 @@
 		if err != nil {
 			refusal := s.callError(string(p), err)
 			if !errors.Is(ctx.Err(), context.Canceled) { // else the caller has left: nobody is refused
-				s.options.Metrics.Refused(refusal.Reason)
+				s.options.Metrics.Count(refusedPrefix + string(refusal.Reason))
 			}
 			return nil, refusal
 		}
--- a/internal/route/reasons.go
+++ b/internal/route/reasons.go
@@ -1,6 +1,10 @@
 package route
 
-import "slateway.example/slateway/internal/apierr"
+import (
+	"slices"
+
+	"slateway.example/slateway/internal/apierr"
+)
 
 // Reasons of refusals. Each ends the request at once.
 const (
@@ -34,3 +38,26 @@
 	ReasonEntryExpired    apierr.Reason = "upstream_expired"
 	ReasonBatchBehind     apierr.Reason = "online_queued_at_engine"
 )
+
+// refusals are the reasons that end a request.
+var refusals = []apierr.Reason{
+	ReasonNoUpstream,
+	ReasonNoReadyUpstream,
+	ReasonQueueFull,
+	ReasonWaitTooLong,
+	ReasonDeadline,
+	ReasonTeamInFlight,
+	ReasonTeamRate,
+	ReasonPoison,
+	ReasonSuspect,
+	ReasonUpstreamFailed,
+	ReasonAttemptsSpent,
+	ReasonRetryBudget,
+	ReasonCannotResume,
+	ReasonDraining,
+	ReasonNotFed,
+	ReasonDuplicateID,
+}
+
+// IsRefusal reports whether a counted reason is one that ended a request.
+func IsRefusal(reason apierr.Reason) bool { return slices.Contains(refusals, reason) }
