--- a/client/client.go
+++ b/client/client.go
@@ -60,7 +60,11 @@
 type Client struct {
 	options   Options
 	transport *http.Transport
-	entries   entryCache
+	// fresh opens a connection for each request that may not be sent again. On a
+	// pooled one whose gate is killed at that moment the request fails after it
+	// was written, and whether it ran is not known; a new one is refused.
+	fresh   *http.Transport
+	entries entryCache
 }
 
 // New makes a Client.
@@ -80,14 +84,14 @@
 		options.MaxReplayBytes = DefaultMaxReplayBytes
 	}
 	dialer := &net.Dialer{Timeout: options.DialTimeout, KeepAliveConfig: keepAlive}
-	return &Client{
-		options: options,
-		transport: &http.Transport{
-			DialContext:         dialer.DialContext,
-			MaxIdleConnsPerHost: 64,
-			IdleConnTimeout:     idleTimeout,
-		},
-	}, nil
+	pooled := &http.Transport{
+		DialContext:         dialer.DialContext,
+		MaxIdleConnsPerHost: 64,
+		IdleConnTimeout:     idleTimeout,
+	}
+	fresh := pooled.Clone()
+	fresh.DisableKeepAlives = true
+	return &Client{options: options, transport: pooled, fresh: fresh}, nil
 }
 
 // HTTPClient gives an http.Client whose requests go to gates.
--- a/client/roundtrip.go
+++ b/client/roundtrip.go
@@ -107,7 +107,11 @@
 // there is a response, or failure tells why not.
 func (r *run) try(address string, last bool) (response *http.Response, done bool) {
 	var connected atomic.Bool
-	response, err := r.client.transport.RoundTrip(r.build(address, &connected))
+	transport := r.client.transport
+	if !r.repeatable {
+		transport = r.client.fresh
+	}
+	response, err := transport.RoundTrip(r.build(address, &connected))
 	if err != nil {
 		r.failures = append(r.failures, fmt.Errorf("gate %s: %w", address, err))
 		if r.request.Context().Err() == nil {
