--- a/internal/api/errors.go
+++ b/internal/api/errors.go
@@ -11,12 +11,6 @@
 	"slateway.example/slateway/internal/apierr"
 )
 
-// Reasons of refusals that the API layer itself gives.
-const (
-	ReasonMalformed    apierr.Reason = "malformed_request"
-	ReasonBodyTooLarge apierr.Reason = "body_too_large"
-)
-
 type headerKey struct{}
 
 // withResponseHeader lets the error formatter reach the response's headers:
@@ -51,13 +45,13 @@
 func asError(err error) *apierr.Error {
 	var tooLarge *http.MaxBytesError
 	if errors.As(err, &tooLarge) {
-		return apierr.New(apierr.TooLarge, ReasonBodyTooLarge,
+		return apierr.New(apierr.TooLarge, apierr.ReasonBodyTooLarge,
 			"send a smaller body or ask the operators to raise limits.max_body_bytes",
 			"the body is over the limit of %d bytes", tooLarge.Limit)
 	}
 	var service *goa.ServiceError
 	if errors.As(err, &service) {
-		return apierr.New(apierr.Invalid, ReasonMalformed, "correct the request as the message says", "%s", service.Message)
+		return apierr.New(apierr.Invalid, apierr.ReasonMalformed, "correct the request as the message says", "%s", service.Message)
 	}
 	return apierr.From(err)
 }
--- a/internal/api/jobs.go
+++ b/internal/api/jobs.go
@@ -16,13 +16,6 @@
 	"slateway.example/slateway/internal/team"
 )
 
-// Reasons of refused job calls.
-const (
-	ReasonUnknownModel apierr.Reason = "unknown_model"
-	ReasonBadDeadline  apierr.Reason = "bad_deadline"
-	ReasonPastDeadline apierr.Reason = "past_deadline"
-)
-
 // jobsService is the jobs API of one team's caller.
 type jobsService struct{ *Server }
 
@@ -86,7 +79,7 @@
 	if policy.Service(name) {
 		return job.Queue{Service: name}, nil
 	}
-	return job.Queue{}, apierr.New(apierr.NotFound, ReasonUnknownModel,
+	return job.Queue{}, apierr.New(apierr.NotFound, apierr.ReasonUnknownModel,
 		"name a model or service of the team's template", "team %s has no model or service %q", policy.Team, name)
 }
 
@@ -96,11 +89,11 @@
 	}
 	deadline, err := time.Parse(time.RFC3339, text)
 	if err != nil {
-		return 0, apierr.New(apierr.Invalid, ReasonBadDeadline,
+		return 0, apierr.New(apierr.Invalid, apierr.ReasonBadDeadline,
 			"write it as RFC 3339, such as 2026-01-31T06:00:00Z", "the deadline %q is not a time", text)
 	}
 	if !deadline.After(now) {
-		return 0, apierr.New(apierr.Invalid, ReasonPastDeadline, "name a time to come", "the deadline %s has passed", text)
+		return 0, apierr.New(apierr.Invalid, apierr.ReasonPastDeadline, "name a time to come", "the deadline %s has passed", text)
 	}
 	return instant.Of(deadline), nil
 }
--- a/internal/gate/online.go
+++ b/internal/gate/online.go
@@ -38,12 +38,7 @@
 
 // Reasons of refused online requests.
 const (
-	ReasonMalformed      apierr.Reason = "malformed_request"
-	ReasonBodyTooLarge   apierr.Reason = "body_too_large"
-	ReasonUnknownModel   apierr.Reason = "unknown_model"
 	ReasonUnknownService apierr.Reason = "unknown_service"
-	ReasonBadDeadline    apierr.Reason = "bad_deadline"
-	ReasonPastDeadline   apierr.Reason = "past_deadline"
 )
 
 // Metrics counts refusals by reason.
@@ -179,11 +174,11 @@
 	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, limit))
 	var tooLarge *http.MaxBytesError
 	if errors.As(err, &tooLarge) {
-		return nil, apierr.New(apierr.TooLarge, ReasonBodyTooLarge,
+		return nil, apierr.New(apierr.TooLarge, apierr.ReasonBodyTooLarge,
 			"send a smaller body or ask the operators to raise limits.max_body_bytes", "the body is over the limit of %d bytes", limit)
 	}
 	if err != nil {
-		return nil, apierr.New(apierr.Invalid, ReasonMalformed, "send the whole body", "the body ended early: %v", err)
+		return nil, apierr.New(apierr.Invalid, apierr.ReasonMalformed, "send the whole body", "the body ended early: %v", err)
 	}
 	return body, nil
 }
@@ -198,11 +193,11 @@
 func parseCompletion(c *call) (team.Model, bool, error) {
 	var parsed completion
 	if err := json.Unmarshal(c.body, &parsed); err != nil {
-		return team.Model{}, false, apierr.New(apierr.Invalid, ReasonMalformed, "send a JSON object", "the body is not JSON: %v", err)
+		return team.Model{}, false, apierr.New(apierr.Invalid, apierr.ReasonMalformed, "send a JSON object", "the body is not JSON: %v", err)
 	}
 	model, found := c.policy.Model(parsed.Model)
 	if !found {
-		return team.Model{}, false, apierr.New(apierr.NotFound, ReasonUnknownModel,
+		return team.Model{}, false, apierr.New(apierr.NotFound, apierr.ReasonUnknownModel,
 			"name a model of the team's template", "team %s has no model %q", c.policy.Team, parsed.Model)
 	}
 	return model, parsed.Stream, nil
@@ -215,11 +210,11 @@
 	}
 	deadline, err := parseDeadline(text, now)
 	if err != nil {
-		return time.Time{}, apierr.New(apierr.Invalid, ReasonBadDeadline,
+		return time.Time{}, apierr.New(apierr.Invalid, apierr.ReasonBadDeadline,
 			"write milliseconds, a duration such as 30s, or RFC 3339", "the deadline %q is none of these", text)
 	}
 	if !deadline.After(now) {
-		return time.Time{}, apierr.New(apierr.Deadline, ReasonPastDeadline,
+		return time.Time{}, apierr.New(apierr.Deadline, apierr.ReasonPastDeadline,
 			"send the request with a later deadline", "the deadline %s has passed", text)
 	}
 	if latest := now.Add(limits.MaxDeadline); deadline.After(latest) {
