Give the gate's router a protocol interface

Cause: attempts and callers were written for the OpenAI protocol alone, so an adapter for another one would have needed a second proxy. Change: Protocol builds the request of a try, judges the head of an answer and reads its events; Caller is given the answer. The OpenAI forms implement both; what is sent where, and when, stays in the router and package route. Tests of the package pass unchanged.

--- a/internal/gate/proxy/assemble.go
+++ b/internal/gate/proxy/assemble.go
@@ -14,7 +14,7 @@
 	usage   json.RawMessage
 }
 
-func (m *answerMeta) take(e *event) {
+func (m *answerMeta) take(e *Event) {
 	if m.id == "" {
 		m.id, m.created, m.model = e.chunk.ID, e.chunk.Created, e.chunk.Model
 	}
@@ -56,21 +56,19 @@
 	TotalTokens      int `json:"total_tokens"`
 }
 
-// assembled puts a streamed answer together for a caller that asked for a
-// plain one.
-func (f *flight) assembled() (*reply, error) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	text := f.text.String()
-	choice := completionChoice{FinishReason: f.meta.finish}
+// Assemble puts a streamed answer together for a caller that asked for a plain
+// one.
+func (f *form) Assemble(p *Progress) (*Reply, error) {
+	text := p.Text
+	choice := completionChoice{FinishReason: p.meta.finish}
 	answer := completion{
-		ID:      f.meta.id,
+		ID:      p.meta.id,
 		Object:  "text_completion",
-		Created: f.meta.created,
-		Model:   f.meta.model,
-		Usage:   f.meta.usage,
+		Created: p.meta.created,
+		Model:   p.meta.model,
+		Usage:   p.meta.usage,
 	}
-	if f.form.path == PathChat {
+	if f.path == PathChat {
 		answer.Object = "chat.completion"
 		choice.Message = &completionMessage{Role: "assistant", Content: text}
 	} else {
@@ -78,7 +76,7 @@
 	}
 	answer.Choices = []completionChoice{choice}
 	if answer.Usage == nil {
-		counted, err := json.Marshal(usage{CompletionTokens: f.tokens, TotalTokens: f.tokens})
+		counted, err := json.Marshal(usage{CompletionTokens: p.Tokens, TotalTokens: p.Tokens})
 		if err != nil {
 			return nil, err
 		}
@@ -88,5 +86,5 @@
 	if err != nil {
 		return nil, err
 	}
-	return &reply{status: http.StatusOK, header: http.Header{"Content-Type": {"application/json"}}, body: body}, nil
+	return &Reply{Status: http.StatusOK, Header: http.Header{"Content-Type": {"application/json"}}, Body: body}, nil
 }
--- a/internal/gate/proxy/attempt.go
+++ b/internal/gate/proxy/attempt.go
@@ -6,10 +6,8 @@
 	"errors"
 	"fmt"
 	"io"
-	"mime"
 	"net/http"
 	"net/http/httptrace"
-	"strconv"
 	"strings"
 	"sync/atomic"
 	"time"
@@ -24,6 +22,7 @@
 	flight *flight
 	target upstream.Announcement
 	resume bool
+	try    Try // as it was sent
 
 	ctx       context.Context
 	cancelCtx context.CancelFunc
@@ -52,7 +51,7 @@
 	start := time.Now()
 	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
 	defer cancel()
-	body := fmt.Sprintf(`{"request_id":%q}`, a.upstreamID())
+	body := fmt.Sprintf(`{"request_id":%q}`, upstreamID(a.flight.request.ID, a.id))
 	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+a.target.Address+PathCancel, strings.NewReader(body))
 	if err != nil {
 		return
@@ -68,13 +67,6 @@
 
 func (a *attempt) links() *links { return a.flight.shard.router.links }
 
-// upstreamID names the attempt to the upstream. Each attempt has its own, so
-// that a late answer to an earlier attempt is never taken for the current one,
-// and cancelling one does not cancel the other.
-func (a *attempt) upstreamID() string {
-	return a.flight.request.ID + "." + strconv.FormatUint(uint64(a.id), 10)
-}
-
 // run sends the request and reports how it ends.
 func (a *attempt) run() {
 	defer a.cancelCtx()
@@ -84,20 +76,22 @@
 		return
 	}
 	defer response.Body.Close()
-	if cause := a.check(response); cause != "" {
-		a.fail(cause)
+	verdict := a.flight.protocol.Judge(response, &a.try)
+	if verdict.Cause != "" {
+		a.fail(verdict.Cause)
 		return
 	}
 	a.step(route.Progress{Attempt: a.id})
-	if response.Header.Get(HeaderQueued) == "1" {
+	if verdict.Queued {
 		a.step(route.Queued{Attempt: a.id})
 	}
-	if isEventStream(response) && (a.flight.form.stream || a.flight.form.assemble) {
-		err = a.readStream(response)
+	if events := a.flight.protocol.Events(response); events != nil {
+		a.flight.open(a, &Reply{Status: response.StatusCode, Header: response.Header})
+		err = a.readStream(events)
 	} else {
 		err = a.readWhole(response)
 	}
-	if err != nil {
+	if err != nil && !errors.Is(err, errUnused) {
 		a.fail(a.causeOf(err))
 	}
 }
@@ -124,7 +118,7 @@
 		return route.CauseNotSent
 	case errors.As(err, &reported):
 		return route.CauseStatus
-	case errors.Is(err, errMalformed), errors.Is(err, errTooLong):
+	case errors.Is(err, ErrMalformed), errors.Is(err, errTooLong):
 		return route.CauseMismatch
 	default:
 		return route.CauseBroken
@@ -132,7 +126,8 @@
 }
 
 func (a *attempt) send() (*http.Response, error) {
-	request, err := a.build()
+	a.prepare()
+	request, err := a.flight.protocol.Request(a.ctx, &a.try)
 	if err != nil {
 		return nil, err
 	}
@@ -145,6 +140,20 @@
 	return transport.RoundTrip(request)
 }
 
+// prepare says where the try goes on.
+func (a *attempt) prepare() {
+	tokens, text := a.flight.reached()
+	start := a.flight.protocol.Start()
+	if tokens > start && !a.resume {
+		a.flight.restart()
+		tokens, text = start, ""
+	}
+	a.try = Try{
+		RequestID: a.flight.request.ID, Attempt: a.id, Target: &a.target,
+		Deadline: a.flight.request.Deadline, After: tokens, Text: text,
+	}
+}
+
 // onceBody hides that its content could be read again. The transport would
 // otherwise repeat by itself a request with an Idempotency-Key or of a safe
 // method when a pooled connection fails, unseen by the decisions, their budget
@@ -153,13 +162,9 @@
 
 func (onceBody) Close() error { return nil }
 
-func (a *attempt) build() (*http.Request, error) {
-	form := &a.flight.form
-	body, err := a.body()
-	if err != nil {
-		return nil, err
-	}
-	request, err := http.NewRequestWithContext(a.ctx, form.method, "http://"+a.target.Address+form.path, nil)
+// NewRequest makes a request to an upstream whose body is sent once at most.
+func NewRequest(ctx context.Context, method, url string, body []byte) (*http.Request, error) {
+	request, err := http.NewRequestWithContext(ctx, method, url, nil)
 	if err != nil {
 		return nil, err
 	}
@@ -167,81 +172,38 @@
 		request.Body = onceBody{bytes.NewReader(body)}
 		request.ContentLength = int64(len(body))
 	}
-	for name, values := range form.header {
-		request.Header[name] = values
-	}
-	request.Header.Set(HeaderRequestID, a.upstreamID())
-	left := max(0, time.Until(a.flight.request.Deadline))
-	request.Header.Set(HeaderDeadline, strconv.FormatInt(left.Milliseconds(), 10))
 	return request, nil
 }
 
-func (a *attempt) body() ([]byte, error) {
-	if !a.flight.form.engine {
-		return a.flight.form.body, nil
-	}
-	tokens, prefix := a.flight.reached()
-	if tokens > 0 && !a.resume {
-		a.flight.restart()
-		tokens, prefix = 0, ""
-	}
-	return a.flight.form.bodyFor(tokens, prefix)
-}
-
-// check refuses answers that must not reach the caller.
-func (a *attempt) check(response *http.Response) route.FailureCause {
-	if echoed := response.Header.Get(HeaderRequestID); echoed != "" && echoed != a.upstreamID() {
-		return route.CauseMismatch
-	}
-	if !a.flight.form.engine {
-		return ""
-	}
-	switch status := response.StatusCode; {
-	case status == http.StatusTooManyRequests, status == http.StatusServiceUnavailable:
-		return route.CauseBusy
-	case status >= http.StatusInternalServerError, status == http.StatusRequestTimeout:
-		return route.CauseStatus
-	default:
-		return ""
-	}
-}
-
-func isEventStream(response *http.Response) bool {
-	media, _, err := mime.ParseMediaType(response.Header.Get("Content-Type"))
-	return err == nil && media == "text/event-stream" && response.StatusCode == http.StatusOK
-}
-
 // readStream passes events on as they come. The answer is whole only with its
 // last event: a connection that ends before it is a failure.
-func (a *attempt) readStream(response *http.Response) error {
-	reader := newEventReader(response.Body)
+func (a *attempt) readStream(events EventSource) error {
 	for {
-		e, err := reader.next()
+		e, err := events.Next()
 		if err != nil {
 			return err
 		}
 		if e.err != nil {
 			return &engineError{detail: string(e.err)}
 		}
-		if e.chunk.cancelled() {
-			return &engineError{detail: "that the request was cancelled"}
-		}
-		if e.done {
+		if e.Done {
 			return a.finishStream(e)
 		}
-		a.step(route.Progress{Attempt: a.id, Tokens: e.token, Delivered: a.flight.form.stream && e.token > 0})
-		if !a.flight.add(a, e) {
-			return nil
+		delivered := a.flight.protocol.Streams() && e.Token > 0
+		a.step(route.Progress{Attempt: a.id, Tokens: e.Token, Delivered: delivered})
+		if err := a.flight.add(a, e); err != nil {
+			return err
 		}
 	}
 }
 
-func (a *attempt) finishStream(last *event) error {
-	answer := &reply{}
-	if a.flight.form.stream {
-		a.flight.add(a, last)
-	} else {
-		assembled, err := a.flight.assembled()
+func (a *attempt) finishStream(last *Event) error {
+	if err := a.flight.add(a, last); err != nil {
+		return err
+	}
+	answer := &Reply{}
+	if !a.flight.protocol.Streams() {
+		assembled, err := a.flight.protocol.Assemble(a.flight.progress())
 		if err != nil {
 			return err
 		}
@@ -273,11 +235,11 @@
 	if len(body) > limit {
 		return errTooLong
 	}
-	if endUnknown(response) {
+	if endUnknown(response) && !a.flight.protocol.EndsByClose() {
 		return errTruncated
 	}
 	if a.flight.shard.complete(a) {
-		a.flight.succeed(&reply{status: response.StatusCode, header: response.Header, body: body})
+		a.flight.succeed(&Reply{Status: response.StatusCode, Header: response.Header, Body: body})
 	}
 	return nil
 }
--- a/internal/gate/proxy/batch.go
+++ b/internal/gate/proxy/batch.go
@@ -58,8 +58,8 @@
 	request := r.batchRequest(&item)
 	form := batchForm(&item)
 	request.Resumable = form.resumable()
-	request.Kind = form.kind()
-	if err := form.check(); err != nil {
+	request.Kind = form.Kind()
+	if err := form.Check(); err != nil {
 		return BatchResult{Outcome: BatchFailed, Err: err}, nil
 	}
 	flight := newFlight(s, request, form)
@@ -96,7 +96,7 @@
 	}
 }
 
-func batchForm(item *BatchItem) form {
+func batchForm(item *BatchItem) *form {
 	if item.Plain && item.Path != PathChat && item.Path != PathCompletions {
 		header := http.Header{"Content-Type": {"application/json"}}
 		return serviceForm(http.MethodPost, item.Path, header, item.Body)
@@ -115,7 +115,7 @@
 	if err == nil {
 		r.options.Metrics.Count(CountBatchDone)
 		r.options.Metrics.Observe(MetricBatchItem, time.Since(f.started))
-		return BatchResult{Outcome: BatchDone, Status: answer.status, Body: answer.body}
+		return BatchResult{Outcome: BatchDone, Status: answer.Status, Body: answer.Body}
 	}
 	if mayGiveBack(&f.request, err) {
 		return BatchResult{Outcome: BatchNotRun, Err: err}
--- a/internal/gate/proxy/event.go
+++ b/internal/gate/proxy/event.go
@@ -8,26 +8,35 @@
 	"io"
 )
 
-// event is one event of an engine's stream.
-type event struct {
-	raw   []byte // as it is passed on, with the empty line at its end
-	done  bool   // the last event: the answer is whole
-	token int    // tokens generated so far; 0 when the event has none
-	text  string
+// Event is one event of a stream.
+type Event struct {
+	Raw  []byte // as it is passed on, with the empty line at its end
+	Done bool   // the answer is whole with it
+	// Token is the number of the event, or of the last token in it; 0 when it has
+	// none.
+	Token int
+	Text  string
+	// Numbered: events are numbered one by one, so that one is missing if its
+	// number does not follow the last.
+	Numbered bool
+
 	chunk chunk
 	err   json.RawMessage // the engine's error object
 }
 
 // repeats says whether the event tells what the first tokens told already:
 // the opening event of a resumed stream, or a token that came twice.
-func (e *event) repeats(tokens int) bool {
-	if tokens == 0 || e.done {
+func (e *Event) repeats(tokens int) bool {
+	switch {
+	case tokens == 0 || e.Done:
 		return false
-	}
-	if e.text == "" {
+	case e.Numbered:
+		return e.Token <= tokens
+	case e.Text == "":
 		return !e.chunk.closes()
+	default:
+		return e.Token > 0 && e.Token <= tokens
 	}
-	return e.token > 0 && e.token <= tokens
 }
 
 // chunk is the part of an event's data that the gate reads.
@@ -85,7 +94,9 @@
 // Errors of a stream.
 var (
 	errTruncated = errors.New("the stream ended before its last event")
-	errMalformed = errors.New("the stream holds an event that is not one of the protocol")
+	// ErrMalformed says that what came is not of the protocol, so that the
+	// connection cannot be trusted.
+	ErrMalformed = errors.New("the stream holds an event that is not one of the protocol")
 	errTooLong   = errors.New("the answer is longer than the gate holds")
 )
 
@@ -102,9 +113,9 @@
 	return &eventReader{lines: bufio.NewReaderSize(body, readBuffer)}
 }
 
-// next reads the next event. A stream that ends before its last event gives
+// Next reads the next event. A stream that ends before its last event gives
 // errTruncated.
-func (r *eventReader) next() (*event, error) {
+func (r *eventReader) Next() (*Event, error) {
 	var raw []byte
 	for {
 		line, err := r.lines.ReadBytes('\n')
@@ -124,34 +135,37 @@
 	}
 }
 
-func (r *eventReader) parse(raw []byte) (*event, error) {
-	e := &event{raw: raw}
+func (r *eventReader) parse(raw []byte) (*Event, error) {
+	e := &Event{Raw: raw}
 	data := dataOf(raw)
 	if len(data) == 0 {
 		return e, nil // a comment that keeps the connection alive
 	}
 	if bytes.Equal(data, doneMarker) {
-		e.done = true
+		e.Done = true
 		return e, nil
 	}
 	if err := json.Unmarshal(data, &e.chunk); err != nil {
-		return nil, errMalformed
+		return nil, ErrMalformed
 	}
 	e.err = e.chunk.Error
+	if e.err == nil && e.chunk.cancelled() {
+		e.err = json.RawMessage(`"the request was cancelled"`)
+	}
 	if len(e.chunk.Choices) > 0 {
-		e.text = e.chunk.Choices[0].Text + e.chunk.Choices[0].Delta.Content
+		e.Text = e.chunk.Choices[0].Text + e.chunk.Choices[0].Delta.Content
 	}
-	e.token = r.tokenOf(e)
+	e.Token = r.tokenOf(e)
 	return e, nil
 }
 
 // tokenOf gives the engine's token count or, when it does not count, one for
 // each event with text.
-func (r *eventReader) tokenOf(e *event) int {
+func (r *eventReader) tokenOf(e *Event) int {
 	if e.chunk.Gate.Token > 0 {
 		return e.chunk.Gate.Token
 	}
-	if e.text == "" {
+	if e.Text == "" {
 		return 0
 	}
 	r.tokens++
--- a/internal/gate/proxy/flight.go
+++ b/internal/gate/proxy/flight.go
@@ -2,7 +2,7 @@
 
 import (
 	"bytes"
-	"net/http"
+	"errors"
 	"strings"
 	"sync"
 	"time"
@@ -17,7 +17,7 @@
 type flight struct {
 	shard   *shard
 	request route.Request
-	form    form
+	protocol Protocol
 	started time.Time
 
 	attempts sync.WaitGroup
@@ -26,22 +26,19 @@
 	mu       sync.Mutex
 	pending  bytes.Buffer // stream events that the caller has not been given yet
 	text     strings.Builder
-	tokens   int    // the number of tokens that text holds
-	reply    *reply // the whole answer, of a request that is not streamed
+	tokens   int    // the number of the last event or token that text holds
+	head     *Reply // of the first answer that was used, of a stream
+	reply    *Reply // the whole answer, of a request that is not streamed
 	err      *apierr.Error
 	finished bool
 	meta     answerMeta
 }
 
-// reply is a whole answer as an upstream gave it or as it was assembled.
-type reply struct {
-	status int
-	header http.Header
-	body   []byte
-}
-
-func newFlight(s *shard, request route.Request, f form) *flight {
-	return &flight{shard: s, request: request, form: f, started: time.Now(), wake: make(chan struct{}, 1)}
+func newFlight(s *shard, request route.Request, p Protocol) *flight {
+	return &flight{
+		shard: s, request: request, protocol: p, started: time.Now(),
+		tokens: p.Start(), wake: make(chan struct{}, 1),
+	}
 }
 
 func (f *flight) newAttempt(o route.Dispatch) *attempt {
@@ -83,7 +80,7 @@
 }
 
 // succeed gives the flight its whole answer.
-func (f *flight) succeed(r *reply) {
+func (f *flight) succeed(r *Reply) {
 	f.mu.Lock()
 	f.reply = r
 	f.mu.Unlock()
@@ -102,48 +99,69 @@
 func (f *flight) restart() {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.tokens = 0
+	f.tokens = f.protocol.Start()
 	f.text.Reset()
 	f.meta = answerMeta{}
 }
 
-// add takes in one stream event of an attempt. It returns false if the attempt
-// was stopped meanwhile; then nothing of it is used.
-func (f *flight) add(a *attempt, e *event) bool {
+// open notes the head of an attempt's answer; the first one stays.
+func (f *flight) open(a *attempt, head *Reply) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.head == nil && !a.stopped.Load() {
+		f.head = head
+	}
+}
+
+// errUnused says that the attempt was stopped, so that nothing of it is used.
+var errUnused = errors.New("the attempt was stopped")
+
+// add takes in one stream event of an attempt.
+func (f *flight) add(a *attempt, e *Event) error {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if a.stopped.Load() || f.finished {
-		return false
+		return errUnused
 	}
 	if e.repeats(f.tokens) {
-		return true
+		return nil
 	}
-	if f.text.Len()+f.pending.Len()+len(e.raw) > f.shard.router.options.MaxAnswerBytes {
+	if e.Numbered && !e.Done && e.Token != f.tokens+1 {
+		return ErrMalformed
+	}
+	if f.text.Len()+f.pending.Len()+len(e.Raw) > f.shard.router.options.MaxAnswerBytes {
 		f.finish(tooLong())
-		return false
+		return errUnused
 	}
-	f.tokens = max(f.tokens, e.token)
-	f.text.WriteString(e.text)
+	f.tokens = max(f.tokens, e.Token)
+	f.text.WriteString(e.Text)
 	f.meta.take(e)
-	if f.form.stream {
-		f.pending.Write(e.raw)
+	if f.protocol.Streams() {
+		f.pending.Write(e.Raw)
 		f.signal()
 	}
-	return true
+	return nil
+}
+
+// progress gives what the attempts have given so far.
+func (f *flight) progress() *Progress {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return &Progress{Head: f.head, Tokens: f.tokens, Text: f.text.String(), meta: f.meta}
 }
 
 // take returns what the caller has not been given yet, and whether it is all.
-func (f *flight) take(into *bytes.Buffer) (finished bool) {
+func (f *flight) take(into *bytes.Buffer) (head *Reply, finished bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	into.Reset()
 	_, _ = f.pending.WriteTo(into)
 	f.pending.Reset()
-	return f.finished
+	return f.head, f.finished
 }
 
 // outcome returns the final answer; call it after the flight has finished.
-func (f *flight) outcome() (*reply, *apierr.Error) {
+func (f *flight) outcome() (*Reply, *apierr.Error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	return f.reply, f.err
--- a/internal/gate/proxy/form.go
+++ b/internal/gate/proxy/form.go
@@ -1,17 +1,22 @@
 package proxy
 
 import (
+	"context"
 	"encoding/json"
+	"mime"
 	"net/http"
+	"strconv"
 	"strings"
 
 	"github.com/cespare/xxhash/v2"
 
 	"slateway.example/slateway/internal/apierr"
+	"slateway.example/slateway/internal/route"
 	"slateway.example/slateway/internal/upstream"
 )
 
-// form is how a request is sent to an upstream and answered to its caller.
+// form is the project's own Protocol: engines by the OpenAI protocol, and plain
+// services as they are called.
 type form struct {
 	method string
 	path   string
@@ -32,8 +37,8 @@
 var plainOnly = []string{"n", "best_of", "tools", "tool_choice", "functions", "logprobs", "top_logprobs", "audio", "modalities", "echo"}
 
 // engineForm prepares a request in the OpenAI protocol.
-func engineForm(path string, body []byte, stream bool) form {
-	f := form{
+func engineForm(path string, body []byte, stream bool) *form {
+	f := &form{
 		method: http.MethodPost,
 		path:   path,
 		header: http.Header{"Content-Type": {"application/json"}},
@@ -51,10 +56,10 @@
 // ReasonBadPath counts requests whose path no upstream of their kind may be sent.
 const ReasonBadPath apierr.Reason = "bad_path"
 
-// check refuses paths beyond those that callers may use: an engine takes orders
+// Check refuses paths beyond those that callers may use: an engine takes orders
 // on others, and one that does not begin with a slash would change the address
 // that the request goes to.
-func (f *form) check() *apierr.Error {
+func (f *form) Check() *apierr.Error {
 	if f.engine && f.path != PathChat && f.path != PathCompletions {
 		return apierr.New(apierr.Invalid, ReasonBadPath, "use "+PathChat+" or "+PathCompletions,
 			"engines are not asked for %q", f.path)
@@ -65,7 +70,8 @@
 	return nil
 }
 
-func (f *form) kind() upstream.Kind {
+// Kind gives the kind of upstream that speaks it.
+func (f *form) Kind() upstream.Kind {
 	if f.engine {
 		return upstream.KindEngine
 	}
@@ -122,6 +128,72 @@
 	IncludeUsage bool `json:"include_usage"`
 }
 
+// Streams says whether the caller gets events.
+func (f *form) Streams() bool { return f.stream }
+
+// EndsByClose is false: such an answer may have been cut short.
+func (f *form) EndsByClose() bool { return false }
+
+// Start is 0: callers of this protocol begin at the start.
+func (f *form) Start() int { return 0 }
+
+// Request builds the request of a try.
+func (f *form) Request(ctx context.Context, try *Try) (*http.Request, error) {
+	body := f.body
+	if f.engine {
+		var err error
+		if body, err = f.bodyFor(try.After, try.Text); err != nil {
+			return nil, err
+		}
+	}
+	request, err := NewRequest(ctx, f.method, "http://"+try.Target.Address+f.path, body)
+	if err != nil {
+		return nil, err
+	}
+	for name, values := range f.header {
+		request.Header[name] = values
+	}
+	request.Header.Set(HeaderRequestID, upstreamID(try.RequestID, try.Attempt))
+	request.Header.Set(HeaderDeadline, strconv.FormatInt(try.Left().Milliseconds(), 10))
+	return request, nil
+}
+
+// upstreamID names the attempt to the upstream. Each attempt has its own, so
+// that a late answer to an earlier attempt is never taken for the current one,
+// and cancelling one does not cancel the other.
+func upstreamID(request string, attempt route.AttemptID) string {
+	return request + "." + strconv.FormatUint(uint64(attempt), 10)
+}
+
+// Judge refuses answers to other requests, and those of an engine that say that
+// it did not serve the request.
+func (f *form) Judge(answer *http.Response, try *Try) Verdict {
+	if echoed := answer.Header.Get(HeaderRequestID); echoed != "" && echoed != upstreamID(try.RequestID, try.Attempt) {
+		return Verdict{Cause: route.CauseMismatch}
+	}
+	verdict := Verdict{Queued: answer.Header.Get(HeaderQueued) == "1"}
+	if !f.engine {
+		return verdict
+	}
+	switch status := answer.StatusCode; {
+	case status == http.StatusTooManyRequests, status == http.StatusServiceUnavailable:
+		verdict.Cause = route.CauseBusy
+	case status >= http.StatusInternalServerError, status == http.StatusRequestTimeout:
+		verdict.Cause = route.CauseStatus
+	}
+	return verdict
+}
+
+// Events reads an engine's stream.
+func (f *form) Events(answer *http.Response) EventSource {
+	media, _, err := mime.ParseMediaType(answer.Header.Get("Content-Type"))
+	isStream := err == nil && media == "text/event-stream" && answer.StatusCode == http.StatusOK
+	if !isStream || (!f.stream && !f.assemble) {
+		return nil
+	}
+	return newEventReader(answer.Body)
+}
+
 // prefixBytes is how much of a prompt's text decides its affinity: enough to
 // tell instructions apart, short enough that prompts that share them agree.
 const prefixBytes = 64
--- a/internal/gate/proxy/online.go
+++ b/internal/gate/proxy/online.go
@@ -2,8 +2,10 @@
 
 import (
 	"bytes"
+	"context"
 	"net/http"
 	"strconv"
+	"strings"
 	"time"
 
 	"slateway.example/slateway/internal/apierr"
@@ -31,7 +33,7 @@
 func (r *Router) ServeOnline(w http.ResponseWriter, hr *http.Request, o OnlineRequest) {
 	setDefault(&o.Path, PathChat)
 	form := engineForm(o.Path, o.Body, o.Stream)
-	r.serve(w, hr, o.Service, form, route.Request{
+	r.serveOpenAI(w, hr, o.Service, form, route.Request{
 		ID:          o.ID,
 		Team:        o.Team,
 		Model:       o.Model,
@@ -61,7 +63,7 @@
 
 // ServeService answers a request to a plain service.
 func (r *Router) ServeService(w http.ResponseWriter, hr *http.Request, o ServiceRequest) {
-	r.serve(w, hr, o.Service, serviceForm(o.Method, o.Path, o.Header, o.Body), route.Request{
+	r.serveOpenAI(w, hr, o.Service, serviceForm(o.Method, o.Path, o.Header, o.Body), route.Request{
 		ID:          o.ID,
 		Team:        o.Team,
 		Deadline:    o.Deadline,
@@ -77,41 +79,59 @@
 	"Te", "Trailer", "Transfer-Encoding", "Upgrade", "Content-Length",
 }
 
-func serviceForm(method, path string, header http.Header, body []byte) form {
+// DropHopHeaders removes the headers that concern one connection only, those
+// that a Connection header names among them.
+func DropHopHeaders(header http.Header) {
+	for _, listed := range header.Values("Connection") {
+		for name := range strings.SplitSeq(listed, ",") {
+			header.Del(strings.TrimSpace(name))
+		}
+	}
+	for _, name := range hopHeaders {
+		header.Del(name)
+	}
+}
+
+func serviceForm(method, path string, header http.Header, body []byte) *form {
 	kept := header.Clone()
 	if kept == nil {
 		kept = make(http.Header)
 	}
-	for _, name := range hopHeaders {
-		kept.Del(name)
-	}
+	DropHopHeaders(kept)
 	kept.Del("Authorization") // the caller's token is for the gate
-	return form{method: method, path: path, header: kept, body: body}
+	return &form{method: method, path: path, header: kept, body: body}
 }
 
-func (r *Router) serve(w http.ResponseWriter, hr *http.Request, service string, f form, request route.Request) {
-	r.options.Metrics.Count(CountOnlineOffered)
-	request.Class = route.Online
+func (r *Router) serveOpenAI(w http.ResponseWriter, hr *http.Request, service string, f *form, request route.Request) {
 	if request.Deadline.IsZero() {
 		request.Deadline = time.Now().Add(r.options.DefaultTimeout)
 	}
 	w.Header().Set(HeaderRequestID, request.ID)
-	request.Kind = f.kind()
-	if err := f.check(); err != nil {
+	caller := &openAICaller{id: request.ID, w: w, control: http.NewResponseController(w)}
+	r.Serve(hr.Context(), caller, service, f, request)
+}
+
+// Serve answers an online request by the protocol; it returns when the caller
+// has its answer or has left, which ends ctx.
+func (r *Router) Serve(ctx context.Context, caller Caller, service string, p Protocol, request route.Request) {
+	r.options.Metrics.Count(CountOnlineOffered)
+	request.Class = route.Online
+	request.Kind = p.Kind()
+	if err := p.Check(); err != nil {
 		r.options.Metrics.Count(telemetry.RefusedPrefix + string(err.Reason))
-		apierr.WriteHTTP(w, err)
+		caller.Refuse(err)
 		return
 	}
 	s := r.find(service)
 	if s == nil {
 		r.options.Metrics.Count(counterName(route.ReasonNoUpstream))
-		apierr.WriteHTTP(w, unknownService(service))
+		caller.Refuse(unknownService(service))
 		return
 	}
-	flight := newFlight(s, request, f)
+	flight := newFlight(s, request, p)
 	s.open(flight)
-	c := &callerWriter{flight: flight, w: w, control: http.NewResponseController(w), metrics: r.options.Metrics}
-	c.serve(hr)
+	d := &delivery{flight: flight, caller: caller, metrics: r.options.Metrics}
+	d.serve(ctx)
 	s.close(flight)
 	flight.attempts.Wait()
 }
@@ -122,34 +142,33 @@
 		"no replica of service %q has announced itself", service).WithRetryAfter(time.Second)
 }
 
-// callerWriter writes a flight's answer to its caller as it comes.
-type callerWriter struct {
+// delivery gives a flight's answer to its caller as it comes.
+type delivery struct {
 	flight  *flight
-	w       http.ResponseWriter
-	control *http.ResponseController
+	caller  Caller
 	metrics Metrics
-	begun   bool // the status line of a stream has been written
+	begun   bool // the head of a stream has been given
 }
 
-func (c *callerWriter) serve(hr *http.Request) {
-	deadline := time.NewTimer(time.Until(c.flight.request.Deadline))
+func (d *delivery) serve(ctx context.Context) {
+	deadline := time.NewTimer(time.Until(d.flight.request.Deadline))
 	defer deadline.Stop()
 	var events bytes.Buffer
 	for {
 		select {
-		case <-hr.Context().Done():
+		case <-ctx.Done():
 			return // the caller has left; closing the flight stops its attempts
 		case <-deadline.C:
-			c.flight.end(deadlinePassed())
-			c.metrics.Count(string(route.ReasonDeadline))
-		case <-c.flight.wake:
+			d.flight.end(deadlinePassed())
+			d.metrics.Count(string(route.ReasonDeadline))
+		case <-d.flight.wake:
 		}
-		finished := c.flight.take(&events)
-		if events.Len() > 0 && !c.writeEvents(events.Bytes()) {
+		head, finished := d.flight.take(&events)
+		if events.Len() > 0 && !d.pass(head, events.Bytes()) {
 			return
 		}
 		if finished {
-			c.finish()
+			d.finish()
 			return
 		}
 	}
@@ -161,54 +180,78 @@
 		"the deadline passed while the request was in progress").WithRan(apierr.RanUnknown)
 }
 
-func (c *callerWriter) writeEvents(data []byte) bool {
-	if !c.begun {
-		c.begun = true
-		header := c.w.Header()
-		header.Set("Content-Type", "text/event-stream")
-		header.Set("Cache-Control", "no-cache")
-		c.w.WriteHeader(http.StatusOK)
-		c.metrics.Observe(MetricFirstToken, time.Since(c.flight.started))
+func (d *delivery) pass(head *Reply, data []byte) bool {
+	if !d.begun {
+		d.begun = true
+		d.caller.Begin(head)
+		d.metrics.Observe(MetricFirstToken, time.Since(d.flight.started))
 	}
-	if _, err := c.w.Write(data); err != nil {
-		return false
-	}
-	return c.control.Flush() == nil
+	return d.caller.Events(data)
 }
 
-func (c *callerWriter) finish() {
-	answer, err := c.flight.outcome()
+func (d *delivery) finish() {
+	answer, err := d.flight.outcome()
 	switch {
-	case err != nil && c.begun:
-		// The status line is gone. The event tells why, and the missing last
-		// event tells that the answer is not whole.
-		_ = c.writeEvents([]byte("data: " + string(err.JSON()) + "\n\n"))
+	case err != nil && d.begun:
+		d.caller.Break(err)
+		return
 	case err != nil:
-		apierr.WriteHTTP(c.w, err)
-	case c.begun:
-		c.done()
+		d.caller.Refuse(err)
+		return
+	case d.begun:
+		d.caller.End()
 	default:
-		c.writeReply(answer)
-		c.done()
+		d.caller.Whole(answer)
 	}
+	d.metrics.Count(CountOnlineDone)
+	d.metrics.Observe(MetricAnswer, time.Since(d.flight.started))
 }
 
-func (c *callerWriter) done() {
-	c.metrics.Count(CountOnlineDone)
-	c.metrics.Observe(MetricAnswer, time.Since(c.flight.started))
+// openAICaller answers in the OpenAI protocol.
+type openAICaller struct {
+	id      string
+	w       http.ResponseWriter
+	control *http.ResponseController
 }
 
-func (c *callerWriter) writeReply(answer *reply) {
+// Begin opens a stream of events.
+func (c *openAICaller) Begin(*Reply) {
 	header := c.w.Header()
-	for name, values := range answer.header {
-		header[name] = values
+	header.Set("Content-Type", "text/event-stream")
+	header.Set("Cache-Control", "no-cache")
+	c.w.WriteHeader(http.StatusOK)
+}
+
+// Events writes events at once.
+func (c *openAICaller) Events(data []byte) bool {
+	if _, err := c.w.Write(data); err != nil {
+		return false
 	}
-	for _, name := range hopHeaders {
-		header.Del(name)
+	return c.control.Flush() == nil
+}
+
+// End has nothing to add: the last event says that the answer is whole.
+func (c *openAICaller) End() {}
+
+// Break tells why by an event, as the status line is gone; the missing last
+// event tells that the answer is not whole.
+func (c *openAICaller) Break(err *apierr.Error) {
+	_ = c.Events([]byte("data: " + string(err.JSON()) + "\n\n")) // a caller that has left needs no reason
+}
+
+// Refuse writes the error as the answer.
+func (c *openAICaller) Refuse(err *apierr.Error) { apierr.WriteHTTP(c.w, err) }
+
+// Whole writes an answer that is not streamed.
+func (c *openAICaller) Whole(answer *Reply) {
+	header := c.w.Header()
+	for name, values := range answer.Header {
+		header[name] = values
 	}
+	DropHopHeaders(header)
 	header.Del(HeaderQueued)
-	header.Set(HeaderRequestID, c.flight.request.ID)
-	header.Set("Content-Length", strconv.Itoa(len(answer.body)))
-	c.w.WriteHeader(answer.status)
-	_, _ = c.w.Write(answer.body)
+	header.Set(HeaderRequestID, c.id)
+	header.Set("Content-Length", strconv.Itoa(len(answer.Body)))
+	c.w.WriteHeader(answer.Status)
+	_, _ = c.w.Write(answer.Body) // a caller that has left needs no answer
 }
