--- a/cmd/slatewayd/main.go
+++ b/cmd/slatewayd/main.go
@@ -6,15 +6,19 @@
 	"context"
 	"errors"
 	"fmt"
+	"net/http"
 	"os"
 	"os/signal"
 	"syscall"
 
 	"github.com/urfave/cli/v3"
 
+	"slateway.example/slateway/internal/control"
 	"slateway.example/slateway/internal/daemon"
+	"slateway.example/slateway/internal/gate"
 	"slateway.example/slateway/internal/settings"
 	"slateway.example/slateway/internal/telemetry"
+	"slateway.example/slateway/platform"
 )
 
 // Exit codes.
@@ -58,11 +62,42 @@
 	}
 }
 
+// edge lets sites of control VMs speak to the users' platform.
+func edge() daemon.Edge {
+	return daemon.Edge{
+		Callers: func(routed *gate.Routed, jobs *gate.Jobs) http.Handler {
+			return platform.NewCallers(routed, jobs)
+		},
+		Readiness: platform.NewReadiness,
+		Control: func(service *control.Service) http.Handler {
+			return platform.NewControl(service)
+		},
+		Directory:    platform.NewDirectory,
+		ItemProtocol: platform.NewItemProtocol,
+		Refuse:       platform.Refuse,
+	}
+}
+
+// settingsPath gives the settings file: the argument or, without one, the file
+// that the platform names.
+func settingsPath(command *cli.Command) (string, error) {
+	switch command.Args().Len() {
+	case 1:
+		return command.Args().First(), nil
+	case 0:
+		if path := platform.SettingsPath(); path != "" {
+			return path, nil
+		}
+	}
+	return "", fmt.Errorf("%w: name one settings file: slatewayd FILE", errSettings)
+}
+
 func load(command *cli.Command) (settings.Settings, error) {
-	if command.Args().Len() != 1 {
-		return settings.Settings{}, fmt.Errorf("%w: name one settings file: slatewayd FILE", errSettings)
+	path, err := settingsPath(command)
+	if err != nil {
+		return settings.Settings{}, err
 	}
-	loaded, err := settings.Load(command.Args().First())
+	loaded, err := settings.Load(path)
 	if err != nil {
 		return settings.Settings{}, fmt.Errorf("%w: %w", errSettings, err)
 	}
@@ -86,8 +121,15 @@
 	if err != nil {
 		return err
 	}
-	defer func() { _ = log.Sync() }()
-	d, err := daemon.New(loaded, log)
+	defer log.Close()
+	if loaded.HasControl() {
+		site, err := daemon.NewSite(loaded, edge(), log)
+		if err != nil {
+			return err
+		}
+		return site.Run(ctx)
+	}
+	d, err := daemon.New(loaded, log.Logger)
 	if err != nil {
 		return err
 	}
--- /dev/null
+++ b/internal/control/controlapi/api.go
@@ -0,0 +1,70 @@
+// Package controlapi defines the calls of control VMs: what gates ask of them,
+// and what they tell each other.
+package controlapi
+
+import (
+	"time"
+
+	"slateway.example/slateway/internal/apierr"
+	"slateway.example/slateway/internal/roster"
+	"slateway.example/slateway/internal/routes"
+	"slateway.example/slateway/internal/rpc"
+	"slateway.example/slateway/internal/upstream"
+)
+
+// MaxMessageBytes bounds the body of a call: the largest document of routes, as
+// its operator sent it and decoded.
+const MaxMessageBytes = 16 << 20
+
+// ReasonNotInTouch refuses calls to a control VM that knows no leader: what it
+// knows may be old.
+const ReasonNotInTouch apierr.Reason = "control_not_in_touch"
+
+// Procedures.
+const (
+	Follow rpc.Procedure[FollowRequest, FollowResponse] = "/slateway.control/Follow"
+	Share  rpc.Procedure[ShareRequest, ShareResponse]   = "/slateway.control/Share"
+)
+
+// FollowRequest is a gate's word and its question for what is new. The answer
+// waits until there is something, Wait at most.
+type FollowRequest struct {
+	Gate   roster.Gate   `cbor:"1,keyasint"`
+	Routes uint64        `cbor:"2,keyasint"` // version that the gate serves by
+	Epoch  string        `cbor:"3,keyasint"` // of the last answer
+	Since  uint64        `cbor:"4,keyasint"` // roster version of the last answer
+	Wait   time.Duration `cbor:"5,keyasint"`
+}
+
+// FollowResponse brings the gate forward.
+type FollowResponse struct {
+	// Epoch names the run of the control VM's process; roster versions count
+	// within it.
+	Epoch    string           `cbor:"1,keyasint"`
+	Changes  roster.Changes   `cbor:"2,keyasint"`
+	Routes   *routes.Document `cbor:"3,keyasint,omitempty"` // if newer than the gate's
+	Controls []string         `cbor:"4,keyasint"`           // peers addresses of the control VMs
+	Keepers  []string         `cbor:"5,keyasint"`           // of all VMs that hold replicated state
+}
+
+// Left names a replica that leaves, by its ID alone.
+type Left struct {
+	Replica     upstream.ReplicaID `cbor:"1,keyasint"`
+	Incarnation uint64             `cbor:"2,keyasint"` // 0: the one known
+}
+
+// ShareRequest tells another control VM what was heard.
+type ShareRequest struct {
+	From     string             `cbor:"1,keyasint"` // peers address
+	Replicas []roster.Heard     `cbor:"2,keyasint,omitempty"`
+	Gates    []roster.HeardGate `cbor:"3,keyasint,omitempty"`
+	Left     []Left             `cbor:"4,keyasint,omitempty"`
+	// Whole asks for everything that the other one knows.
+	Whole bool `cbor:"5,keyasint,omitempty"`
+}
+
+// ShareResponse gives everything, if that was asked for.
+type ShareResponse struct {
+	Replicas []roster.Heard     `cbor:"1,keyasint,omitempty"`
+	Gates    []roster.HeardGate `cbor:"2,keyasint,omitempty"`
+}
--- /dev/null
+++ b/internal/control/follow.go
@@ -0,0 +1,83 @@
+package control
+
+import (
+	"context"
+	"time"
+
+	"go.uber.org/zap"
+
+	"slateway.example/slateway/internal/control/controlapi"
+	"slateway.example/slateway/internal/roster"
+)
+
+// maxFollowWait bounds how long a gate's question is held. The gate's word comes
+// with its question, so it also bounds how old that word gets.
+const maxFollowWait = time.Second
+
+// follow takes in a gate's word and answers when there is something new.
+func (s *Service) follow(ctx context.Context, request *controlapi.FollowRequest) (*controlapi.FollowResponse, error) {
+	if err := s.requireTouch(); err != nil {
+		return nil, err
+	}
+	s.hear(ctx, &request.Gate)
+	since := request.Since
+	if request.Epoch != s.epoch {
+		since = 0
+	}
+	timer := time.NewTimer(min(request.Wait, maxFollowWait))
+	defer timer.Stop()
+	for {
+		routesChanged := s.options.Config.Changed()
+		response, news, rosterChanged := s.answer(request.Routes, since)
+		if news {
+			return response, nil
+		}
+		select {
+		case <-routesChanged:
+		case <-rosterChanged:
+		case <-timer.C:
+			if err := s.requireTouch(); err != nil {
+				return nil, err
+			}
+			return response, nil
+		case <-ctx.Done():
+			return nil, ctx.Err()
+		}
+	}
+}
+
+// answer gives what is new for a gate, whether there is anything, and a channel
+// that closes at the next change of the roster.
+func (s *Service) answer(routesVersion, since uint64) (*controlapi.FollowResponse, bool, <-chan struct{}) {
+	response := &controlapi.FollowResponse{Epoch: s.epoch, Controls: s.controls()}
+	for _, m := range s.options.Group.Known() {
+		response.Keepers = append(response.Keepers, m.Address)
+	}
+	matcher := s.options.Config.Routes()
+	if matcher.Version() > routesVersion {
+		response.Routes = matcher.Document()
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	response.Changes = s.table.Since(since)
+	news := response.Routes != nil || response.Changes.Version > since
+	return response, news, s.changed
+}
+
+// hear takes in a gate's word; what callers and other gates must know goes to
+// the other control VMs at once.
+func (s *Service) hear(ctx context.Context, gate *roster.Gate) {
+	s.mu.Lock()
+	news := s.table.Hear(time.Now(), *gate, 0)
+	s.gates[gate.VM] = struct{}{}
+	if news {
+		s.notify()
+	}
+	s.mu.Unlock()
+	if !news {
+		return
+	}
+	s.options.Log.Info("gate changed", zap.String("gate", gate.VM), zap.String("callers", gate.Callers),
+		zap.Bool("ready", gate.Ready), zap.Bool("draining", gate.Draining), zap.Uint64("sequence", gate.Sequence))
+	s.push(ctx, &controlapi.ShareRequest{Gates: []roster.HeardGate{{Gate: *gate}}})
+}
--- /dev/null
+++ b/internal/control/service.go
@@ -0,0 +1,264 @@
+// Package control is the role of a VM that replicas, operators and callers who
+// look for a gate talk to. It keeps the roster of replicas and gates in step
+// with the other control VMs, hands changes to the gates that follow it, and
+// passes the operators' changes to the replicated configuration.
+package control
+
+import (
+	"context"
+	"math/rand/v2"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/google/uuid"
+	"go.uber.org/zap"
+
+	"slateway.example/slateway/internal/apierr"
+	"slateway.example/slateway/internal/control/controlapi"
+	"slateway.example/slateway/internal/directory"
+	"slateway.example/slateway/internal/keeper/keeperapi"
+	"slateway.example/slateway/internal/keeper/keeperclient"
+	"slateway.example/slateway/internal/member"
+	"slateway.example/slateway/internal/quorum"
+	"slateway.example/slateway/internal/replica"
+	"slateway.example/slateway/internal/roster"
+	"slateway.example/slateway/internal/routes"
+	"slateway.example/slateway/internal/rpc"
+	"slateway.example/slateway/internal/telemetry"
+	"slateway.example/slateway/internal/upstream"
+)
+
+// Group is what the service needs of the replicated groups on its VM.
+type Group interface {
+	Leader(group uint32) (replica.Member, bool)
+	Known() []quorum.Member
+}
+
+// ClassControl is the class of the members on control VMs; others hold jobs only.
+const ClassControl = "control"
+
+// Config is the replicated configuration as this VM has applied it.
+type Config interface {
+	Routes() *routes.Matcher
+	Changed() <-chan struct{}
+}
+
+// Options are what a Service needs. All must be set.
+type Options struct {
+	VM      string
+	Place   string
+	Region  string
+	Address string   // peers address of this VM
+	Seeds   []string // peers addresses of some control VMs
+	Group   Group
+	Config  Config
+	Keepers *keeperclient.Client
+	Calls   *rpc.Client
+	Log     *zap.Logger
+	Metrics *telemetry.Metrics
+
+	Roster         roster.Config
+	AnswerLifetime time.Duration // of the answers that name gates
+	MaxEntries     int           // gates in one answer
+}
+
+// Service is one control VM. Run must run beside it.
+type Service struct {
+	options Options
+	epoch   string
+
+	mu        sync.Mutex // guards what follows
+	table     *roster.Table
+	directory *directory.Directory
+	changed   chan struct{}                   // closes at the next change of the roster
+	dirty     map[upstream.ReplicaID]struct{} // heard here since the last share
+	gates     map[string]struct{}             // the same of gates
+	contacts  map[string]time.Time            // control VMs that shared something, and when
+	inTouch   bool                            // as last logged
+}
+
+// New makes a service.
+func New(options Options) *Service {
+	random := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
+	return &Service{
+		options:   options,
+		epoch:     uuid.NewString(),
+		table:     roster.New(options.Roster),
+		directory: directory.New(uint64(time.Now().UnixMilli()), random),
+		changed:   make(chan struct{}),
+		dirty:     make(map[upstream.ReplicaID]struct{}),
+		gates:     make(map[string]struct{}),
+		contacts:  make(map[string]time.Time),
+	}
+}
+
+// Mount adds the calls of gates and other control VMs to mux.
+func (s *Service) Mount(mux *http.ServeMux) {
+	rpc.Handle(mux, controlapi.Follow, controlapi.MaxMessageBytes, s.follow)
+	rpc.Handle(mux, controlapi.Share, controlapi.MaxMessageBytes, s.share)
+}
+
+// InTouch says whether this VM follows, or is, the leader of the configuration.
+//
+// One that is cut off from the others would go on telling gates that nothing
+// has changed, and acknowledge replicas of which no gate hears. It learns that it
+// is cut off when the leader's heartbeats cease, within two election timeouts.
+func (s *Service) InTouch() bool {
+	_, known := s.options.Group.Leader(keeperapi.ConfigGroup)
+	s.mu.Lock()
+	changed := known != s.inTouch
+	s.inTouch = known
+	s.mu.Unlock()
+	if changed {
+		s.options.Log.Info("touch with the leader of the configuration", zap.Bool("in_touch", known))
+	}
+	return known
+}
+
+// notInTouchRetry is when to ask again: an election takes about as long.
+const notInTouchRetry = 200 * time.Millisecond
+
+func (s *Service) requireTouch() error {
+	if s.InTouch() {
+		return nil
+	}
+	s.options.Metrics.Refused(controlapi.ReasonNotInTouch)
+	return apierr.New(apierr.Unavailable, controlapi.ReasonNotInTouch, "ask another control VM",
+		"this VM is not in touch with the leader of the configuration").WithRetryAfter(notInTouchRetry)
+}
+
+// notify wakes the gates that wait. The mutex is held.
+func (s *Service) notify() {
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+// pushTimeout bounds how long an acknowledgement waits until the other control
+// VMs have heard of a change. One that has not is told again each second.
+const pushTimeout = 250 * time.Millisecond
+
+// Announce takes in what a replica says of itself. It returns once the change is
+// on its way to all gates: a replica that leaves counts on it that they stop.
+func (s *Service) Announce(ctx context.Context, a upstream.Announcement) error {
+	if err := a.Validate(); err != nil {
+		return err
+	}
+	if err := s.requireTouch(); err != nil {
+		return err
+	}
+	s.mu.Lock()
+	verdict := s.table.Announce(time.Now(), a, 0)
+	if verdict != roster.Stale {
+		s.dirty[a.Replica] = struct{}{}
+	}
+	if verdict == roster.Changed {
+		s.notify()
+	}
+	s.mu.Unlock()
+	switch verdict {
+	case roster.Stale:
+		s.options.Metrics.Count(string(upstream.ReasonStaleAnnouncement))
+		s.logReplica("late announcement ignored", &a)
+	case roster.Changed:
+		s.logReplica("replica changed", &a)
+		s.push(ctx, &controlapi.ShareRequest{Replicas: []roster.Heard{{Replica: a}}})
+	}
+	return nil
+}
+
+func (s *Service) logReplica(what string, a *upstream.Announcement) {
+	s.options.Log.Info(what, telemetry.Upstream(string(a.Replica)), zap.String("service", a.Service),
+		zap.String("address", a.Address), zap.Uint64("incarnation", a.Incarnation), zap.Uint64("sequence", a.Sequence),
+		zap.Bool("ready", a.Ready), zap.Bool("leaving", a.Leaving))
+}
+
+// Leave takes in that a replica goes away, by its ID alone; an incarnation of 0
+// stands for the one known.
+func (s *Service) Leave(ctx context.Context, id upstream.ReplicaID, incarnation uint64) error {
+	if err := s.requireTouch(); err != nil {
+		return err
+	}
+	s.mu.Lock()
+	a, news := s.table.Leave(id, incarnation)
+	if news {
+		s.notify()
+	}
+	s.mu.Unlock()
+	s.options.Log.Info("replica leaves", telemetry.Upstream(string(id)), zap.Uint64("incarnation", incarnation), zap.Bool("news", news))
+	request := &controlapi.ShareRequest{Left: []controlapi.Left{{Replica: id, Incarnation: incarnation}}}
+	if news {
+		request.Left[0].Incarnation = a.Incarnation
+	}
+	s.push(ctx, request)
+	return nil
+}
+
+// ReplaceRoutes puts a document of routes in force, if its version is the
+// highest; it returns once a majority holds it on disk.
+func (s *Service) ReplaceRoutes(ctx context.Context, document *routes.Document) (*routes.Outcome, error) {
+	if refusal := document.Check(); refusal != nil {
+		s.refused("routes refused", refusal, document.Version)
+		return nil, refusal
+	}
+	began := time.Now()
+	outcome, err := s.options.Keepers.ReplaceRoutes(ctx, document)
+	if err != nil {
+		s.refused("routes not replaced", apierr.From(err), document.Version)
+		return nil, err
+	}
+	s.options.Log.Info("routes replaced", zap.Uint64("version", document.Version), zap.Uint64("in_force", outcome.Held),
+		zap.Bool("applied", outcome.Applied), zap.Int("routes", len(document.Routes)), zap.Duration("took", time.Since(began)))
+	return outcome, nil
+}
+
+func (s *Service) refused(what string, refusal *apierr.Error, version uint64) {
+	s.options.Metrics.Refused(refusal.Reason)
+	s.options.Log.Info(what, zap.Uint64("version", version), telemetry.Reason(string(refusal.Reason)), zap.String("message", refusal.Message))
+}
+
+// ReadRoutes reads the routes in force, as new as any that was acknowledged
+// before the call.
+func (s *Service) ReadRoutes(ctx context.Context) (*routes.Document, error) {
+	document, err := s.options.Keepers.ReadRoutes(ctx)
+	if err != nil {
+		s.refused("routes not read", apierr.From(err), 0)
+	}
+	return document, err
+}
+
+// Entries tells a caller in a place which gates to use.
+func (s *Service) Entries(place string) (directory.Answer, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	input := directory.Input{
+		CallerPlace: place, Lifetime: s.options.AnswerLifetime, Limit: s.options.MaxEntries,
+		Members: []member.Member{{Self: true, Record: member.Record{VM: member.VM{Name: s.options.VM, Place: s.options.Place, Region: s.options.Region}}}},
+	}
+	for _, gate := range s.table.Gates() {
+		input.Members = append(input.Members, member.Member{Record: member.Record{
+			VM:    member.VM{Name: gate.VM, Place: gate.Place, Region: gate.Region, Callers: gate.Callers},
+			State: member.Alive, Ready: gate.Ready, Draining: gate.Draining,
+		}})
+	}
+	answer, err := s.directory.Decide(input)
+	if err != nil {
+		s.options.Metrics.Refused(apierr.ReasonOf(err))
+	}
+	return answer, err
+}
+
+// Reasons of calls that the adapter answers by itself.
+const (
+	ReasonNoRoutes  apierr.Reason = "no_routes"
+	ReasonUnknownVM apierr.Reason = "unknown_vm"
+)
+
+// BadAnnouncement counts and logs an announcement that cannot be read.
+func (s *Service) BadAnnouncement(id string, err error) {
+	s.options.Metrics.Refused(apierr.ReasonOf(err))
+	s.options.Log.Info("announcement refused", telemetry.Upstream(id), telemetry.Reason(string(apierr.ReasonOf(err))), zap.Error(err))
+}
+
+// BadRoutes counts and logs a document of routes that cannot be read.
+func (s *Service) BadRoutes(err error) { s.refused("routes refused", apierr.From(err), 0) }
--- /dev/null
+++ b/internal/control/share.go
@@ -0,0 +1,193 @@
+package control
+
+import (
+	"context"
+	"slices"
+	"sync"
+	"time"
+
+	"go.uber.org/zap"
+
+	"slateway.example/slateway/internal/control/controlapi"
+	"slateway.example/slateway/internal/roster"
+	"slateway.example/slateway/internal/rpc"
+	"slateway.example/slateway/internal/upstream"
+)
+
+const (
+	// shareInterval is how often what was heard goes to the other control VMs.
+	// Gates renew their words twice a second, replicas about once.
+	shareInterval = 500 * time.Millisecond
+	// wholeEvery is how many shares lie between two that ask for everything, so
+	// that what was lost on its way, or while a VM was cut off, is made good.
+	wholeEvery = 6
+	// shareTimeout bounds one call; a silent connection is noticed by it.
+	shareTimeout = 700 * time.Millisecond
+	// contactLifetime is how long a control VM that is no member counts as one
+	// after it was heard.
+	contactLifetime = 10 * time.Second
+)
+
+// Run shares and forgets until ctx ends.
+func (s *Service) Run(ctx context.Context) {
+	ticker := time.NewTicker(shareInterval)
+	defer ticker.Stop()
+	for round := 0; ; round++ {
+		s.tick()
+		s.shareHeard(ctx, round%wholeEvery == 0)
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+	}
+}
+
+func (s *Service) tick() {
+	s.InTouch() // logs its changes also while nobody asks
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	before := s.table.Version()
+	s.table.Tick(time.Now())
+	if s.table.Version() != before {
+		s.notify()
+	}
+}
+
+// shareHeard tells the other control VMs what replicas and gates have told this
+// one since the last time.
+func (s *Service) shareHeard(ctx context.Context, whole bool) {
+	request := s.takeHeard()
+	request.Whole = whole
+	if len(request.Replicas)+len(request.Gates) == 0 && !whole {
+		return
+	}
+	go func() {
+		for _, answer := range s.send(ctx, request, shareTimeout) {
+			s.merge(answer.Replicas, answer.Gates)
+		}
+	}()
+}
+
+func (s *Service) takeHeard() *controlapi.ShareRequest {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := time.Now()
+	request := &controlapi.ShareRequest{}
+	for _, heard := range s.table.Replicas(now) {
+		if _, direct := s.dirty[heard.Replica.Replica]; direct {
+			request.Replicas = append(request.Replicas, heard)
+		}
+	}
+	for _, heard := range s.table.HeardGates(now) {
+		if _, direct := s.gates[heard.Gate.VM]; direct {
+			request.Gates = append(request.Gates, heard)
+		}
+	}
+	clear(s.dirty)
+	clear(s.gates)
+	return request
+}
+
+// push tells all other control VMs of a change and waits for them, pushTimeout
+// at most. It goes on when the one who brought the change has left.
+func (s *Service) push(ctx context.Context, request *controlapi.ShareRequest) {
+	s.send(context.WithoutCancel(ctx), request, pushTimeout)
+}
+
+// send calls all other control VMs at once and gives the answers that came.
+func (s *Service) send(ctx context.Context, request *controlapi.ShareRequest, timeout time.Duration) []*controlapi.ShareResponse {
+	request.From = s.options.Address
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	var mu sync.Mutex
+	var answers []*controlapi.ShareResponse
+	var calls sync.WaitGroup
+	for _, address := range s.controls() {
+		if address == s.options.Address {
+			continue
+		}
+		calls.Go(func() {
+			answer, err := rpc.Call(ctx, s.options.Calls, address, controlapi.Share, request)
+			if err != nil {
+				s.options.Log.Debug("control VM not told", zap.String("address", address), zap.Error(err))
+				return
+			}
+			mu.Lock()
+			defer mu.Unlock()
+			answers = append(answers, answer)
+		})
+	}
+	calls.Wait()
+	return answers
+}
+
+// controls lists the peers addresses of the control VMs, this one included.
+func (s *Service) controls() []string {
+	addresses := slices.Clone(s.options.Seeds)
+	addresses = append(addresses, s.options.Address)
+	for _, m := range s.options.Group.Known() {
+		if m.Class == ClassControl {
+			addresses = append(addresses, m.Address)
+		}
+	}
+	s.mu.Lock()
+	for address, at := range s.contacts {
+		if time.Since(at) > contactLifetime {
+			delete(s.contacts, address)
+			continue
+		}
+		addresses = append(addresses, address)
+	}
+	s.mu.Unlock()
+	slices.Sort(addresses)
+	return slices.Compact(addresses)
+}
+
+// share takes in what another control VM has heard.
+func (s *Service) share(_ context.Context, request *controlapi.ShareRequest) (*controlapi.ShareResponse, error) {
+	s.mu.Lock()
+	s.contacts[request.From] = time.Now()
+	s.mu.Unlock()
+	s.merge(request.Replicas, request.Gates)
+	s.mergeLeft(request.Left)
+	response := &controlapi.ShareResponse{}
+	if request.Whole {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		now := time.Now()
+		response.Replicas = s.table.Replicas(now)
+		response.Gates = s.table.HeardGates(now)
+	}
+	return response, nil
+}
+
+func (s *Service) merge(replicas []roster.Heard, gates []roster.HeardGate) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := time.Now()
+	news := false
+	for _, heard := range replicas {
+		if heard.Replica.Validate() != nil {
+			s.options.Metrics.Count(string(upstream.ReasonBadAnnouncement))
+			continue
+		}
+		news = s.table.Announce(now, heard.Replica, heard.Age) == roster.Changed || news
+	}
+	for _, heard := range gates {
+		news = s.table.Hear(now, heard.Gate, heard.Age) || news
+	}
+	if news {
+		s.notify()
+	}
+}
+
+func (s *Service) mergeLeft(left []controlapi.Left) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, l := range left {
+		if _, news := s.table.Leave(l.Replica, l.Incarnation); news {
+			s.notify()
+		}
+	}
+}
--- a/internal/daemon/dial.go
+++ b/internal/daemon/dial.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"slateway.example/slateway/internal/settings"
+	"slateway.example/slateway/internal/sockets"
 	"slateway.example/slateway/internal/telemetry"
 )
 
@@ -16,20 +17,16 @@
 	peerIdleTimeout = 30 * time.Second
 	// maxPeerConnections bounds the idle connections to one process.
 	maxPeerConnections = 32
-	// keepAlive is the pace of TCP's own probes.
-	keepAlive = 15 * time.Second
 	// peersCounter names the bytes between the project's own processes.
 	peersCounter = "peers"
 )
 
-func dialer(timeout time.Duration) *net.Dialer {
-	return &net.Dialer{Timeout: timeout, KeepAlive: keepAlive}
-}
+func dialer(timeout time.Duration) *net.Dialer { return sockets.Dialer(timeout, 0) }
 
 // peerClient makes the HTTP client for calls to the project's own processes.
 // Deadlines come with each call.
 func peerClient(s *settings.Settings, metrics *telemetry.Metrics) *http.Client {
-	peers := peerDialer{timeout: s.Timeouts.Dial, source: sourceIP(s.Listen.Peers)}
+	peers := peerDialer{timeout: s.Timeouts.Dial, unanswered: s.Timeouts.Unanswered, source: sourceIP(s.Listen.Peers)}
 	return &http.Client{Transport: &http.Transport{
 		DialContext:         metrics.CountDial(peersCounter, peers.dial),
 		MaxIdleConnsPerHost: maxPeerConnections,
@@ -41,8 +38,9 @@
 // VM with several addresses would else show whichever the route gives, and
 // rules by address between the VMs, such as a firewall's, would not fit.
 type peerDialer struct {
-	timeout time.Duration
-	source  netip.Addr // invalid: any
+	timeout    time.Duration
+	unanswered time.Duration
+	source     netip.Addr // invalid: any
 }
 
 // sourceIP gives the address to connect from; invalid when the VM listens on
@@ -56,7 +54,7 @@
 }
 
 func (p peerDialer) dial(ctx context.Context, network, address string) (net.Conn, error) {
-	d := dialer(p.timeout)
+	d := sockets.Dialer(p.timeout, p.unanswered)
 	if p.reaches(address) {
 		d.LocalAddr = &net.TCPAddr{IP: p.source.AsSlice()}
 	}
--- a/internal/daemon/keeper.go
+++ b/internal/daemon/keeper.go
@@ -20,10 +20,17 @@
 // keeperRole is the replicated state on this VM's disk.
 type keeperRole struct {
 	host    *replica.Host
+	config  *keeper.ConfigMachine
 	service *keeper.Service
 }
 
 func newKeeperRole(s *settings.Settings, log *zap.Logger, metrics *telemetry.Metrics) (*keeperRole, error) {
+	return openKeeper(s, log, metrics, func(config *replica.Config) { config.Voters = voters(s) })
+}
+
+// openKeeper opens the replicated state; members says in the configuration who
+// its members are.
+func openKeeper(s *settings.Settings, log *zap.Logger, metrics *telemetry.Metrics, members func(*replica.Config)) (*keeperRole, error) {
 	config := keeper.NewConfigMachine()
 	jobs := make([]*keeper.JobMachine, s.Quorum.JobGroups)
 	// A replica that cannot write a record would differ from the others from
@@ -32,11 +39,10 @@
 		log.Error("a file of the replicated state failed", zap.Error(err))
 		os.Exit(exitDisk)
 	}
-	host, err := replica.Open(replica.Config{
+	options := replica.Config{
 		VM:      s.VM.Name,
 		Address: s.Advertise.Peers,
 		Folder:  s.VM.DataFolder,
-		Voters:  voters(s),
 		Groups:  uint32(s.Quorum.JobGroups) + 1,
 		NewMachine: func(group uint32, folder string) (replica.Machine, error) {
 			if group == keeperapi.ConfigGroup {
@@ -53,7 +59,10 @@
 		ReplaceAfter:    s.Quorum.ReplaceAfter,
 		Logger:          log,
 		Client:          peerClient(s, metrics),
-	})
+		Metrics:         metrics,
+	}
+	members(&options)
+	host, err := replica.Open(options)
 	if err != nil {
 		return nil, err
 	}
@@ -68,7 +77,7 @@
 		SessionTTL:  s.Batch.Lease,
 		TenureTTL:   s.Orders.Lease,
 	})
-	return &keeperRole{host: host, service: service}, nil
+	return &keeperRole{host: host, config: config, service: service}, nil
 }
 
 // ticksPerHeartbeat is how finely the agreement sees time.
--- a/internal/daemon/listen.go
+++ b/internal/daemon/listen.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"slateway.example/slateway/internal/api"
+	"slateway.example/slateway/internal/sockets"
 )
 
 const (
@@ -25,8 +26,8 @@
 }
 
 // newListener binds the address.
-func newListener(key, address string, handler http.Handler) (*listener, error) {
-	socket, err := net.Listen("tcp", address)
+func newListener(key, address string, handler http.Handler, unanswered time.Duration) (*listener, error) {
+	socket, err := sockets.Listen(context.Background(), address, unanswered)
 	if err != nil {
 		return nil, fmt.Errorf("listen.%s = %q: %w; free the port or name another", key, address, err)
 	}
@@ -78,7 +79,7 @@
 }
 
 func (d *Daemon) add(key, address string, handler http.Handler) error {
-	l, err := newListener(key, address, handler)
+	l, err := newListener(key, address, handler, d.settings.Timeouts.Unanswered)
 	if err != nil {
 		for _, open := range d.listeners {
 			_ = open.socket.Close()
--- /dev/null
+++ b/internal/daemon/site.go
@@ -0,0 +1,163 @@
+package daemon
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net/http"
+	"sync"
+
+	"go.uber.org/zap"
+
+	"slateway.example/slateway/internal/control"
+	"slateway.example/slateway/internal/gate"
+	"slateway.example/slateway/internal/gate/proxy"
+	"slateway.example/slateway/internal/job"
+	"slateway.example/slateway/internal/rpc"
+	"slateway.example/slateway/internal/settings"
+	"slateway.example/slateway/internal/telemetry"
+)
+
+// Edge is how a site of control VMs speaks to those outside: its handlers decode
+// their messages, call the product and encode its answers.
+type Edge struct {
+	Callers      func(routed *gate.Routed, jobs *gate.Jobs) http.Handler
+	Readiness    func(ready func() bool) http.Handler
+	Control      func(service *control.Service) http.Handler
+	Directory    func(service *control.Service) http.Handler
+	ItemProtocol func(host string, item *job.Item) proxy.Protocol
+	Refuse       func(w http.ResponseWriter, err error)
+}
+
+// Site is one slatewayd process of a site of control VMs.
+type Site struct {
+	edge    Edge
+	log     *telemetry.Log
+	metrics *telemetry.Metrics
+	calls   *rpc.Client
+
+	mu       sync.Mutex
+	settings settings.Settings
+
+	control   *siteControl // nil unless a control or store VM
+	gate      *siteGate    // nil without the role
+	listeners []*listener
+}
+
+// NewSite makes the parts; Run starts them.
+func NewSite(s settings.Settings, edge Edge, log *telemetry.Log) (*Site, error) {
+	site := &Site{settings: s, edge: edge, log: log, metrics: telemetry.NewMetrics()}
+	site.calls = rpc.NewClient(peerClient(&s, site.metrics))
+	if s.Is(settings.RoleControl) || s.Is(settings.RoleStore) {
+		made, err := newSiteControl(site)
+		if err != nil {
+			return nil, err
+		}
+		site.control = made
+	}
+	if s.Is(settings.RoleGate) {
+		site.gate = newSiteGate(site)
+	}
+	return site, nil
+}
+
+// Run serves until ctx ends, then drains.
+func (s *Site) Run(ctx context.Context) error {
+	failures := make(chan error, 1)
+	if err := s.listen(failures); err != nil {
+		return err
+	}
+	background, stop := context.WithCancel(context.WithoutCancel(ctx))
+	defer stop()
+	if s.control != nil {
+		s.control.start(background)
+	}
+	if s.gate != nil {
+		s.gate.start(background)
+	}
+	s.log.Info("serving", zap.String("vm", s.settings.VM.Name), zap.Any("roles", s.settings.VM.Roles),
+		zap.Strings("seeds", s.settings.Control.Seeds), zap.Bool("found", s.settings.Control.Found))
+	err := s.wait(ctx, failures)
+	s.stop(stop, err)
+	return err
+}
+
+// wait returns nil when ctx ends, else what made the daemon unable to go on.
+func (s *Site) wait(ctx context.Context, failures <-chan error) error {
+	var hostDone <-chan struct{}
+	if s.control != nil {
+		hostDone = s.control.keeper.host.Done()
+	}
+	select {
+	case <-ctx.Done():
+		return nil
+	case err := <-failures:
+		return err
+	case <-hostDone:
+		return fmt.Errorf("the replicated state stopped: %w; check the disk of %s, then start again",
+			errors.Join(s.control.keeper.host.Err()), s.settings.VM.DataFolder)
+	}
+}
+
+func (s *Site) stop(stopBackground context.CancelFunc, cause error) {
+	s.log.Info("stopping", zap.Error(cause))
+	ctx, cancel := context.WithTimeout(context.Background(), s.settings.Timeouts.Drain)
+	defer cancel()
+	if s.gate != nil {
+		s.gate.drain(ctx)
+	}
+	if s.control != nil {
+		s.control.keeper.stop()
+	}
+	stopBackground()
+	for _, l := range s.listeners {
+		l.shutdown()
+	}
+	s.log.Info("stopped")
+}
+
+func (s *Site) listen(failures chan<- error) error {
+	for _, entry := range s.handlers() {
+		l, err := newListener(entry.key, entry.address, entry.handler, s.settings.Timeouts.Unanswered)
+		if err != nil {
+			for _, open := range s.listeners {
+				_ = open.socket.Close()
+			}
+			return err
+		}
+		s.listeners = append(s.listeners, l)
+	}
+	for _, l := range s.listeners {
+		go l.serve(failures)
+	}
+	return nil
+}
+
+// served is one address and what it serves.
+type served struct {
+	key, address string
+	handler      http.Handler
+}
+
+func (s *Site) handlers() []served {
+	addresses := s.settings.Listen
+	peers := http.NewServeMux()
+	metrics := http.NewServeMux()
+	metrics.Handle("GET /metrics", s.metrics.TextHandler())
+	list := []served{{"peers", addresses.Peers, peers}, {"metrics", addresses.Metrics, metrics}}
+	if s.control != nil {
+		s.control.mount(peers)
+	}
+	if s.control != nil && s.control.service != nil {
+		list = append(list,
+			served{"control", addresses.Control, s.edge.Control(s.control.service)},
+			served{"directory", addresses.Directory, s.edge.Directory(s.control.service)})
+	}
+	if s.gate != nil {
+		s.gate.exchange.Mount(peers)
+		list = append(list,
+			served{"callers", addresses.Callers, s.gate.handler(s.edge)},
+			served{"readiness", addresses.Readiness, s.edge.Readiness(s.gate.ready)})
+	}
+	return list
+}
--- /dev/null
+++ b/internal/daemon/sitegate.go
@@ -0,0 +1,218 @@
+package daemon
+
+import (
+	"context"
+	"hash/maphash"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"go.uber.org/zap"
+
+	"slateway.example/slateway/internal/apierr"
+	"slateway.example/slateway/internal/directory"
+	"slateway.example/slateway/internal/gate"
+	"slateway.example/slateway/internal/gate/batch"
+	"slateway.example/slateway/internal/gate/exchange"
+	"slateway.example/slateway/internal/gate/follow"
+	"slateway.example/slateway/internal/gate/proxy"
+	"slateway.example/slateway/internal/keeper/keeperclient"
+	"slateway.example/slateway/internal/roster"
+	"slateway.example/slateway/internal/route"
+	"slateway.example/slateway/internal/settings"
+)
+
+// siteGate is the role of a gate at a site of control VMs.
+type siteGate struct {
+	log      *zap.Logger
+	settings *settings.Settings
+	follower *follow.Follower
+	exchange *exchange.Exchange
+	router   *proxy.Router
+	routed   *gate.Routed
+	jobs     *gate.Jobs
+	runner   *batch.Runner
+	draining *drain
+	isReady  atomic.Bool
+
+	stopBatch  context.CancelFunc
+	stopOthers context.CancelFunc
+	batch      sync.WaitGroup
+	others     sync.WaitGroup
+}
+
+const (
+	// keptAnswers is how many lifetimes some callers keep a directory's answer.
+	keptAnswers = 3
+	// drainReserve is left of the drain's time for the end of the process.
+	drainReserve = 500 * time.Millisecond
+	// giveBackReserve is left of the drain's time when items that still run are
+	// given back; their gate then has the time to report it.
+	giveBackReserve = 1500 * time.Millisecond
+	// unlistedForever is the lifetime of replicas in a gate's own table: they go
+	// only when the control VMs say so, or one by one when they do not answer.
+	unlistedForever = 365 * 24 * time.Hour
+	// jobCallTimeout bounds calls about jobs beside their own wait.
+	jobCallTimeout = 1500 * time.Millisecond
+)
+
+func newSiteGate(site *Site) *siteGate {
+	s := &site.settings
+	g := &siteGate{log: site.log.Logger, settings: s}
+	g.draining = &drain{decide: directory.NewDrain(directory.DrainConfig{
+		Lifetime: keptAnswers * s.Directory.AnswerLifetime,
+		Longest:  s.Timeouts.Drain - drainReserve,
+	})}
+	g.follower = follow.New(follow.Options{
+		Gate: roster.Gate{
+			VM: s.VM.Name, Place: s.VM.Place, Region: s.VM.Region,
+			Callers: s.Listen.Callers, Peers: s.Listen.Peers, Started: time.Now().UnixMilli(),
+		},
+		Seeds: s.SeedPeers(), Calls: site.calls, Router: siteReplicas{g}, Log: site.log.Logger, Metrics: site.metrics,
+	})
+	g.exchange = exchange.New(exchange.Options{
+		VM: s.VM.Name, Place: s.VM.Place, Region: s.VM.Region,
+		Fleet: g.follower.Fleet(), Client: site.calls, Log: site.log.Logger, DirectLifetime: s.Upstream.ExpireAfter,
+	})
+	g.router = proxy.New(proxy.Options{
+		Self: s.VM.Name, Place: s.VM.Place, Seed: maphash.String(maphash.MakeSeed(), s.VM.Name),
+		Route: route.Config{
+			EntryLifetime: unlistedForever,
+			MaxQueue:      s.Limits.MaxQueue,
+			TokenTimeout:  s.Timeouts.StreamIdle,
+			HedgeMin:      -1,              // a second run costs more than it saves
+			ProbeAfter:    unlistedForever, // a quiet stream's replica is not asked: that would take a slot
+		},
+		Metrics:        site.metrics,
+		Log:            site.log.Logger,
+		SendUsage:      g.exchange.SendUsage,
+		Spread:         g.exchange.Spread,
+		Probe:          proxy.ProbeConnection,
+		DialTimeout:    s.Timeouts.Dial,
+		Unanswered:     s.Timeouts.Unanswered,
+		DefaultTimeout: s.Timeouts.Request,
+	})
+	g.exchange.Attach(g.router)
+	keepers := keeperclient.NewDynamic(site.calls, g.follower.Keepers)
+	keepers.CountRetries(site.metrics)
+	g.routed = gate.NewRouted(g.follower, g.router, site.metrics, site.log.Logger)
+	g.jobs = gate.NewJobs(gate.JobsOptions{
+		Keepers: keepers, Source: g.follower, Router: g.router, Metrics: site.metrics, Log: site.log.Logger,
+		Retention: s.Batch.Retention, Timeout: jobCallTimeout, Protocol: site.edge.ItemProtocol,
+	})
+	g.runner = batch.New(batch.Options{
+		Session:     keepers.NewSession(s.VM.Name),
+		Router:      g.router,
+		Log:         site.log.Logger,
+		Route:       g.jobs.Route,
+		LeaseItems:  s.Batch.LeaseItems,
+		ResultFlush: s.Batch.ResultFlush,
+		ResultGroup: s.Batch.ResultGroup,
+		Heartbeat:   s.Batch.Lease / heartbeatsPerLease,
+	})
+	return g
+}
+
+func (g *siteGate) start(ctx context.Context) {
+	othersContext, stopOthers := context.WithCancel(ctx)
+	g.stopOthers = stopOthers
+	g.others.Go(func() { g.follower.Run(othersContext) })
+	g.others.Go(func() { g.exchange.RunGates(othersContext) })
+	g.others.Go(func() { g.awaitReady(othersContext) })
+	batchContext, stopBatch := context.WithCancel(ctx)
+	g.stopBatch = stopBatch
+	g.batch.Go(func() { g.runner.Run(batchContext) })
+}
+
+// ready says whether callers may be sent here.
+func (g *siteGate) ready() bool { return g.isReady.Load() && !g.draining.begun() }
+
+// awaitReady lets the gate be named to callers once it has routes, and knows a
+// replica or has waited for one.
+func (g *siteGate) awaitReady(ctx context.Context) {
+	ticker := time.NewTicker(readyPoll)
+	defer ticker.Stop()
+	var routed time.Time
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case now := <-ticker.C:
+			if g.follower.Routes().Version() == 0 {
+				continue
+			}
+			routed = orNow(routed, now)
+			if len(g.router.Upstreams()) > 0 || now.Sub(routed) >= readySettle {
+				g.isReady.Store(true)
+				g.follower.SetReady()
+				g.log.Info("ready", zap.Uint64("routes", g.follower.Routes().Version()))
+				return
+			}
+		}
+	}
+}
+
+// handler serves callers and counts them for the drain.
+func (g *siteGate) handler(edge Edge) http.Handler {
+	next := edge.Callers(g.routed, g.jobs)
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if g.draining.begun() {
+			w.Header().Set("Connection", "close")
+		}
+		if !g.draining.enter() {
+			edge.Refuse(w, apierr.New(apierr.Unavailable, reasonDraining, "ask for gates to use",
+				"this gate is shutting down").WithRetryAfter(time.Millisecond))
+			return
+		}
+		defer g.draining.leave()
+		next.ServeHTTP(w, r)
+	})
+}
+
+// drain takes the gate out of the directory and serves on until no caller may
+// hold its address any more and the last request has been answered. Items that
+// run go on meanwhile; those that are not done near the end are given back.
+func (g *siteGate) drain(ctx context.Context) {
+	g.log.Info("draining", zap.Int("in_progress", g.router.InFlight()))
+	began := time.Now()
+	g.draining.begin()
+	g.follower.SetDraining()
+	g.stopBatch()
+	g.router.DrainBatch(true)
+	reported := make(chan struct{})
+	go func() {
+		g.batch.Wait()
+		close(reported)
+	}()
+	ticker := time.NewTicker(drainPoll)
+	defer ticker.Stop()
+	gaveBack := false
+	for !g.drained(reported) {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+		if !gaveBack && time.Since(began) > g.settings.Timeouts.Drain-giveBackReserve {
+			gaveBack = true
+			g.router.DrainBatch(false)
+		}
+	}
+	g.log.Info("drained", zap.Duration("took", time.Since(began)), zap.Int("in_progress", g.router.InFlight()))
+	g.stopOthers()
+	g.others.Wait()
+	g.router.Close()
+}
+
+func (g *siteGate) drained(reported <-chan struct{}) bool {
+	if g.draining.phase() != directory.Stopped {
+		return false
+	}
+	select {
+	case <-reported:
+		return true
+	default:
+		return false
+	}
+}
--- a/internal/gate/batch/outcome.go
+++ b/internal/gate/batch/outcome.go
@@ -17,13 +17,26 @@
 	case err != nil, result.Outcome == proxy.BatchNotRun:
 		reported.Outcome = job.OutcomeReturned
 	case result.Outcome == proxy.BatchDone:
-		completeAnswered(reported, result)
+		completeAnswered(reported, lease, result)
+	case lease.OnlyAnswersCount:
+		completeUnanswered(reported, result.Err)
 	default:
 		completeFailed(reported, lease, result.Err)
 	}
 }
 
-func completeAnswered(reported *job.Result, result *proxy.BatchResult) {
+// completeUnanswered ends an item only if its time is over; else nothing that
+// went wrong on the way speaks against it.
+func completeUnanswered(reported *job.Result, failure *apierr.Error) {
+	reported.Outcome = job.OutcomeReturned
+	if failure.Kind == apierr.Deadline {
+		reported.Outcome = job.OutcomeFailed
+		reported.Reason = failure.Reason
+		reported.Message = failure.Error()
+	}
+}
+
+func completeAnswered(reported *job.Result, lease *job.Leased, result *proxy.BatchResult) {
 	reported.Outcome = job.OutcomeSucceeded
 	reported.Status = result.Status
 	reported.Body = result.Body
@@ -31,6 +44,9 @@
 		reported.Outcome = job.OutcomeFailed
 		reported.Reason = reasonUpstreamStatus
 		reported.Message = http.StatusText(result.Status)
+		if lease.OnlyAnswersCount && result.Status >= http.StatusInternalServerError {
+			reported.Outcome = job.OutcomeRetry // a failure that may pass; it counts
+		}
 	}
 }
 
--- a/internal/gate/batch/runner.go
+++ b/internal/gate/batch/runner.go
@@ -11,6 +11,7 @@
 
 	"go.uber.org/zap"
 
+	"slateway.example/slateway/internal/apierr"
 	"slateway.example/slateway/internal/gate/proxy"
 	"slateway.example/slateway/internal/job"
 	"slateway.example/slateway/internal/keeper/keeperapi"
@@ -44,6 +45,8 @@
 	Router   Router
 	Policies Policies
 	Log      *zap.Logger
+	// Route gives how an item is run; nil: as its team's policy says.
+	Route func(lease *job.Leased, item *job.Item) (proxy.BatchItem, error)
 
 	LeaseItems  int           // items asked for at once
 	ResultFlush time.Duration // longest wait of a result for its group
@@ -250,7 +253,7 @@
 }
 
 func (r *Runner) runItem(ctx context.Context, lease *job.Leased, item *job.Item) {
-	result, err := r.options.Router.RunBatch(ctx, r.routed(lease, item))
+	result, err := r.run(ctx, lease, item)
 	if ctx.Err() != nil {
 		return // the job has ended; the keepers have dropped the lease
 	}
@@ -264,6 +267,17 @@
 	r.results.add(reported)
 }
 
+func (r *Runner) run(ctx context.Context, lease *job.Leased, item *job.Item) (proxy.BatchResult, error) {
+	if r.options.Route == nil {
+		return r.options.Router.RunBatch(ctx, r.routed(lease, item))
+	}
+	routed, err := r.options.Route(lease, item)
+	if err != nil {
+		return proxy.BatchResult{Outcome: proxy.BatchNotRun, Err: apierr.From(err)}, nil
+	}
+	return r.options.Router.RunBatch(ctx, routed)
+}
+
 // returnPause is how long an item that cannot run here is kept before it is
 // given back.
 const returnPause = 250 * time.Millisecond
--- a/internal/gate/exchange/exchange.go
+++ b/internal/gate/exchange/exchange.go
@@ -184,6 +184,22 @@
 	}
 }
 
+// RunGates keeps the router's list of live gates current until ctx ends, and
+// spreads nothing: for a gate whose replicas announce themselves elsewhere.
+func (e *Exchange) RunGates(ctx context.Context) {
+	ticker := time.NewTicker(gatesInterval)
+	defer ticker.Stop()
+	for {
+		e.setGates()
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		case <-e.wake:
+		}
+	}
+}
+
 // setGates tells the router which gates live: those of the own place, and the
 // contacts of other places, which pass usages on.
 func (e *Exchange) setGates() {
--- /dev/null
+++ b/internal/gate/follow/follower.go
@@ -0,0 +1,314 @@
+// Package follow keeps a gate in step with the control VMs: it asks one of them
+// for changes of the routes, the replicas and the other gates, and tells it in
+// the same call that this gate lives.
+package follow
+
+import (
+	"context"
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"go.uber.org/zap"
+
+	"slateway.example/slateway/internal/control/controlapi"
+	"slateway.example/slateway/internal/roster"
+	"slateway.example/slateway/internal/routes"
+	"slateway.example/slateway/internal/rpc"
+	"slateway.example/slateway/internal/telemetry"
+	"slateway.example/slateway/internal/upstream"
+)
+
+// Router takes in what the control VMs know of replicas.
+type Router interface {
+	Announce(a upstream.Announcement) error
+	Withdraw(service string, id upstream.ReplicaID, incarnation uint64)
+}
+
+// Options are what a Follower needs. All must be set.
+type Options struct {
+	Gate    roster.Gate // this gate; Sequence, Ready and Draining are the Follower's
+	Seeds   []string    // peers addresses of some control VMs
+	Calls   *rpc.Client
+	Router  Router
+	Log     *zap.Logger
+	Metrics *telemetry.Metrics
+}
+
+const (
+	// callWait is how long a control VM holds the question. It is a third of the
+	// silence after which a gate is no longer named to callers.
+	callWait = 500 * time.Millisecond
+	// callTimeout is the time for an answer beside the wait. A control VM that is
+	// frozen, or a connection that has gone silent for good, shows by it only.
+	callTimeout = 600 * time.Millisecond
+	// retryPause is between two control VMs that did not answer.
+	retryPause = 50 * time.Millisecond
+	// wholeInterval is how often everything is asked for: what this gate was not
+	// told, while it went from one control VM to another, is made good by it.
+	wholeInterval = 10 * time.Second
+	// unlistedLifetime is how long a replica is kept that no control VM lists. A
+	// control VM that has just started does not know all of them.
+	unlistedLifetime = 4 * wholeInterval
+	// staleAfter is the silence of all control VMs after which what this gate
+	// knows may be out of date.
+	staleAfter = 2 * time.Second
+)
+
+// Follower is one gate's side. Run must run beside it.
+type Follower struct {
+	options Options
+	wake    chan struct{} // this gate's word has changed
+
+	matcher atomic.Pointer[routes.Matcher]
+	heard   atomic.Int64 // when a control VM last answered, in ns since start
+	start   time.Time
+
+	mu       sync.Mutex // guards what follows
+	gate     roster.Gate
+	controls []string
+	keepers  []string
+	current  string // control VM that is asked
+	epoch    string
+	since    uint64
+	wholeAt  time.Time
+	listed   map[upstream.ReplicaID]listing
+	gates    []roster.Gate
+	onGates  []func()
+}
+
+// listing is when a control VM last listed a replica.
+type listing struct {
+	service     string
+	incarnation uint64
+	at          time.Time
+}
+
+// New makes a follower.
+func New(options Options) *Follower {
+	f := &Follower{
+		options: options, gate: options.Gate, controls: slices.Clone(options.Seeds),
+		wake: make(chan struct{}, 1), listed: make(map[upstream.ReplicaID]listing), start: time.Now(),
+	}
+	f.matcher.Store(routes.NewMatcher(&routes.Document{}))
+	return f
+}
+
+// Routes gives the routes that this gate serves by; version 0 before the first.
+func (f *Follower) Routes() *routes.Matcher { return f.matcher.Load() }
+
+// Age gives how long ago a control VM last confirmed what this gate knows.
+func (f *Follower) Age() time.Duration {
+	return time.Since(f.start) - time.Duration(f.heard.Load())
+}
+
+// Stale says whether what this gate knows may be out of date.
+func (f *Follower) Stale() bool { return f.Age() > staleAfter }
+
+// Keepers gives the peers addresses of the VMs that hold replicated state; the
+// seeds' while none is known.
+func (f *Follower) Keepers() []string {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if len(f.keepers) == 0 {
+		return f.controls
+	}
+	return f.keepers
+}
+
+// Gates gives the gates that live, as the control VMs last said.
+func (f *Follower) Gates() []roster.Gate {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.gates
+}
+
+// OnGates adds fn to what is called when the gates have changed.
+func (f *Follower) OnGates(fn func()) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.onGates = append(f.onGates, fn)
+}
+
+// SetReady tells that this gate can serve callers.
+func (f *Follower) SetReady() { f.say(func(g *roster.Gate) { g.Ready = true }) }
+
+// SetDraining tells that this gate takes no new callers.
+func (f *Follower) SetDraining() { f.say(func(g *roster.Gate) { g.Draining = true }) }
+
+func (f *Follower) say(change func(*roster.Gate)) {
+	f.mu.Lock()
+	change(&f.gate)
+	f.mu.Unlock()
+	select {
+	case f.wake <- struct{}{}:
+	default:
+	}
+}
+
+// Run follows until ctx ends.
+func (f *Follower) Run(ctx context.Context) {
+	for ctx.Err() == nil {
+		address := f.target()
+		err := f.ask(ctx, address)
+		if err == nil || ctx.Err() != nil {
+			continue
+		}
+		f.leave(address, err)
+		pause(ctx, retryPause)
+	}
+}
+
+func pause(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
+
+// target gives the control VM to ask: the one that answered last, else another
+// one, by lot, so that gates spread over them.
+func (f *Follower) target() string {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.current == "" {
+		f.current = f.controls[rand.IntN(len(f.controls))]
+	}
+	return f.current
+}
+
+func (f *Follower) leave(address string, err error) {
+	f.options.Metrics.Count("follow.lost")
+	f.options.Log.Info("control VM does not answer, asking another", zap.String("control", address),
+		zap.Duration("age", f.Age()), zap.Error(err))
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.current = ""
+}
+
+func (f *Follower) ask(ctx context.Context, address string) error {
+	request := f.request()
+	ctx, cancel := context.WithTimeout(ctx, callWait+callTimeout)
+	defer cancel()
+	asked := make(chan struct{})
+	defer close(asked)
+	superseded := atomic.Bool{}
+	go func() { // a new word does not wait for the answer to the last
+		select {
+		case <-f.wake:
+			superseded.Store(true)
+			cancel()
+		case <-asked:
+		}
+	}()
+	response, err := rpc.Call(ctx, f.options.Calls, address, controlapi.Follow, request)
+	if err != nil {
+		if superseded.Load() {
+			return nil
+		}
+		return err
+	}
+	f.heard.Store(int64(time.Since(f.start)))
+	f.take(address, request, response)
+	return nil
+}
+
+// request is this gate's word and its question.
+func (f *Follower) request() *controlapi.FollowRequest {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.gate.Sequence++
+	request := &controlapi.FollowRequest{
+		Gate: f.gate, Routes: f.Routes().Version(), Epoch: f.epoch, Since: f.since, Wait: callWait,
+	}
+	if time.Since(f.wholeAt) >= wholeInterval {
+		request.Epoch, request.Since = "", 0
+	}
+	return request
+}
+
+func (f *Follower) take(address string, asked *controlapi.FollowRequest, response *controlapi.FollowResponse) {
+	if response.Routes != nil {
+		f.takeRoutes(address, response.Routes)
+	}
+	whole := asked.Since == 0 || response.Epoch != asked.Epoch
+	f.takeReplicas(address, &response.Changes, whole)
+	f.mu.Lock()
+	if response.Epoch != f.epoch {
+		f.options.Log.Info("following", zap.String("control", address), zap.String("epoch", response.Epoch))
+	}
+	f.epoch, f.since = response.Epoch, response.Changes.Version
+	if len(response.Controls) > 0 {
+		f.controls = response.Controls
+		f.keepers = response.Keepers
+	}
+	if whole {
+		f.wholeAt = time.Now()
+	}
+	calls := f.takeGates(&response.Changes)
+	f.mu.Unlock()
+	for _, fn := range calls {
+		fn()
+	}
+}
+
+// takeRoutes puts newer routes in force. A control VM that lags behind, or has
+// started anew, never takes a gate back to older ones.
+func (f *Follower) takeRoutes(address string, document *routes.Document) {
+	before := f.Routes().Version()
+	if document.Version <= before {
+		return
+	}
+	f.matcher.Store(routes.NewMatcher(document))
+	f.options.Metrics.Set("routes.version", int64(document.Version))
+	f.options.Log.Info("routes in force", zap.Uint64("version", document.Version), zap.Uint64("before", before),
+		zap.Int("routes", len(document.Routes)), zap.String("control", address))
+}
+
+func (f *Follower) takeReplicas(address string, changes *roster.Changes, whole bool) {
+	now := time.Now()
+	for i := range changes.Replicas {
+		a := &changes.Replicas[i]
+		if err := f.options.Router.Announce(*a); err != nil {
+			f.options.Log.Warn("announcement not taken", telemetry.Upstream(string(a.Replica)), zap.Error(err))
+			continue
+		}
+		f.listed[a.Replica] = listing{service: a.Service, incarnation: a.Incarnation, at: now}
+		if !whole {
+			f.options.Log.Info("replica known", telemetry.Upstream(string(a.Replica)), zap.String("service", a.Service),
+				zap.String("address", a.Address), zap.Uint64("incarnation", a.Incarnation), zap.Bool("leaving", a.Leaving),
+				zap.String("control", address))
+		}
+	}
+	for _, gone := range changes.Gone {
+		f.withdraw(gone, "forgotten by the control VMs")
+	}
+	if !whole {
+		return
+	}
+	for id, known := range f.listed {
+		if now.Sub(known.at) > unlistedLifetime {
+			f.withdraw(roster.Gone{Replica: id, Incarnation: known.incarnation, Service: known.service}, "not listed any more")
+		}
+	}
+}
+
+func (f *Follower) withdraw(gone roster.Gone, why string) {
+	f.options.Router.Withdraw(gone.Service, gone.Replica, gone.Incarnation)
+	delete(f.listed, gone.Replica)
+	f.options.Log.Info("replica withdrawn", telemetry.Upstream(string(gone.Replica)),
+		zap.Uint64("incarnation", gone.Incarnation), zap.String("why", why))
+}
+
+// takeGates notes the gates and gives what to call for it. The mutex is held.
+func (f *Follower) takeGates(changes *roster.Changes) []func() {
+	if !changes.HasGates {
+		return nil
+	}
+	f.gates = changes.Gates
+	return f.onGates
+}
--- /dev/null
+++ b/internal/gate/jobs.go
@@ -0,0 +1,180 @@
+package gate
+
+import (
+	"context"
+	"math/rand/v2"
+	"time"
+
+	"go.uber.org/zap"
+
+	"slateway.example/slateway/internal/apierr"
+	"slateway.example/slateway/internal/codec"
+	"slateway.example/slateway/internal/gate/proxy"
+	"slateway.example/slateway/internal/instant"
+	"slateway.example/slateway/internal/job"
+	"slateway.example/slateway/internal/keeper/keeperapi"
+	"slateway.example/slateway/internal/keeper/keeperclient"
+	"slateway.example/slateway/internal/route"
+	"slateway.example/slateway/internal/routes"
+	"slateway.example/slateway/internal/telemetry"
+)
+
+// Jobs takes callers' batch jobs by the operators' routes.
+type Jobs struct {
+	options JobsOptions
+}
+
+// JobsOptions are what Jobs needs. All must be set.
+type JobsOptions struct {
+	Keepers   *keeperclient.Client
+	Source    RouteSource
+	Router    *proxy.Router
+	Metrics   Metrics
+	Log       *zap.Logger
+	Retention time.Duration // results stay readable after a job's end
+	Timeout   time.Duration // of a call that names no other
+	// Protocol gives how an item of a host is run.
+	Protocol func(host string, item *job.Item) proxy.Protocol
+}
+
+// NewJobs makes a Jobs.
+func NewJobs(options JobsOptions) *Jobs { return &Jobs{options: options} }
+
+// SubmittedItem is an item of a job as its caller handed it in.
+type SubmittedItem struct {
+	ID     string
+	Path   string
+	Header map[string]string
+	Body   []byte
+	Tokens uint32
+}
+
+// maxSubmittedItems bounds a job that is handed in whole.
+const maxSubmittedItems = 200
+
+// Reasons of refused jobs.
+const (
+	ReasonTooManyItems apierr.Reason = "too_many_items"
+	ReasonItemNoRoute  apierr.Reason = "item_without_route"
+)
+
+// Submit accepts a whole job, or nothing of it.
+func (j *Jobs) Submit(ctx context.Context, found Found, id string, items []SubmittedItem) error {
+	if len(items) == 0 || len(items) > maxSubmittedItems {
+		return j.refused("job refused", id, apierr.New(apierr.Invalid, ReasonTooManyItems, "split the job",
+			"a job has 1 to %d items, not %d", maxSubmittedItems, len(items)))
+	}
+	ctx, cancel := context.WithTimeout(ctx, found.Timeout)
+	defer cancel()
+	began := time.Now()
+	submission := j.submission(found, id, items, began)
+	status, err := j.options.Keepers.SubmitJob(ctx, submission)
+	if err != nil {
+		return j.refused("job refused", id, err)
+	}
+	j.options.Log.Info("job accepted", telemetry.RequestID(id), zap.String("job", string(status.ID)), zap.String("route", found.Name),
+		zap.String("service", submission.Spec.Queue.Service), zap.Int("items", len(items)),
+		zap.Uint64("routes", found.Matcher.Version()), zap.Duration("took", time.Since(began)))
+	return nil
+}
+
+func (j *Jobs) submission(found Found, id string, items []SubmittedItem, now time.Time) *job.Submission {
+	stored := make([]job.Item, len(items))
+	tokens := make([]uint32, len(items))
+	for i, item := range items {
+		tokens[i] = item.Tokens
+		stored[i] = job.Item{CustomID: item.ID, Endpoint: item.Path, Header: item.Header, Body: item.Body, Tokens: item.Tokens}
+	}
+	spec := job.Spec{
+		Team:             found.Host,
+		Key:              id,
+		Queue:            job.Queue{Service: found.Pick(rand.Float64(), j.options.Router.Knows)},
+		Within:           found.CompletionTarget,
+		MaxAttempts:      max(1, found.MaxAttempts),
+		Retention:        j.options.Retention,
+		OnlyAnswersCount: true,
+	}
+	if found.GiveUpAfter > 0 {
+		spec.GiveUp = instant.Of(now.Add(found.GiveUpAfter))
+	}
+	return &job.Submission{Spec: spec, Tokens: tokens, Items: codec.MustMarshal(stored), Quota: found.QuotaTokens}
+}
+
+func (j *Jobs) refused(what, id string, err error) error {
+	known := apierr.From(err)
+	j.options.Metrics.Refused(known.Reason)
+	j.options.Log.Info(what, telemetry.RequestID(id), telemetry.Reason(string(known.Reason)),
+		zap.String("ran", string(known.Ran)), zap.String("message", known.Message))
+	return known
+}
+
+// Results reads results of a job in the order in which they were made, at most
+// maxBytes of them; it waits up to wait for the first.
+func (j *Jobs) Results(ctx context.Context, host, id string, position uint32, maxBytes int, wait time.Duration) (*keeperapi.ListResultsResponse, error) {
+	ctx, cancel := context.WithTimeout(ctx, wait+j.options.Timeout)
+	defer cancel()
+	response, err := j.options.Keepers.ListResults(ctx, keeperapi.ListResultsRequest{
+		Job: job.NewID(host, id), Position: position, MaxBytes: maxBytes, Wait: wait,
+	})
+	if err != nil {
+		return nil, j.refused("results not read", id, err)
+	}
+	return response, nil
+}
+
+// Item reads the body of an item that waits or runs.
+func (j *Jobs) Item(ctx context.Context, host, id, item string) ([]byte, error) {
+	ctx, cancel := context.WithTimeout(ctx, j.options.Timeout)
+	defer cancel()
+	found, err := j.options.Keepers.ReadItem(ctx, job.NewID(host, id), item)
+	if err != nil {
+		return nil, j.refused("item not read", id, err)
+	}
+	return found.Body, nil
+}
+
+// End ends a job for good; one that has ended by itself is left as it is.
+func (j *Jobs) End(ctx context.Context, host, id string) error {
+	ctx, cancel := context.WithTimeout(ctx, j.options.Timeout)
+	defer cancel()
+	_, err := j.options.Keepers.CancelJob(ctx, job.NewID(host, id))
+	if err != nil && apierr.ReasonOf(err) != job.ReasonJobEnded {
+		return j.refused("job not ended", id, err)
+	}
+	j.options.Log.Info("job ended by its caller", telemetry.RequestID(id))
+	return nil
+}
+
+// Route says how a leased item is run: by the route that its path has now.
+func (j *Jobs) Route(lease *job.Leased, item *job.Item) (proxy.BatchItem, error) {
+	matcher := j.options.Source.Routes()
+	found := matcher.Match(lease.Team, item.Endpoint)
+	if found == nil || found.Kind != routes.Batch {
+		return proxy.BatchItem{}, apierr.New(apierr.Unavailable, ReasonItemNoRoute, "add a batch route for the item's path",
+			"no batch route of version %d fits %s%s", matcher.Version(), lease.Team, item.Endpoint)
+	}
+	routed := proxy.BatchItem{
+		ID:         string(lease.Job) + "/" + item.CustomID,
+		Team:       found.Name,
+		Service:    j.service(found, lease.Queue.Service),
+		Body:       item.Body,
+		Deadline:   lease.GiveUp.Time(),
+		Repeatable: true,
+		Policy:     route.ThroughputPolicy(),
+		Protocol:   j.options.Protocol(lease.Team, item),
+	}
+	j.options.Log.Info("item starts", telemetry.RequestID(item.CustomID), zap.String("job", string(lease.Job)),
+		zap.Int("attempt", lease.Attempt), zap.String("service", routed.Service), zap.Uint64("routes", matcher.Version()))
+	return routed, nil
+}
+
+// service keeps the service that the job was queued for, as long as the route
+// still goes there.
+func (j *Jobs) service(found *routes.Route, queued string) string {
+	for _, share := range found.Split {
+		if share.Service == queued && share.Weight > 0 {
+			return queued
+		}
+	}
+	return found.Pick(rand.Float64(), j.options.Router.Knows)
+}
--- a/internal/gate/proxy/attempt.go
+++ b/internal/gate/proxy/attempt.go
@@ -12,7 +12,10 @@
 	"sync/atomic"
 	"time"
 
+	"go.uber.org/zap"
+
 	"slateway.example/slateway/internal/route"
+	"slateway.example/slateway/internal/telemetry"
 	"slateway.example/slateway/internal/upstream"
 )
 
@@ -23,6 +26,7 @@
 	target upstream.Announcement
 	resume bool
 	try    Try // as it was sent
+	began  time.Time
 
 	ctx       context.Context
 	cancelCtx context.CancelFunc
@@ -32,7 +36,10 @@
 
 func newAttempt(f *flight, o route.Dispatch) *attempt {
 	ctx, cancel := context.WithCancel(context.Background())
-	return &attempt{id: o.Attempt, flight: f, target: *o.Target, resume: o.Resume, ctx: ctx, cancelCtx: cancel}
+	return &attempt{
+		id: o.Attempt, flight: f, target: *o.Target, resume: o.Resume, began: time.Now(),
+		ctx: ctx, cancelCtx: cancel,
+	}
 }
 
 // halt stops the attempt: closing its connection makes the engine free the
@@ -72,13 +79,13 @@
 	defer a.cancelCtx()
 	response, err := a.send()
 	if err != nil {
-		a.fail(a.causeOf(err))
+		a.failed(a.causeOf(err), err)
 		return
 	}
 	defer response.Body.Close()
 	verdict := a.flight.protocol.Judge(response, &a.try)
 	if verdict.Cause != "" {
-		a.fail(verdict.Cause)
+		a.failed(verdict.Cause, fmt.Errorf("status %d", response.StatusCode))
 		return
 	}
 	a.step(route.Progress{Attempt: a.id})
@@ -92,7 +99,7 @@
 		err = a.readWhole(response)
 	}
 	if err != nil && !errors.Is(err, errUnused) {
-		a.fail(a.causeOf(err))
+		a.failed(a.causeOf(err), err)
 	}
 }
 
@@ -102,7 +109,14 @@
 	}
 }
 
-func (a *attempt) fail(cause route.FailureCause) {
+// failed reports that the attempt ended without its answer.
+func (a *attempt) failed(cause route.FailureCause, err error) {
+	if a.stopped.Load() {
+		return
+	}
+	a.flight.shard.log().Info("attempt failed", telemetry.RequestID(a.flight.request.ID), zap.Uint64("attempt", uint64(a.id)),
+		telemetry.Upstream(string(a.target.Replica)), telemetry.Reason(string(cause)), zap.Duration("after", time.Since(a.began)),
+		zap.Bool("sent", a.connected.Load()), zap.Error(err))
 	a.step(route.Failed{Attempt: a.id, Cause: cause})
 }
 
--- a/internal/gate/proxy/batch.go
+++ b/internal/gate/proxy/batch.go
@@ -23,6 +23,8 @@
 	Deadline   time.Time // zero: a day from now
 	Repeatable bool
 	Policy     route.Policy // zero: the router's own
+	// Protocol is how the item is run; nil: by Path, Plain and Body.
+	Protocol Protocol
 }
 
 // BatchOutcome says how an item ended.
@@ -56,13 +58,16 @@
 		return BatchResult{Outcome: BatchNotRun, Err: unknownService(item.Service)}, nil
 	}
 	request := r.batchRequest(&item)
-	form := batchForm(&item)
-	request.Resumable = form.resumable()
-	request.Kind = form.Kind()
-	if err := form.Check(); err != nil {
+	protocol := item.Protocol
+	if protocol == nil {
+		protocol = batchForm(&item)
+	}
+	request.Resumable = protocol.Resumable()
+	request.Kind = protocol.Kind()
+	if err := protocol.Check(); err != nil {
 		return BatchResult{Outcome: BatchFailed, Err: err}, nil
 	}
-	flight := newFlight(s, request, form)
+	flight := newFlight(s, request, protocol)
 	r.options.Metrics.Count(CountBatchStarted)
 	s.open(flight)
 	defer flight.attempts.Wait()
--- a/internal/gate/proxy/flight.go
+++ b/internal/gate/proxy/flight.go
@@ -5,6 +5,7 @@
 	"errors"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"slateway.example/slateway/internal/apierr"
@@ -15,12 +16,13 @@
 // that serves the caller empties it. A slow caller therefore never makes a
 // healthy stream look silent.
 type flight struct {
-	shard   *shard
-	request route.Request
+	shard    *shard
+	request  route.Request
 	protocol Protocol
-	started time.Time
+	started  time.Time
 
 	attempts sync.WaitGroup
+	sent     atomic.Bool   // an attempt was begun
 	wake     chan struct{} // holds one token when there is something to do
 
 	mu       sync.Mutex
@@ -43,9 +45,13 @@
 
 func (f *flight) newAttempt(o route.Dispatch) *attempt {
 	f.attempts.Add(1)
+	f.sent.Store(true)
 	return newAttempt(f, o)
 }
 
+// wasSent says whether any attempt was begun.
+func (f *flight) wasSent() bool { return f.sent.Load() }
+
 func (f *flight) signal() {
 	select {
 	case f.wake <- struct{}{}:
--- a/internal/gate/proxy/form.go
+++ b/internal/gate/proxy/form.go
@@ -91,8 +91,8 @@
 	return true
 }
 
-// resumable says whether the answer may be continued by another replica.
-func (f *form) resumable() bool { return f.engine && f.simple() }
+// Resumable says whether the answer may be continued by another replica.
+func (f *form) Resumable() bool { return f.engine && f.simple() }
 
 // resumeField is what an engine needs to go on with a stream.
 type resumeField struct {
--- a/internal/gate/proxy/links.go
+++ b/internal/gate/proxy/links.go
@@ -11,6 +11,7 @@
 	"syscall"
 	"time"
 
+	"slateway.example/slateway/internal/sockets"
 	"slateway.example/slateway/internal/upstream"
 )
 
@@ -24,6 +25,7 @@
 	// moment leaves open whether the request ran.
 	fresh        *http.Transport
 	probeTimeout time.Duration
+	ask          func(ctx context.Context, address string) ProbeResult
 
 	mu    sync.Mutex
 	pools map[upstream.ReplicaID]*http.Transport
@@ -33,13 +35,13 @@
 const (
 	maxIdlePerReplica = 256
 	idleTimeout       = 30 * time.Second
-	keepAlive         = 15 * time.Second
 )
 
 func newLinks(o Options) *links {
 	l := &links{
-		dialer:       &net.Dialer{Timeout: o.DialTimeout, KeepAlive: keepAlive},
+		dialer:       sockets.Dialer(o.DialTimeout, o.Unanswered),
 		probeTimeout: o.ProbeTimeout,
+		ask:          o.Probe,
 		pools:        make(map[upstream.ReplicaID]*http.Transport),
 	}
 	l.fresh = l.newTransport()
@@ -88,37 +90,56 @@
 	l.fresh.CloseIdleConnections()
 }
 
-// probeResult says what a fresh connection to a replica found.
-type probeResult struct {
-	alive       bool // something answered by HTTP
-	refused     bool // the VM answers and no process listens
-	incarnation uint64
+// ProbeResult says what a fresh connection to a replica found.
+type ProbeResult struct {
+	Alive       bool // something answered
+	Refused     bool // the VM answers and no process listens
+	Incarnation uint64
 }
 
 // maxProbeBytes bounds the answer that a probe reads.
 const maxProbeBytes = 4096
 
-// probe asks a replica for its load. Any HTTP answer shows a live process: a
-// frozen one still accepts connections, but never answers.
-func (l *links) probe(address string) probeResult {
+// probe asks whether the process at an address lives.
+func (l *links) probe(address string) ProbeResult {
 	ctx, cancel := context.WithTimeout(context.Background(), l.probeTimeout)
 	defer cancel()
+	if l.ask != nil {
+		return l.ask(ctx, address)
+	}
+	return l.askLoad(ctx, address)
+}
+
+// askLoad asks an engine for its load. Any HTTP answer shows a live process: a
+// frozen one still accepts connections, but never answers.
+func (l *links) askLoad(ctx context.Context, address string) ProbeResult {
 	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+PathLoad, nil)
 	if err != nil {
-		return probeResult{}
+		return ProbeResult{}
 	}
 	response, err := l.fresh.RoundTrip(request)
 	if err != nil {
-		return probeResult{refused: errors.Is(err, syscall.ECONNREFUSED)}
+		return ProbeResult{Refused: errors.Is(err, syscall.ECONNREFUSED)}
 	}
 	defer response.Body.Close()
 	data, err := io.ReadAll(io.LimitReader(response.Body, maxProbeBytes))
 	if err != nil {
-		return probeResult{}
+		return ProbeResult{}
 	}
 	var load struct {
 		Incarnation uint64 `json:"incarnation"`
 	}
 	_ = json.Unmarshal(data, &load) // plain services need not report a load
-	return probeResult{alive: true, incarnation: load.Incarnation}
+	return ProbeResult{Alive: true, Incarnation: load.Incarnation}
+}
+
+// ProbeConnection finds out whether a process listens at an address by opening a
+// connection. It takes no slot of the replica; a process that is frozen passes.
+func ProbeConnection(ctx context.Context, address string) ProbeResult {
+	connection, err := new(net.Dialer).DialContext(ctx, "tcp", address)
+	if err != nil {
+		return ProbeResult{Refused: errors.Is(err, syscall.ECONNREFUSED)}
+	}
+	_ = connection.Close() // nothing was sent
+	return ProbeResult{Alive: true}
 }
--- a/internal/gate/proxy/online.go
+++ b/internal/gate/proxy/online.go
@@ -8,6 +8,8 @@
 	"strings"
 	"time"
 
+	"go.uber.org/zap"
+
 	"slateway.example/slateway/internal/apierr"
 	"slateway.example/slateway/internal/route"
 	"slateway.example/slateway/internal/telemetry"
@@ -42,7 +44,7 @@
 		Fingerprint: upstream.FingerprintOf(o.Service, o.Body),
 		Prefix:      form.prefixHash(),
 		Repeatable:  o.Repeatable,
-		Resumable:   form.resumable(),
+		Resumable:   form.Resumable(),
 		Limits:      o.Limits,
 	})
 }
@@ -147,7 +149,8 @@
 	flight  *flight
 	caller  Caller
 	metrics Metrics
-	begun   bool // the head of a stream has been given
+	begun   bool          // the head of a stream has been given
+	first   time.Duration // until then
 }
 
 func (d *delivery) serve(ctx context.Context) {
@@ -157,9 +160,13 @@
 	for {
 		select {
 		case <-ctx.Done():
-			return // the caller has left; closing the flight stops its attempts
+			d.flight.shard.log().Info("caller left", telemetry.RequestID(d.flight.request.ID), zap.Duration("after", time.Since(d.flight.started)))
+			return // closing the flight stops its attempts
 		case <-deadline.C:
-			d.flight.end(deadlinePassed())
+			// Closed first: no attempt begins after the caller has its answer, so
+			// that "not run" stays true.
+			d.flight.shard.close(d.flight)
+			d.flight.end(deadlinePassed(d.flight.wasSent()))
 			d.metrics.Count(string(route.ReasonDeadline))
 		case <-d.flight.wake:
 		}
@@ -174,17 +181,22 @@
 	}
 }
 
-func deadlinePassed() *apierr.Error {
-	return apierr.New(apierr.Deadline, route.ReasonDeadline,
+func deadlinePassed(sent bool) *apierr.Error {
+	refusal := apierr.New(apierr.Deadline, route.ReasonDeadline,
 		"send the request earlier or with a later deadline",
-		"the deadline passed while the request was in progress").WithRan(apierr.RanUnknown)
+		"the deadline passed while the request was in progress")
+	if sent {
+		return refusal.WithRan(apierr.RanUnknown)
+	}
+	return refusal
 }
 
 func (d *delivery) pass(head *Reply, data []byte) bool {
 	if !d.begun {
 		d.begun = true
 		d.caller.Begin(head)
-		d.metrics.Observe(MetricFirstToken, time.Since(d.flight.started))
+		d.first = time.Since(d.flight.started)
+		d.metrics.Observe(MetricFirstToken, d.first)
 	}
 	return d.caller.Events(data)
 }
@@ -193,6 +205,8 @@
 	answer, err := d.flight.outcome()
 	switch {
 	case err != nil && d.begun:
+		d.flight.shard.log().Info("answer broken off", telemetry.RequestID(d.flight.request.ID), telemetry.Reason(string(err.Reason)),
+			zap.Duration("after", time.Since(d.flight.started)), zap.String("message", err.Message))
 		d.caller.Break(err)
 		return
 	case err != nil:
@@ -205,6 +219,8 @@
 	}
 	d.metrics.Count(CountOnlineDone)
 	d.metrics.Observe(MetricAnswer, time.Since(d.flight.started))
+	d.flight.shard.log().Info("request answered", telemetry.RequestID(d.flight.request.ID), zap.Duration("first", d.first),
+		zap.Duration("after", time.Since(d.flight.started)))
 }
 
 // openAICaller answers in the OpenAI protocol.
--- a/internal/gate/proxy/options.go
+++ b/internal/gate/proxy/options.go
@@ -8,6 +8,8 @@
 	"context"
 	"time"
 
+	"go.uber.org/zap"
+
 	"slateway.example/slateway/internal/route"
 	"slateway.example/slateway/internal/upstream"
 )
@@ -64,6 +66,7 @@
 	Route   route.Config // limits and delays of each shard; Self and Place are set by New
 	Policy  route.Policy // for BatchRoom and for items without their own
 	Metrics Metrics
+	Log     *zap.Logger // of each decision on a request; nil: none
 
 	// SendUsage tells other gates what this gate has on the replicas that they
 	// feed with batch. Without it, this gate must be the only one.
@@ -72,9 +75,17 @@
 	// has ended.
 	Spread func(ctx context.Context, service string, strikes []upstream.Strike)
 
-	SpreadTimeout  time.Duration // the longest wait for Spread
-	TickEvery      time.Duration
-	DialTimeout    time.Duration
+	// Probe finds out whether the process at an address lives; nil: by the load
+	// that engines tell on PathLoad.
+	Probe func(ctx context.Context, address string) ProbeResult
+
+	SpreadTimeout time.Duration // the longest wait for Spread
+	TickEvery     time.Duration
+	DialTimeout   time.Duration
+	// Unanswered is how long sent bytes may go without an acknowledgement of the
+	// other VM before the connection is given up; 0: the system's default, which
+	// is many minutes.
+	Unanswered     time.Duration
 	ProbeTimeout   time.Duration
 	MaxAnswerBytes int // the longest answer that is held for a caller
 	DefaultTimeout time.Duration
@@ -106,6 +117,9 @@
 	if o.Metrics == nil {
 		o.Metrics = noMetrics{}
 	}
+	if o.Log == nil {
+		o.Log = zap.NewNop()
+	}
 	if o.Spread == nil {
 		o.Spread = func(context.Context, string, []upstream.Strike) {}
 	}
--- a/internal/gate/proxy/protocol.go
+++ b/internal/gate/proxy/protocol.go
@@ -20,6 +20,8 @@
 	Check() *apierr.Error
 	// Streams says whether the caller is given the answer event by event.
 	Streams() bool
+	// Resumable says whether another upstream can go on with an answer.
+	Resumable() bool
 	// Start is the number of the last event that the caller has already; 0 for a
 	// request from the start.
 	Start() int
--- a/internal/gate/proxy/router.go
+++ b/internal/gate/proxy/router.go
@@ -121,6 +121,24 @@
 	return nil
 }
 
+// Withdraw takes in that a replica is no more, up to an incarnation.
+func (r *Router) Withdraw(service string, id upstream.ReplicaID, incarnation uint64) {
+	if s := r.find(service); s != nil {
+		s.step(route.Withdrawn{Replica: id, Incarnation: incarnation})
+	}
+}
+
+// Knows says whether any replica of the service takes requests.
+func (r *Router) Knows(service string) bool {
+	s := r.find(service)
+	if s == nil {
+		return false
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.decide.Usable()
+}
+
 // CacheEvent takes in a cache event of a replica of the service.
 func (r *Router) CacheEvent(service string, e upstream.CacheEvent) {
 	if s := r.find(service); s != nil {
@@ -219,13 +237,19 @@
 	return s.decide.BatchTarget(policy)
 }
 
-// Drain stops batch work and waits until no request is in progress or ctx ends.
-// Online requests are still served: callers may hold this gate's address.
-func (r *Router) Drain(ctx context.Context) error {
+// DrainBatch stops batch work. With keepRunning, items that run go on to their
+// end; without, they are given back.
+func (r *Router) DrainBatch(keepRunning bool) {
 	r.mu.Lock()
 	r.draining = true
 	r.mu.Unlock()
-	r.each(route.Draining{})
+	r.each(route.Draining{KeepRunning: keepRunning})
+}
+
+// Drain stops batch work and waits until no request is in progress or ctx ends.
+// Online requests are still served: callers may hold this gate's address.
+func (r *Router) Drain(ctx context.Context) error {
+	r.DrainBatch(false)
 	ticker := time.NewTicker(r.options.TickEvery)
 	defer ticker.Stop()
 	for r.InFlight() > 0 {
--- a/internal/gate/proxy/shard.go
+++ b/internal/gate/proxy/shard.go
@@ -5,8 +5,11 @@
 	"sync"
 	"time"
 
+	"go.uber.org/zap"
+
 	"slateway.example/slateway/internal/apierr"
 	"slateway.example/slateway/internal/route"
+	"slateway.example/slateway/internal/telemetry"
 	"slateway.example/slateway/internal/upstream"
 )
 
@@ -131,6 +134,7 @@
 	}
 	a := f.newAttempt(o)
 	s.runs[o.Attempt] = a
+	s.logDispatch(&o)
 	go func() {
 		defer f.attempts.Done()
 		<-ready
@@ -144,14 +148,31 @@
 		return
 	}
 	delete(s.runs, o.Attempt)
+	s.log().Info("attempt stopped", telemetry.RequestID(o.ID), zap.Uint64("attempt", uint64(o.Attempt)),
+		telemetry.Upstream(string(a.target.Replica)), telemetry.Reason(string(o.Cause)), zap.Duration("after", time.Since(a.began)))
 	a.halt(o.Cause)
 }
 
+func (s *shard) log() *zap.Logger { return s.router.options.Log }
+
+// logDispatch tells where a request goes and what was believed of the replica.
+func (s *shard) logDispatch(o *route.Dispatch) {
+	view := s.decide.Load(o.Target.Replica)
+	s.log().Info("attempt", telemetry.RequestID(o.ID), zap.Uint64("attempt", uint64(o.Attempt)), zap.String("kind", string(o.Kind)),
+		telemetry.Upstream(string(o.Target.Replica)), zap.String("address", o.Target.Address), zap.Bool("resume", o.Resume),
+		zap.Int("slots", view.Slots), zap.Int("online", view.Online), zap.Int("batch", view.Batch),
+		zap.Int("others_online", view.OthersOnline), zap.Int("others_batch", view.OthersBatch), zap.Duration("others_age", view.OthersAge),
+		zap.Int("waiting", view.Waiting))
+}
+
 func (s *shard) refuse(o route.Refuse, ready chan struct{}) {
 	f := s.flights[o.ID]
 	if f == nil {
 		return
 	}
+	s.log().Info("request refused", telemetry.RequestID(o.ID), telemetry.Reason(string(o.Err.Reason)), zap.String("service", s.service),
+		zap.String("ran", string(o.Err.Ran)), zap.Duration("after", time.Since(f.started)),
+		zap.Duration("retry_after", o.Err.RetryAfter), zap.String("message", o.Err.Message))
 	if ready == alreadyDone {
 		f.end(o.Err)
 		return
@@ -166,9 +187,9 @@
 	result := s.router.links.probe(o.Address)
 	s.step(route.Probed{
 		Replica:     o.Replica,
-		Alive:       result.alive,
-		Refused:     result.refused,
-		Incarnation: result.incarnation,
+		Alive:       result.Alive,
+		Refused:     result.Refused,
+		Incarnation: result.Incarnation,
 	})
 }
 
--- /dev/null
+++ b/internal/gate/routed.go
@@ -0,0 +1,110 @@
+package gate
+
+import (
+	"context"
+	"math/rand/v2"
+	"time"
+
+	"go.uber.org/zap"
+
+	"slateway.example/slateway/internal/apierr"
+	"slateway.example/slateway/internal/gate/proxy"
+	"slateway.example/slateway/internal/route"
+	"slateway.example/slateway/internal/routes"
+	"slateway.example/slateway/internal/telemetry"
+	"slateway.example/slateway/internal/upstream"
+)
+
+// Reasons of refused requests to routes.
+const (
+	ReasonNoRoute apierr.Reason = "no_route"
+	// ReasonNoRouteStale is of a gate that does not know whether the route is new.
+	ReasonNoRouteStale apierr.Reason = "no_route_configuration_stale"
+)
+
+// RouteSource gives the routes that the gate serves by.
+type RouteSource interface {
+	Routes() *routes.Matcher
+	Age() time.Duration // since they were last confirmed
+	Stale() bool        // whether they may be out of date
+}
+
+// Routed serves callers' requests by the operators' routes.
+type Routed struct {
+	source  RouteSource
+	router  *proxy.Router
+	metrics Metrics
+	log     *zap.Logger
+}
+
+// NewRouted makes a Routed.
+func NewRouted(source RouteSource, router *proxy.Router, metrics Metrics, log *zap.Logger) *Routed {
+	return &Routed{source: source, router: router, metrics: metrics, log: log}
+}
+
+// Found is the route of a request with the document that has it.
+type Found struct {
+	*routes.Route
+	Matcher *routes.Matcher
+}
+
+// Lookup finds the route of a request.
+//
+// A gate that has no routes yet, or has not heard from the control VMs for a
+// while, cannot know that there is none: it says that it cannot serve the
+// request, so that the caller asks another gate.
+func (f *Routed) Lookup(requestID, host, path string) (Found, *apierr.Error) {
+	matcher := f.source.Routes()
+	if found := matcher.Match(host, path); found != nil {
+		return Found{Route: found, Matcher: matcher}, nil
+	}
+	var refusal *apierr.Error
+	switch {
+	case matcher.Version() == 0:
+		refusal = apierr.New(apierr.Unavailable, ReasonNoConfig, "use another gate or come back",
+			"this gate has no routes yet").WithRetryAfter(configRetryInterval)
+	case f.source.Stale():
+		refusal = apierr.New(apierr.Unavailable, ReasonNoRouteStale, "use another gate or come back",
+			"no route of version %d fits, and this gate may not have the newest", matcher.Version()).WithRetryAfter(configRetryInterval)
+	default:
+		refusal = apierr.New(apierr.NotFound, ReasonNoRoute, "ask for a host and path of `slatectl routes get`",
+			"no route of version %d fits %s%s", matcher.Version(), host, path)
+	}
+	f.metrics.Refused(refusal.Reason)
+	f.log.Info("request refused", telemetry.RequestID(requestID), telemetry.Reason(string(refusal.Reason)),
+		zap.String("host", host), zap.String("path", path), zap.Uint64("routes", matcher.Version()), zap.Duration("routes_age", f.source.Age()))
+	return Found{}, refusal
+}
+
+// RoutedRequest is a caller's request as its protocol was read.
+type RoutedRequest struct {
+	ID          string
+	Fingerprint upstream.Fingerprint // of what an upstream would run
+	Prefix      uint64               // hash of the prompt's start; 0: no affinity
+	// Patience is how long the caller waits; 0: as long as the route allows.
+	Patience time.Duration
+	Arrived  time.Time
+	Protocol proxy.Protocol
+}
+
+// Serve answers a request to a route that is not for jobs.
+func (f *Routed) Serve(ctx context.Context, caller proxy.Caller, found Found, r *RoutedRequest) {
+	service := found.Pick(rand.Float64(), f.router.Knows)
+	limit := found.Timeout
+	if r.Patience > 0 {
+		limit = min(limit, r.Patience)
+	}
+	f.log.Info("request routed", telemetry.RequestID(r.ID), zap.String("route", found.Name), zap.String("service", service),
+		zap.Uint64("routes", found.Matcher.Version()), zap.Duration("routes_age", f.source.Age()), zap.Duration("limit", limit))
+	f.router.Serve(ctx, caller, service, r.Protocol, route.Request{
+		ID:          r.ID,
+		Team:        found.Name,
+		Deadline:    r.Arrived.Add(limit),
+		Fingerprint: r.Fingerprint,
+		Prefix:      r.Prefix,
+		Repeatable:  found.Repeatable(),
+		Resumable:   found.Kind == routes.Streaming && found.Resumable,
+		MaxAttempts: found.MaxAttempts,
+		Target:      found.TargetLatency,
+	})
+}
--- a/internal/job/complete.go
+++ b/internal/job/complete.go
@@ -78,8 +78,7 @@
 		// Numbered as before, the next lease could be ended by a late copy of
 		// this report while its gate runs the item, and a second gate would run
 		// it too.
-		job.tries[result.Item] = tries{Leases: result.Attempt, Counted: job.tries[result.Item].Counted}
-		t.returnItem(job, result.Item)
+		t.returnUncounted(job, result.Item, result.Attempt, now)
 	default:
 		t.dropped.Invalid++
 	}
@@ -130,6 +129,8 @@
 	}
 	delete(job.tries, result.Item)
 	t.setResult(job, result.Item, ref)
+	job.order = append(job.order, result.Item)
+	t.freeTokens(job, result.Item)
 	if job.succeeded+job.failed+job.unknown == job.items {
 		t.end(job, StateCompleted, now)
 	}
--- a/internal/job/ended.go
+++ b/internal/job/ended.go
@@ -134,6 +134,7 @@
 		}
 		t.end(t.jobs[oldest.key.id()], StateCancelled, now)
 	}
+	t.giveUpOverdue(now)
 	deleted := 0
 	for {
 		first, found := t.ended.expiry.Min()
@@ -150,7 +151,8 @@
 func (t *Table) Expired(now instant.Micros) bool {
 	first, found := t.ended.expiry.Min()
 	oldest, uploading := t.uploads.Min()
-	return found && first.at <= now || uploading && oldest.at <= now
+	next, running := t.giveUps.Min()
+	return found && first.at <= now || uploading && oldest.at <= now || running && next.at <= now
 }
 
 // forget gives up the records of an ended job.
--- a/internal/job/lease.go
+++ b/internal/job/lease.go
@@ -52,6 +52,9 @@
 	NonIdempotent bool           `cbor:"8,keyasint,omitempty"`
 	Part          Ref            `cbor:"9,keyasint"`  // where its body lies
 	Index         uint32         `cbor:"10,keyasint"` // within the part
+	// GiveUp and OnlyAnswersCount are those of the job's Spec.
+	GiveUp           instant.Micros `cbor:"11,keyasint,omitempty"`
+	OnlyAnswersCount bool           `cbor:"12,keyasint,omitempty"`
 }
 
 // OpenSession registers a gate's session; a resend changes nothing.
@@ -101,9 +104,24 @@
 		t.endItem(job, item, attempt, now, OutcomeUnknown, ReasonOutcomeUnknown, "the gate that ran the item was lost before it reported")
 		return
 	}
+	if job.spec.OnlyAnswersCount {
+		t.returnUncounted(job, item, attempt, now)
+		return
+	}
 	t.retryItem(job, item, attempt, now, "the gate that ran the item was lost")
 }
 
+// returnUncounted makes an item available again after an attempt that says
+// nothing of the item.
+func (t *Table) returnUncounted(job *entry, item uint32, attempt int, now instant.Micros) {
+	if job.overdue(now) {
+		t.giveUpItem(job, item, now)
+		return
+	}
+	job.tries[item] = tries{Leases: attempt, Counted: job.tries[item].Counted}
+	t.returnItem(job, item)
+}
+
 // retryItem makes an item available again after an attempt that counts.
 func (t *Table) retryItem(job *entry, item uint32, attempt int, now instant.Micros, cause string) {
 	counted := job.tries[item].Counted + 1
@@ -111,6 +129,10 @@
 		t.endItem(job, item, attempt, now, OutcomeFailed, ReasonAttemptsExhausted, fmt.Sprintf("attempt %d of %d: %s", counted, job.spec.MaxAttempts, cause))
 		return
 	}
+	if job.overdue(now) {
+		t.giveUpItem(job, item, now)
+		return
+	}
 	job.tries[item] = tries{Leases: attempt, Counted: counted}
 	t.returnItem(job, item)
 }
@@ -268,6 +290,9 @@
 		NonIdempotent: j.spec.NonIdempotent,
 		Part:          owner.Ref,
 		Index:         item - owner.First,
+
+		GiveUp:           j.spec.GiveUp,
+		OnlyAnswersCount: j.spec.OnlyAnswersCount,
 	}
 }
 
--- a/internal/job/snapshot.go
+++ b/internal/job/snapshot.go
@@ -35,6 +35,8 @@
 	Succeeded uint32           `cbor:"17,keyasint"`
 	Failed    uint32           `cbor:"18,keyasint"`
 	Unknown   uint32           `cbor:"19,keyasint"`
+	Tokens    []uint32         `cbor:"20,keyasint,omitempty"`
+	Order     []uint32         `cbor:"21,keyasint,omitempty"`
 }
 
 type storedPage struct {
@@ -68,6 +70,7 @@
 		Items: j.items, Received: j.received, Parts: j.parts,
 		Next: j.next, Returned: j.returned, Tries: j.tries, Leases: j.leases,
 		Used: j.used, Succeeded: j.succeeded, Failed: j.failed, Unknown: j.unknown,
+		Tokens: j.tokens, Order: j.order,
 	}
 	for _, p := range j.pages {
 		stored.Pages = append(stored.Pages, storedPage{Flushed: p.flushed, Refs: encodePage(p.refs)})
@@ -114,6 +117,9 @@
 			holder.leases[itemKey{Job: job.id, Item: item}] = struct{}{}
 		}
 	}
+	if job.state == StateRunning {
+		t.schedule(job)
+	}
 	if job.state == StateRunning && (job.next < job.items || len(job.returned) > 0) {
 		t.setReady(job)
 	}
@@ -127,6 +133,7 @@
 		items: s.Items, received: s.Received, parts: s.Parts,
 		next: s.Next, returned: s.Returned, tries: s.Tries, leases: s.Leases,
 		used: s.Used, succeeded: s.Succeeded, failed: s.Failed, unknown: s.Unknown,
+		tokens: s.Tokens, order: s.Order,
 	}
 	job.restoreMaps()
 	for _, p := range s.Pages {
--- /dev/null
+++ b/internal/job/submit_test.go
@@ -0,0 +1,184 @@
+package job_test
+
+import (
+	"testing"
+	"time"
+
+	"slateway.example/slateway/internal/codec"
+	"slateway.example/slateway/internal/instant"
+	"slateway.example/slateway/internal/job"
+)
+
+// submitted hands in a job of partItems items of 10 tokens each.
+func submitted(table *job.Table, key string, quota uint64, giveUp instant.Micros) (job.Status, error) {
+	status, refusal := table.Submit(&job.Submission{
+		Spec: job.Spec{
+			Team: "council.example", Key: key, Queue: queue, Within: time.Hour, MaxAttempts: 2,
+			Retention: time.Hour, GiveUp: giveUp, OnlyAnswersCount: true,
+		},
+		Tokens: []uint32{10, 10, 10}, Items: encodedPart(0), Quota: quota,
+	}, 1)
+	if refusal != nil {
+		return status, refusal
+	}
+	return status, nil
+}
+
+func complete(table *job.Table, id job.ID, leased job.Leased, outcome job.Outcome, now instant.Micros) {
+	table.Complete("s", []job.Result{{Job: id, Item: leased.Item, Attempt: leased.Attempt, Outcome: outcome}}, now)
+}
+
+func leaseAll(table *job.Table, request uint64) []job.Leased {
+	items, _, _ := table.Lease("s", request, []job.Want{{Queue: queue, Max: partItems}}, 2)
+	return items
+}
+
+// listed gives the items of a job's listing in order.
+func listed(t *testing.T, table *job.Table, storage *memory, id job.ID) []uint32 {
+	t.Helper()
+	listing, err := table.ListFrom(id, 0, 100)
+	if err != nil {
+		t.Fatal(err)
+	}
+	var items []uint32
+	for _, ref := range listing.Refs {
+		var result job.StoredResult
+		if err := codec.Unmarshal(storage.results[ref.Offset], &result); err != nil {
+			t.Fatal(err)
+		}
+		items = append(items, result.Item)
+	}
+	return items
+}
+
+// A client loses the answer to its job and sends it again, at another gate,
+// after all of it has run: it is accepted again and nothing runs twice.
+func TestSubmittedJobIsAcceptedOnce(t *testing.T) {
+	table := job.NewTable(&memory{})
+	first, err := submitted(table, "a", 30, 0)
+	if err != nil || first.Items != partItems {
+		t.Fatalf("%+v, %v", first, err)
+	}
+	if again, err := submitted(table, "a", 30, 0); err != nil || again.ID != first.ID {
+		t.Fatalf("resent while it runs: %+v, %v", again, err)
+	}
+	table.OpenSession("s", "vm")
+	for _, item := range leaseAll(table, 1) {
+		complete(table, first.ID, item, job.OutcomeSucceeded, 2)
+	}
+	if again, err := submitted(table, "a", 30, 0); err != nil || again.State != job.StateCompleted {
+		t.Fatalf("resent after its end: %+v, %v", again, err)
+	}
+	if items := leaseAll(table, 2); len(items) != 0 {
+		t.Fatalf("leased again: %v", items)
+	}
+}
+
+// Two clients of one queue hand in more than the operator allows: the second is
+// refused whole, until the first one's items have results or its job is ended.
+func TestQuotaCountsItemsWithoutResult(t *testing.T) {
+	table := job.NewTable(&memory{})
+	first, _ := submitted(table, "a", 50, 0)
+	if _, err := submitted(table, "b", 50, 0); err == nil {
+		t.Fatal("60 tokens accepted under a quota of 50")
+	}
+	table.OpenSession("s", "vm")
+	items := leaseAll(table, 1)
+	complete(table, first.ID, items[0], job.OutcomeSucceeded, 2)
+	if _, err := submitted(table, "b", 50, 0); err != nil {
+		t.Fatalf("refused with 20 tokens waiting: %v", err)
+	}
+	if _, refusal := table.Cancel(first.ID, 3); refusal != nil {
+		t.Fatal(refusal)
+	}
+	if _, err := submitted(table, "c", 60, 0); err != nil {
+		t.Fatalf("a job that was ended still counts: %v", err)
+	}
+	if restored := roundTrip(t, table); restored != nil {
+		if _, err := submitted(restored, "d", 60, 0); err == nil {
+			t.Fatal("the quota was forgotten over a snapshot")
+		}
+	}
+}
+
+func roundTrip(t *testing.T, table *job.Table) *job.Table {
+	t.Helper()
+	data, err := table.Snapshot()
+	if err != nil {
+		t.Fatal(err)
+	}
+	restored, err := job.RestoreTable(data, &memory{})
+	if err != nil {
+		t.Fatal(err)
+	}
+	return restored
+}
+
+// A reader goes through a job's results while it runs. A result that changed
+// its position would be read twice or never.
+func TestResultsKeepTheOrderOfCompletion(t *testing.T) {
+	storage := &memory{}
+	table := job.NewTable(storage)
+	status, _ := submitted(table, "a", 0, 0)
+	table.OpenSession("s", "vm")
+	items := leaseAll(table, 1)
+	complete(table, status.ID, items[2], job.OutcomeSucceeded, 2)
+	complete(table, status.ID, items[0], job.OutcomeFailed, 3)
+	if got := listed(t, table, storage, status.ID); len(got) != 2 || got[0] != 2 || got[1] != 0 {
+		t.Fatalf("listed %v", got)
+	}
+	complete(table, status.ID, items[1], job.OutcomeSucceeded, 4)
+	if got := listed(t, table, storage, status.ID); len(got) != 3 || got[0] != 2 || got[1] != 0 || got[2] != 1 {
+		t.Fatalf("listed after the end %v", got)
+	}
+}
+
+// A gate is lost again and again with an item that no upstream ever answered:
+// the item has not failed, and is given up only when its time is over.
+func TestItemIsGivenUpByTimeOnly(t *testing.T) {
+	storage := &memory{}
+	table := job.NewTable(storage)
+	const giveUp = instant.Micros(1000)
+	status, _ := submitted(table, "a", 0, giveUp)
+	for round := range 5 {
+		table.OpenSession("s", "vm")
+		if items := leaseAll(table, uint64(round+1)); len(items) != partItems {
+			t.Fatalf("round %d: leased %d items", round, len(items))
+		}
+		table.EndSession("s", 2)
+	}
+	table.OpenSession("s", "vm")
+	running := leaseAll(table, 1)[:1]
+	for _, back := range leaseAll(table, 2) {
+		complete(table, status.ID, back, job.OutcomeReturned, 3)
+	}
+	if !table.Expired(giveUp) || table.Expired(giveUp-1) {
+		t.Fatal("given up at the wrong time")
+	}
+	table.Expire(giveUp)
+	complete(table, status.ID, running[0], job.OutcomeReturned, giveUp+1)
+	for _, held := range leaseAll(table, 3) {
+		t.Fatalf("leased after its time: %+v", held)
+	}
+	table.EndSession("s", giveUp+2)
+	status, _ = table.Status(status.ID)
+	if status.State != job.StateCompleted || status.Failed != partItems {
+		t.Fatalf("status %+v", status)
+	}
+}
+
+// An upstream answers that an item failed: that counts, and after the attempts
+// that the job allows the item ends.
+func TestFailureAnswersCount(t *testing.T) {
+	table := job.NewTable(&memory{})
+	status, _ := submitted(table, "a", 0, 0)
+	table.OpenSession("s", "vm")
+	for request := uint64(1); request <= 2; request++ {
+		for _, item := range leaseAll(table, request) {
+			complete(table, status.ID, item, job.OutcomeRetry, 2)
+		}
+	}
+	if status, _ = table.Status(status.ID); status.State != job.StateCompleted || status.Failed != partItems {
+		t.Fatalf("status %+v", status)
+	}
+}
--- a/internal/job/table.go
+++ b/internal/job/table.go
@@ -23,6 +23,8 @@
 	created  uint64 // jobs so far, orders jobs of equal deadlines
 	bodies   segmentUse
 	results  segmentUse
+	giveUps  *btree.BTreeG[expiryKey] // running jobs, by when their items are given up
+	waiting  map[Queue]uint64         // tokens of the items without a result
 
 	lastPart  Ref // that customID read; no part of the state
 	lastItems []Item
@@ -47,6 +49,8 @@
 	leases   map[uint32]lease // running items
 	pages    []page
 	used     segmentUse // result segments
+	tokens   []uint32   // by item, of a submitted job
+	order    []uint32   // items with a result, in the order of their results
 
 	succeeded, failed, unknown uint32
 }
@@ -97,6 +101,8 @@
 		sessions: make(map[SessionID]*session),
 		bodies:   make(segmentUse),
 		results:  make(segmentUse),
+		giveUps:  btree.NewG(btreeDegree, expiryKey.less),
+		waiting:  make(map[Queue]uint64),
 	}
 }
 
@@ -226,6 +232,7 @@
 		t.end(job, StateCompleted, now)
 		return job.status(), nil
 	}
+	t.schedule(job)
 	t.setReady(job)
 	return job.status(), nil
 }
@@ -262,6 +269,7 @@
 	}
 	t.setUnready(job)
 	t.uploads.Delete(job.uploadKey())
+	t.unschedule(job)
 	for i := range job.pages {
 		t.flushPage(job, i)
 	}
@@ -270,7 +278,7 @@
 	}
 	job.state = state
 	job.finished = now
-	job.returned, job.tries, job.leases = nil, nil, nil
+	job.returned, job.tries, job.leases, job.tokens = nil, nil, nil, nil
 	// A client that lost its answers sends the whole job again. The digests of a
 	// completed job's parts stay, so that it finds what it sent instead of a
 	// conflict; a cancelled job refuses all parts.
--- a/internal/job/types.go
+++ b/internal/job/types.go
@@ -30,6 +30,9 @@
 	ReasonUnknownSession    apierr.Reason = "unknown_session"
 	ReasonAttemptsExhausted apierr.Reason = "attempts_exhausted"
 	ReasonOutcomeUnknown    apierr.Reason = "outcome_unknown"
+	ReasonGivenUp           apierr.Reason = "given_up" // its time was over before it had a result
+	ReasonUnknownItem       apierr.Reason = "unknown_item"
+	ReasonQueueFull         apierr.Reason = "job_quota_exceeded" // the queue holds too many tokens
 )
 
 // ID names a job. It follows from team and job key, so that a resent creation
@@ -65,6 +68,12 @@
 	Within      time.Duration `cbor:"7,keyasint,omitempty"`
 	MaxAttempts int           `cbor:"8,keyasint"`
 	Retention   time.Duration `cbor:"9,keyasint"`
+
+	// GiveUp is when items that have no result end without one; zero: never.
+	GiveUp instant.Micros `cbor:"10,keyasint,omitempty"`
+	// OnlyAnswersCount: an attempt counts only if an upstream answered that it
+	// failed. The loss of a gate or of a connection says nothing of the item.
+	OnlyAnswersCount bool `cbor:"11,keyasint,omitempty"`
 }
 
 // sameContent tells a resent creation from another job under the same key.
@@ -77,7 +86,10 @@
 type Item struct {
 	CustomID string `cbor:"1,keyasint"`
 	Endpoint string `cbor:"2,keyasint"` // path of the call, such as /v1/chat/completions
-	Body     []byte `cbor:"3,keyasint"` // JSON
+	Body     []byte `cbor:"3,keyasint"` // JSON, or what the endpoint expects
+	// Header is sent with the request, beside what the protocol itself sets.
+	Header map[string]string `cbor:"4,keyasint,omitempty"`
+	Tokens uint32            `cbor:"5,keyasint,omitempty"` // of the prompt and the longest answer together
 }
 
 // State is where a job is in its life.
--- a/internal/keeper/command.go
+++ b/internal/keeper/command.go
@@ -5,6 +5,7 @@
 	"slateway.example/slateway/internal/claim"
 	"slateway.example/slateway/internal/instant"
 	"slateway.example/slateway/internal/job"
+	"slateway.example/slateway/internal/routes"
 	"slateway.example/slateway/internal/team"
 )
 
@@ -14,6 +15,8 @@
 	Change  *team.Change   `cbor:"1,keyasint,omitempty"`
 	Acquire *acquireTenure `cbor:"2,keyasint,omitempty"`
 	End     *endTenure     `cbor:"3,keyasint,omitempty"`
+
+	Routes *routes.Document `cbor:"4,keyasint,omitempty"`
 }
 
 // command is an entry in the log of a job group: the time at which it was
@@ -31,6 +34,7 @@
 	Expire      bool            `cbor:"10,keyasint,omitempty"`
 	Claim       *claim.Request  `cbor:"11,keyasint,omitempty"`
 	FinishClaim *claim.Finish   `cbor:"12,keyasint,omitempty"`
+	Submit      *job.Submission `cbor:"13,keyasint,omitempty"`
 }
 
 type addPart struct {
--- a/internal/keeper/configmachine.go
+++ b/internal/keeper/configmachine.go
@@ -6,6 +6,7 @@
 	"slateway.example/slateway/internal/apierr"
 	"slateway.example/slateway/internal/codec"
 	"slateway.example/slateway/internal/replica"
+	"slateway.example/slateway/internal/routes"
 	"slateway.example/slateway/internal/team"
 	"slateway.example/slateway/internal/tenure"
 )
@@ -15,18 +16,23 @@
 	mu       sync.RWMutex
 	registry *team.Registry
 	tenures  *tenure.Table
+	routes   *routes.Registry
+	matcher  *routes.Matcher // of the routes in force
 	changed  notifier
 }
 
 // NewConfigMachine makes an empty machine; it keeps no files.
 func NewConfigMachine() *ConfigMachine {
-	return &ConfigMachine{registry: team.NewRegistry(), tenures: &tenure.Table{}}
+	m := &ConfigMachine{registry: team.NewRegistry(), tenures: &tenure.Table{}, routes: &routes.Registry{}}
+	m.matcher = routes.NewMatcher(m.routes.Held())
+	return m
 }
 
 var _ replica.Machine = (*ConfigMachine)(nil)
 
-// Apply executes a change and returns its encoded team.Outcome, or a grant or
-// its end and returns the encoded tenure.Grant.
+// Apply executes a change and returns its encoded team.Outcome, a grant or its
+// end and returns the encoded tenure.Grant, or a replacement of the routes and
+// returns the encoded routes.Outcome.
 func (m *ConfigMachine) Apply(entry replica.Entry) []byte {
 	var cmd configCommand
 	err := codec.Unmarshal(entry.Data, &cmd)
@@ -35,11 +41,43 @@
 		return m.applyChange(cmd.Change)
 	case err == nil && (cmd.Acquire != nil || cmd.End != nil):
 		return m.applyTenure(&cmd)
+	case err == nil && cmd.Routes != nil:
+		return m.applyRoutes(cmd.Routes)
 	default:
 		return codec.MustMarshal(team.Outcome{Refusal: unreadableCommand(entry.Index)})
 	}
 }
 
+func (m *ConfigMachine) applyRoutes(document *routes.Document) []byte {
+	m.mu.Lock()
+	outcome := m.routes.Replace(document)
+	if outcome.Applied {
+		m.setMatcher()
+	}
+	m.mu.Unlock()
+	if outcome.Applied {
+		m.changed.notify()
+	}
+	return codec.MustMarshal(outcome)
+}
+
+// setMatcher indexes a copy of the routes in force, since readers keep it over
+// the next change. The mutex is held.
+func (m *ConfigMachine) setMatcher() {
+	held := *m.routes.Held()
+	m.matcher = routes.NewMatcher(&held)
+}
+
+// Routes gives the routes in force as this VM has applied them.
+func (m *ConfigMachine) Routes() *routes.Matcher {
+	m.mu.RLock()
+	defer m.mu.RUnlock()
+	return m.matcher
+}
+
+// Changed gives a channel that closes at the next change of the configuration.
+func (m *ConfigMachine) Changed() <-chan struct{} { return m.changed.wait() }
+
 func (m *ConfigMachine) applyTenure(cmd *configCommand) []byte {
 	m.mu.Lock()
 	defer m.mu.Unlock()
@@ -70,6 +108,7 @@
 type configState struct {
 	Registry []byte `cbor:"1,keyasint"`
 	Tenures  []byte `cbor:"2,keyasint"`
+	Routes   []byte `cbor:"3,keyasint,omitempty"`
 }
 
 // Snapshot encodes the registry and the grants.
@@ -80,37 +119,42 @@
 	if err != nil {
 		return replica.Snapshot{}, err
 	}
-	state := configState{Registry: registry, Tenures: m.tenures.Snapshot()}
+	state := configState{Registry: registry, Tenures: m.tenures.Snapshot(), Routes: m.routes.Snapshot()}
 	return replica.Snapshot{State: codec.MustMarshal(state)}, nil
 }
 
 // Restore replaces the registry and the grants.
 func (m *ConfigMachine) Restore(s replica.Snapshot) error {
-	registry, tenures := team.NewRegistry(), &tenure.Table{}
+	restored := NewConfigMachine()
 	if len(s.State) > 0 {
-		var err error
-		if registry, tenures, err = restoreConfig(s.State); err != nil {
+		if err := restored.decode(s.State); err != nil {
 			return err
 		}
 	}
 	m.mu.Lock()
-	m.registry, m.tenures = registry, tenures
+	m.registry, m.tenures, m.routes, m.matcher = restored.registry, restored.tenures, restored.routes, restored.matcher
 	m.mu.Unlock()
 	m.changed.notify()
 	return nil
 }
 
-func restoreConfig(data []byte) (*team.Registry, *tenure.Table, error) {
+func (m *ConfigMachine) decode(data []byte) error {
 	var state configState
-	if err := codec.Unmarshal(data, &state); err != nil {
-		return nil, nil, err
-	}
-	registry, err := team.RestoreRegistry(state.Registry)
+	err := codec.Unmarshal(data, &state)
 	if err != nil {
-		return nil, nil, err
+		return err
+	}
+	if m.registry, err = team.RestoreRegistry(state.Registry); err != nil {
+		return err
+	}
+	if m.tenures, err = tenure.Restore(state.Tenures); err != nil {
+		return err
 	}
-	tenures, err := tenure.Restore(state.Tenures)
-	return registry, tenures, err
+	if m.routes, err = routes.Restore(state.Routes); err != nil {
+		return err
+	}
+	m.setMatcher()
+	return nil
 }
 
 // tenure gives a grant as it is now.
--- a/internal/keeper/jobmachine.go
+++ b/internal/keeper/jobmachine.go
@@ -60,11 +60,13 @@
 
 // frees reports whether the command can make items available or end a job.
 func (c *command) frees() bool {
-	return c.Seal != nil || c.Cancel != "" || c.EndSessions != nil || c.Complete != nil
+	return c.Submit != nil || c.Expire || c.Seal != nil || c.Cancel != "" || c.EndSessions != nil || c.Complete != nil
 }
 
 func (m *JobMachine) execute(cmd *command, now instant.Micros) result {
 	switch {
+	case cmd.Submit != nil:
+		return statusResult(m.jobs.Submit(cmd.Submit, now))
 	case cmd.Create != nil:
 		return statusResult(m.jobs.Create(*cmd.Create, now))
 	case cmd.AddPart != nil:
--- a/internal/keeper/keeperapi/api.go
+++ b/internal/keeper/keeperapi/api.go
@@ -15,6 +15,7 @@
 	"slateway.example/slateway/internal/claim"
 	"slateway.example/slateway/internal/instant"
 	"slateway.example/slateway/internal/job"
+	"slateway.example/slateway/internal/routes"
 	"slateway.example/slateway/internal/rpc"
 	"slateway.example/slateway/internal/team"
 )
@@ -96,6 +97,50 @@
 // AcquireTenure grants or renews a right that one holder has at a time.
 const AcquireTenure rpc.Procedure[TenureRequest, Reply[TenureResponse]] = "/slateway.keeper/AcquireTenure"
 
+// Calls of the routes and of jobs that are handed in whole.
+const (
+	ReplaceRoutes rpc.Procedure[routes.Document, Reply[routes.Outcome]]         = "/slateway.keeper/ReplaceRoutes"
+	ReadRoutes    rpc.Procedure[ReadRoutesRequest, Reply[ReadRoutesResponse]]   = "/slateway.keeper/ReadRoutes"
+	SubmitJob     rpc.Procedure[job.Submission, Reply[job.Status]]              = "/slateway.keeper/SubmitJob"
+	ListResults   rpc.Procedure[ListResultsRequest, Reply[ListResultsResponse]] = "/slateway.keeper/ListResults"
+	ReadItem      rpc.Procedure[ReadItemRequest, Reply[ReadItemResponse]]       = "/slateway.keeper/ReadItem"
+)
+
+// ReadRoutesRequest asks for the routes in force.
+type ReadRoutesRequest struct{}
+
+// ReadRoutesResponse gives them, as new as any that was acknowledged before the
+// call.
+type ReadRoutesResponse struct {
+	Document routes.Document `cbor:"1,keyasint"`
+}
+
+// ListResultsRequest asks for results in the order in which they were made.
+type ListResultsRequest struct {
+	Job      job.ID        `cbor:"1,keyasint"`
+	Position uint32        `cbor:"2,keyasint"`
+	MaxBytes int           `cbor:"3,keyasint"` // of the results, the first one excepted
+	Wait     time.Duration `cbor:"4,keyasint"` // longest time to wait for the first result
+}
+
+// ListResultsResponse gives results from the position on.
+type ListResultsResponse struct {
+	Items   uint32             `cbor:"1,keyasint"` // of the job
+	Results []job.StoredResult `cbor:"2,keyasint,omitempty"`
+	Next    uint32             `cbor:"3,keyasint"` // position from which to go on
+}
+
+// ReadItemRequest asks for an item of a running job by its caller's ID.
+type ReadItemRequest struct {
+	Job      job.ID `cbor:"1,keyasint"`
+	CustomID string `cbor:"2,keyasint"`
+}
+
+// ReadItemResponse gives the item as it was handed in.
+type ReadItemResponse struct {
+	Item job.Item `cbor:"1,keyasint"`
+}
+
 // TenureRequest asks for a right, such as to order the engines of a place.
 type TenureRequest struct {
 	Name    string
--- a/internal/keeper/keeperclient/client.go
+++ b/internal/keeper/keeperclient/client.go
@@ -31,7 +31,7 @@
 // Client calls the keepers. It is safe for concurrent use.
 type Client struct {
 	rpc       *rpc.Client
-	addresses []string
+	addresses func() []string
 	metrics   *telemetry.Metrics // nil: retries are not counted
 
 	mu      sync.Mutex
@@ -42,6 +42,12 @@
 
 // New makes a client of the keepers at the given peer addresses.
 func New(client *rpc.Client, addresses []string) *Client {
+	return NewDynamic(client, func() []string { return addresses })
+}
+
+// NewDynamic makes a client of keepers that come and go: addresses gives at
+// least one peer address to ask when no leader is known.
+func NewDynamic(client *rpc.Client, addresses func() []string) *Client {
 	return &Client{rpc: client, addresses: addresses, leaders: make(map[uint32]string)}
 }
 
@@ -152,7 +158,8 @@
 	if leader, known := c.leaders[group]; known {
 		return leader, true
 	}
-	address = c.addresses[c.next%len(c.addresses)]
+	known := c.addresses()
+	address = known[c.next%len(known)]
 	c.next++
 	return address, false
 }
--- a/internal/keeper/keeperclient/config.go
+++ b/internal/keeper/keeperclient/config.go
@@ -6,6 +6,7 @@
 
 	"slateway.example/slateway/internal/apierr"
 	"slateway.example/slateway/internal/keeper/keeperapi"
+	"slateway.example/slateway/internal/routes"
 	"slateway.example/slateway/internal/team"
 )
 
@@ -51,6 +52,20 @@
 	return update.Full, update.Revision, nil
 }
 
+// ReplaceRoutes puts a document of routes in force if its version is the highest.
+func (c *Client) ReplaceRoutes(ctx context.Context, document *routes.Document) (*routes.Outcome, error) {
+	return call(ctx, c, keeperapi.ConfigGroup, 0, keeperapi.ReplaceRoutes, document)
+}
+
+// ReadRoutes reads the routes in force.
+func (c *Client) ReadRoutes(ctx context.Context) (*routes.Document, error) {
+	response, err := call(ctx, c, keeperapi.ConfigGroup, 0, keeperapi.ReadRoutes, &keeperapi.ReadRoutesRequest{})
+	if err != nil {
+		return nil, err
+	}
+	return &response.Document, nil
+}
+
 // ListTemplates lists the templates with the base revisions of their next
 // changes.
 func (c *Client) ListTemplates(ctx context.Context) ([]team.VersionedTemplate, error) {
--- a/internal/keeper/keeperclient/jobs.go
+++ b/internal/keeper/keeperclient/jobs.go
@@ -74,6 +74,37 @@
 	return call(ctx, c, group, 0, keeperapi.JobStatus, &keeperapi.JobRequest{Job: id})
 }
 
+// SubmitJob hands in a whole job. One that was accepted before is accepted again.
+func (c *Client) SubmitJob(ctx context.Context, submission *job.Submission) (*job.Status, error) {
+	group, err := c.jobGroup(ctx, job.NewID(submission.Spec.Team, submission.Spec.Key))
+	if err != nil {
+		return nil, err
+	}
+	return call(ctx, c, group, 0, keeperapi.SubmitJob, submission)
+}
+
+// ListResults reads results of a job in the order in which they were made.
+func (c *Client) ListResults(ctx context.Context, request keeperapi.ListResultsRequest) (*keeperapi.ListResultsResponse, error) {
+	group, err := c.jobGroup(ctx, request.Job)
+	if err != nil {
+		return nil, err
+	}
+	return call(ctx, c, group, request.Wait, keeperapi.ListResults, &request)
+}
+
+// ReadItem reads an item of a running job by its caller's ID.
+func (c *Client) ReadItem(ctx context.Context, id job.ID, customID string) (*job.Item, error) {
+	group, err := c.jobGroup(ctx, id)
+	if err != nil {
+		return nil, err
+	}
+	response, err := call(ctx, c, group, 0, keeperapi.ReadItem, &keeperapi.ReadItemRequest{Job: id, CustomID: customID})
+	if err != nil {
+		return nil, err
+	}
+	return &response.Item, nil
+}
+
 // Results reads up to limit results of a job from an item on, in item order.
 func (c *Client) Results(ctx context.Context, id job.ID, from uint32, limit int) (*keeperapi.ResultsResponse, error) {
 	group, err := c.jobGroup(ctx, id)
--- a/internal/keeper/leadership.go
+++ b/internal/keeper/leadership.go
@@ -20,7 +20,7 @@
 	// proposeTimeout bounds the service's own proposals.
 	proposeTimeout = 5 * time.Second
 	// expireInterval is how often ended jobs and claims are looked at.
-	expireInterval = 10 * time.Second
+	expireInterval = 500 * time.Millisecond
 )
 
 // leadership is what this VM knows as the leader of a group.
--- a/internal/keeper/partcache.go
+++ b/internal/keeper/partcache.go
@@ -41,6 +41,13 @@
 	return items[leased.Index], nil
 }
 
+// part gives the items of a part; they must not be changed.
+func (c *partCache) part(machine *JobMachine, group uint32, ref job.Ref) ([]job.Item, error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.load(machine, group, ref)
+}
+
 func (c *partCache) load(machine *JobMachine, group uint32, ref job.Ref) ([]job.Item, error) {
 	for i, cached := range c.parts {
 		if cached.group == group && cached.ref == ref {
--- a/internal/keeper/service.go
+++ b/internal/keeper/service.go
@@ -108,6 +108,11 @@
 	handle(s, mux, keeperapi.Claim, s.claim)
 	handle(s, mux, keeperapi.FinishClaim, s.finishClaim)
 	handle(s, mux, keeperapi.AcquireTenure, s.acquireTenure)
+	handle(s, mux, keeperapi.ReplaceRoutes, s.replaceRoutes)
+	handle(s, mux, keeperapi.ReadRoutes, s.readRoutes)
+	handle(s, mux, keeperapi.SubmitJob, s.submitJob)
+	handle(s, mux, keeperapi.ListResults, s.listResults)
+	handle(s, mux, keeperapi.ReadItem, s.readItem)
 }
 
 // refusedPrefix begins the counters of refused calls. They stand apart from the
--- /dev/null
+++ b/internal/keeper/submitcalls.go
@@ -0,0 +1,120 @@
+package keeper
+
+import (
+	"context"
+	"time"
+
+	"slateway.example/slateway/internal/apierr"
+	"slateway.example/slateway/internal/claim"
+	"slateway.example/slateway/internal/codec"
+	"slateway.example/slateway/internal/job"
+	"slateway.example/slateway/internal/keeper/keeperapi"
+	"slateway.example/slateway/internal/routes"
+)
+
+func (s *Service) replaceRoutes(ctx context.Context, document *routes.Document) (*routes.Outcome, error) {
+	data, err := s.options.Proposer.Propose(ctx, keeperapi.ConfigGroup, codec.MustMarshal(configCommand{Routes: document}))
+	if err != nil {
+		return nil, err
+	}
+	var outcome routes.Outcome
+	if err := codec.Unmarshal(data, &outcome); err != nil {
+		return nil, err
+	}
+	if outcome.Refusal != nil {
+		return nil, outcome.Refusal
+	}
+	return &outcome, nil
+}
+
+func (s *Service) readRoutes(ctx context.Context, _ *keeperapi.ReadRoutesRequest) (*keeperapi.ReadRoutesResponse, error) {
+	if err := s.options.Proposer.ReadBarrier(ctx, keeperapi.ConfigGroup); err != nil {
+		return nil, err
+	}
+	return &keeperapi.ReadRoutesResponse{Document: *s.options.Config.Routes().Document()}, nil
+}
+
+func (s *Service) submitJob(ctx context.Context, submission *job.Submission) (*job.Status, error) {
+	id := job.NewID(submission.Spec.Team, submission.Spec.Key)
+	return s.proposeStatus(ctx, id, command{Submit: submission})
+}
+
+// listResults answers at once if there is a result at the position or none will
+// come; else it waits for one.
+func (s *Service) listResults(ctx context.Context, request *keeperapi.ListResultsRequest) (*keeperapi.ListResultsResponse, error) {
+	machine, err := s.barrier(ctx, s.groupOf(request.Job))
+	if err != nil {
+		return nil, err
+	}
+	timer := time.NewTimer(min(request.Wait, maxWait))
+	defer timer.Stop()
+	for {
+		changed := machine.changed.wait()
+		var listing job.Listing
+		machine.read(func(jobs *job.Table, _ *claim.Table) {
+			listing, err = jobs.ListFrom(request.Job, request.Position, maxResults)
+		})
+		if err != nil {
+			return nil, err
+		}
+		if len(listing.Refs) > 0 || listing.Ended {
+			return machine.readListing(listing, request)
+		}
+		select {
+		case <-changed:
+		case <-timer.C:
+			return machine.readListing(listing, request)
+		case <-ctx.Done():
+			return nil, ctx.Err()
+		}
+	}
+}
+
+func (m *JobMachine) readListing(listing job.Listing, request *keeperapi.ListResultsRequest) (*keeperapi.ListResultsResponse, error) {
+	response := &keeperapi.ListResultsResponse{Items: listing.Items, Next: request.Position}
+	size := 0
+	for _, ref := range listing.Refs {
+		data, err := m.files.ReadResult(ref)
+		if err != nil {
+			return nil, err
+		}
+		size += len(data)
+		if size > request.MaxBytes && len(response.Results) > 0 {
+			break
+		}
+		var stored job.StoredResult
+		if err := codec.Unmarshal(data, &stored); err != nil {
+			return nil, err
+		}
+		response.Results = append(response.Results, stored)
+		response.Next++
+	}
+	return response, nil
+}
+
+// readItem finds an item by its caller's ID in the parts of its job.
+func (s *Service) readItem(ctx context.Context, request *keeperapi.ReadItemRequest) (*keeperapi.ReadItemResponse, error) {
+	group := s.groupOf(request.Job)
+	machine, err := s.barrier(ctx, group)
+	if err != nil {
+		return nil, err
+	}
+	var refs []job.Ref
+	var refusal *apierr.Error
+	machine.read(func(jobs *job.Table, _ *claim.Table) { refs, refusal = jobs.Bodies(request.Job) })
+	if refusal != nil {
+		return nil, refusal
+	}
+	for _, ref := range refs {
+		items, err := s.parts.part(machine, group, ref)
+		if err != nil {
+			return nil, err
+		}
+		for i := range items {
+			if items[i].CustomID == request.CustomID {
+				return &keeperapi.ReadItemResponse{Item: items[i]}, nil
+			}
+		}
+	}
+	return nil, apierr.New(apierr.NotFound, job.ReasonUnknownItem, "name an item of the job", "job %s has no item %q", request.Job, request.CustomID)
+}
--- a/internal/quorum/membership.go
+++ b/internal/quorum/membership.go
@@ -11,6 +11,7 @@
 	VM      string `cbor:"2,keyasint,omitempty"`
 	Address string `cbor:"3,keyasint,omitempty"` // peer address, IP and port
 	Learner bool   `cbor:"4,keyasint,omitempty"` // receives the log, has no vote
+	Class   string `cbor:"5,keyasint,omitempty"` // kind of VM, by which groups choose their members
 }
 
 // Membership is the set of members of a group, in ascending order of ID.
--- a/internal/replica/bootstrap.go
+++ b/internal/replica/bootstrap.go
@@ -1,6 +1,7 @@
 package replica
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"path/filepath"
@@ -16,6 +17,10 @@
 const (
 	helloInterval = 300 * time.Millisecond
 	helloTimeout  = time.Second
+	// hastyHellos are sent at helloInterval, the rest at spareHelloInterval: a VM
+	// that is not taken in by then is a spare.
+	hastyHellos        = 40
+	spareHelloInterval = time.Second
 )
 
 // helloRequest introduces a member that is in no group yet.
@@ -35,6 +40,11 @@
 	// Current is the membership of group 0 as known here.
 	Current quorum.Membership `cbor:"4,keyasint"`
 	Voters  []string          `cbor:"5,keyasint"` // VMs of its settings, sorted
+	// Leads and Term are those of group 0.
+	Leads bool   `cbor:"6,keyasint,omitempty"`
+	Term  uint64 `cbor:"7,keyasint,omitempty"`
+	// Known are the addresses of all members and candidates known here.
+	Known []string `cbor:"8,keyasint,omitempty"`
 }
 
 func (h *Host) loadInitial() error {
@@ -70,6 +80,28 @@
 	return slices.ContainsFunc(h.groups, func(g *group) bool { return !g.blank() })
 }
 
+// Known gives the members of all groups, this one included, and the blank
+// members that wait to be taken in, by address, as far as this VM knows them.
+func (h *Host) Known() []quorum.Member {
+	members := []quorum.Member{h.member()}
+	for _, g := range h.groups {
+		g.mu.Lock()
+		members = append(members, g.node.Membership().Members...)
+		g.mu.Unlock()
+	}
+	members = append(members, h.freshCandidates()...)
+	slices.SortFunc(members, func(a, b quorum.Member) int { return cmp.Compare(a.Address, b.Address) })
+	return slices.CompactFunc(members, func(a, b quorum.Member) bool { return a.Address == b.Address })
+}
+
+func (h *Host) knownAddresses() []string {
+	var addresses []string
+	for _, m := range h.Known() {
+		addresses = append(addresses, m.Address)
+	}
+	return addresses
+}
+
 func (h *Host) currentMembership() quorum.Membership {
 	g := h.groups[0]
 	g.mu.Lock()
@@ -87,7 +119,7 @@
 }
 
 func (h *Host) member() quorum.Member {
-	return quorum.Member{ID: h.self.ID, VM: h.self.VM, Address: h.self.Address}
+	return quorum.Member{ID: h.self.ID, VM: h.self.VM, Address: h.self.Address, Class: h.config.Class}
 }
 
 func (h *Host) serveHello(_ context.Context, request *helloRequest) (*helloResponse, error) {
@@ -97,9 +129,10 @@
 	if request.Blank {
 		h.noteCandidate(request.Member)
 	}
+	leads, term := h.groups[0].leadsIn()
 	return &helloResponse{
 		Member: h.member(), HasGroups: h.hasGroups(), Initial: h.initialMembership(),
-		Current: h.currentMembership(), Voters: h.voterNames(),
+		Current: h.currentMembership(), Voters: h.voterNames(), Leads: leads, Term: term, Known: h.knownAddresses(),
 	}, nil
 }
 
@@ -108,9 +141,12 @@
 func (h *Host) runJoin() {
 	ticker := time.NewTicker(helloInterval)
 	defer ticker.Stop()
-	for h.anyBlank() {
+	for round := 0; h.anyBlank(); round++ {
+		if round == hastyHellos {
+			ticker.Reset(spareHelloInterval)
+		}
 		answers := h.helloAll()
-		initial, ok := decideInitial(h.member(), h.config.Voters, answers)
+		initial, ok := h.decideInitial(answers)
 		if ok && !h.hasGroups() {
 			if err := h.adoptInitial(initial); err != nil {
 				h.fail(err)
@@ -129,10 +165,8 @@
 
 func (h *Host) helloAll() []helloResponse {
 	addresses := map[string]bool{}
-	for _, voter := range h.config.Voters {
-		if voter.VM != h.self.VM {
-			addresses[voter.Address] = true
-		}
+	for _, address := range h.config.contacts() {
+		addresses[address] = true
 	}
 	results := make(chan *helloResponse, len(addresses))
 	request := helloRequest{Member: h.member(), Blank: true}
@@ -153,12 +187,12 @@
 // settings were written; one of them may lead.
 func (h *Host) helloOthers(asked map[string]bool, answers []helloResponse, request helloRequest) {
 	for _, answer := range answers {
-		for _, member := range answer.Current.Members {
-			if member.VM == h.self.VM || asked[member.Address] {
+		for _, address := range answer.Known {
+			if address == h.self.Address || asked[address] {
 				continue
 			}
-			asked[member.Address] = true
-			h.hello(member.Address, request)
+			asked[address] = true
+			h.spawn(func() { h.hello(address, request) })
 		}
 	}
 }
@@ -208,6 +242,47 @@
 	return quorum.NewMembership(members...), self.VM == names[0] && len(answered) == len(names)
 }
 
+func (h *Host) decideInitial(answers []helloResponse) (quorum.Membership, bool) {
+	if len(h.config.Seeds) > 0 {
+		return decideFounding(h.member(), h.config.Seeds, h.config.Found, answers)
+	}
+	return decideInitial(h.member(), h.config.Voters, answers)
+}
+
+// decideFounding says with which membership a blank member begins that knows
+// seeds only, if it may.
+//
+// The VM at the lowest of the seeds' addresses chooses, once, when those at all
+// of them have answered and none holds a group; the others take the choice over
+// if it names their disks. A VM that starts later, or comes back with a blank
+// disk, is not told to found: if it could, its group would stand beside the one
+// that the others hold, and both would acknowledge changes.
+func decideFounding(self quorum.Member, seeds []string, found bool, answers []helloResponse) (quorum.Membership, bool) {
+	members := map[string]quorum.Member{self.Address: self}
+	for _, answer := range answers {
+		if answer.Initial != nil {
+			_, named := answer.Initial.Find(self.ID)
+			return *answer.Initial, named
+		}
+		if answer.HasGroups {
+			return quorum.Membership{}, false
+		}
+		members[answer.Member.Address] = answer.Member
+	}
+	if !found || slices.Min(seeds) != self.Address {
+		return quorum.Membership{}, false
+	}
+	var founders []quorum.Member
+	for _, seed := range seeds {
+		member, answered := members[seed]
+		if !answered {
+			return quorum.Membership{}, false
+		}
+		founders = append(founders, member)
+	}
+	return quorum.NewMembership(founders...), true
+}
+
 // adoptInitial syncs the membership before the first vote can be given.
 func (h *Host) adoptInitial(initial quorum.Membership) error {
 	record := initialRecord{Groups: h.config.Groups, Membership: initial}
--- a/internal/replica/bootstrap_test.go
+++ b/internal/replica/bootstrap_test.go
@@ -45,3 +45,78 @@
 		}
 	}
 }
+
+// VMs that know three addresses each start in any order, some of them late,
+// some with a disk that was lost. Exactly one set of founders may come of it.
+func TestDecideFounding(t *testing.T) {
+	member := func(vm string, id quorum.ID) quorum.Member {
+		return quorum.Member{ID: id, VM: vm, Address: "10.0.0." + vm + ":7660"}
+	}
+	seeds := []string{member("2", 0).Address, member("1", 0).Address, member("3", 0).Address}
+	blank := func(vm string, id quorum.ID) helloResponse { return helloResponse{Member: member(vm, id)} }
+	begun := quorum.NewMembership(member("1", 1), member("2", 2), member("3", 3))
+	holder := helloResponse{Member: member("2", 2), HasGroups: true, Initial: &begun}
+	joined := helloResponse{Member: member("2", 7), HasGroups: true}
+	for name, tc := range map[string]struct {
+		self    quorum.Member
+		found   bool
+		answers []helloResponse
+		may     bool
+	}{
+		"the lowest address begins when all are blank": {member("1", 1), true, []helloResponse{blank("2", 2), blank("3", 3), blank("4", 4)}, true},
+		"another seed never begins":                    {member("2", 2), true, []helloResponse{blank("1", 1), blank("3", 3)}, false},
+		"it waits for all seeds":                       {member("1", 1), true, []helloResponse{blank("2", 2), blank("4", 4)}, false},
+		"a later start never begins":                   {member("1", 1), false, []helloResponse{blank("2", 2), blank("3", 3)}, false},
+		"a seed takes over a choice that names it":     {member("3", 3), true, []helloResponse{holder, blank("1", 1)}, true},
+		"a blank disk is not named":                    {member("3", 9), false, []helloResponse{holder}, false},
+		"a member that joined later holds the group":   {member("1", 9), true, []helloResponse{joined, blank("3", 3)}, false},
+		"a VM that is no seed never begins":            {member("4", 4), true, []helloResponse{blank("1", 1), blank("2", 2), blank("3", 3)}, false},
+	} {
+		got, may := decideFounding(tc.self, seeds, tc.found, tc.answers)
+		if may != tc.may {
+			t.Errorf("%s: %t", name, may)
+		}
+		if may && got.Voters() != len(seeds) {
+			t.Errorf("%s: begins with %v", name, got)
+		}
+	}
+}
+
+// A VM comes back with a blank disk while its old one is still listed: the new
+// one is taken in at once and the old one leaves as soon as the new one counts.
+// VMs that join later make the group grow to its target, and no further.
+func TestNextChangeOfARepair(t *testing.T) {
+	voter := func(vm string, id quorum.ID, idle int) quorum.MemberStatus {
+		return quorum.MemberStatus{Member: quorum.Member{ID: id, VM: vm}, IdleTicks: idle, Reachable: idle < 10}
+	}
+	blank := func(vm string, id quorum.ID) quorum.Member { return quorum.Member{ID: id, VM: vm} }
+	store := func(m quorum.MemberStatus) quorum.MemberStatus {
+		m.Class = "store"
+		return m
+	}
+	storeBlank := func(vm string, id quorum.ID) quorum.Member { return quorum.Member{ID: id, VM: vm, Class: "store"} }
+	three := []quorum.MemberStatus{voter("a", 1, 0), voter("b", 2, 1), voter("c", 3, 1)}
+	for name, tc := range map[string]struct {
+		members    []quorum.MemberStatus
+		candidates []quorum.Member
+		target     int
+		kind       quorum.ChangeKind
+		id         quorum.ID
+	}{
+		"nothing to do":               {three, nil, 3, 0, 0},
+		"grow to the target":          {three, []quorum.Member{blank("d", 4)}, 5, quorum.AddLearner, 4},
+		"no further":                  {three, []quorum.Member{blank("d", 4)}, 3, 0, 0},
+		"a lost disk at once":         {three, []quorum.Member{blank("c", 9)}, 3, quorum.AddLearner, 9},
+		"the old disk leaves":         {append(three[:2:2], voter("c", 3, 20), voter("c", 9, 1)), nil, 5, quorum.Remove, 3},
+		"a spare for a lost VM":       {append(three[:2:2], voter("c", 3, 60)), []quorum.Member{blank("d", 4)}, 3, quorum.AddLearner, 4},
+		"the preferred class first":   {three, []quorum.Member{blank("d", 4), storeBlank("e", 5)}, 5, quorum.AddLearner, 5},
+		"in the place of another":     {three, []quorum.Member{blank("d", 4), storeBlank("e", 5)}, 3, quorum.AddLearner, 5},
+		"which leaves, no leader":     {append(three[:3:3], store(voter("e", 5, 1))), nil, 3, quorum.Remove, 2},
+		"the lost VM leaves after it": {append(three[:2:2], voter("c", 3, 60), voter("d", 4, 0)), nil, 3, quorum.Remove, 3},
+	} {
+		change, ok := nextChange(repairView{members: tc.members, candidates: tc.candidates, target: tc.target, lostTicks: 50, preferred: "store", self: 1})
+		if ok != (tc.kind != 0) || change.Kind != tc.kind || change.Member.ID != tc.id {
+			t.Errorf("%s: %v %+v", name, ok, change)
+		}
+	}
+}
--- a/internal/replica/config.go
+++ b/internal/replica/config.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net/http"
+	"slices"
 	"time"
 
 	"go.uber.org/zap"
@@ -26,7 +27,20 @@
 	// Voters are the initial members, the same list on every VM. A VM that is
 	// not among them is a spare: it joins only in place of a lost member.
 	Voters []Voter
-	Groups uint32
+	// Seeds are addresses of a few members, for a VM that is not told who the
+	// others are. With Found, the VMs at these addresses begin the groups
+	// together; any other VM, and every VM without Found, only joins. Voters is
+	// empty then.
+	Seeds []string
+	Found bool
+	// Class is this VM's kind. Preferred gives the class of which a group's members
+	// are taken as far as there are any; nil: no group prefers one.
+	Class     string
+	Preferred func(group uint32) string
+	// TargetVoters is how many voters the groups grow to as VMs join; zero: as
+	// many as Voters.
+	TargetVoters int
+	Groups       uint32
 	// NewMachine makes the state machine of a group, which keeps its files in
 	// folder. Restore is called before anything else.
 	NewMachine func(group uint32, folder string) (Machine, error)
@@ -77,7 +91,7 @@
 
 	maxAppendBytes  = 512 << 10
 	maxInflight     = 16
-	maxProposalSize = 4 << 20
+	maxProposalSize = 10 << 20
 	// maxKeptEntries bounds the memory that a slow member costs the leader; one
 	// that falls further behind takes a snapshot.
 	maxKeptEntries = 200_000
@@ -124,8 +138,8 @@
 		return fmt.Errorf("replica: VM name, peer address and data folder must be set")
 	case c.Groups == 0 || c.NewMachine == nil:
 		return fmt.Errorf("replica: at least one group and its state machine must be set")
-	case len(c.Voters) == 0:
-		return fmt.Errorf("replica: the list of initial voters is empty")
+	case len(c.Voters) == 0 && len(c.Seeds) == 0:
+		return fmt.Errorf("replica: neither initial voters nor seeds are listed")
 	}
 	seen := map[string]bool{}
 	for _, voter := range c.Voters {
@@ -137,6 +151,32 @@
 	return nil
 }
 
+func (c Config) preferred(group uint32) string {
+	if c.Preferred == nil {
+		return ""
+	}
+	return c.Preferred(group)
+}
+
+// targetVoters is how many voters the groups shall have.
+func (c Config) targetVoters() int {
+	if c.TargetVoters > 0 {
+		return c.TargetVoters
+	}
+	return len(c.Voters)
+}
+
+// contacts are the addresses that a member asks before it knows the others.
+func (c Config) contacts() []string {
+	addresses := slices.Clone(c.Seeds)
+	for _, voter := range c.Voters {
+		if voter.VM != c.VM {
+			addresses = append(addresses, voter.Address)
+		}
+	}
+	return slices.DeleteFunc(addresses, func(address string) bool { return address == c.Address })
+}
+
 // electionTimeout is the shortest time without a leader before an election.
 func (c Config) electionTimeout() time.Duration {
 	return time.Duration(c.ElectionTicks) * c.Tick
--- a/internal/replica/group.go
+++ b/internal/replica/group.go
@@ -183,6 +183,13 @@
 	return g.drain()
 }
 
+// leadsIn says whether this member leads, and the term that it is in.
+func (g *group) leadsIn() (bool, uint64) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.node.IsLeader(), g.node.Term()
+}
+
 func (g *group) leader() (Member, bool) {
 	member, ok := g.node.Membership().Find(g.node.Leader())
 	return Member{ID: member.ID, VM: member.VM, Address: member.Address}, ok
--- a/internal/replica/replacement.go
+++ b/internal/replica/replacement.go
@@ -16,7 +16,7 @@
 const (
 	// reconcileInterval also paces repairs: one membership change of one group
 	// in each.
-	reconcileInterval = 250 * time.Millisecond
+	reconcileInterval = 100 * time.Millisecond
 	// candidateTTL is how long a blank member counts after it was heard.
 	candidateTTL = 3 * time.Second
 )
@@ -65,6 +65,8 @@
 	target     int // voters that the group should have
 	lostTicks  int // unheard for as long, a member is lost; 0: never by itself
 	request    *replacement
+	preferred  string // class of which members are taken as far as there are any
+	self       quorum.ID
 }
 
 // nextChange gives the next membership change of a repair. It keeps no state
@@ -84,23 +86,77 @@
 	if old, ok := v.surplus(voters); ok {
 		return quorum.Change{Kind: quorum.Remove, Member: old}, true
 	}
+	if old, ok := v.lostDisk(); ok {
+		return quorum.Change{Kind: quorum.Remove, Member: old}, true
+	}
 	if v.request != nil {
 		if v.has(v.request.Old) && !v.has(v.request.New.ID) {
 			return quorum.Change{Kind: quorum.AddLearner, Member: v.request.New}, true
 		}
 		return quorum.Change{}, false
 	}
+	if blank, ok := v.blankDisk(); ok {
+		return quorum.Change{Kind: quorum.AddLearner, Member: blank}, true
+	}
+	if blank, ok := v.spare(); ok && (voters < v.target || v.betterThanSome(blank)) {
+		return quorum.Change{Kind: quorum.AddLearner, Member: blank}, true
+	}
 	for _, member := range v.members {
 		if !v.lost(member) {
 			continue
 		}
-		if blank, ok := v.replacementFor(member); ok {
+		if blank, ok := v.spare(); ok {
 			return quorum.Change{Kind: quorum.AddLearner, Member: blank}, true
 		}
 	}
 	return quorum.Change{}, false
 }
 
+// blankDisk gives a blank disk on the VM of a member. A VM has one disk, so the
+// member's is gone for good and there is nothing to wait for: until the new one
+// counts, the group can bear one loss less.
+func (v repairView) blankDisk() (quorum.Member, bool) {
+	if v.lostTicks == 0 {
+		return quorum.Member{}, false
+	}
+	for _, blank := range v.candidates {
+		replaces := func(m quorum.MemberStatus) bool { return m.VM == blank.VM && m.IdleTicks > 0 }
+		if slices.ContainsFunc(v.members, replaces) && !v.has(blank.ID) {
+			return blank, true
+		}
+	}
+	return quorum.Member{}, false
+}
+
+// lostDisk gives a voter on whose VM a newer disk votes.
+func (v repairView) lostDisk() (quorum.Member, bool) {
+	for _, old := range v.members {
+		newer := func(m quorum.MemberStatus) bool {
+			return m.VM == old.VM && m.ID != old.ID && m.Reachable && m.IdleTicks < old.IdleTicks
+		}
+		if v.lostTicks > 0 && !old.Reachable && slices.ContainsFunc(v.members, newer) {
+			return old.Member, true
+		}
+	}
+	return quorum.Member{}, false
+}
+
+// spare gives a blank disk on a VM that has no member yet, of the preferred class
+// if there is one.
+func (v repairView) spare() (quorum.Member, bool) {
+	var found quorum.Member
+	for _, blank := range v.candidates {
+		onVM := func(m quorum.MemberStatus) bool { return m.VM == blank.VM }
+		if slices.ContainsFunc(v.members, onVM) {
+			continue
+		}
+		if found.ID == quorum.None || (blank.Class == v.preferred && found.Class != v.preferred) {
+			found = blank
+		}
+	}
+	return found, found.ID != quorum.None
+}
+
 func (v repairView) finishLearner(learner quorum.MemberStatus) (quorum.Change, bool) {
 	if v.lost(learner) {
 		return quorum.Change{Kind: quorum.Remove, Member: learner.Member}, true
@@ -125,7 +181,26 @@
 			return member.Member, true
 		}
 	}
-	return quorum.Member{}, false
+	return v.leastPreferred()
+}
+
+// leastPreferred gives a voter of another class than the preferred one, the
+// leader last.
+func (v repairView) leastPreferred() (quorum.Member, bool) {
+	var least quorum.Member
+	for _, member := range v.members {
+		if v.preferred != "" && member.Class != v.preferred && (least.ID == quorum.None || least.ID == v.self) {
+			least = member.Member
+		}
+	}
+	return least, least.ID != quorum.None
+}
+
+// betterThanSome says whether a blank disk of the preferred class could take the
+// place of a voter of another.
+func (v repairView) betterThanSome(blank quorum.Member) bool {
+	_, other := v.leastPreferred()
+	return other && blank.Class == v.preferred
 }
 
 func (v repairView) has(id quorum.ID) bool {
@@ -136,23 +211,6 @@
 	return v.lostTicks > 0 && member.IdleTicks >= v.lostTicks
 }
 
-// replacementFor prefers a blank disk of the lost member's own VM, else takes a
-// spare VM that has no member yet.
-func (v repairView) replacementFor(lost quorum.MemberStatus) (quorum.Member, bool) {
-	for _, blank := range v.candidates {
-		if blank.VM == lost.VM {
-			return blank, true
-		}
-	}
-	for _, blank := range v.candidates {
-		taken := slices.ContainsFunc(v.members, func(m quorum.MemberStatus) bool { return m.VM == blank.VM })
-		if !taken {
-			return blank, true
-		}
-	}
-	return quorum.Member{}, false
-}
-
 func (h *Host) runReplacement() {
 	ticker := time.NewTicker(reconcileInterval)
 	defer ticker.Stop()
@@ -170,7 +228,7 @@
 func (h *Host) reconcile() {
 	view := repairView{
 		candidates: h.freshCandidates(),
-		target:     len(h.config.Voters),
+		target:     h.config.targetVoters(),
 		lostTicks:  int(h.config.ReplaceAfter / h.config.Tick),
 	}
 	for _, g := range h.groups {
@@ -187,6 +245,7 @@
 		return false
 	}
 	view.members = g.node.Status().Members
+	view.preferred, view.self = g.host.config.preferred(g.id), g.host.self.ID
 	view.request = g.request
 	if g.request != nil && !view.has(g.request.Old) && view.has(g.request.New.ID) {
 		g.request = nil
--- /dev/null
+++ b/internal/roster/roster_test.go
@@ -0,0 +1,121 @@
+package roster_test
+
+import (
+	"testing"
+	"time"
+
+	"slateway.example/slateway/internal/roster"
+	"slateway.example/slateway/internal/upstream"
+)
+
+var start = time.Unix(1_000_000, 0)
+
+func table() *roster.Table {
+	return roster.New(roster.Config{ReplicaLifetime: 20 * time.Second, GateLifetime: 2 * time.Second})
+}
+
+func announcement(id string, incarnation, sequence uint64, address string) upstream.Announcement {
+	return upstream.Announcement{
+		Service: "wordroom", Kind: upstream.KindEngine, Replica: upstream.ReplicaID(id),
+		Incarnation: incarnation, Sequence: sequence, Address: address, Place: "glas-a",
+		Load: upstream.Load{Slots: 8, Ready: true},
+	}
+}
+
+// A replica says that it drains, and heartbeats that it sent before arrive after
+// it. Callers must not be sent there again.
+func TestLeavingIsNotTakenBackByALateHeartbeat(t *testing.T) {
+	r := table()
+	r.Announce(start, announcement("r1", 5, 1, "10.0.0.9:80"), 0)
+	leaving := announcement("r1", 5, 3, "10.0.0.9:80")
+	leaving.Leaving = true
+	if v := r.Announce(start, leaving, 0); v != roster.Changed {
+		t.Fatalf("draining: %v", v)
+	}
+	version := r.Version()
+	if v := r.Announce(start, announcement("r1", 5, 2, "10.0.0.9:80"), 0); v != roster.Stale {
+		t.Fatalf("an older heartbeat: %v", v)
+	}
+	if v := r.Announce(start, announcement("r1", 5, 4, "10.0.0.9:80"), 0); v != roster.Refreshed {
+		t.Fatalf("a newer heartbeat of the same process: %v", v)
+	}
+	if changes := r.Since(0); r.Version() != version || !changes.Replicas[0].Leaving {
+		t.Fatalf("%+v", changes)
+	}
+	if v := r.Announce(start, announcement("r1", 6, 1, "10.0.0.9:80"), 0); v != roster.Changed || r.Since(0).Replicas[0].Leaving {
+		t.Fatalf("a new process under the same ID: %v", v)
+	}
+}
+
+// A replica crashes behind a partition, another one starts at its address, and
+// a heartbeat of the first arrives only now. Requests to the address must name
+// the one that is there.
+func TestAHeartbeatFromADeadProcessDoesNotTakeTheAddressBack(t *testing.T) {
+	r := table()
+	r.Announce(start, announcement("old", 5, 1, "10.0.0.9:80"), 0)
+	r.Announce(start, announcement("new", 9, 1, "10.0.0.9:80"), 0)
+	if v := r.Announce(start, announcement("old", 5, 2, "10.0.0.9:80"), 0); v != roster.Stale {
+		t.Fatalf("late heartbeat: %v", v)
+	}
+	changes := r.Since(1)
+	if len(changes.Replicas) != 1 || changes.Replicas[0].Replica != "new" || len(changes.Gone) != 1 || changes.Gone[0].Replica != "old" {
+		t.Fatalf("%+v", changes)
+	}
+}
+
+// The deregistration of a process reaches a control VM late, when its successor
+// under the same ID runs already.
+func TestLeaveOfAnotherIncarnationIsIgnored(t *testing.T) {
+	r := table()
+	r.Announce(start, announcement("r1", 6, 1, "10.0.0.9:80"), 0)
+	if _, news := r.Leave("r1", 5); news {
+		t.Fatal("the successor left")
+	}
+	if _, news := r.Leave("r1", 0); !news || !r.Since(0).Replicas[0].Leaving {
+		t.Fatal("the process that is known did not leave")
+	}
+	if _, news := r.Leave("unknown", 0); news {
+		t.Fatal("an unknown replica left")
+	}
+}
+
+// A replica loses its way to the control VMs for a while and serves on. It is
+// forgotten after the lifetime only, and known again with its next heartbeat.
+func TestASilentReplicaIsForgottenLateAndReturns(t *testing.T) {
+	r := table()
+	r.Announce(start, announcement("r1", 5, 1, "10.0.0.9:80"), 0)
+	r.Tick(start.Add(20 * time.Second))
+	if len(r.Since(0).Replicas) != 1 {
+		t.Fatal("forgotten within its lifetime")
+	}
+	version := r.Version()
+	r.Tick(start.Add(21 * time.Second))
+	if gone := r.Since(version).Gone; len(gone) != 1 {
+		t.Fatalf("gates are not told: %+v", gone)
+	}
+	if v := r.Announce(start.Add(22*time.Second), announcement("r1", 5, 2, "10.0.0.9:80"), 0); v != roster.Changed {
+		t.Fatalf("back: %v", v)
+	}
+}
+
+// A gate is killed: callers are not sent there after its lifetime, although
+// another control VM still shares the old word of it.
+func TestASilentGateIsNotNamed(t *testing.T) {
+	r := table()
+	gate := roster.Gate{VM: "gate-1", Callers: "10.0.0.1:80", Started: 5, Sequence: 1, Ready: true}
+	if !r.Hear(start, gate, 0) || r.Hear(start, gate, 0) {
+		t.Fatal("news once")
+	}
+	r.Tick(start.Add(3 * time.Second))
+	if len(r.Gates()) != 0 {
+		t.Fatal("still named")
+	}
+	r.Hear(start.Add(3*time.Second), gate, 3*time.Second)
+	if len(r.Gates()) != 0 {
+		t.Fatal("named again by an old word")
+	}
+	gate.Sequence = 2
+	if !r.Hear(start.Add(4*time.Second), gate, 0) || len(r.Gates()) != 1 {
+		t.Fatal("not named after a new word")
+	}
+}
--- a/internal/route/batch.go
+++ b/internal/route/batch.go
@@ -69,6 +69,9 @@
 	for _, req := range slices.Clone(s.batch.list) {
 		s.refuse(req, drainingError(req))
 	}
+	if in.KeepRunning {
+		return
+	}
 	for _, r := range s.replicas {
 		for _, a := range slices.Clone(r.attempts) {
 			if a.preemptible() {
@@ -125,7 +128,7 @@
 // engine's queue would hold up each online request behind it. Batch therefore
 // goes only where a slot is free, counting all that may be under way to it.
 func (s *Shard) batchFree(r *replica, policy Policy) int {
-	if s.at.Before(r.holdUntil) {
+	if s.at.Before(r.holdUntil) || s.at.Before(r.fullUntil) {
 		return 0
 	}
 	slots := s.slots(r)
--- a/internal/route/failure.go
+++ b/internal/route/failure.go
@@ -19,7 +19,10 @@
 func (s *Shard) failed(a *attempt, cause FailureCause) {
 	req, r := a.req, a.on
 	s.end(a)
-	if cause != CauseNotSent {
+	if cause.notRun() {
+		req.tried--
+		req.declined++
+	} else {
 		req.maybeRan = true
 	}
 	req.avoidReplica(r.entry.Replica)
@@ -44,8 +47,18 @@
 
 // judge draws conclusions about the replica from a failed attempt.
 func (s *Shard) judge(r *replica, cause FailureCause) {
+	if cause == CauseDeclined {
+		r.fullUntil = s.at.Add(fullPause)
+		s.stale = true
+		return
+	}
 	r.failures++
 	switch cause {
+	case CauseMisdirected:
+		// Its process has ended and another one has the address. The next
+		// announcement brings it back.
+		s.withdraw(r.entry.Replica, r.incarnation)
+		return
 	case CauseNotSent, CauseBroken, CauseSilent, CauseDied:
 		s.suspectReplica(r)
 		s.emit(Reset{Replica: r.entry.Replica})
@@ -96,10 +109,10 @@
 	if !s.at.Before(req.Deadline) {
 		return deadlineError(req)
 	}
-	if req.tried >= s.config.MaxAttempts {
+	if req.tried >= s.maxAttempts(req) || req.declined >= maxDeclined {
 		return apierr.New(apierr.BadUpstream, ReasonAttemptsSpent,
 			"see the counters by reason and the replicas' logs under the request ID",
-			"%d attempts failed, the last one by %s", req.tried, cause).
+			"%d attempts failed, the last one by %s", req.tried+req.declined, cause).
 			WithRan(req.ran()).WithRetryAfter(time.Second)
 	}
 	if !s.budget.take(0) && !s.config.Disabled.Budget {
@@ -111,6 +124,22 @@
 	return nil
 }
 
+// fullPause is how long a replica that declined a request gets no other: a slot
+// frees within a few steps of its engine, some tens of milliseconds.
+const fullPause = 50 * time.Millisecond
+
+// maxDeclined bounds how often a request is declined or finds no process before
+// it is given up, so that a fleet without room is not asked over and over.
+const maxDeclined = 6
+
+// maxAttempts is how many replicas may run the request.
+func (s *Shard) maxAttempts(req *request) int {
+	if req.MaxAttempts > 0 {
+		return req.MaxAttempts
+	}
+	return s.config.MaxAttempts
+}
+
 func failedError(req *request, cause FailureCause) *apierr.Error {
 	return apierr.New(apierr.BadUpstream, ReasonUpstreamFailed,
 		"the request is not marked repeatable: find out whether it ran before sending it again",
--- a/internal/route/hedge.go
+++ b/internal/route/hedge.go
@@ -31,7 +31,7 @@
 func (s *Shard) mayHedge(a *attempt, after time.Duration) bool {
 	req := a.req
 	return req.Class == Online && req.Repeatable && !req.delivered && a.tokens == 0 &&
-		len(req.live) == 1 && req.tried < s.config.MaxAttempts && s.at.Sub(a.started) >= after &&
+		len(req.live) == 1 && req.tried < s.maxAttempts(req) && s.at.Sub(a.started) >= after &&
 		s.strikes.Standing(s.at, req.Fingerprint) == upstream.StandingClear
 }
 
--- a/internal/route/messages.go
+++ b/internal/route/messages.go
@@ -42,6 +42,11 @@
 	Resumable   bool                 `json:"resumable"` // its stream can go on at a token on another replica
 	Limits      Limits               `json:"limits,omitempty"`
 	Policy      Policy               `json:"policy,omitempty"` // of batch items
+	// MaxAttempts bounds the replicas that may run the request; 0: the shard's own.
+	MaxAttempts int `json:"max_attempts,omitempty"`
+	// Target is the time to the first token within which an answer is of full use;
+	// 0: none is known.
+	Target time.Duration `json:"target,omitempty"`
 }
 
 // Gate is a live gate, as the choice of feeding gates needs it.
@@ -73,8 +78,19 @@
 	CauseStatus FailureCause = "status"
 	// CauseBusy: the replica answered that it takes no work now.
 	CauseBusy FailureCause = "busy"
+	// CauseDeclined: the replica answered that it has no room and did not run the
+	// request.
+	CauseDeclined FailureCause = "declined"
+	// CauseMisdirected: another replica answered at the address, and did not run
+	// the request.
+	CauseMisdirected FailureCause = "misdirected"
 )
 
+// notRun says whether the cause proves that the replica did not run the request.
+func (c FailureCause) notRun() bool {
+	return c == CauseNotSent || c == CauseDeclined || c == CauseMisdirected
+}
+
 // Input is something that happened. The types below are all there are.
 type Input interface{ apply(s *Shard) }
 
@@ -102,6 +118,12 @@
 	Queued struct{ Attempt AttemptID }
 	// Announced carries a valid announcement, from the replica or by way of a gate.
 	Announced struct{ Announcement upstream.Announcement }
+	// Withdrawn says that a replica is no longer known to the control VMs, up to
+	// the incarnation.
+	Withdrawn struct {
+		Replica     upstream.ReplicaID
+		Incarnation uint64
+	}
 	// Reported carries a load digest from another gate.
 	Reported struct{ Digest upstream.LoadDigest }
 	// Fed tells how much batch another gate runs on a replica.
@@ -127,8 +149,9 @@
 	}
 	// GatesChanged lists the live gates, this one included.
 	GatesChanged struct{ Gates []Gate }
-	// Draining says that the gate stops taking batch work.
-	Draining struct{}
+	// Draining says that the gate stops taking batch work. With KeepRunning, what
+	// runs already goes on.
+	Draining struct{ KeepRunning bool }
 	// Tick says that time has passed; due every 20 to 50 ms.
 	Tick struct{}
 )
--- a/internal/route/replica.go
+++ b/internal/route/replica.go
@@ -23,12 +23,13 @@
 // replica is one replica and the work that this gate has on it.
 type replica struct {
 	entry       *upstream.Entry
-	hash        uint64 // of its ID, for rendezvous hashing
-	incarnation uint64 // of the process that the attempts run on
-	dead        bool   // that process is known to have ended
-	listed      bool   // among those that take work, at the last rebuild
-	expired     bool   // no longer announced; kept until its attempts have ended
-	failures    int    // attempts in a row that the process answered with an error
+	hash        uint64    // of its ID, for rendezvous hashing
+	incarnation uint64    // of the process that the attempts run on
+	dead        bool      // that process is known to have ended
+	listed      bool      // among those that take work, at the last rebuild
+	expired     bool      // no longer announced; kept until its attempts have ended
+	failures    int       // attempts in a row that the process answered with an error
+	fullUntil   time.Time // it declined a request; until then it gets no other
 
 	attempts []*attempt // live, in the order of their start
 	online   int        // of them, online
@@ -129,6 +130,9 @@
 
 // hasRoom says whether an online request may be sent now.
 func (s *Shard) hasRoom(r *replica) bool {
+	if s.at.Before(r.fullUntil) {
+		return false
+	}
 	slots := s.slots(r)
 	extra := int(s.config.Overcommit * float64(slots))
 	return s.onlineLoad(r) < slots+extra
@@ -234,6 +238,22 @@
 	s.replicas = slices.DeleteFunc(s.replicas, ended)
 }
 
+func (in Withdrawn) apply(s *Shard) { s.withdraw(in.Replica, in.Incarnation) }
+
+// withdraw takes a replica out of use whose process is gone. Its attempts end by
+// themselves.
+func (s *Shard) withdraw(id upstream.ReplicaID, incarnation uint64) {
+	if !s.table.Remove(id, incarnation) {
+		return
+	}
+	if r := s.replica(id); r != nil {
+		r.expired = true
+	}
+	s.hints.Forget(id)
+	s.stale = true
+	s.count(ReasonEntryExpired)
+}
+
 // rebuild lists the replicas that take work by distance, and those that this gate
 // feeds with batch.
 func (s *Shard) rebuild() {
--- a/internal/route/shard.go
+++ b/internal/route/shard.go
@@ -49,7 +49,8 @@
 	Request
 	arrived   time.Time
 	live      []*attempt
-	tried     int
+	tried     int  // replicas that may have run it
+	declined  int  // attempts that provably did not run
 	tokens    int  // reached by the attempts so far
 	delivered bool // the caller has part of the answer
 	maybeRan  bool // some attempt reached a replica
@@ -137,6 +138,35 @@
 	return d, version
 }
 
+// LoadView is what a shard believes of a replica's load.
+type LoadView struct {
+	Slots, Online, Batch      int // Online and Batch are of this gate
+	OthersOnline, OthersBatch int
+	OthersAge                 time.Duration // of the word on the others, if another gate gave it
+	Waiting                   int           // requests that wait in this gate
+}
+
+// Load gives what is believed of a replica's load now.
+func (s *Shard) Load(id upstream.ReplicaID) LoadView {
+	view := LoadView{Waiting: s.waiting.len() + s.batch.len()}
+	r := s.replica(id)
+	if r == nil {
+		return view
+	}
+	view.Slots, view.Online, view.Batch = s.slots(r), r.online, r.batch
+	view.OthersOnline, view.OthersBatch = s.foreign(r)
+	if !s.feeds(r) && !r.fedAt.IsZero() {
+		view.OthersAge = s.at.Sub(r.fedAt)
+	}
+	return view
+}
+
+// Usable says whether any replica takes requests.
+func (s *Shard) Usable() bool {
+	s.rebuild()
+	return len(s.local)+len(s.remote) > 0
+}
+
 // ReplicaView is what a shard knows of one replica.
 type ReplicaView struct {
 	Entry         *upstream.Entry // read only, until the next Step
--- a/internal/settings/check.go
+++ b/internal/settings/check.go
@@ -36,8 +36,12 @@
 func (s *Settings) check() Problems {
 	c := &checker{}
 	s.checkVM(c)
-	s.checkAddresses(c)
-	s.checkKeepers(c)
+	if s.HasControl() {
+		s.checkControl(c)
+	} else {
+		s.checkAddresses(c)
+		s.checkKeepers(c)
+	}
 	s.checkNumbers(c)
 	s.checkOrder(c)
 	c.oneOf("config.when_alone", string(s.Config.WhenAlone), []string{string(Refuse), string(ServeStale)})
@@ -54,9 +58,14 @@
 		c.add("vm.roles", "[]", "no role", "write [\"gate\"], [\"keeper\"] or both")
 	}
 	for _, role := range s.VM.Roles {
-		c.oneOf("vm.roles", string(role), []string{string(RoleGate), string(RoleKeeper)})
+		c.oneOf("vm.roles", string(role), []string{string(RoleGate), string(RoleKeeper), string(RoleControl), string(RoleStore)})
+		if (role == RoleControl || role == RoleStore) && !s.HasControl() {
+			c.add("control.seeds", "[]", "missing, and a control VM finds the others by them", "list up to three addresses of control VMs")
+		}
 	}
 	switch {
+	case s.VM.DataFolder == "" && (s.Is(RoleControl) || s.Is(RoleStore)):
+		c.add("vm.data_folder", "", "missing, and a control or store VM keeps its state there", "name a folder on a disk that lasts")
 	case s.VM.DataFolder == "" && s.Is(RoleKeeper):
 		c.add("vm.data_folder", "", "missing, and a keeper keeps its state there", "name a folder on a disk that lasts")
 	case s.VM.DataFolder != "" && !filepath.IsAbs(s.VM.DataFolder):
@@ -64,6 +73,33 @@
 	}
 }
 
+// checkControl checks a VM of a site of control VMs.
+func (s *Settings) checkControl(c *checker) {
+	needed := []addressKey{{"listen.peers", s.Listen.Peers}, {"listen.metrics", s.Listen.Metrics}}
+	if s.Is(RoleGate) {
+		needed = append(needed, addressKey{"listen.callers", s.Listen.Callers}, addressKey{"listen.readiness", s.Listen.Readiness})
+	}
+	if s.Is(RoleControl) {
+		needed = append(needed, addressKey{"listen.control", s.Listen.Control}, addressKey{"listen.directory", s.Listen.Directory})
+	}
+	var listening []listener
+	for _, entry := range needed {
+		if address, ok := c.address(entry); ok {
+			listening = append(listening, listener{entry.key, address})
+		}
+	}
+	c.clashes(listening)
+	for i, seed := range s.Control.Seeds {
+		c.address(addressKey{fmt.Sprintf("control.seeds[%d]", i), seed})
+	}
+	if s.Is(RoleKeeper) {
+		c.add("vm.roles", quote(string(RoleKeeper)), "the site has control VMs, which hold the replicated state", "write \"control\"")
+	}
+	if s.Control.Tolerance < 0 {
+		c.add("control.tolerance", fmt.Sprint(s.Control.Tolerance), "negative", "set it to the control VMs that may be lost at once")
+	}
+}
+
 func (s *Settings) checkAddresses(c *checker) {
 	needed := []addressKey{{"listen.operators", s.Listen.Operators}, {"listen.peers", s.Listen.Peers}}
 	if s.Is(RoleGate) || s.Listen.Callers != "" {
@@ -151,7 +187,11 @@
 	const raise = "raise the second or lower the first"
 	c.less("member.heartbeat", s.Member.Heartbeat, "member.suspect_after", s.Member.SuspectAfter, 2, raise)
 	c.less("quorum.heartbeat", s.Quorum.Heartbeat, "quorum.election", s.Quorum.Election, 3, raise)
-	if least := s.Directory.AnswerLifetime + directory.DefaultSpread; s.Timeouts.Drain < least {
+	least := s.Directory.AnswerLifetime + directory.DefaultSpread
+	if s.HasControl() {
+		least = s.Directory.AnswerLifetime
+	}
+	if s.Timeouts.Drain < least {
 		c.add("timeouts.drain", s.Timeouts.Drain.String(), "a gate would stop while callers may still hold its address", "set it to at least "+least.String())
 	}
 	if s.Config.Lease > MaxConfigLease {
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -6,6 +6,7 @@
 package settings
 
 import (
+	"net/netip"
 	"slices"
 	"time"
 )
@@ -17,6 +18,11 @@
 const (
 	RoleGate   Role = "gate"   // takes requests and announcements, routes, runs batch items
 	RoleKeeper Role = "keeper" // holds replicated state on its disk
+	// RoleControl: holds the replicated state of a site whose VMs find each other
+	// by seeds, and answers replicas, operators and callers who look for a gate.
+	RoleControl Role = "control"
+	// RoleStore: holds the jobs of such a site.
+	RoleStore Role = "store"
 )
 
 // Settings are the checked settings of one daemon.
@@ -25,6 +31,7 @@
 	Listen    Addresses `toml:"listen"`
 	Advertise Addresses `toml:"advertise"`
 	Keepers   []Keeper  `toml:"keeper"`
+	Control   Control   `toml:"control"`
 	Member    Member    `toml:"member"`
 	Quorum    Quorum    `toml:"quorum"`
 	Config    Config    `toml:"config"`
@@ -51,6 +58,20 @@
 	Callers   string `toml:"callers"`   // callers and upstreams
 	Operators string `toml:"operators"` // operators, metrics
 	Peers     string `toml:"peers"`     // the project's own processes; TCP and UDP
+	Control   string `toml:"control"`   // of a control VM: replicas and operators
+	Directory string `toml:"directory"` // of a control VM: callers who look for a gate
+	Readiness string `toml:"readiness"` // of a gate: whether it is ready
+	Metrics   string `toml:"metrics"`   // counters and histograms, at a site of control VMs
+}
+
+// Control says how the VMs of a site find each other that is not told who they
+// are. With seeds, no keeper is listed: routes, replicas and gates are known by
+// way of the control VMs.
+type Control struct {
+	Seeds []string `toml:"seeds"` // listen.control of a few control VMs; their peers listen at the port of listen.peers here
+	// Found: the whole site starts for the first time, and the seeds begin it.
+	Found     bool `toml:"found"`
+	Tolerance int  `toml:"tolerance"` // control VMs that may be lost at once
 }
 
 // Keeper is one of the keepers that the fleet starts with.
@@ -137,6 +158,7 @@
 // Timeouts bound waiting.
 type Timeouts struct {
 	Dial       time.Duration `toml:"dial"`        // opening a connection
+	Unanswered time.Duration `toml:"unanswered"`  // sent bytes without acknowledgement until a connection is given up; 0: the system's
 	Request    time.Duration `toml:"request"`     // deadline of a request that names none
 	StreamIdle time.Duration `toml:"stream_idle"` // silence of a stream until its connection is suspect
 	Drain      time.Duration `toml:"drain"`       // longest drain after SIGTERM
@@ -148,6 +170,24 @@
 	Format string `toml:"format"` // json or console
 }
 
+// HasControl says whether the site is one of control VMs and routes.
+func (s *Settings) HasControl() bool { return len(s.Control.Seeds) > 0 }
+
+// SeedPeers gives the peers addresses of the seeds.
+func (s *Settings) SeedPeers() []string {
+	own, err := netip.ParseAddrPort(s.Listen.Peers)
+	if err != nil {
+		return nil
+	}
+	var peers []string
+	for _, seed := range s.Control.Seeds {
+		if address, err := netip.ParseAddrPort(seed); err == nil {
+			peers = append(peers, netip.AddrPortFrom(address.Addr(), own.Port()).String())
+		}
+	}
+	return peers
+}
+
 // Is reports whether the VM has the role.
 func (s *Settings) Is(role Role) bool { return slices.Contains(s.VM.Roles, role) }
 
@@ -156,6 +196,7 @@
 	return Settings{
 		VM:        VM{Roles: []Role{RoleGate}},
 		Member:    Member{Heartbeat: 500 * time.Millisecond, SuspectAfter: 2 * time.Second, LostAfter: 3 * time.Second},
+		Control:   Control{Tolerance: 1},
 		Quorum:    Quorum{Heartbeat: 100 * time.Millisecond, Election: time.Second, JobGroups: 2, SnapshotEntries: 4096, ReplaceAfter: time.Minute},
 		Config:    Config{Lease: 4 * time.Second, WhenAlone: Refuse},
 		Directory: Directory{AnswerLifetime: 10 * time.Second, MaxEntries: 8},
--- a/internal/telemetry/expose.go
+++ b/internal/telemetry/expose.go
@@ -73,6 +73,14 @@
 	})
 }
 
+// TextHandler serves the metrics as Prometheus text only.
+func (m *Metrics) TextHandler() http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Content-Type", "text/plain; version=0.0.4; charset=utf-8")
+		_ = m.Snapshot().writePrometheus(w) // the client has gone
+	})
+}
+
 func wantsPrometheus(r *http.Request) bool {
 	if format := r.URL.Query().Get("format"); format != "" {
 		return format == "prometheus"
--- a/internal/upstream/table.go
+++ b/internal/upstream/table.go
@@ -138,6 +138,16 @@
 	return ChangeIdentity
 }
 
+// Remove drops an entry, unless a later incarnation is known than the one given.
+func (t *Table) Remove(id ReplicaID, incarnation uint64) bool {
+	i, found := t.find(id)
+	if !found || t.entries[i].Incarnation > incarnation {
+		return false
+	}
+	t.entries = slices.Delete(t.entries, i, i+1)
+	return true
+}
+
 // Expire drops the entries that have not been announced for the lifetime and
 // returns them.
 func (t *Table) Expire(now time.Time) []*Entry {
