Lease items of routed jobs from the queue of their service

Cause: the runner asked for the queues of each model that a replica names, but a job that comes by a route is queued for the service alone; no item was leased.

--- a/internal/gate/batch/runner.go
+++ b/internal/gate/batch/runner.go
@@ -183,6 +183,9 @@
 
 // queues lists what the service's replicas can run.
 func (r *Runner) queues(service string) (queues []job.Queue) {
+	if r.options.Route != nil {
+		return []job.Queue{{Service: service}} // items say themselves what they are for
+	}
 	for _, replica := range r.options.Router.Upstreams() {
 		if replica.Service != service {
 			continue
