--- a/internal/gate/jobs.go
+++ b/internal/gate/jobs.go
@@ -160,6 +160,7 @@
 		Body:       item.Body,
 		Deadline:   lease.GiveUp.Time(),
 		Repeatable: true,
+		Patient:    lease.OnlyAnswersCount,
 		Policy:     route.ThroughputPolicy(),
 		Protocol:   j.options.Protocol(lease.Team, item),
 	}
--- a/internal/gate/proxy/batch.go
+++ b/internal/gate/proxy/batch.go
@@ -22,6 +22,7 @@
 	Body       []byte
 	Deadline   time.Time // zero: a day from now
 	Repeatable bool
+	Patient    bool         // that replicas died of it delays it, and never ends it
 	Policy     route.Policy // zero: the router's own
 	// Protocol is how the item is run; nil: by Path, Plain and Body.
 	Protocol Protocol
@@ -97,6 +98,7 @@
 		Deadline:    item.Deadline,
 		Fingerprint: upstream.FingerprintOf(item.Service, item.Body),
 		Repeatable:  item.Repeatable,
+		Patient:     item.Patient,
 		Policy:      item.Policy,
 	}
 }
--- a/internal/route/failure.go
+++ b/internal/route/failure.go
@@ -109,6 +109,9 @@
 	if !s.at.Before(req.Deadline) {
 		return deadlineError(req)
 	}
+	if req.Patient {
+		return nil
+	}
 	if req.tried >= s.maxAttempts(req) || req.declined >= maxDeclined {
 		return apierr.New(apierr.BadUpstream, ReasonAttemptsSpent,
 			"see the counters by reason and the replicas' logs under the request ID",
--- a/internal/route/messages.go
+++ b/internal/route/messages.go
@@ -44,6 +44,9 @@
 	Policy      Policy               `json:"policy,omitempty"` // of batch items
 	// MaxAttempts bounds the replicas that may run the request; 0: the shard's own.
 	MaxAttempts int `json:"max_attempts,omitempty"`
+	// Patient: the request is held by this gate alone and waits for its result.
+	// That replicas died of it delays it, and never refuses it.
+	Patient bool `json:"patient,omitempty"`
 	// Target is the time to the first token within which an answer is of full use;
 	// 0: none is known.
 	Target time.Duration `json:"target,omitempty"`
--- a/internal/route/poison.go
+++ b/internal/route/poison.go
@@ -20,7 +20,7 @@
 // one gate may try it, on one replica at a time; after the second it is
 // refused for good, before it reaches any replica.
 func (s *Shard) checkStanding(req *request) *apierr.Error {
-	if s.config.Disabled.Poison {
+	if s.config.Disabled.Poison || req.Patient {
 		return nil
 	}
 	switch s.strikes.Standing(s.at, req.Fingerprint) {
@@ -70,7 +70,7 @@
 	if !s.isSuspect(req) {
 		return true
 	}
-	if s.runningCopies(req.Fingerprint) > 0 {
+	if s.runningCopies(req.Fingerprint) > 0 || s.at.Before(s.patientUntil(req)) {
 		return false
 	}
 	for _, id := range s.strikes.Struck(s.at, req.Fingerprint) {
@@ -79,6 +79,27 @@
 	return true
 }
 
+// Times until a patient request is tried again after replicas have died of it:
+// the first one, doubled with each further death.
+const (
+	firstPatience = 500 * time.Millisecond
+	mostPatience  = 16 * time.Second
+)
+
+// patientUntil gives when a patient suspect may be tried again. It may be the
+// cause of the deaths, and each try may cost a replica.
+func (s *Shard) patientUntil(req *request) time.Time {
+	deaths, last := s.strikes.Deaths(s.at, req.Fingerprint)
+	if !req.Patient || deaths == 0 {
+		return time.Time{}
+	}
+	wait := firstPatience
+	for range deaths - 1 {
+		wait = min(2*wait, mostPatience)
+	}
+	return last.Add(wait)
+}
+
 func (s *Shard) isSuspect(req *request) bool {
 	return !s.config.Disabled.Poison && s.strikes.Standing(s.at, req.Fingerprint) != upstream.StandingClear
 }
@@ -167,7 +188,7 @@
 }
 
 func (s *Shard) refuseAll(print upstream.Fingerprint) {
-	matches := func(req *request) bool { return req.Fingerprint == print }
+	matches := func(req *request) bool { return req.Fingerprint == print && !req.Patient }
 	for _, req := range s.inOrder(matches) {
 		s.refuse(req, s.poisonError(req))
 	}
--- /dev/null
+++ b/internal/route/rig_test.go
@@ -0,0 +1,87 @@
+package route_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	"slateway.example/slateway/internal/apierr"
+	"slateway.example/slateway/internal/route"
+	"slateway.example/slateway/internal/upstream"
+)
+
+// rig drives one shard by hand and keeps what it put out.
+type rig struct {
+	t        *testing.T
+	shard    *route.Shard
+	now      time.Time
+	sequence uint64
+	on       map[string]route.Dispatch // latest dispatch of a request
+	sent     map[string]int            // dispatches of a request
+	stopped  map[route.AttemptID]route.CancelCause
+	refused  map[string]*apierr.Error
+}
+
+// newRig makes a shard of gate-1 among two gates, with replicas r0, r1, … of
+// two slots each, all in its own place.
+func newRig(t *testing.T, config route.Config, replicas int) *rig {
+	config.Self, config.Place = "gate-1", "glas-a"
+	r := &rig{
+		t: t, now: time.Unix(1_000_000, 0), on: map[string]route.Dispatch{}, sent: map[string]int{},
+		stopped: map[route.AttemptID]route.CancelCause{}, refused: map[string]*apierr.Error{},
+	}
+	r.shard = route.NewShard(config, rand.New(rand.NewPCG(1, 2)))
+	for i := range replicas {
+		r.announce(fmt.Sprint("r", i), 1)
+	}
+	return r
+}
+
+func (r *rig) announce(id string, incarnation uint64) {
+	r.sequence++
+	r.step(route.Announced{Announcement: upstream.Announcement{
+		Service: "wordroom", Kind: upstream.KindEngine, Replica: upstream.ReplicaID(id), Incarnation: incarnation,
+		Sequence: r.sequence, Address: "10.0.0.1:80", Place: "glas-a", CanResume: true,
+		Load: upstream.Load{Slots: 2, Ready: true},
+	}})
+}
+
+func (r *rig) step(in route.Input) {
+	for _, o := range slices.Clone(r.shard.Step(r.now, in)) {
+		switch o := o.(type) {
+		case route.Dispatch:
+			r.on[o.ID] = o
+			r.sent[o.ID]++
+		case route.Cancel:
+			r.stopped[o.Attempt] = o.Cause
+		case route.Refuse:
+			r.refused[o.ID] = o.Err
+		}
+	}
+}
+
+// pass lets time go by in ticks.
+func (r *rig) pass(d time.Duration) {
+	const tick = 25 * time.Millisecond
+	for end := r.now.Add(d); r.now.Before(end); {
+		r.now = r.now.Add(tick)
+		r.step(route.Tick{})
+	}
+}
+
+func (r *rig) arrive(request route.Request) {
+	if request.Deadline.IsZero() {
+		request.Deadline = r.now.Add(time.Minute)
+	}
+	r.step(route.Arrive{Request: request})
+}
+
+// die ends the process that a request runs on; another one follows it.
+func (r *rig) die(request string) {
+	d := r.on[request]
+	r.step(route.Failed{Attempt: d.Attempt, Cause: route.CauseBroken})
+	r.step(route.Probed{Replica: d.Target.Replica, Refused: true})
+	r.announce(string(d.Target.Replica), d.Target.Incarnation+1)
+}
--- a/internal/upstream/strikes.go
+++ b/internal/upstream/strikes.go
@@ -118,6 +118,19 @@
 	}
 }
 
+// Deaths counts the deaths with the fingerprint running and gives the time of
+// the last.
+func (s *Strikes) Deaths(now time.Time, print Fingerprint) (int, time.Time) {
+	list := s.byPrint[print]
+	var last time.Time
+	for _, strike := range list {
+		if s.counts(now, strike) && strike.At.After(last) {
+			last = strike.At
+		}
+	}
+	return s.deaths(now, list), last
+}
+
 func (s *Strikes) deaths(now time.Time, list []Strike) int {
 	count := 0
 	var last Strike
