Let an item go back to the only replica that its gate feeds

Cause: a failed attempt keeps an item off its replica as long as any other could serve it, fed by this gate or not; where the gate feeds one replica, the item waited there until its time was over. Ruled out: the lease (held and renewed), the replica (back after 0.7 s). Change: only fed replicas count for the choice among them. Test fails without it.

--- a/internal/route/admission.go
+++ b/internal/route/admission.go
@@ -174,7 +174,7 @@
 		return started
 	}
 	r := s.pick(req)
-	if r == nil && s.onlyAvoided(req) {
+	if r == nil && s.onlyAvoided(req, s.local, s.remote) {
 		req.avoid = nil
 		r = s.pick(req)
 	}
@@ -189,14 +189,13 @@
 	}
 }
 
-// onlyAvoided says whether each replica that could take the request has failed
-// it before; one of them is then better than none.
-func (s *Shard) onlyAvoided(req *request) bool {
+// onlyAvoided says whether each replica of the lists that could take the request
+// has failed it before; one of them is then better than none.
+func (s *Shard) onlyAvoided(req *request, lists ...[]*replica) bool {
 	if len(req.avoid) == 0 {
 		return false
 	}
-	s.rebuild()
-	for _, list := range [...][]*replica{s.local, s.remote} {
+	for _, list := range lists {
 		for _, r := range list {
 			if s.mayServe(req, r) {
 				return false
--- a/internal/route/batch.go
+++ b/internal/route/batch.go
@@ -178,7 +178,10 @@
 		return s.startBatchOn(req, r)
 	}
 	r := s.pickBatch(req)
-	if r == nil && s.onlyAvoided(req) {
+	if r == nil && s.onlyAvoided(req, s.fed) {
+		// Only fed replicas count: an item that failed on the one replica that
+		// this gate feeds would wait here for good, while others that it may not
+		// use are free.
 		req.avoid = nil
 		r = s.pickBatch(req)
 	}
--- a/internal/route/rig_test.go
+++ b/internal/route/rig_test.go
@@ -39,11 +39,15 @@
 	return r
 }
 
-func (r *rig) announce(id string, incarnation uint64) {
+func (r *rig) announce(id string, incarnation uint64) { r.announceIn(id, incarnation, "glas-a") }
+
+func (r *rig) announceAt(id, place string) { r.announceIn(id, 1, place) }
+
+func (r *rig) announceIn(id string, incarnation uint64, place string) {
 	r.sequence++
 	r.step(route.Announced{Announcement: upstream.Announcement{
 		Service: "wordroom", Kind: upstream.KindEngine, Replica: upstream.ReplicaID(id), Incarnation: incarnation,
-		Sequence: r.sequence, Address: "10.0.0.1:80", Place: "glas-a", CanResume: true,
+		Sequence: r.sequence, Address: "10.0.0.1:80", Place: place, CanResume: true,
 		Load: upstream.Load{Slots: 2, Ready: true},
 	}})
 }
--- a/internal/route/suspect_item_test.go
+++ b/internal/route/suspect_item_test.go
@@ -60,3 +60,20 @@
 		}
 	}
 }
+
+// A gate feeds one replica, to which a connection fails once. The item must go
+// there again when the replica is back: no other replica is this gate's to use,
+// and the item's lease keeps other gates from running it.
+func TestAnItemGoesBackToTheOnlyReplicaThatItsGateFeeds(t *testing.T) {
+	r := newRig(t, route.Config{}, 1)
+	r.announceAt("r-far", "edin-b")
+	r.step(route.GatesChanged{Gates: []route.Gate{{ID: "gate-1", Place: "glas-a"}, {ID: "gate-2", Place: "edin-b"}}})
+	r.arrive(item("notice-1"))
+	first := r.on["notice-1"]
+	r.step(route.Failed{Attempt: first.Attempt, Cause: route.CauseNotSent})
+	r.step(route.Probed{Replica: first.Target.Replica, Alive: true})
+	r.pass(2 * time.Second)
+	if r.sent["notice-1"] != 2 {
+		t.Fatalf("sent %d times", r.sent["notice-1"])
+	}
+}
