Reload settings at SIGHUP and when their file changes; outlast a full disk

Cause: SIGHUP ended the process (exit 129), and a disk that took no writes ended it at each start. Change: changed keys are logged with whether they count now; a VM whose disk fails gives up its part of the replicated state, waits until the disk takes writes, and begins anew in the same process.

--- a/cmd/slatewayd/main.go
+++ b/cmd/slatewayd/main.go
@@ -6,16 +6,13 @@
 	"context"
 	"errors"
 	"fmt"
-	"net/http"
 	"os"
 	"os/signal"
 	"syscall"
 
 	"github.com/urfave/cli/v3"
 
-	"slateway.example/slateway/internal/control"
 	"slateway.example/slateway/internal/daemon"
-	"slateway.example/slateway/internal/gate"
 	"slateway.example/slateway/internal/settings"
 	"slateway.example/slateway/internal/telemetry"
 	"slateway.example/slateway/platform"
@@ -33,6 +30,8 @@
 func main() {
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
+	// Before the first handler is set, a reload must not end the process.
+	signal.Ignore(syscall.SIGHUP)
 	if err := command().Run(ctx, os.Args); err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		stop()
@@ -62,22 +61,6 @@
 	}
 }
 
-// edge lets sites of control VMs speak to the users' platform.
-func edge() daemon.Edge {
-	return daemon.Edge{
-		Callers: func(routed *gate.Routed, jobs *gate.Jobs) http.Handler {
-			return platform.NewCallers(routed, jobs)
-		},
-		Readiness: platform.NewReadiness,
-		Control: func(service *control.Service) http.Handler {
-			return platform.NewControl(service)
-		},
-		Directory:    platform.NewDirectory,
-		ItemProtocol: platform.NewItemProtocol,
-		Refuse:       platform.Refuse,
-	}
-}
-
 // settingsPath gives the settings file: the argument or, without one, the file
 // that the platform names.
 func settingsPath(command *cli.Command) (string, error) {
@@ -123,11 +106,7 @@
 	}
 	defer log.Close()
 	if loaded.HasControl() {
-		site, err := daemon.NewSite(loaded, edge(), log)
-		if err != nil {
-			return err
-		}
-		return site.Run(ctx)
+		return runSite(ctx, command, loaded, log)
 	}
 	d, err := daemon.New(loaded, log.Logger)
 	if err != nil {
--- a/internal/control/service.go
+++ b/internal/control/service.go
@@ -76,6 +76,7 @@
 	gates     map[string]struct{}             // the same of gates
 	contacts  map[string]time.Time            // control VMs that shared something, and when
 	inTouch   bool                            // as last logged
+	seeds     []string
 }
 
 // New makes a service.
@@ -90,9 +91,17 @@
 		dirty:     make(map[upstream.ReplicaID]struct{}),
 		gates:     make(map[string]struct{}),
 		contacts:  make(map[string]time.Time),
+		seeds:     options.Seeds,
 	}
 }
 
+// SetSeeds replaces the control VMs that the settings name.
+func (s *Service) SetSeeds(seeds []string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.seeds = seeds
+}
+
 // Mount adds the calls of gates and other control VMs to mux.
 func (s *Service) Mount(mux *http.ServeMux) {
 	rpc.Handle(mux, controlapi.Follow, controlapi.MaxMessageBytes, s.follow)
--- a/internal/control/share.go
+++ b/internal/control/share.go
@@ -124,14 +124,14 @@
 
 // controls lists the peers addresses of the control VMs, this one included.
 func (s *Service) controls() []string {
-	addresses := slices.Clone(s.options.Seeds)
-	addresses = append(addresses, s.options.Address)
+	addresses := []string{s.options.Address}
 	for _, m := range s.options.Group.Known() {
 		if m.Class == ClassControl {
 			addresses = append(addresses, m.Address)
 		}
 	}
 	s.mu.Lock()
+	addresses = append(addresses, s.seeds...)
 	for address, at := range s.contacts {
 		if time.Since(at) > contactLifetime {
 			delete(s.contacts, address)
--- a/internal/daemon/keeper.go
+++ b/internal/daemon/keeper.go
@@ -2,7 +2,7 @@
 
 import (
 	"context"
-	"os"
+	"runtime"
 
 	"go.uber.org/zap"
 
@@ -14,9 +14,6 @@
 	"slateway.example/slateway/internal/telemetry"
 )
 
-// exitDisk is the exit code after a failure of the data folder.
-const exitDisk = 4
-
 // keeperRole is the replicated state on this VM's disk.
 type keeperRole struct {
 	host    *replica.Host
@@ -34,10 +31,13 @@
 	config := keeper.NewConfigMachine()
 	jobs := make([]*keeper.JobMachine, s.Quorum.JobGroups)
 	// A replica that cannot write a record would differ from the others from
-	// there on. Ending the process is safe: a restart replays the log.
+	// there on. Stopping is safe: what was acknowledged is in the log, and a new
+	// start replays it. The goroutine that applies the log must not go on.
+	var host *replica.Host
 	fail := func(err error) {
 		log.Error("a file of the replicated state failed", zap.Error(err))
-		os.Exit(exitDisk)
+		host.Fail(err)
+		runtime.Goexit()
 	}
 	options := replica.Config{
 		VM:      s.VM.Name,
@@ -62,7 +62,8 @@
 		Metrics:         metrics,
 	}
 	members(&options)
-	host, err := replica.Open(options)
+	var err error
+	host, err = replica.Open(options)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/daemon/site.go
+++ b/internal/daemon/site.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
 	"net/http"
 	"sync"
@@ -29,6 +28,19 @@
 	Refuse       func(w http.ResponseWriter, err error)
 }
 
+// DiskError says that the data folder's disk failed while it was in use. What was
+// acknowledged lies on the other VMs; this one can begin again from its folder.
+type DiskError struct {
+	Folder string
+	Cause  error
+}
+
+func (e *DiskError) Error() string {
+	return fmt.Sprintf("the disk of %s failed: %v; free it or replace it", e.Folder, e.Cause)
+}
+
+func (e *DiskError) Unwrap() error { return e.Cause }
+
 // Site is one slatewayd process of a site of control VMs.
 type Site struct {
 	edge    Edge
@@ -36,8 +48,10 @@
 	metrics *telemetry.Metrics
 	calls   *rpc.Client
 
+	settings settings.Settings // as at the start
+
 	mu       sync.Mutex
-	settings settings.Settings
+	reloaded settings.Settings // as last read
 
 	control   *siteControl // nil unless a control or store VM
 	gate      *siteGate    // nil without the role
@@ -46,7 +60,7 @@
 
 // NewSite makes the parts; Run starts them.
 func NewSite(s settings.Settings, edge Edge, log *telemetry.Log) (*Site, error) {
-	site := &Site{settings: s, edge: edge, log: log, metrics: telemetry.NewMetrics()}
+	site := &Site{settings: s, reloaded: s, edge: edge, log: log, metrics: telemetry.NewMetrics()}
 	site.calls = rpc.NewClient(peerClient(&s, site.metrics))
 	if s.Is(settings.RoleControl) || s.Is(settings.RoleStore) {
 		made, err := newSiteControl(site)
@@ -94,8 +108,7 @@
 	case err := <-failures:
 		return err
 	case <-hostDone:
-		return fmt.Errorf("the replicated state stopped: %w; check the disk of %s, then start again",
-			errors.Join(s.control.keeper.host.Err()), s.settings.VM.DataFolder)
+		return &DiskError{Folder: s.settings.VM.DataFolder, Cause: s.control.keeper.host.Err()}
 	}
 }
 
--- a/internal/daemon/sitecontrol.go
+++ b/internal/daemon/sitecontrol.go
@@ -59,7 +59,7 @@
 		config.Preferred = preferredClass
 	})
 	if err != nil {
-		return nil, err
+		return nil, &DiskError{Folder: s.VM.DataFolder, Cause: err}
 	}
 	c := &siteControl{keeper: made}
 	if !s.Is(settings.RoleControl) {
--- /dev/null
+++ b/internal/daemon/sitereload.go
@@ -0,0 +1,46 @@
+package daemon
+
+import (
+	"go.uber.org/zap"
+
+	"slateway.example/slateway/internal/settings"
+)
+
+// Reload takes up changed settings as far as that needs no restart, and logs
+// each change with whether it counts now. Requests in progress go on.
+func (s *Site) Reload(fresh settings.Settings) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	changes := settings.Changes(&s.reloaded, &fresh)
+	for _, change := range changes {
+		log := s.log.Info
+		outcome := "in force"
+		if !change.Live {
+			log, outcome = s.log.Warn, "waits for the next start of the process"
+		}
+		log("setting changed", zap.String("key", change.Key), zap.String("before", change.Old),
+			zap.String("after", change.New), zap.String("outcome", outcome))
+	}
+	s.log.Info("settings reloaded", zap.Int("changes", len(changes)))
+	if err := s.log.SetLevel(fresh.Log.Level); err != nil {
+		s.log.Warn("log level not changed", zap.Error(err))
+	}
+	seeds := fresh.SeedPeers()
+	if s.control != nil {
+		s.control.keeper.host.SetSeeds(seeds)
+		if s.control.service != nil {
+			s.control.service.SetSeeds(seeds)
+		}
+	}
+	if s.gate != nil {
+		s.gate.follower.SetSeeds(seeds)
+	}
+	s.reloaded = fresh
+}
+
+// RefuseReload logs why changed settings are not taken up; the daemon goes on by
+// those that it has.
+func (s *Site) RefuseReload(err error) {
+	s.metrics.Count("settings.refused")
+	s.log.Error("changed settings not taken up", zap.Error(err))
+}
--- a/internal/gate/follow/follower.go
+++ b/internal/gate/follow/follower.go
@@ -132,6 +132,19 @@
 	f.onGates = append(f.onGates, fn)
 }
 
+// SetSeeds adds control VMs that the settings name now to those that may be asked.
+func (f *Follower) SetSeeds(seeds []string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	known := slices.Clone(f.controls)
+	for _, seed := range seeds {
+		if !slices.Contains(known, seed) {
+			known = append(known, seed)
+		}
+	}
+	f.controls = known
+}
+
 // SetReady tells that this gate can serve callers.
 func (f *Follower) SetReady() { f.say(func(g *roster.Gate) { g.Ready = true }) }
 
--- a/internal/replica/bootstrap.go
+++ b/internal/replica/bootstrap.go
@@ -165,8 +165,13 @@
 
 func (h *Host) helloAll() []helloResponse {
 	addresses := map[string]bool{}
-	for _, address := range h.config.contacts() {
-		addresses[address] = true
+	h.mu.Lock()
+	contacts := append(h.config.contacts(), h.seeds...)
+	h.mu.Unlock()
+	for _, address := range contacts {
+		if address != h.self.Address {
+			addresses[address] = true
+		}
 	}
 	results := make(chan *helloResponse, len(addresses))
 	request := helloRequest{Member: h.member(), Blank: true}
--- a/internal/replica/host.go
+++ b/internal/replica/host.go
@@ -39,6 +39,7 @@
 	mu         sync.Mutex
 	initial    *initialRecord
 	candidates map[quorum.ID]candidate
+	seeds      []string // as the settings name them now
 	failure    error
 	ended      bool
 }
@@ -59,7 +60,7 @@
 	h := &Host{
 		config: config, logger: config.Logger, lock: lock,
 		done: make(chan struct{}), candidates: map[quorum.ID]candidate{},
-		pacer: newPacer(config.TransferRate),
+		pacer: newPacer(config.TransferRate), seeds: config.Seeds,
 	}
 	h.ctx, h.cancel = context.WithCancel(context.Background())
 	if err := h.recover(); err != nil {
@@ -70,6 +71,15 @@
 	return h, nil
 }
 
+// SetSeeds replaces the seeds by those that the settings name now. A blank
+// member that still looks for the others asks them too; who founds the groups
+// was settled by the first ones.
+func (h *Host) SetSeeds(seeds []string) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.seeds = seeds
+}
+
 func (h *Host) recover() error {
 	folder := h.config.Folder
 	disk, err := loadDisk(folder)
@@ -218,6 +228,14 @@
 	return &StoppedError{Cause: h.failure}
 }
 
+// Fail stops the host for good, since a file of a machine has failed. Before
+// Start there is nothing to stop, and Open returns the error.
+func (h *Host) Fail(cause error) {
+	if h != nil {
+		h.fail(cause)
+	}
+}
+
 // fail stops the host for good. A member whose disk does not keep what was
 // written must not vote or acknowledge any more; the others go on without it.
 func (h *Host) fail(cause error) {
--- a/internal/settings/load.go
+++ b/internal/settings/load.go
@@ -6,6 +6,7 @@
 	"os"
 	"path/filepath"
 	"strings"
+	"syscall"
 
 	"github.com/BurntSushi/toml"
 )
@@ -126,20 +127,23 @@
 		problem.Remedy = "name a folder"
 		return Problems{problem}
 	}
-	probe, err := os.CreateTemp(vm.DataFolder, ".write-check-*")
-	if err != nil {
-		problem.Cause = "the folder takes no files (" + fmt.Sprint(errors.Unwrap(err)) + ")"
+	if err := CheckWritable(vm.DataFolder); err != nil && !errors.Is(err, syscall.ENOSPC) {
+		problem.Cause = "the folder takes no files (" + oneLine(err.Error()) + ")"
 		problem.Remedy = "make it writable for the daemon's user and check that its disk is mounted read-write"
 		return Problems{problem}
 	}
-	return removeProbe(probe, problem)
+	return nil
 }
 
-func removeProbe(probe *os.File, problem Problem) Problems {
-	if err := errors.Join(probe.Close(), os.Remove(probe.Name())); err != nil {
-		problem.Cause = "a file in the folder cannot be removed (" + oneLine(err.Error()) + ")"
-		problem.Remedy = "make the folder writable for the daemon's user"
-		return Problems{problem}
+// CheckWritable writes, syncs and removes a small file in the folder.
+func CheckWritable(folder string) error {
+	probe, err := os.CreateTemp(folder, ".write-check-*")
+	if err != nil {
+		return err
 	}
-	return nil
+	_, err = probe.Write(make([]byte, probeBytes))
+	return errors.Join(err, probe.Sync(), probe.Close(), os.Remove(probe.Name()))
 }
+
+// probeBytes is what a check writes: a block of the usual file systems.
+const probeBytes = 4096
