Empty a store VM on an operator's order

Change: the order is kept in the configuration; the leader of the configuration tells the leaders of all groups until none of the VM's disks is a member.

--- a/internal/control/service.go
+++ b/internal/control/service.go
@@ -33,6 +33,7 @@
 type Group interface {
 	Leader(group uint32) (replica.Member, bool)
 	Known() []quorum.Member
+	Retire(ctx context.Context, vms []string) (left []string, err error)
 }
 
 // ClassControl is the class of the members on control VMs; others hold jobs only.
@@ -42,6 +43,7 @@
 type Config interface {
 	Routes() *routes.Matcher
 	Changed() <-chan struct{}
+	Retired() []string
 }
 
 // Options are what a Service needs. All must be set.
@@ -52,11 +54,13 @@
 	Address string   // peers address of this VM
 	Seeds   []string // peers addresses of some control VMs
 	Group   Group
-	Config  Config
-	Keepers *keeperclient.Client
-	Calls   *rpc.Client
-	Log     *zap.Logger
-	Metrics *telemetry.Metrics
+	// Tolerance is how many VMs that hold state may be lost at once.
+	Tolerance int
+	Config    Config
+	Keepers   *keeperclient.Client
+	Calls     *rpc.Client
+	Log       *zap.Logger
+	Metrics   *telemetry.Metrics
 
 	Roster         roster.Config
 	AnswerLifetime time.Duration // of the answers that name gates
@@ -259,8 +263,7 @@
 
 // Reasons of calls that the adapter answers by itself.
 const (
-	ReasonNoRoutes  apierr.Reason = "no_routes"
-	ReasonUnknownVM apierr.Reason = "unknown_vm"
+	ReasonNoRoutes apierr.Reason = "no_routes"
 )
 
 // BadAnnouncement counts and logs an announcement that cannot be read.
--- a/internal/control/share.go
+++ b/internal/control/share.go
@@ -30,6 +30,7 @@
 
 // Run shares and forgets until ctx ends.
 func (s *Service) Run(ctx context.Context) {
+	go s.runRetire(ctx)
 	ticker := time.NewTicker(shareInterval)
 	defer ticker.Stop()
 	for round := 0; ; round++ {
--- a/internal/daemon/sitecontrol.go
+++ b/internal/daemon/sitecontrol.go
@@ -55,6 +55,7 @@
 		config.Seeds = s.SeedPeers()
 		config.Found = s.Control.Found
 		config.TargetVoters = votersFor(s.Control.Tolerance)
+		config.LeastVoters = 2*s.Control.Tolerance + 1
 		config.Class = classOf(s)
 		config.Preferred = preferredClass
 	})
@@ -70,7 +71,7 @@
 	c.service = control.New(control.Options{
 		VM: s.VM.Name, Place: s.VM.Place, Region: s.VM.Region,
 		Address: s.Listen.Peers, Seeds: s.SeedPeers(),
-		Group: made.host, Config: made.config, Keepers: keepers,
+		Group: made.host, Tolerance: s.Control.Tolerance, Config: made.config, Keepers: keepers,
 		Calls: site.calls, Log: site.log.Logger, Metrics: site.metrics,
 		Roster: roster.Config{
 			ReplicaLifetime: s.Upstream.ExpireAfter,
--- a/internal/keeper/command.go
+++ b/internal/keeper/command.go
@@ -17,6 +17,7 @@
 	End     *endTenure     `cbor:"3,keyasint,omitempty"`
 
 	Routes *routes.Document `cbor:"4,keyasint,omitempty"`
+	Retire string           `cbor:"5,keyasint,omitempty"` // VM that is to hold nothing any more
 }
 
 // command is an entry in the log of a job group: the time at which it was
--- a/internal/keeper/configmachine.go
+++ b/internal/keeper/configmachine.go
@@ -1,6 +1,7 @@
 package keeper
 
 import (
+	"slices"
 	"sync"
 
 	"slateway.example/slateway/internal/apierr"
@@ -18,6 +19,7 @@
 	tenures  *tenure.Table
 	routes   *routes.Registry
 	matcher  *routes.Matcher // of the routes in force
+	retired  []string        // VMs that are to hold nothing any more
 	changed  notifier
 }
 
@@ -43,11 +45,30 @@
 		return m.applyTenure(&cmd)
 	case err == nil && cmd.Routes != nil:
 		return m.applyRoutes(cmd.Routes)
+	case err == nil && cmd.Retire != "":
+		return m.applyRetire(cmd.Retire)
 	default:
 		return codec.MustMarshal(team.Outcome{Refusal: unreadableCommand(entry.Index)})
 	}
 }
 
+func (m *ConfigMachine) applyRetire(vm string) []byte {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if !slices.Contains(m.retired, vm) {
+		m.retired = append(m.retired, vm)
+	}
+	return codec.MustMarshal(m.retired)
+}
+
+// Retired lists the VMs that are to hold nothing any more, as this VM has applied
+// the orders.
+func (m *ConfigMachine) Retired() []string {
+	m.mu.RLock()
+	defer m.mu.RUnlock()
+	return slices.Clone(m.retired)
+}
+
 func (m *ConfigMachine) applyRoutes(document *routes.Document) []byte {
 	m.mu.Lock()
 	outcome := m.routes.Replace(document)
@@ -109,6 +130,8 @@
 	Registry []byte `cbor:"1,keyasint"`
 	Tenures  []byte `cbor:"2,keyasint"`
 	Routes   []byte `cbor:"3,keyasint,omitempty"`
+
+	Retired []string `cbor:"4,keyasint,omitempty"`
 }
 
 // Snapshot encodes the registry and the grants.
@@ -119,7 +142,7 @@
 	if err != nil {
 		return replica.Snapshot{}, err
 	}
-	state := configState{Registry: registry, Tenures: m.tenures.Snapshot(), Routes: m.routes.Snapshot()}
+	state := configState{Registry: registry, Tenures: m.tenures.Snapshot(), Routes: m.routes.Snapshot(), Retired: m.retired}
 	return replica.Snapshot{State: codec.MustMarshal(state)}, nil
 }
 
@@ -133,6 +156,7 @@
 	}
 	m.mu.Lock()
 	m.registry, m.tenures, m.routes, m.matcher = restored.registry, restored.tenures, restored.routes, restored.matcher
+	m.retired = restored.retired
 	m.mu.Unlock()
 	m.changed.notify()
 	return nil
@@ -154,6 +178,7 @@
 		return err
 	}
 	m.setMatcher()
+	m.retired = state.Retired
 	return nil
 }
 
--- a/internal/keeper/keeperapi/api.go
+++ b/internal/keeper/keeperapi/api.go
@@ -106,6 +106,17 @@
 	ReadItem      rpc.Procedure[ReadItemRequest, Reply[ReadItemResponse]]       = "/slateway.keeper/ReadItem"
 )
 
+// RetireVM orders that a VM is to hold nothing any more.
+const RetireVM rpc.Procedure[RetireRequest, Reply[RetireResponse]] = "/slateway.keeper/RetireVM"
+
+// RetireRequest names the VM.
+type RetireRequest struct {
+	VM string
+}
+
+// RetireResponse says that the order lasts.
+type RetireResponse struct{}
+
 // ReadRoutesRequest asks for the routes in force.
 type ReadRoutesRequest struct{}
 
--- a/internal/keeper/keeperclient/config.go
+++ b/internal/keeper/keeperclient/config.go
@@ -57,6 +57,12 @@
 	return call(ctx, c, keeperapi.ConfigGroup, 0, keeperapi.ReplaceRoutes, document)
 }
 
+// RetireVM orders that a VM is to hold nothing any more.
+func (c *Client) RetireVM(ctx context.Context, vm string) error {
+	_, err := call(ctx, c, keeperapi.ConfigGroup, 0, keeperapi.RetireVM, &keeperapi.RetireRequest{VM: vm})
+	return err
+}
+
 // ReadRoutes reads the routes in force.
 func (c *Client) ReadRoutes(ctx context.Context) (*routes.Document, error) {
 	response, err := call(ctx, c, keeperapi.ConfigGroup, 0, keeperapi.ReadRoutes, &keeperapi.ReadRoutesRequest{})
--- a/internal/keeper/service.go
+++ b/internal/keeper/service.go
@@ -110,6 +110,7 @@
 	handle(s, mux, keeperapi.AcquireTenure, s.acquireTenure)
 	handle(s, mux, keeperapi.ReplaceRoutes, s.replaceRoutes)
 	handle(s, mux, keeperapi.ReadRoutes, s.readRoutes)
+	handle(s, mux, keeperapi.RetireVM, s.retireVM)
 	handle(s, mux, keeperapi.SubmitJob, s.submitJob)
 	handle(s, mux, keeperapi.ListResults, s.listResults)
 	handle(s, mux, keeperapi.ReadItem, s.readItem)
--- a/internal/keeper/submitcalls.go
+++ b/internal/keeper/submitcalls.go
@@ -34,6 +34,11 @@
 	return &keeperapi.ReadRoutesResponse{Document: *s.options.Config.Routes().Document()}, nil
 }
 
+func (s *Service) retireVM(ctx context.Context, request *keeperapi.RetireRequest) (*keeperapi.RetireResponse, error) {
+	_, err := s.options.Proposer.Propose(ctx, keeperapi.ConfigGroup, codec.MustMarshal(configCommand{Retire: request.VM}))
+	return &keeperapi.RetireResponse{}, err
+}
+
 func (s *Service) submitJob(ctx context.Context, submission *job.Submission) (*job.Status, error) {
 	id := job.NewID(submission.Spec.Team, submission.Spec.Key)
 	return s.proposeStatus(ctx, id, command{Submit: submission})
--- a/internal/quorum/status.go
+++ b/internal/quorum/status.go
@@ -15,6 +15,8 @@
 	// Tolerance is how many of the reachable voters may be lost, one after the
 	// other, before the group stops taking changes.
 	Tolerance int
+	// Settled: no change of membership is under way.
+	Settled bool
 }
 
 // MemberStatus is a leader's view of a member. Others know only the Member.
@@ -45,6 +47,7 @@
 	}
 	if n.role == Leader {
 		s.Tolerance = n.tolerance()
+		s.Settled = n.log.membershipIndex() <= n.log.commit && n.committedInTerm()
 	}
 	return s
 }
--- a/internal/replica/bootstrap_test.go
+++ b/internal/replica/bootstrap_test.go
@@ -102,19 +102,25 @@
 		target     int
 		kind       quorum.ChangeKind
 		id         quorum.ID
+		retiring   string
 	}{
-		"nothing to do":               {three, nil, 3, 0, 0},
-		"grow to the target":          {three, []quorum.Member{blank("d", 4)}, 5, quorum.AddLearner, 4},
-		"no further":                  {three, []quorum.Member{blank("d", 4)}, 3, 0, 0},
-		"a lost disk at once":         {three, []quorum.Member{blank("c", 9)}, 3, quorum.AddLearner, 9},
-		"the old disk leaves":         {append(three[:2:2], voter("c", 3, 20), voter("c", 9, 1)), nil, 5, quorum.Remove, 3},
-		"a spare for a lost VM":       {append(three[:2:2], voter("c", 3, 60)), []quorum.Member{blank("d", 4)}, 3, quorum.AddLearner, 4},
-		"the preferred class first":   {three, []quorum.Member{blank("d", 4), storeBlank("e", 5)}, 5, quorum.AddLearner, 5},
-		"in the place of another":     {three, []quorum.Member{blank("d", 4), storeBlank("e", 5)}, 3, quorum.AddLearner, 5},
-		"which leaves, no leader":     {append(three[:3:3], store(voter("e", 5, 1))), nil, 3, quorum.Remove, 2},
-		"the lost VM leaves after it": {append(three[:2:2], voter("c", 3, 60), voter("d", 4, 0)), nil, 3, quorum.Remove, 3},
+		"a successor for a retiring":   {three, []quorum.Member{blank("d", 4)}, 3, quorum.AddLearner, 4, "c"},
+		"which leaves after it":        {append(three[:3:3], voter("d", 4, 1)), nil, 3, quorum.Remove, 3, "c"},
+		"not while too few would stay": {three, nil, 3, 0, 0, "c"},
+		"without one if enough stay":   {append(three[:3:3], voter("d", 4, 1)), nil, 5, quorum.Remove, 4, "d"},
+		"a retiring one is no spare":   {three, []quorum.Member{blank("d", 4)}, 5, 0, 0, "d"},
+		"nothing to do":                {three, nil, 3, 0, 0, ""},
+		"grow to the target":           {three, []quorum.Member{blank("d", 4)}, 5, quorum.AddLearner, 4, ""},
+		"no further":                   {three, []quorum.Member{blank("d", 4)}, 3, 0, 0, ""},
+		"a lost disk at once":          {three, []quorum.Member{blank("c", 9)}, 3, quorum.AddLearner, 9, ""},
+		"the old disk leaves":          {append(three[:2:2], voter("c", 3, 20), voter("c", 9, 1)), nil, 5, quorum.Remove, 3, ""},
+		"a spare for a lost VM":        {append(three[:2:2], voter("c", 3, 60)), []quorum.Member{blank("d", 4)}, 3, quorum.AddLearner, 4, ""},
+		"the preferred class first":    {three, []quorum.Member{blank("d", 4), storeBlank("e", 5)}, 5, quorum.AddLearner, 5, ""},
+		"in the place of another":      {three, []quorum.Member{blank("d", 4), storeBlank("e", 5)}, 3, quorum.AddLearner, 5, ""},
+		"which leaves, no leader":      {append(three[:3:3], store(voter("e", 5, 1))), nil, 3, quorum.Remove, 2, ""},
+		"the lost VM leaves after it":  {append(three[:2:2], voter("c", 3, 60), voter("d", 4, 0)), nil, 3, quorum.Remove, 3, ""},
 	} {
-		change, ok := nextChange(repairView{members: tc.members, candidates: tc.candidates, target: tc.target, lostTicks: 50, preferred: "store", self: 1})
+		change, ok := nextChange(repairView{members: tc.members, candidates: tc.candidates, target: tc.target, lostTicks: 50, preferred: "store", self: 1, retiring: []string{tc.retiring}, least: 3})
 		if ok != (tc.kind != 0) || change.Kind != tc.kind || change.Member.ID != tc.id {
 			t.Errorf("%s: %v %+v", name, ok, change)
 		}
--- a/internal/replica/config.go
+++ b/internal/replica/config.go
@@ -40,7 +40,9 @@
 	// TargetVoters is how many voters the groups grow to as VMs join; zero: as
 	// many as Voters.
 	TargetVoters int
-	Groups       uint32
+	// LeastVoters stay when a VM is retired and none can take its place.
+	LeastVoters int
+	Groups      uint32
 	// NewMachine makes the state machine of a group, which keeps its files in
 	// folder. Restore is called before anything else.
 	NewMachine func(group uint32, folder string) (Machine, error)
--- a/internal/replica/host.go
+++ b/internal/replica/host.go
@@ -40,6 +40,7 @@
 	initial    *initialRecord
 	candidates map[quorum.ID]candidate
 	seeds      []string // as the settings name them now
+	retiring   []string // VMs that are to hold nothing any more
 	failure    error
 	ended      bool
 }
@@ -121,6 +122,7 @@
 	rpc.Handle(mux, procedureHello, maxBody, h.serveHello)
 	rpc.Handle(mux, procedureReplace, maxBody, h.serveReplace)
 	rpc.Handle(mux, procedureStatus, maxBody, h.serveStatus)
+	rpc.Handle(mux, procedureRetire, maxBody, h.serveRetire)
 }
 
 func (h *Host) serveMessages(_ context.Context, b *batch) (*ack, error) {
--- a/internal/replica/replacement.go
+++ b/internal/replica/replacement.go
@@ -65,7 +65,9 @@
 	target     int // voters that the group should have
 	lostTicks  int // unheard for as long, a member is lost; 0: never by itself
 	request    *replacement
-	preferred  string // class of which members are taken as far as there are any
+	preferred  string   // class of which members are taken as far as there are any
+	retiring   []string // VMs that are to hold nothing any more
+	least      int      // voters that must stay when a retiring one has no successor
 	self       quorum.ID
 }
 
@@ -83,6 +85,9 @@
 		}
 		voters++
 	}
+	if old, ok := v.retired(); ok && (voters > v.target || voters > v.least && !v.hasSpare()) {
+		return quorum.Change{Kind: quorum.Remove, Member: old}, true
+	}
 	if old, ok := v.surplus(voters); ok {
 		return quorum.Change{Kind: quorum.Remove, Member: old}, true
 	}
@@ -98,7 +103,8 @@
 	if blank, ok := v.blankDisk(); ok {
 		return quorum.Change{Kind: quorum.AddLearner, Member: blank}, true
 	}
-	if blank, ok := v.spare(); ok && (voters < v.target || v.betterThanSome(blank)) {
+	_, retires := v.retired()
+	if blank, ok := v.spare(); ok && (voters < v.target || retires || v.betterThanSome(blank)) {
 		return quorum.Change{Kind: quorum.AddLearner, Member: blank}, true
 	}
 	for _, member := range v.members {
@@ -112,6 +118,24 @@
 	return quorum.Change{}, false
 }
 
+func (v repairView) retires(vm string) bool { return slices.Contains(v.retiring, vm) }
+
+// retired gives a voter whose VM is to hold nothing any more, the leader last.
+func (v repairView) retired() (quorum.Member, bool) {
+	var found quorum.Member
+	for _, member := range v.members {
+		if v.retires(member.VM) && (found.ID == quorum.None || found.ID == v.self) {
+			found = member.Member
+		}
+	}
+	return found, found.ID != quorum.None
+}
+
+func (v repairView) hasSpare() bool {
+	_, ok := v.spare()
+	return ok
+}
+
 // blankDisk gives a blank disk on the VM of a member. A VM has one disk, so the
 // member's is gone for good and there is nothing to wait for: until the new one
 // counts, the group can bear one loss less.
@@ -120,6 +144,9 @@
 		return quorum.Member{}, false
 	}
 	for _, blank := range v.candidates {
+		if v.retires(blank.VM) {
+			continue
+		}
 		replaces := func(m quorum.MemberStatus) bool { return m.VM == blank.VM && m.IdleTicks > 0 }
 		if slices.ContainsFunc(v.members, replaces) && !v.has(blank.ID) {
 			return blank, true
@@ -147,7 +174,7 @@
 	var found quorum.Member
 	for _, blank := range v.candidates {
 		onVM := func(m quorum.MemberStatus) bool { return m.VM == blank.VM }
-		if slices.ContainsFunc(v.members, onVM) {
+		if slices.ContainsFunc(v.members, onVM) || v.retires(blank.VM) {
 			continue
 		}
 		if found.ID == quorum.None || (blank.Class == v.preferred && found.Class != v.preferred) {
@@ -158,7 +185,7 @@
 }
 
 func (v repairView) finishLearner(learner quorum.MemberStatus) (quorum.Change, bool) {
-	if v.lost(learner) {
+	if v.lost(learner) || v.retires(learner.VM) {
 		return quorum.Change{Kind: quorum.Remove, Member: learner.Member}, true
 	}
 	return quorum.Change{Kind: quorum.Promote, Member: learner.Member}, learner.Reachable
@@ -230,6 +257,8 @@
 		candidates: h.freshCandidates(),
 		target:     h.config.targetVoters(),
 		lostTicks:  int(h.config.ReplaceAfter / h.config.Tick),
+		retiring:   h.retiringVMs(),
+		least:      h.config.LeastVoters,
 	}
 	for _, g := range h.groups {
 		if g.reconcile(view) {
@@ -263,6 +292,56 @@
 	return true
 }
 
+// retireRequest names the VMs that are to hold nothing any more.
+type retireRequest struct {
+	VMs []string `cbor:"1,keyasint"`
+}
+
+// Retire tells the leaders of all groups which VMs are to hold nothing any more,
+// and says whether any of these is still a member. The leaders forget it when
+// they fail: tell them again until it is done.
+func (h *Host) Retire(ctx context.Context, vms []string) (left []string, err error) {
+	request := &retireRequest{VMs: vms}
+	for id := range h.Groups() {
+		leader, ok := h.Leader(id)
+		if !ok {
+			return vms, &NotLeaderError{Group: id}
+		}
+		if leader.ID == h.self.ID {
+			_, err = h.serveRetire(ctx, request)
+		} else {
+			_, err = rpc.Call(ctx, h.transport.client, leader.Address, procedureRetire, request)
+		}
+		if err != nil {
+			return vms, err
+		}
+	}
+	for _, group := range h.LeaderStatus(ctx) {
+		if !group.Confirmed {
+			return vms, &NotLeaderError{Group: group.Group}
+		}
+		for _, member := range group.Members {
+			if slices.Contains(vms, member.VM) && !slices.Contains(left, member.VM) {
+				left = append(left, member.VM)
+			}
+		}
+	}
+	return left, nil
+}
+
+func (h *Host) serveRetire(_ context.Context, request *retireRequest) (*ack, error) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.retiring = request.VMs
+	return &ack{}, nil
+}
+
+func (h *Host) retiringVMs() []string {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.retiring
+}
+
 // replaceRequest asks the leader of a group to replace a member.
 type replaceRequest struct {
 	Group uint32 `cbor:"1,keyasint"`
--- a/internal/replica/status.go
+++ b/internal/replica/status.go
@@ -36,6 +36,9 @@
 	// is how many of them may be lost before changes stop.
 	VotersReachable int `cbor:"11,keyasint,omitempty"`
 	Tolerance       int `cbor:"12,keyasint,omitempty"`
+	// Confirmed: the members are those that the group's leader has, of which the
+	// latest change is committed.
+	Confirmed bool `cbor:"13,keyasint,omitempty"`
 }
 
 // Status gives the groups as this VM sees them.
@@ -54,7 +57,7 @@
 	status := GroupStatus{
 		Group: g.id, Leader: s.Leader, Leads: s.Role == quorum.Leader, Term: s.Term, Commit: s.Commit, Applied: g.applied,
 		SnapshotIndex: g.status.snapshotIndex, SnapshotBytes: g.status.snapshotBytes,
-		VotersReachable: s.Reachable, Tolerance: s.Tolerance,
+		VotersReachable: s.Reachable, Tolerance: s.Tolerance, Confirmed: s.Role == quorum.Leader && s.Settled,
 	}
 	for _, m := range s.Members {
 		status.IsMember = status.IsMember || m.ID == s.ID
--- a/internal/replica/transport.go
+++ b/internal/replica/transport.go
@@ -18,6 +18,7 @@
 	procedureChunk    rpc.Procedure[chunk, ack]                    = "/slateway.replica/Chunk"
 	procedureHello    rpc.Procedure[helloRequest, helloResponse]   = "/slateway.replica/Hello"
 	procedureReplace  rpc.Procedure[replaceRequest, ack]           = "/slateway.replica/Replace"
+	procedureRetire   rpc.Procedure[retireRequest, ack]            = "/slateway.replica/Retire"
 	procedureStatus   rpc.Procedure[statusRequest, statusResponse] = "/slateway.replica/Status"
 )
 
