Recover faster after all processes were stopped at once

Cause: each member waited a whole election timeout, gates were sent round among control VMs that knew no leader yet, and replicas were known again only by their next heartbeats, one every 1.2 s. Change: a member that starts asks for pre-votes after two heartbeats and a lot of half an election timeout; a control VM holds a gate's question while there is no leader; control VMs keep the replicas that they know on disk, each change before it is acknowledged.

--- a/internal/control/follow.go
+++ b/internal/control/follow.go
@@ -16,6 +16,7 @@
 
 // follow takes in a gate's word and answers when there is something new.
 func (s *Service) follow(ctx context.Context, request *controlapi.FollowRequest) (*controlapi.FollowResponse, error) {
+	s.awaitTouch(ctx)
 	if err := s.requireTouch(); err != nil {
 		return nil, err
 	}
@@ -46,6 +47,20 @@
 	}
 }
 
+const (
+	// touchWait is how long a question is held by a VM that knows no leader. After
+	// a restart of all control VMs an election takes about as long; refused at
+	// once, each gate would go round among them all the while.
+	touchWait = 300 * time.Millisecond
+	touchPoll = 20 * time.Millisecond
+)
+
+func (s *Service) awaitTouch(ctx context.Context) {
+	for end := time.Now().Add(touchWait); !s.InTouch() && time.Now().Before(end) && ctx.Err() == nil; {
+		time.Sleep(touchPoll)
+	}
+}
+
 // answer gives what is new for a gate, whether there is anything, and a channel
 // that closes at the next change of the roster.
 func (s *Service) answer(routesVersion, since uint64) (*controlapi.FollowResponse, bool, <-chan struct{}) {
--- /dev/null
+++ b/internal/control/journal.go
@@ -0,0 +1,92 @@
+package control
+
+import (
+	"errors"
+	"io/fs"
+	"os"
+	"path/filepath"
+	"sync"
+	"time"
+
+	"go.uber.org/zap"
+
+	"slateway.example/slateway/internal/codec"
+	"slateway.example/slateway/internal/roster"
+	"slateway.example/slateway/internal/wal"
+)
+
+// journal keeps the replicas that a control VM knows on its disk.
+//
+// When all processes of the system are stopped at once, the replicas run on; known
+// again only by their next heartbeats, they would serve nothing for seconds. What
+// is kept also says which of them leave: a replica that was told that it gets no
+// more requests must get none after a restart either, so a change is on the disk
+// before it is acknowledged.
+type journal struct {
+	path string
+	log  *zap.Logger
+
+	mu      sync.Mutex // one write at a time
+	written uint64     // roster version on the disk
+}
+
+// journalFile is its name in the data folder.
+const journalFile = "replicas"
+
+// journalWait bounds how long an acknowledgement waits for the disk: one that has
+// stalled must not keep replicas from leaving, and the other control VMs have
+// heard of the change.
+const journalWait = 300 * time.Millisecond
+
+func newJournal(folder string, log *zap.Logger) *journal {
+	return &journal{path: filepath.Join(folder, journalFile), log: log}
+}
+
+// kept is the content of the file.
+type kept struct {
+	Replicas []roster.Heard `cbor:"1,keyasint"`
+}
+
+// load gives the replicas that were known; none if there is no file, or it is
+// damaged: heartbeats bring them back.
+func (j *journal) load() []roster.Heard {
+	data, err := os.ReadFile(j.path)
+	if errors.Is(err, fs.ErrNotExist) {
+		return nil
+	}
+	var found kept
+	if err == nil {
+		err = codec.Unmarshal(data, &found)
+	}
+	if err != nil {
+		j.log.Warn("known replicas not read, their heartbeats bring them back", zap.Error(err))
+		return nil
+	}
+	return found.Replicas
+}
+
+// save writes the replicas of a roster version, unless a newer one is written
+// already. It returns when they last or journalWait is over.
+func (j *journal) save(version uint64, replicas []roster.Heard) {
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		j.mu.Lock()
+		defer j.mu.Unlock()
+		if version <= j.written {
+			return
+		}
+		if err := wal.ReplaceFile(j.path, codec.MustMarshal(kept{Replicas: replicas})); err != nil {
+			j.log.Warn("known replicas not kept", zap.Uint64("version", version), zap.Error(err))
+			return
+		}
+		j.written = version
+	}()
+	timer := time.NewTimer(journalWait)
+	defer timer.Stop()
+	select {
+	case <-done:
+	case <-timer.C:
+		j.log.Warn("the disk is slow, a change of replicas is acknowledged before it lasts", zap.Uint64("version", version))
+	}
+}
--- a/internal/control/service.go
+++ b/internal/control/service.go
@@ -52,6 +52,7 @@
 	Place   string
 	Region  string
 	Address string   // peers address of this VM
+	Folder  string   // data folder of this VM
 	Seeds   []string // peers addresses of some control VMs
 	Group   Group
 	// Tolerance is how many VMs that hold state may be lost at once.
@@ -71,6 +72,7 @@
 type Service struct {
 	options Options
 	epoch   string
+	journal *journal
 
 	mu        sync.Mutex // guards what follows
 	table     *roster.Table
@@ -86,7 +88,7 @@
 // New makes a service.
 func New(options Options) *Service {
 	random := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
-	return &Service{
+	s := &Service{
 		options:   options,
 		epoch:     uuid.NewString(),
 		table:     roster.New(options.Roster),
@@ -96,7 +98,10 @@
 		gates:     make(map[string]struct{}),
 		contacts:  make(map[string]time.Time),
 		seeds:     options.Seeds,
+		journal:   newJournal(options.Folder, options.Log),
 	}
+	s.merge(s.journal.load(), nil)
+	return s
 }
 
 // SetSeeds replaces the control VMs that the settings name.
@@ -175,11 +180,20 @@
 		s.logReplica("late announcement ignored", &a)
 	case roster.Changed:
 		s.logReplica("replica changed", &a)
+		s.keep()
 		s.push(ctx, &controlapi.ShareRequest{Replicas: []roster.Heard{{Replica: a}}})
 	}
 	return nil
 }
 
+// keep makes what is known of replicas last on this VM's disk.
+func (s *Service) keep() {
+	s.mu.Lock()
+	version, replicas := s.table.Version(), s.table.Replicas(time.Now())
+	s.mu.Unlock()
+	s.journal.save(version, replicas)
+}
+
 func (s *Service) logReplica(what string, a *upstream.Announcement) {
 	s.options.Log.Info(what, telemetry.Upstream(string(a.Replica)), zap.String("service", a.Service),
 		zap.String("address", a.Address), zap.Uint64("incarnation", a.Incarnation), zap.Uint64("sequence", a.Sequence),
@@ -198,6 +212,7 @@
 		s.notify()
 	}
 	s.mu.Unlock()
+	s.keep()
 	s.options.Log.Info("replica leaves", telemetry.Upstream(string(id)), zap.Uint64("incarnation", incarnation), zap.Bool("news", news))
 	request := &controlapi.ShareRequest{Left: []controlapi.Left{{Replica: id, Incarnation: incarnation}}}
 	if news {
--- a/internal/control/share.go
+++ b/internal/control/share.go
@@ -150,8 +150,10 @@
 	s.mu.Lock()
 	s.contacts[request.From] = time.Now()
 	s.mu.Unlock()
-	s.merge(request.Replicas, request.Gates)
-	s.mergeLeft(request.Left)
+	changed := s.merge(request.Replicas, request.Gates)
+	if s.mergeLeft(request.Left) || changed {
+		s.keep()
+	}
 	response := &controlapi.ShareResponse{}
 	if request.Whole {
 		s.mu.Lock()
@@ -163,32 +165,36 @@
 	return response, nil
 }
 
-func (s *Service) merge(replicas []roster.Heard, gates []roster.HeardGate) {
+// merge takes in what was heard elsewhere; it says whether any replica changed.
+func (s *Service) merge(replicas []roster.Heard, gates []roster.HeardGate) (changed bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := time.Now()
-	news := false
 	for _, heard := range replicas {
 		if heard.Replica.Validate() != nil {
 			s.options.Metrics.Count(string(upstream.ReasonBadAnnouncement))
 			continue
 		}
-		news = s.table.Announce(now, heard.Replica, heard.Age) == roster.Changed || news
+		changed = s.table.Announce(now, heard.Replica, heard.Age) == roster.Changed || changed
 	}
+	news := changed
 	for _, heard := range gates {
 		news = s.table.Hear(now, heard.Gate, heard.Age) || news
 	}
 	if news {
 		s.notify()
 	}
+	return changed
 }
 
-func (s *Service) mergeLeft(left []controlapi.Left) {
+func (s *Service) mergeLeft(left []controlapi.Left) (changed bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for _, l := range left {
 		if _, news := s.table.Leave(l.Replica, l.Incarnation); news {
+			changed = true
 			s.notify()
 		}
 	}
+	return changed
 }
--- a/internal/gate/follow/follower.go
+++ b/internal/gate/follow/follower.go
@@ -71,6 +71,7 @@
 	controls []string
 	keepers  []string
 	current  string // control VM that is asked
+	lost     int    // control VMs in a row that did not answer
 	epoch    string
 	since    uint64
 	wholeAt  time.Time
@@ -196,11 +197,15 @@
 
 func (f *Follower) leave(address string, err error) {
 	f.options.Metrics.Count("follow.lost")
-	f.options.Log.Info("control VM does not answer, asking another", zap.String("control", address),
-		zap.Duration("age", f.Age()), zap.Error(err))
 	f.mu.Lock()
-	defer f.mu.Unlock()
 	f.current = ""
+	f.lost++
+	first := f.lost == 1
+	f.mu.Unlock()
+	if first { // the next line of it says that one answers again
+		f.options.Log.Info("control VM does not answer, asking others", zap.String("control", address),
+			zap.Duration("age", f.Age()), zap.Error(err))
+	}
 }
 
 func (f *Follower) ask(ctx context.Context, address string) error {
@@ -251,9 +256,11 @@
 	whole := asked.Since == 0 || response.Epoch != asked.Epoch
 	f.takeReplicas(address, &response.Changes, whole)
 	f.mu.Lock()
-	if response.Epoch != f.epoch {
-		f.options.Log.Info("following", zap.String("control", address), zap.String("epoch", response.Epoch))
+	if response.Epoch != f.epoch || f.lost > 0 {
+		f.options.Log.Info("following", zap.String("control", address), zap.String("epoch", response.Epoch),
+			zap.Int("asked_in_vain", f.lost))
 	}
+	f.lost = 0
 	f.epoch, f.since = response.Epoch, response.Changes.Version
 	if len(response.Controls) > 0 {
 		f.controls = response.Controls
--- a/internal/gate/proxy/flight.go
+++ b/internal/gate/proxy/flight.go
@@ -34,6 +34,8 @@
 	err      *apierr.Error
 	finished bool
 	meta     answerMeta
+	lastAt   time.Time     // when the last event came
+	pause    time.Duration // the longest between two events
 }
 
 func newFlight(s *shard, request route.Request, p Protocol) *flight {
@@ -49,6 +51,13 @@
 	return newAttempt(f, o)
 }
 
+// longestPause gives the longest time between two events.
+func (f *flight) longestPause() time.Duration {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.pause
+}
+
 // wasSent says whether any attempt was begun.
 func (f *flight) wasSent() bool { return f.sent.Load() }
 
@@ -139,6 +148,11 @@
 		f.finish(tooLong())
 		return errUnused
 	}
+	now := time.Now()
+	if !f.lastAt.IsZero() {
+		f.pause = max(f.pause, now.Sub(f.lastAt))
+	}
+	f.lastAt = now
 	f.tokens = max(f.tokens, e.Token)
 	f.text.WriteString(e.Text)
 	f.meta.take(e)
--- a/internal/gate/proxy/online.go
+++ b/internal/gate/proxy/online.go
@@ -220,6 +220,7 @@
 	d.metrics.Count(CountOnlineDone)
 	d.metrics.Observe(MetricAnswer, time.Since(d.flight.started))
 	d.flight.shard.log().Info("request answered", telemetry.RequestID(d.flight.request.ID), zap.Duration("first", d.first),
+		zap.Duration("longest_pause", d.flight.longestPause()),
 		zap.Duration("after", time.Since(d.flight.started)))
 }
 
--- a/internal/quorum/election.go
+++ b/internal/quorum/election.go
@@ -8,6 +8,19 @@
 	}
 }
 
+// hasten shortens the wait of a member that has just started: two heartbeats, and
+// as much again by lot as half an election timeout.
+//
+// After all members were stopped at once nobody leads, and each would wait for a
+// whole election timeout, in which nothing is acknowledged. If a leader does live,
+// its heartbeat arrives first, and a pre-vote that is asked all the same is
+// refused by those who hear it.
+func (n *Node) hasten() {
+	if n.log.lastIndex() > 0 {
+		n.timeout = min(n.timeout, 2*n.config.HeartbeatTicks+n.config.Rand(n.config.ElectionTicks/2))
+	}
+}
+
 func (n *Node) becomeFollower(term uint64, leader ID) {
 	if term != n.term {
 		n.term = term
--- a/internal/quorum/node.go
+++ b/internal/quorum/node.go
@@ -108,6 +108,7 @@
 	}
 	n.saved = HardState{Term: n.term, Vote: n.vote}
 	n.resetElection()
+	n.hasten()
 	return n, nil
 }
 
--- a/internal/replica/disk.go
+++ b/internal/replica/disk.go
@@ -105,24 +105,5 @@
 	if err != nil {
 		return err
 	}
-	return writeFileSynced(path, data)
-}
-
-func writeFileSynced(path string, data []byte) error {
-	temporary := path + ".new"
-	file, err := os.OpenFile(temporary, os.O_CREATE|os.O_TRUNC|os.O_WRONLY, 0o600)
-	if err != nil {
-		return fmt.Errorf("write %s: %w", path, err)
-	}
-	_, err = file.Write(data)
-	if err == nil {
-		err = file.Sync()
-	}
-	if err := errors.Join(err, file.Close()); err != nil {
-		return fmt.Errorf("write %s: %w", path, err)
-	}
-	if err := os.Rename(temporary, path); err != nil {
-		return fmt.Errorf("write %s: %w", path, err)
-	}
-	return wal.SyncFolder(filepath.Dir(path))
+	return wal.ReplaceFile(path, data)
 }
--- a/internal/replica/store.go
+++ b/internal/replica/store.go
@@ -100,7 +100,7 @@
 	if err != nil {
 		return 0, err
 	}
-	return len(data), writeFileSynced(s.path(snapshotFile), data)
+	return len(data), wal.ReplaceFile(s.path(snapshotFile), data)
 }
 
 // cutFiles brings the machine's folder to what a snapshot states: appends made
--- a/internal/replica/transport.go
+++ b/internal/replica/transport.go
@@ -37,7 +37,7 @@
 	// timeout. A connection may go silent for good, in both directions at once:
 	// then a heartbeat is lost, and after it the answer to the next one. Both
 	// must be noticed before the leader gives up its office.
-	callsPerElection = 4
+	callsPerElection = 3
 	// slowestLink, in bytes a second, extends the timeout of large batches.
 	slowestLink = 4 << 20
 )
