Let requests wait for the first routes of a gate that has just started

Cause: callers hold the addresses of gates from before a restart and come within 20 ms of it; refused with no_configuration and told to come back after 1 s, they came late, though routes and replicas were there 0.3 to 0.6 s after the restart.

--- a/internal/gate/follow/follower.go
+++ b/internal/gate/follow/follower.go
@@ -65,6 +65,8 @@
 	matcher atomic.Pointer[routes.Matcher]
 	heard   atomic.Int64 // when a control VM last answered, in ns since start
 	start   time.Time
+	first   chan struct{} // closes once routes and replicas are known
+	known   sync.Once
 
 	mu       sync.Mutex // guards what follows
 	gate     roster.Gate
@@ -92,6 +94,7 @@
 	f := &Follower{
 		options: options, gate: options.Gate, controls: slices.Clone(options.Seeds),
 		wake: make(chan struct{}, 1), listed: make(map[upstream.ReplicaID]listing), start: time.Now(),
+		first: make(chan struct{}),
 	}
 	f.matcher.Store(routes.NewMatcher(&routes.Document{}))
 	return f
@@ -100,6 +103,14 @@
 // Routes gives the routes that this gate serves by; version 0 before the first.
 func (f *Follower) Routes() *routes.Matcher { return f.matcher.Load() }
 
+// Await returns when the first routes and replicas are known, or ctx has ended.
+func (f *Follower) Await(ctx context.Context) {
+	select {
+	case <-f.first:
+	case <-ctx.Done():
+	}
+}
+
 // Age gives how long ago a control VM last confirmed what this gate knows.
 func (f *Follower) Age() time.Duration {
 	return time.Since(f.start) - time.Duration(f.heard.Load())
@@ -274,6 +285,9 @@
 	for _, fn := range calls {
 		fn()
 	}
+	if f.Routes().Version() > 0 {
+		f.known.Do(func() { close(f.first) })
+	}
 }
 
 // takeRoutes puts newer routes in force. A control VM that lags behind, or has
--- a/internal/gate/routed.go
+++ b/internal/gate/routed.go
@@ -25,8 +25,9 @@
 // RouteSource gives the routes that the gate serves by.
 type RouteSource interface {
 	Routes() *routes.Matcher
-	Age() time.Duration // since they were last confirmed
-	Stale() bool        // whether they may be out of date
+	Await(ctx context.Context) // returns when the first routes are known, or ctx has ended
+	Age() time.Duration        // since they were last confirmed
+	Stale() bool               // whether they may be out of date
 }
 
 // Routed serves callers' requests by the operators' routes.
@@ -53,8 +54,8 @@
 // A gate that has no routes yet, or has not heard from the control VMs for a
 // while, cannot know that there is none: it says that it cannot serve the
 // request, so that the caller asks another gate.
-func (f *Routed) Lookup(requestID, host, path string) (Found, *apierr.Error) {
-	matcher := f.source.Routes()
+func (f *Routed) Lookup(ctx context.Context, requestID, host, path string) (Found, *apierr.Error) {
+	matcher := f.firstRoutes(ctx)
 	if found := matcher.Match(host, path); found != nil {
 		return Found{Route: found, Matcher: matcher}, nil
 	}
@@ -62,7 +63,7 @@
 	switch {
 	case matcher.Version() == 0:
 		refusal = apierr.New(apierr.Unavailable, ReasonNoConfig, "use another gate or come back",
-			"this gate has no routes yet").WithRetryAfter(configRetryInterval)
+			"this gate has no routes yet").WithRetryAfter(firstRoutesRetry)
 	case f.source.Stale():
 		refusal = apierr.New(apierr.Unavailable, ReasonNoRouteStale, "use another gate or come back",
 			"no route of version %d fits, and this gate may not have the newest", matcher.Version()).WithRetryAfter(configRetryInterval)
@@ -76,6 +77,31 @@
 	return Found{}, refusal
 }
 
+const (
+	// firstRoutesWait is how long a request waits at a gate that has just started
+	// for the first routes. Callers hold its address from before and come at once;
+	// the routes come within an election and a call, some 0.3 to 0.6 s after a
+	// restart of the whole site.
+	firstRoutesWait = time.Second
+	// firstRoutesRetry is when to come back if that was not enough.
+	firstRoutesRetry = 300 * time.Millisecond
+)
+
+// firstRoutes gives the routes; it waits for the first ones.
+//
+// Failure guarded against: all processes of a site were stopped and are back at
+// their addresses. Refused, the callers would come back together after their
+// answers are worth little, though routes and replicas are known a moment later.
+func (f *Routed) firstRoutes(ctx context.Context) *routes.Matcher {
+	if matcher := f.source.Routes(); matcher.Version() > 0 {
+		return matcher
+	}
+	ctx, cancel := context.WithTimeout(ctx, firstRoutesWait)
+	defer cancel()
+	f.source.Await(ctx)
+	return f.source.Routes()
+}
+
 // RoutedRequest is a caller's request as its protocol was read.
 type RoutedRequest struct {
 	ID          string
--- /dev/null
+++ b/internal/gate/routed_test.go
@@ -0,0 +1,99 @@
+package gate_test
+
+import (
+	"context"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"go.uber.org/zap"
+
+	"slateway.example/slateway/internal/apierr"
+	"slateway.example/slateway/internal/gate"
+	"slateway.example/slateway/internal/routes"
+	"slateway.example/slateway/internal/telemetry"
+)
+
+// source gives routes once they have come.
+type source struct {
+	matcher atomic.Pointer[routes.Matcher]
+	came    chan struct{}
+	stale   bool
+}
+
+func newSource() *source {
+	s := &source{came: make(chan struct{})}
+	s.matcher.Store(routes.NewMatcher(&routes.Document{}))
+	return s
+}
+
+func (s *source) Routes() *routes.Matcher { return s.matcher.Load() }
+func (s *source) Age() time.Duration      { return 0 }
+func (s *source) Stale() bool             { return s.stale }
+func (s *source) Await(ctx context.Context) {
+	select {
+	case <-s.came:
+	case <-ctx.Done():
+	}
+}
+
+func (s *source) come() {
+	s.matcher.Store(routes.NewMatcher(&routes.Document{Version: 3, Routes: []routes.Route{{
+		Name: "headline", Host: "news.example", Prefix: "/a/", Kind: routes.Streaming, Timeout: time.Second,
+		Split: []routes.Share{{Service: "wordroom", Weight: 1}},
+	}}}))
+	close(s.came)
+}
+
+func routed(s *source) (*gate.Routed, *telemetry.Metrics) {
+	metrics := telemetry.NewMetrics()
+	return gate.NewRouted(s, nil, metrics, zap.NewNop()), metrics
+}
+
+// All processes of a site were stopped and are back; callers come to the
+// addresses that they hold, a moment before the gates know any route. They are
+// served once the routes are here, not sent away.
+func TestRequestsWaitForTheFirstRoutes(t *testing.T) {
+	s := newSource()
+	front, _ := routed(s)
+	go func() {
+		time.Sleep(50 * time.Millisecond)
+		s.come()
+	}()
+	found, refusal := front.Lookup(t.Context(), "r1", "news.example", "/a/x")
+	if refusal != nil || found.Name != "headline" {
+		t.Fatalf("%+v, %v", found.Route, refusal)
+	}
+}
+
+// No control VM can be reached. The caller must learn soon that another gate may
+// know more, and when to come back.
+func TestRequestsDoNotWaitForRoutesForLong(t *testing.T) {
+	front, metrics := routed(newSource())
+	began := time.Now()
+	_, refusal := front.Lookup(t.Context(), "r1", "news.example", "/a/x")
+	if took := time.Since(began); took > 3*time.Second {
+		t.Errorf("took %s", took)
+	}
+	if refusal == nil || refusal.Kind != apierr.Unavailable || refusal.Ran != apierr.RanNo || refusal.RetryAfter == 0 {
+		t.Fatalf("%+v", refusal)
+	}
+	if metrics.Value(telemetry.RefusedPrefix+string(gate.ReasonNoConfig)) != 1 {
+		t.Error("not counted")
+	}
+}
+
+// A route was added while this gate was cut off. Told that there is none, the
+// caller would give up for good.
+func TestAStaleGateDoesNotDenyARoute(t *testing.T) {
+	s := newSource()
+	s.come()
+	front, _ := routed(s)
+	if _, refusal := front.Lookup(t.Context(), "r1", "news.example", "/new/x"); refusal == nil || refusal.Kind != apierr.NotFound {
+		t.Fatalf("in touch: %+v", refusal)
+	}
+	s.stale = true
+	if _, refusal := front.Lookup(t.Context(), "r1", "news.example", "/new/x"); refusal == nil || refusal.Kind != apierr.Unavailable {
+		t.Fatalf("cut off: %+v", refusal)
+	}
+}
