--- a/internal/control/service.go
+++ b/internal/control/service.go
@@ -263,12 +263,7 @@
 		CallerPlace: place, Lifetime: s.options.AnswerLifetime, Limit: s.options.MaxEntries,
 		Members: []member.Member{{Self: true, Record: member.Record{VM: member.VM{Name: s.options.VM, Place: s.options.Place, Region: s.options.Region}}}},
 	}
-	for _, gate := range s.table.Gates() {
-		input.Members = append(input.Members, member.Member{Record: member.Record{
-			VM:    member.VM{Name: gate.VM, Place: gate.Place, Region: gate.Region, Callers: gate.Callers},
-			State: member.Alive, Ready: gate.Ready, Draining: gate.Draining,
-		}})
-	}
+	input.Members = append(input.Members, roster.Members(s.table.Gates(), "")...)
 	answer, err := s.directory.Decide(input)
 	if err != nil {
 		s.options.Metrics.Refused(apierr.ReasonOf(err))
--- a/internal/daemon/site.go
+++ b/internal/daemon/site.go
@@ -9,6 +9,7 @@
 	"go.uber.org/zap"
 
 	"slateway.example/slateway/internal/control"
+	"slateway.example/slateway/internal/directory"
 	"slateway.example/slateway/internal/gate"
 	"slateway.example/slateway/internal/gate/proxy"
 	"slateway.example/slateway/internal/job"
@@ -23,11 +24,16 @@
 	Callers      func(routed *gate.Routed, jobs *gate.Jobs) http.Handler
 	Readiness    func(ready func() bool) http.Handler
 	Control      func(service *control.Service) http.Handler
-	Directory    func(service *control.Service) http.Handler
+	Directory    func(entries Entries) http.Handler
 	ItemProtocol func(host string, item *job.Item) proxy.Protocol
 	Refuse       func(w http.ResponseWriter, err error)
 }
 
+// Entries tells callers in a place which gates to use.
+type Entries interface {
+	Entries(place string) (directory.Answer, error)
+}
+
 // DiskError says that the data folder's disk failed while it was in use. What was
 // acknowledged lies on the other VMs; this one can begin again from its folder.
 type DiskError struct {
@@ -170,7 +176,8 @@
 		s.gate.exchange.Mount(peers)
 		list = append(list,
 			served{"callers", addresses.Callers, s.gate.handler(s.edge)},
-			served{"readiness", addresses.Readiness, s.edge.Readiness(s.gate.ready)})
+			served{"readiness", addresses.Readiness, s.edge.Readiness(s.gate.ready)},
+			served{"directory", addresses.Directory, s.edge.Directory(s.gate.entries)})
 	}
 	return list
 }
--- a/internal/daemon/sitegate.go
+++ b/internal/daemon/sitegate.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"hash/maphash"
+	"math/rand/v2"
 	"net/http"
 	"sync"
 	"sync/atomic"
@@ -32,6 +33,7 @@
 	router   *proxy.Router
 	routed   *gate.Routed
 	jobs     *gate.Jobs
+	entries  *gate.Entries
 	runner   *batch.Runner
 	draining *drain
 	isReady  atomic.Bool
@@ -101,6 +103,11 @@
 		Keepers: keepers, Source: g.follower, Router: g.router, Metrics: site.metrics, Log: site.log.Logger,
 		Retention: s.Batch.Retention, Timeout: jobCallTimeout, Protocol: site.edge.ItemProtocol,
 	})
+	random := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
+	g.entries = gate.NewEntries(gate.EntriesOptions{
+		Members: g.follower.Fleet().Members, Serving: g.ready, Place: s.VM.Place,
+		Lifetime: s.Directory.AnswerLifetime, Limit: s.Directory.MaxEntries, Metrics: site.metrics,
+	}, directory.New(uint64(time.Now().UnixMilli()), random))
 	g.runner = batch.New(batch.Options{
 		Session:     keepers.NewSession(s.VM.Name),
 		Router:      g.router,
--- a/internal/gate/follow/fleet.go
+++ b/internal/gate/follow/fleet.go
@@ -1,6 +1,9 @@
 package follow
 
-import "slateway.example/slateway/internal/member"
+import (
+	"slateway.example/slateway/internal/member"
+	"slateway.example/slateway/internal/roster"
+)
 
 // Fleet shows the gates that the control VMs know to the exchange between gates,
 // which else learns of them from the membership protocol. It spreads no digests:
@@ -12,17 +15,7 @@
 
 // Members lists the gates, this one included.
 func (f Fleet) Members() []member.Member {
-	var members []member.Member
-	for _, gate := range f.follower.Gates() {
-		members = append(members, member.Member{
-			Self: gate.VM == f.follower.options.Gate.VM,
-			Record: member.Record{
-				VM:    member.VM{Name: gate.VM, Place: gate.Place, Region: gate.Region, Peers: gate.Peers, Callers: gate.Callers},
-				State: member.Alive, Ready: gate.Ready, Draining: gate.Draining,
-			},
-		})
-	}
-	return members
+	return roster.Members(f.follower.Gates(), f.follower.options.Gate.VM)
 }
 
 // Areas lists none: all gates are members.
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -10,6 +10,7 @@
 	"slices"
 	"time"
 
+	"slateway.example/slateway/internal/member"
 	"slateway.example/slateway/internal/upstream"
 )
 
@@ -39,6 +40,21 @@
 // Serves says whether callers may be sent to the gate.
 func (g *Gate) Serves() bool { return g.Ready && !g.Draining }
 
+// Members gives gates as the directory and the exchange between gates read them.
+func Members(gates []Gate, self string) []member.Member {
+	members := make([]member.Member, len(gates))
+	for i, g := range gates {
+		members[i] = member.Member{
+			Self: g.VM == self,
+			Record: member.Record{
+				VM:    member.VM{Name: g.VM, Place: g.Place, Region: g.Region, Callers: g.Callers, Peers: g.Peers},
+				State: member.Alive, Ready: g.Ready, Draining: g.Draining,
+			},
+		}
+	}
+	return members
+}
+
 // newer orders the words of a gate: by its process, then by sequence.
 func (g *Gate) newer(other *Gate) bool {
 	if g.Started != other.Started {
--- a/internal/settings/check.go
+++ b/internal/settings/check.go
@@ -80,7 +80,10 @@
 		needed = append(needed, addressKey{"listen.callers", s.Listen.Callers}, addressKey{"listen.readiness", s.Listen.Readiness})
 	}
 	if s.Is(RoleControl) {
-		needed = append(needed, addressKey{"listen.control", s.Listen.Control}, addressKey{"listen.directory", s.Listen.Directory})
+		needed = append(needed, addressKey{"listen.control", s.Listen.Control})
+	}
+	if s.Is(RoleControl) || s.Is(RoleGate) {
+		needed = append(needed, addressKey{"listen.directory", s.Listen.Directory})
 	}
 	var listening []listener
 	for _, entry := range needed {
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -59,7 +59,7 @@
 	Operators string `toml:"operators"` // operators, metrics
 	Peers     string `toml:"peers"`     // the project's own processes; TCP and UDP
 	Control   string `toml:"control"`   // of a control VM: replicas and operators
-	Directory string `toml:"directory"` // of a control VM: callers who look for a gate
+	Directory string `toml:"directory"` // of a gate or control VM: callers who look for a gate
 	Readiness string `toml:"readiness"` // of a gate: whether it is ready
 	Metrics   string `toml:"metrics"`   // counters and histograms, at a site of control VMs
 }
