Hand the job group to store VMs

Cause: the founders lead every group, so that one frozen control VM stopped both the configuration and the jobs until two elections were over.

--- a/internal/replica/bootstrap_test.go
+++ b/internal/replica/bootstrap_test.go
@@ -126,3 +126,32 @@
 		}
 	}
 }
+
+// The VM that leads everything freezes: no job is accepted until another one is
+// elected for each group. A VM of the class that a group prefers leads it, so that
+// one loss meets one of them, and never one that is behind or leaves.
+func TestGroupsAreLedByThePreferredClass(t *testing.T) {
+	member := func(id quorum.ID, class string, match uint64, reachable bool) quorum.MemberStatus {
+		return quorum.MemberStatus{Member: quorum.Member{ID: id, VM: class, Class: class}, Match: match, Reachable: reachable}
+	}
+	control, store := member(1, "control", 9, true), member(2, "store", 9, true)
+	learner := member(4, "store", 9, true)
+	learner.Learner = true
+	for name, tc := range map[string]struct {
+		members []quorum.MemberStatus
+		self    quorum.ID
+		want    quorum.ID
+	}{
+		"a store takes over":         {[]quorum.MemberStatus{control, store}, 1, 2},
+		"the one with the most":      {[]quorum.MemberStatus{control, member(3, "store", 5, true), store}, 1, 2},
+		"not one out of reach":       {[]quorum.MemberStatus{control, member(3, "store", 9, false)}, 1, quorum.None},
+		"not a learner":              {[]quorum.MemberStatus{control, learner}, 1, quorum.None},
+		"a store that leads stays":   {[]quorum.MemberStatus{control, store}, 2, quorum.None},
+		"without any store it stays": {[]quorum.MemberStatus{control}, 1, quorum.None},
+	} {
+		got, _ := repairView{members: tc.members, preferred: "store", self: tc.self}.betterLeader()
+		if got != tc.want {
+			t.Errorf("%s: %v", name, got)
+		}
+	}
+}
--- a/internal/replica/replacement.go
+++ b/internal/replica/replacement.go
@@ -281,6 +281,7 @@
 	}
 	change, ok := nextChange(view)
 	if !ok {
+		g.preferLeader(view)
 		return false
 	}
 	if _, err := g.node.ProposeChange(change); err != nil {
@@ -292,6 +293,37 @@
 	return true
 }
 
+// betterLeader gives a voter of the preferred class that could lead in place of
+// one of another class.
+func (v repairView) betterLeader() (quorum.ID, bool) {
+	var best quorum.MemberStatus
+	for _, member := range v.members {
+		if member.ID == v.self && (member.Class == v.preferred || v.preferred == "") {
+			return quorum.None, false
+		}
+		able := member.Class == v.preferred && member.Reachable && !member.Learner && !v.retires(member.VM)
+		if able && (best.ID == quorum.None || member.Match > best.Match) {
+			best = member
+		}
+	}
+	return best.ID, best.ID != quorum.None
+}
+
+// preferLeader hands the group over to a voter of the preferred class. The VMs of
+// that class have the processor for it, and the loss of one VM then does not take
+// the leader of the configuration with that of the jobs. The mutex is held.
+func (g *group) preferLeader(view repairView) {
+	better, ok := view.betterLeader()
+	if !ok {
+		return
+	}
+	if err := g.node.Transfer(better); err != nil {
+		return // a transfer is under way, or the member has just left
+	}
+	g.host.logger.Info("leadership handed to the preferred class", zap.Uint32("group", g.id), zap.Stringer("member", better))
+	g.flush()
+}
+
 // retireRequest names the VMs that are to hold nothing any more.
 type retireRequest struct {
 	VMs []string `cbor:"1,keyasint"`
