Hand items on with what there is of their answers when a gate stops

Cause: a stopping gate ran its items to their end while other gates fed the same replicas; online requests queued behind items that nobody could stop. Given back, the items began anew. Change: a returned item carries its partial answer, which the job keeps; the next gate resumes it. A stopping gate gives all items back at once.

--- a/internal/daemon/sitegate.go
+++ b/internal/daemon/sitegate.go
@@ -49,9 +49,6 @@
 	keptAnswers = 3
 	// drainReserve is left of the drain's time for the end of the process.
 	drainReserve = 500 * time.Millisecond
-	// giveBackReserve is left of the drain's time when items that still run are
-	// given back; their gate then has the time to report it.
-	giveBackReserve = 1500 * time.Millisecond
 	// unlistedForever is the lifetime of replicas in a gate's own table: they go
 	// only when the control VMs say so, or one by one when they do not answer.
 	unlistedForever = 365 * 24 * time.Hour
@@ -178,15 +175,16 @@
 }
 
 // drain takes the gate out of the directory and serves on until no caller may
-// hold its address any more and the last request has been answered. Items that
-// run go on meanwhile; those that are not done near the end are given back.
+// hold its address any more and the last request has been answered. Items of jobs
+// are given back at once with what there is of their answers, so that other gates
+// go on with them.
 func (g *siteGate) drain(ctx context.Context) {
 	g.log.Info("draining", zap.Int("in_progress", g.router.InFlight()))
 	began := time.Now()
 	g.draining.begin()
 	g.follower.SetDraining()
 	g.stopBatch()
-	g.router.DrainBatch(true)
+	g.router.DrainBatch()
 	reported := make(chan struct{})
 	go func() {
 		g.batch.Wait()
@@ -194,17 +192,12 @@
 	}()
 	ticker := time.NewTicker(drainPoll)
 	defer ticker.Stop()
-	gaveBack := false
 	for !g.drained(reported) {
 		select {
 		case <-ctx.Done():
 			return
 		case <-ticker.C:
 		}
-		if !gaveBack && time.Since(began) > g.settings.Timeouts.Drain-giveBackReserve {
-			gaveBack = true
-			g.router.DrainBatch(false)
-		}
 	}
 	g.log.Info("drained", zap.Duration("took", time.Since(began)), zap.Int("in_progress", g.router.InFlight()))
 	g.stopOthers()
--- a/internal/gate/batch/outcome.go
+++ b/internal/gate/batch/outcome.go
@@ -14,12 +14,17 @@
 // complete fills in how the attempt ended.
 func complete(reported *job.Result, lease *job.Leased, result *proxy.BatchResult, err error) {
 	switch {
-	case err != nil, result.Outcome == proxy.BatchNotRun:
+	case err != nil:
 		reported.Outcome = job.OutcomeReturned
+	case result.Outcome == proxy.BatchNotRun:
+		reported.Outcome = job.OutcomeReturned
+		if lease.OnlyAnswersCount {
+			reported.Partial, reported.Reached = result.Body, result.Reached
+		}
 	case result.Outcome == proxy.BatchDone:
 		completeAnswered(reported, lease, result)
 	case lease.OnlyAnswersCount:
-		completeUnanswered(reported, result.Err)
+		completeUnanswered(reported, result)
 	default:
 		completeFailed(reported, lease, result.Err)
 	}
@@ -27,8 +32,10 @@
 
 // completeUnanswered ends an item only if its time is over; else nothing that
 // went wrong on the way speaks against it.
-func completeUnanswered(reported *job.Result, failure *apierr.Error) {
+func completeUnanswered(reported *job.Result, result *proxy.BatchResult) {
+	failure := result.Err
 	reported.Outcome = job.OutcomeReturned
+	reported.Partial, reported.Reached = result.Body, result.Reached
 	if failure.Kind == apierr.Deadline {
 		reported.Outcome = job.OutcomeFailed
 		reported.Reason = failure.Reason
--- a/internal/gate/batch/runner.go
+++ b/internal/gate/batch/runner.go
@@ -46,7 +46,7 @@
 	Policies Policies
 	Log      *zap.Logger
 	// Route gives how an item is run; nil: as its team's policy says.
-	Route func(lease *job.Leased, item *job.Item) (proxy.BatchItem, error)
+	Route func(leased *keeperapi.LeasedItem) (proxy.BatchItem, error)
 
 	LeaseItems  int           // items asked for at once
 	ResultFlush time.Duration // longest wait of a result for its group
@@ -221,11 +221,11 @@
 
 // start runs an item beside the others.
 func (r *Runner) start(background context.Context, leased *keeperapi.LeasedItem) {
-	lease, item := leased.Lease, leased.Item
-	ctx := r.enter(background, &lease)
+	held := *leased
+	ctx := r.enter(background, &held.Lease)
 	r.items.Go(func() {
-		defer r.leave(&lease)
-		r.runItem(ctx, &lease, &item)
+		defer r.leave(&held.Lease)
+		r.runItem(ctx, &held)
 	})
 }
 
@@ -255,14 +255,16 @@
 	}
 }
 
-func (r *Runner) runItem(ctx context.Context, lease *job.Leased, item *job.Item) {
-	result, err := r.run(ctx, lease, item)
+func (r *Runner) runItem(ctx context.Context, leased *keeperapi.LeasedItem) {
+	lease, item := &leased.Lease, &leased.Item
+	result, err := r.run(ctx, leased)
 	if ctx.Err() != nil {
 		return // the job has ended; the keepers have dropped the lease
 	}
 	reported := job.Result{Job: lease.Job, Item: lease.Item, Attempt: lease.Attempt, CustomID: item.CustomID}
 	complete(&reported, lease, &result, err)
-	if reported.Outcome == job.OutcomeReturned {
+	leaving := result.Err != nil && result.Err.Reason == route.ReasonDraining
+	if reported.Outcome == job.OutcomeReturned && !leaving {
 		// The keepers lease a returned item again at once. Without a pause it
 		// would come back here as fast as it is refused.
 		pause(ctx, returnPause)
@@ -270,11 +272,11 @@
 	r.results.add(reported)
 }
 
-func (r *Runner) run(ctx context.Context, lease *job.Leased, item *job.Item) (proxy.BatchResult, error) {
+func (r *Runner) run(ctx context.Context, leased *keeperapi.LeasedItem) (proxy.BatchResult, error) {
 	if r.options.Route == nil {
-		return r.options.Router.RunBatch(ctx, r.routed(lease, item))
+		return r.options.Router.RunBatch(ctx, r.routed(&leased.Lease, &leased.Item))
 	}
-	routed, err := r.options.Route(lease, item)
+	routed, err := r.options.Route(leased)
 	if err != nil {
 		return proxy.BatchResult{Outcome: proxy.BatchNotRun, Err: apierr.From(err)}, nil
 	}
--- a/internal/gate/jobs.go
+++ b/internal/gate/jobs.go
@@ -146,7 +146,8 @@
 }
 
 // Route says how a leased item is run: by the route that its path has now.
-func (j *Jobs) Route(lease *job.Leased, item *job.Item) (proxy.BatchItem, error) {
+func (j *Jobs) Route(leased *keeperapi.LeasedItem) (proxy.BatchItem, error) {
+	lease, item := &leased.Lease, &leased.Item
 	matcher := j.options.Source.Routes()
 	found := matcher.Match(lease.Team, item.Endpoint)
 	if found == nil || found.Kind != routes.Batch {
@@ -163,9 +164,11 @@
 		Patient:    lease.OnlyAnswersCount,
 		Policy:     route.ThroughputPolicy(),
 		Protocol:   j.options.Protocol(lease.Team, item),
+		Reached:    lease.Reached,
+		Text:       string(leased.Partial),
 	}
 	j.options.Log.Info("item starts", telemetry.RequestID(item.CustomID), zap.String("job", string(lease.Job)),
-		zap.Int("attempt", lease.Attempt), zap.String("service", routed.Service), zap.Uint64("routes", matcher.Version()))
+		zap.Int("attempt", lease.Attempt), zap.Int("reached", lease.Reached), zap.String("service", routed.Service), zap.Uint64("routes", matcher.Version()))
 	return routed, nil
 }
 
--- a/internal/gate/proxy/batch.go
+++ b/internal/gate/proxy/batch.go
@@ -26,6 +26,9 @@
 	Policy     route.Policy // zero: the router's own
 	// Protocol is how the item is run; nil: by Path, Plain and Body.
 	Protocol Protocol
+	// Reached and Text are what earlier attempts have made of the answer.
+	Reached int
+	Text    string
 }
 
 // BatchOutcome says how an item ended.
@@ -42,7 +45,8 @@
 type BatchResult struct {
 	Outcome BatchOutcome
 	Status  int    // the upstream's HTTP status, when done
-	Body    []byte // the upstream's answer, when done
+	Body    []byte // the upstream's answer when done, else what there is of it
+	Reached int    // event or token up to which Body goes, when not done
 	Err     *apierr.Error
 }
 
@@ -69,6 +73,10 @@
 		return BatchResult{Outcome: BatchFailed, Err: err}, nil
 	}
 	flight := newFlight(s, request, protocol)
+	if item.Reached > flight.tokens {
+		flight.tokens = item.Reached
+		flight.text.WriteString(item.Text)
+	}
 	r.options.Metrics.Count(CountBatchStarted)
 	s.open(flight)
 	defer flight.attempts.Wait()
@@ -98,6 +106,7 @@
 		Deadline:    item.Deadline,
 		Fingerprint: upstream.FingerprintOf(item.Service, item.Body),
 		Repeatable:  item.Repeatable,
+		Reached:     item.Reached,
 		Patient:     item.Patient,
 		Policy:      item.Policy,
 	}
@@ -124,10 +133,15 @@
 		r.options.Metrics.Observe(MetricBatchItem, time.Since(f.started))
 		return BatchResult{Outcome: BatchDone, Status: answer.Status, Body: answer.Body}
 	}
+	result := BatchResult{Outcome: BatchFailed, Err: err}
 	if mayGiveBack(&f.request, err) {
-		return BatchResult{Outcome: BatchNotRun, Err: err}
+		result.Outcome = BatchNotRun
+	}
+	if f.protocol.Resumable() {
+		reached, text := f.reached()
+		result.Reached, result.Body = reached, []byte(text)
 	}
-	return BatchResult{Outcome: BatchFailed, Err: err}
+	return result
 }
 
 // mayGiveBack says whether an item that ended by err may be run elsewhere: the
--- a/internal/gate/proxy/router.go
+++ b/internal/gate/proxy/router.go
@@ -237,19 +237,18 @@
 	return s.decide.BatchTarget(policy)
 }
 
-// DrainBatch stops batch work. With keepRunning, items that run go on to their
-// end; without, they are given back.
-func (r *Router) DrainBatch(keepRunning bool) {
+// DrainBatch stops batch work: items are given back.
+func (r *Router) DrainBatch() {
 	r.mu.Lock()
 	r.draining = true
 	r.mu.Unlock()
-	r.each(route.Draining{KeepRunning: keepRunning})
+	r.each(route.Draining{})
 }
 
 // Drain stops batch work and waits until no request is in progress or ctx ends.
 // Online requests are still served: callers may hold this gate's address.
 func (r *Router) Drain(ctx context.Context) error {
-	r.DrainBatch(false)
+	r.DrainBatch()
 	ticker := time.NewTicker(r.options.TickEvery)
 	defer ticker.Stop()
 	for r.InFlight() > 0 {
--- a/internal/job/complete.go
+++ b/internal/job/complete.go
@@ -78,12 +78,27 @@
 		// Numbered as before, the next lease could be ended by a late copy of
 		// this report while its gate runs the item, and a second gate would run
 		// it too.
+		t.keepPartial(job, result)
 		t.returnUncounted(job, result.Item, result.Attempt, now)
 	default:
 		t.dropped.Invalid++
 	}
 }
 
+// keepPartial stores what a returned attempt has made of the answer, if that is
+// more than what is known. Its record counts as used until the job is forgotten.
+func (t *Table) keepPartial(job *entry, result *Result) {
+	if len(result.Partial) == 0 || result.Reached <= job.partials[result.Item].Reached {
+		return
+	}
+	ref := t.storage.AppendResult(result.Partial)
+	t.useResult(job, ref)
+	if job.partials == nil {
+		job.partials = make(map[uint32]partial)
+	}
+	job.partials[result.Item] = partial{Reached: result.Reached, Ref: ref}
+}
+
 // endItem ends an item for which no gate reports a final result.
 func (t *Table) endItem(job *entry, item uint32, attempt int, now instant.Micros, outcome Outcome, reason apierr.Reason, message string) {
 	t.store(job, &StoredResult{
@@ -128,6 +143,7 @@
 		job.failed++
 	}
 	delete(job.tries, result.Item)
+	delete(job.partials, result.Item)
 	t.setResult(job, result.Item, ref)
 	job.order = append(job.order, result.Item)
 	t.freeTokens(job, result.Item)
--- a/internal/job/lease.go
+++ b/internal/job/lease.go
@@ -55,6 +55,9 @@
 	// GiveUp and OnlyAnswersCount are those of the job's Spec.
 	GiveUp           instant.Micros `cbor:"11,keyasint,omitempty"`
 	OnlyAnswersCount bool           `cbor:"12,keyasint,omitempty"`
+	// Reached and Partial are what earlier attempts have made of the answer.
+	Reached int `cbor:"13,keyasint,omitempty"`
+	Partial Ref `cbor:"14,keyasint"`
 }
 
 // OpenSession registers a gate's session; a resend changes nothing.
@@ -293,6 +296,8 @@
 
 		GiveUp:           j.spec.GiveUp,
 		OnlyAnswersCount: j.spec.OnlyAnswersCount,
+		Reached:          j.partials[item].Reached,
+		Partial:          j.partials[item].Ref,
 	}
 }
 
--- a/internal/job/snapshot.go
+++ b/internal/job/snapshot.go
@@ -37,6 +37,8 @@
 	Unknown   uint32           `cbor:"19,keyasint"`
 	Tokens    []uint32         `cbor:"20,keyasint,omitempty"`
 	Order     []uint32         `cbor:"21,keyasint,omitempty"`
+
+	Partials map[uint32]partial `cbor:"22,keyasint,omitempty"`
 }
 
 type storedPage struct {
@@ -70,7 +72,7 @@
 		Items: j.items, Received: j.received, Parts: j.parts,
 		Next: j.next, Returned: j.returned, Tries: j.tries, Leases: j.leases,
 		Used: j.used, Succeeded: j.succeeded, Failed: j.failed, Unknown: j.unknown,
-		Tokens: j.tokens, Order: j.order,
+		Tokens: j.tokens, Order: j.order, Partials: j.partials,
 	}
 	for _, p := range j.pages {
 		stored.Pages = append(stored.Pages, storedPage{Flushed: p.flushed, Refs: encodePage(p.refs)})
@@ -133,7 +135,7 @@
 		items: s.Items, received: s.Received, parts: s.Parts,
 		next: s.Next, returned: s.Returned, tries: s.Tries, leases: s.Leases,
 		used: s.Used, succeeded: s.Succeeded, failed: s.Failed, unknown: s.Unknown,
-		tokens: s.Tokens, order: s.Order,
+		tokens: s.Tokens, order: s.Order, partials: s.Partials,
 	}
 	job.restoreMaps()
 	for _, p := range s.Pages {
--- a/internal/job/submit_test.go
+++ b/internal/job/submit_test.go
@@ -167,6 +167,39 @@
 	}
 }
 
+// A gate stops while it runs an item. The next one must go on where it was: run
+// from the start, the work done so far would be lost at each restart of a gate.
+func TestReturnedItemGoesOnWhereItWas(t *testing.T) {
+	storage := &memory{}
+	table := job.NewTable(storage)
+	status, _ := submitted(table, "a", 0, 0)
+	table.OpenSession("s", "vm")
+	item := leaseAll(table, 1)[0]
+	give := func(item job.Leased, reached int, text string) {
+		table.Complete("s", []job.Result{{
+			Job: status.ID, Item: item.Item, Attempt: item.Attempt, Outcome: job.OutcomeReturned,
+			Partial: []byte(text), Reached: reached,
+		}}, 2)
+	}
+	give(item, 7, "seven events")
+	data, err := table.Snapshot()
+	if err != nil {
+		t.Fatal(err)
+	}
+	if table, err = job.RestoreTable(data, storage); err != nil {
+		t.Fatal(err)
+	}
+	again := leaseAll(table, 2)[0]
+	text, err := storage.ReadResult(again.Partial)
+	if err != nil || again.Item != item.Item || again.Reached != 7 || string(text) != "seven events" {
+		t.Fatalf("leased %+v, %q, %v", again, text, err)
+	}
+	give(again, 3, "three") // a later attempt that came less far takes nothing back
+	if third := leaseAll(table, 3)[0]; third.Reached != 7 {
+		t.Fatalf("leased %+v", third)
+	}
+}
+
 // An upstream answers that an item failed: that counts, and after the attempts
 // that the job allows the item ends.
 func TestFailureAnswersCount(t *testing.T) {
--- a/internal/job/table.go
+++ b/internal/job/table.go
@@ -47,6 +47,7 @@
 	returned []uint32         // items to lease again
 	tries    map[uint32]tries // of items that were leased and came back
 	leases   map[uint32]lease // running items
+	partials map[uint32]partial
 	pages    []page
 	used     segmentUse // result segments
 	tokens   []uint32   // by item, of a submitted job
@@ -69,6 +70,12 @@
 	Counted int `cbor:"2,keyasint"` // without those that were returned
 }
 
+// partial is what the attempts at an item have made of its answer.
+type partial struct {
+	Reached int `cbor:"1,keyasint"`
+	Ref     Ref `cbor:"2,keyasint"`
+}
+
 type lease struct {
 	Session SessionID `cbor:"1,keyasint"`
 	Attempt int       `cbor:"2,keyasint"`
@@ -278,7 +285,7 @@
 	}
 	job.state = state
 	job.finished = now
-	job.returned, job.tries, job.leases, job.tokens = nil, nil, nil, nil
+	job.returned, job.tries, job.leases, job.tokens, job.partials = nil, nil, nil, nil, nil
 	// A client that lost its answers sends the whole job again. The digests of a
 	// completed job's parts stay, so that it finds what it sent instead of a
 	// conflict; a cancelled job refuses all parts.
--- a/internal/job/types.go
+++ b/internal/job/types.go
@@ -148,6 +148,10 @@
 	Body     []byte        `cbor:"7,keyasint,omitempty"`
 	Reason   apierr.Reason `cbor:"8,keyasint,omitempty"` // why there is no answer
 	Message  string        `cbor:"9,keyasint,omitempty"`
+	// Partial is what a returned attempt had made of the answer, up to the event
+	// or token Reached; the next attempt goes on there.
+	Partial []byte `cbor:"10,keyasint,omitempty"`
+	Reached int    `cbor:"11,keyasint,omitempty"`
 }
 
 // Ref locates a record in a Storage. The zero Ref locates nothing.
--- a/internal/keeper/jobcalls.go
+++ b/internal/keeper/jobcalls.go
@@ -249,7 +249,13 @@
 		if err != nil {
 			return nil, err
 		}
-		response.Items = append(response.Items, keeperapi.LeasedItem{Lease: leased, Item: item})
+		given := keeperapi.LeasedItem{Lease: leased, Item: item}
+		if leased.Reached > 0 {
+			if given.Partial, err = machine.files.ReadResult(leased.Partial); err != nil {
+				return nil, err
+			}
+		}
+		response.Items = append(response.Items, given)
 	}
 	return response, nil
 }
--- a/internal/keeper/keeperapi/api.go
+++ b/internal/keeper/keeperapi/api.go
@@ -314,6 +314,8 @@
 type LeasedItem struct {
 	Lease job.Leased `cbor:"1,keyasint"`
 	Item  job.Item   `cbor:"2,keyasint"`
+	// Partial is what earlier attempts have made of the answer, up to Lease.Reached.
+	Partial []byte `cbor:"3,keyasint,omitempty"`
 }
 
 // CompleteRequest reports how attempts ended, all of jobs of one group.
--- a/internal/route/admission.go
+++ b/internal/route/admission.go
@@ -25,7 +25,7 @@
 		s.count(ReasonDuplicateID)
 		return
 	}
-	req := &request{Request: in.Request, arrived: s.at, next: First}
+	req := &request{Request: in.Request, arrived: s.at, next: First, tokens: in.Request.Reached}
 	if err := s.admit(req); err != nil {
 		s.count(err.Reason)
 		s.emit(Refuse{ID: req.ID, Err: err})
--- a/internal/route/batch.go
+++ b/internal/route/batch.go
@@ -69,9 +69,6 @@
 	for _, req := range slices.Clone(s.batch.list) {
 		s.refuse(req, drainingError(req))
 	}
-	if in.KeepRunning {
-		return
-	}
 	for _, r := range s.replicas {
 		for _, a := range slices.Clone(r.attempts) {
 			if a.preemptible() {
--- a/internal/route/messages.go
+++ b/internal/route/messages.go
@@ -44,6 +44,9 @@
 	Policy      Policy               `json:"policy,omitempty"` // of batch items
 	// MaxAttempts bounds the replicas that may run the request; 0: the shard's own.
 	MaxAttempts int `json:"max_attempts,omitempty"`
+	// Reached is the event or token up to which earlier attempts, at other gates,
+	// have made the answer.
+	Reached int `json:"reached,omitempty"`
 	// Patient: the request is held by this gate alone and waits for its result.
 	// That replicas died of it delays it, and never refuses it.
 	Patient bool `json:"patient,omitempty"`
@@ -152,9 +155,8 @@
 	}
 	// GatesChanged lists the live gates, this one included.
 	GatesChanged struct{ Gates []Gate }
-	// Draining says that the gate stops taking batch work. With KeepRunning, what
-	// runs already goes on.
-	Draining struct{ KeepRunning bool }
+	// Draining says that the gate stops taking batch work.
+	Draining struct{}
 	// Tick says that time has passed; due every 20 to 50 ms.
 	Tick struct{}
 )
