--- a/cmd/slatewayd/site.go
+++ b/cmd/slatewayd/site.go
@@ -4,7 +4,6 @@
 	"bytes"
 	"context"
 	"errors"
-	"net/http"
 	"os"
 	"os/signal"
 	"syscall"
@@ -13,9 +12,7 @@
 	"github.com/urfave/cli/v3"
 	"go.uber.org/zap"
 
-	"slateway.example/slateway/internal/control"
 	"slateway.example/slateway/internal/daemon"
-	"slateway.example/slateway/internal/gate"
 	"slateway.example/slateway/internal/settings"
 	"slateway.example/slateway/internal/telemetry"
 	"slateway.example/slateway/platform"
@@ -29,29 +26,14 @@
 	diskRetry = time.Second
 )
 
-// edge lets sites of control VMs speak to the users' platform.
-func edge() daemon.Edge {
-	return daemon.Edge{
-		Callers: func(routed *gate.Routed, jobs *gate.Jobs) http.Handler {
-			return platform.NewCallers(routed, jobs)
-		},
-		Readiness: platform.NewReadiness,
-		Control: func(service *control.Service) http.Handler {
-			return platform.NewControl(service)
-		},
-		Directory:    platform.NewDirectory,
-		ItemProtocol: platform.NewItemProtocol,
-		Refuse:       platform.Refuse,
-	}
-}
-
 // runSite runs a VM of a site of control VMs. When its disk fails it gives up its
 // part of the replicated state, waits until the disk takes writes again, and
 // begins anew from what lies there: a process that ended each time would be
 // started over and over, and log nothing else.
 func runSite(ctx context.Context, command *cli.Command, loaded settings.Settings, log *telemetry.Log) error {
+	defer zap.RedirectStdLog(log.Logger)() // of the HTTP library
 	for {
-		site, err := daemon.NewSite(loaded, edge(), log)
+		site, err := daemon.NewSite(loaded, platform.Edge(), log)
 		if err == nil {
 			running, stop := context.WithCancel(ctx)
 			go watchSettings(running, command, site)
--- a/internal/keeper/configmachine.go
+++ b/internal/keeper/configmachine.go
@@ -26,7 +26,7 @@
 // NewConfigMachine makes an empty machine; it keeps no files.
 func NewConfigMachine() *ConfigMachine {
 	m := &ConfigMachine{registry: team.NewRegistry(), tenures: &tenure.Table{}, routes: &routes.Registry{}}
-	m.matcher = routes.NewMatcher(m.routes.Held())
+	m.setMatcher()
 	return m
 }
 
