Do not ask a frozen leader twice; keep it a member

Cause: the leader of the configuration froze; a new one led after 0.6 s, but each control VM's calls went to the frozen one again, with a doubled patience, since the next address by turn was its own. Besides, its place in the group was given to a store VM after 2.5 s, so that it had to begin anew when it woke. Change: the address that has just not answered is passed over, a control VM asks the leader that its own group names, and the first attempt waits 400 ms. A lost voter is replaced by a VM of another class only if too few would be left.

--- a/internal/daemon/keeper.go
+++ b/internal/daemon/keeper.go
@@ -92,6 +92,12 @@
 	return list
 }
 
+// leaderAddress gives where the leader of a group is, as this VM knows it.
+func (k *keeperRole) leaderAddress(group uint32) string {
+	leader, _ := k.host.Leader(group)
+	return leader.Address
+}
+
 func (k *keeperRole) start(ctx context.Context) {
 	k.host.Start()
 	go k.service.Run(ctx)
--- a/internal/daemon/sitecontrol.go
+++ b/internal/daemon/sitecontrol.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"time"
 
 	"slateway.example/slateway/internal/control"
 	"slateway.example/slateway/internal/keeper"
@@ -29,6 +30,11 @@
 // loss while the first is being repaired.
 func votersFor(tolerance int) int { return 2*tolerance + 1 + spareVoters }
 
+// sitePatience is how long the leader of a group is waited for at first. Operators
+// and callers wait about a second for a control VM or gate, which must have found
+// another leader by then; a call takes some 20 ms when all is well.
+const sitePatience = 400 * time.Millisecond
+
 // classStore is the class of the members on store VMs.
 const classStore = "store"
 
@@ -68,6 +74,8 @@
 	}
 	keepers := keeperclient.NewDynamic(site.calls, func() []string { return c.addresses(s.SeedPeers()) })
 	keepers.CountRetries(site.metrics)
+	keepers.SetPatience(sitePatience)
+	keepers.SetHint(made.leaderAddress)
 	c.service = control.New(control.Options{
 		VM: s.VM.Name, Place: s.VM.Place, Region: s.VM.Region,
 		Address: s.Listen.Peers, Folder: s.VM.DataFolder, Seeds: s.SeedPeers(),
--- a/internal/daemon/sitegate.go
+++ b/internal/daemon/sitegate.go
@@ -95,6 +95,7 @@
 	g.exchange.Attach(g.router)
 	keepers := keeperclient.NewDynamic(site.calls, g.follower.Keepers)
 	keepers.CountRetries(site.metrics)
+	keepers.SetPatience(sitePatience)
 	g.routed = gate.NewRouted(g.follower, g.router, site.metrics, site.log.Logger)
 	g.jobs = gate.NewJobs(gate.JobsOptions{
 		Keepers: keepers, Source: g.follower, Router: g.router, Metrics: site.metrics, Log: site.log.Logger,
--- a/internal/keeper/keeperclient/client.go
+++ b/internal/keeper/keeperclient/client.go
@@ -33,6 +33,8 @@
 	rpc       *rpc.Client
 	addresses func() []string
 	metrics   *telemetry.Metrics // nil: retries are not counted
+	patience  time.Duration      // for the first attempt of a call
+	hint      func(group uint32) string
 
 	mu      sync.Mutex
 	leaders map[uint32]string // last known, by group
@@ -48,9 +50,21 @@
 // NewDynamic makes a client of keepers that come and go: addresses gives at
 // least one peer address to ask when no leader is known.
 func NewDynamic(client *rpc.Client, addresses func() []string) *Client {
-	return &Client{rpc: client, addresses: addresses, leaders: make(map[uint32]string)}
+	return &Client{
+		rpc: client, addresses: addresses, leaders: make(map[uint32]string), patience: attemptTimeout,
+		hint: func(uint32) string { return "" },
+	}
 }
 
+// SetPatience bounds the first attempt of each call, for callers that are
+// themselves waited for. It is called before the first call.
+func (c *Client) SetPatience(patience time.Duration) { c.patience = patience }
+
+// SetHint lets the client ask where the leader of a group is, empty if that is
+// not known: a VM that is a member itself learns of a new leader before any call
+// tells it. It is called before the first call.
+func (c *Client) SetHint(hint func(group uint32) string) { c.hint = hint }
+
 // CountRetries makes the client count its retries by reason. It is called
 // before the first call.
 func (c *Client) CountRetries(metrics *telemetry.Metrics) { c.metrics = metrics }
@@ -72,9 +86,9 @@
 // call sends a request to the leader of a group. Wait is how long the keeper
 // may hold it.
 func call[Req, Res any](ctx context.Context, c *Client, group uint32, wait time.Duration, p rpc.Procedure[Req, keeperapi.Reply[Res]], request *Req) (*Res, error) {
-	attempts := attempts{ran: apierr.RanNo, delay: retryDelay, timeout: attemptTimeout}
+	attempts := attempts{ran: apierr.RanNo, delay: retryDelay, timeout: c.patience}
 	for ctx.Err() == nil {
-		address, hinted := c.target(group)
+		address, hinted := c.target(group, attempts.failed)
 		attempt, cancel := context.WithTimeout(ctx, attempts.timeout+wait)
 		reply, err := rpc.Call(attempt, c.rpc, address, p, request)
 		cancel()
@@ -92,7 +106,7 @@
 		if final(err) {
 			return nil, err
 		}
-		attempts.note(err)
+		attempts.note(address, err)
 		c.retried(err)
 		c.follow(group, address, "")
 		attempts.pause(ctx)
@@ -120,10 +134,12 @@
 	last    error
 	delay   time.Duration // before the next one
 	timeout time.Duration // of the next one
+	failed  string        // address that did not answer the last one
 }
 
-func (a *attempts) note(err error) {
+func (a *attempts) note(address string, err error) {
 	a.last = err
+	a.failed = address
 	a.timeout = min(2*a.timeout, maxAttemptTimeout)
 	// Without an answer the keeper may have committed the call before the
 	// connection broke.
@@ -152,15 +168,28 @@
 }
 
 // target gives the address to ask; hinted is false if it is only the next one.
-func (c *Client) target(group uint32) (address string, hinted bool) {
+//
+// The one that has just not answered is passed over as long as there is another:
+// a frozen leader is still the one that everybody remembers, and asked twice, the
+// second time with twice the patience, it outlasts a caller that waits a second.
+func (c *Client) target(group uint32, failed string) (address string, hinted bool) {
+	hint := c.hint(group)
+	known := c.addresses()
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if leader, known := c.leaders[group]; known {
+	if leader, found := c.leaders[group]; found && leader != failed {
 		return leader, true
 	}
-	known := c.addresses()
-	address = known[c.next%len(known)]
-	c.next++
+	if hint != "" && hint != failed {
+		return hint, true
+	}
+	for range known {
+		address = known[c.next%len(known)]
+		c.next++
+		if address != failed {
+			break
+		}
+	}
 	return address, false
 }
 
--- a/internal/replica/replacement.go
+++ b/internal/replica/replacement.go
@@ -107,15 +107,24 @@
 	if blank, ok := v.spare(); ok && (voters < v.target || retires || v.betterThanSome(blank)) {
 		return quorum.Change{Kind: quorum.AddLearner, Member: blank}, true
 	}
+	if blank, ok := v.spare(); ok && v.needsSuccessor(voters, blank) {
+		return quorum.Change{Kind: quorum.AddLearner, Member: blank}, true
+	}
+	return quorum.Change{}, false
+}
+
+// needsSuccessor says whether a blank disk is to take the place of a lost voter.
+// One of another class does so only if fewer voters than must stay are left: a VM
+// that is frozen for a while comes back, and has to begin anew if it was replaced.
+func (v repairView) needsSuccessor(voters int, blank quorum.Member) bool {
+	lost := 0
 	for _, member := range v.members {
-		if !v.lost(member) {
-			continue
-		}
-		if blank, ok := v.spare(); ok {
-			return quorum.Change{Kind: quorum.AddLearner, Member: blank}, true
+		if v.lost(member) {
+			lost++
 		}
 	}
-	return quorum.Change{}, false
+	wellPlaced := v.preferred == "" || blank.Class == v.preferred
+	return lost > 0 && (wellPlaced || voters-lost < v.least)
 }
 
 func (v repairView) retires(vm string) bool { return slices.Contains(v.retiring, vm) }
