Stop a gate's batch items before the session that holds them is over

By its ID in the log: gate frontend-edin-b-2 had no renewal from 43 s on (its call hung), the keepers ended its session at 46.07 and had acknowledged the end at 44.16; the gate learned of neither, and resumed the item at 47.57 after a preemption. Its next renewal after 'session is not open' renewed nothing, as no group was open any more, so it was not told of the ended job either.

Ruled out: a renewal that was lost at the keepers (the line of the sessions' end is there), a second gate with the lease.

A renewal also names the groups whose jobs run here without an open session.

--- a/internal/daemon/sitegate.go
+++ b/internal/daemon/sitegate.go
@@ -118,6 +118,7 @@
 		ResultFlush: s.Batch.ResultFlush,
 		ResultGroup: s.Batch.ResultGroup,
 		Heartbeat:   s.Batch.Lease / siteHeartbeatsPerLease,
+		Lifetime:    s.Batch.Lease,
 	})
 	return g
 }
--- /dev/null
+++ b/internal/gate/batch/fence_test.go
@@ -0,0 +1,95 @@
+package batch_test
+
+import (
+	"context"
+	"errors"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+	"go.uber.org/zap"
+
+	"slateway.example/slateway/internal/apierr"
+	"slateway.example/slateway/internal/gate/batch"
+	"slateway.example/slateway/internal/gate/proxy"
+	"slateway.example/slateway/internal/job"
+)
+
+const sessionLifetime = 300 * time.Millisecond
+
+// startFenced runs a Runner whose session lasts for sessionLifetime.
+func startFenced(k *keepers, e *engines) (stop func()) {
+	ctx, cancel := context.WithCancel(context.Background())
+	runner := batch.New(batch.Options{
+		Session: k, Router: e, Policies: noPolicies{}, Log: zap.NewNop(),
+		LeaseItems: 8, ResultFlush: time.Millisecond, ResultGroup: 16,
+		Heartbeat: 10 * time.Millisecond, Lifetime: sessionLifetime,
+	})
+	done := make(chan struct{})
+	go func() {
+		runner.Run(ctx)
+		close(done)
+	}()
+	return func() {
+		cancel()
+		<-done
+	}
+}
+
+// stuck runs items that end only when they are stopped, and says how far they
+// came and whether they may go on when asked right before an attempt.
+func stuck(started chan<- func() *apierr.Error) *engines {
+	return &engines{run: func(ctx context.Context, item proxy.BatchItem) (proxy.BatchResult, error) {
+		started <- item.Held
+		<-ctx.Done()
+		return proxy.BatchResult{Outcome: proxy.BatchNotRun, Body: []byte("half"), Reached: 4}, ctx.Err()
+	}}
+}
+
+// A caller ends its job, gets the acknowledgement, and sees an item of it reach
+// an upstream 3.4 s later. The gate that held the item could not reach the
+// keepers: they ended its session and acknowledged the end without it, and the
+// gate went on resuming the item after each preemption.
+func TestItemsStopBeforeAnUnrenewedSessionIsOver(t *testing.T) {
+	g := NewWithT(t)
+	items := leased("job-a", 2)
+	for i := range items {
+		items[i].Lease.OnlyAnswersCount = true
+	}
+	k := &keepers{items: items}
+	started := make(chan func() *apierr.Error, 8)
+	stop := startFenced(k, stuck(started))
+	defer stop()
+	var held func() *apierr.Error
+	for range 2 {
+		g.Eventually(started).WithTimeout(10 * time.Second).Should(Receive(&held))
+	}
+	g.Consistently(k.reported, 2*sessionLifetime).Should(BeEmpty(), "items run on while the session is renewed")
+
+	lost := time.Now()
+	k.loseContact(errors.New("no keeper answered"))
+	g.Eventually(k.reported).WithTimeout(10 * time.Second).Should(HaveLen(2))
+	g.Expect(time.Since(lost)).To(BeNumerically(">", sessionLifetime/2), "a short loss of contact stops nothing")
+	g.Expect(held().Reason).To(Equal(batch.ReasonLeaseOut), "no attempt starts either")
+	for _, result := range k.reported() {
+		g.Expect(result.Outcome).To(Equal(job.OutcomeReturned))
+		g.Expect(string(result.Partial)).To(Equal("half"))
+		g.Expect(result.Reached).To(Equal(4))
+	}
+}
+
+// A gate hears from the keepers that they have ended its session, and goes on
+// sending items to upstreams until its next lease: renewals of no session at
+// all succeeded meanwhile.
+func TestItemsStopWhenTheKeepersHaveEndedTheSession(t *testing.T) {
+	g := NewWithT(t)
+	k := &keepers{items: leased("job-a", 2)}
+	started := make(chan func() *apierr.Error, 8)
+	stop := startFenced(k, stuck(started))
+	defer stop()
+	g.Eventually(started).WithTimeout(10 * time.Second).Should(Receive())
+	lost := time.Now()
+	k.loseContact(apierr.New(apierr.NotFound, job.ReasonUnknownSession, "open a new session", "the session is not open"))
+	g.Eventually(k.reported).WithTimeout(10 * time.Second).Should(HaveLen(2))
+	g.Expect(time.Since(lost)).To(BeNumerically("<", sessionLifetime/2))
+}
--- /dev/null
+++ b/internal/gate/batch/renewal.go
@@ -0,0 +1,94 @@
+package batch
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"go.uber.org/zap"
+
+	"slateway.example/slateway/internal/apierr"
+	"slateway.example/slateway/internal/job"
+)
+
+// heartbeats renews the session and stops the items of jobs that have ended.
+func (r *Runner) heartbeats(ctx context.Context) {
+	for ctx.Err() == nil {
+		r.heartbeat(ctx)
+		pause(ctx, r.options.Heartbeat)
+	}
+}
+
+func (r *Runner) heartbeat(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, leaseTimeout)
+	defer cancel()
+	sent := time.Now()
+	ended, err := r.options.Session.Heartbeat(ctx, r.runningJobs())
+	switch {
+	case err == nil:
+		r.fence.renew(sent)
+	case apierr.ReasonOf(err) == job.ReasonUnknownSession:
+		r.options.Log.Warn("batch session not renewed", zap.Error(err))
+		r.fence.close()
+		r.stopItems()
+	case ctx.Err() == nil:
+		r.options.Log.Warn("batch session not renewed", zap.Error(err))
+	}
+	r.stopJobs(ended)
+}
+
+func (r *Runner) stopJobs(ended []job.ID) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, id := range ended {
+		if current := r.running[id]; current != nil {
+			current.cancel(errJobEnded)
+		}
+	}
+}
+
+// watchFence stops the items once the session has gone without a renewal for
+// too long.
+func (r *Runner) watchFence(ctx context.Context) {
+	for ctx.Err() == nil {
+		pause(ctx, r.options.Lifetime/fenceLooks)
+		if !r.holdsItems() {
+			r.stopItems()
+		}
+	}
+}
+
+// holdsItems reports whether the gate may run items now.
+func (r *Runner) holdsItems() bool { return r.fence.open(time.Now()) }
+
+// heldItem is asked right before each attempt of an item.
+func (r *Runner) heldItem() *apierr.Error {
+	if r.holdsItems() {
+		return nil
+	}
+	return leaseOut()
+}
+
+// stopItems stops all items that run. Each is given back with what there is of
+// its answer, which the keepers use if it is still leased to this gate.
+func (r *Runner) stopItems() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if len(r.running) == 0 {
+		return
+	}
+	stopped := 0
+	for id, current := range r.running {
+		stopped += current.items
+		current.cancel(leaseOut())
+		// An item leased later must not begin with a context that has ended.
+		delete(r.running, id)
+	}
+	r.options.Log.Warn("batch items stopped, the session was not renewed in time",
+		zap.Int("items", stopped), zap.Duration("renewed_ago", r.fence.age(time.Now())))
+}
+
+func stoppedByFence(ctx context.Context) bool {
+	var cause *apierr.Error
+	return errors.As(context.Cause(ctx), &cause) && cause.Reason == ReasonLeaseOut
+}
--- a/internal/gate/batch/runner.go
+++ b/internal/gate/batch/runner.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"slices"
 	"sync"
@@ -52,6 +53,9 @@
 	ResultFlush time.Duration // longest wait of a result for its group
 	ResultGroup int           // results reported together
 	Heartbeat   time.Duration // pace of the session's renewal
+	// Lifetime is how long the keepers keep a session that is not renewed. Items
+	// stop before it is over; zero: they run on.
+	Lifetime time.Duration
 }
 
 const (
@@ -75,6 +79,7 @@
 type Runner struct {
 	options  Options
 	results  *reporter
+	fence    fence
 	services map[string]struct{}
 
 	items sync.WaitGroup
@@ -87,15 +92,19 @@
 // runningJob is a job of which this gate runs items.
 type runningJob struct {
 	ctx    context.Context
-	cancel context.CancelFunc
+	cancel context.CancelCauseFunc
 	items  int
 }
 
+// errJobEnded is why the items of a job stop that needs no more answers.
+var errJobEnded = errors.New("the job has ended")
+
 // New makes a Runner.
 func New(options Options) *Runner {
 	return &Runner{
 		options:  options,
 		results:  newReporter(options),
+		fence:    fence{lifetime: options.Lifetime},
 		services: make(map[string]struct{}),
 		held:     make(map[string]int),
 		running:  make(map[job.ID]*runningJob),
@@ -111,6 +120,9 @@
 	var loops sync.WaitGroup
 	loops.Go(func() { r.results.run(background) })
 	loops.Go(func() { r.heartbeats(background) })
+	if r.options.Lifetime > 0 {
+		loops.Go(func() { r.watchFence(background) })
+	}
 	r.scan(ctx, background)
 	r.items.Wait()
 	r.results.drain()
@@ -143,7 +155,7 @@
 func (r *Runner) leaseLoop(ctx, background context.Context, service string) {
 	for ctx.Err() == nil {
 		wants := r.wants(service)
-		if len(wants) == 0 {
+		if len(wants) == 0 || !r.holdsItems() {
 			pause(ctx, roomInterval)
 			continue
 		}
@@ -222,35 +234,37 @@
 // start runs an item beside the others.
 func (r *Runner) start(background context.Context, leased *keeperapi.LeasedItem) {
 	held := *leased
-	ctx := r.enter(background, &held.Lease)
+	within := r.enter(background, &held.Lease)
 	r.items.Go(func() {
-		defer r.leave(&held.Lease)
-		r.runItem(ctx, &held)
+		defer r.leave(&held.Lease, within)
+		r.runItem(within.ctx, &held)
 	})
 }
 
-func (r *Runner) enter(background context.Context, lease *job.Leased) context.Context {
+func (r *Runner) enter(background context.Context, lease *job.Leased) *runningJob {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.held[lease.Queue.Service]++
 	current := r.running[lease.Job]
 	if current == nil {
 		current = &runningJob{}
-		current.ctx, current.cancel = context.WithCancel(background)
+		current.ctx, current.cancel = context.WithCancelCause(background)
 		r.running[lease.Job] = current
 	}
 	current.items++
-	return current.ctx
+	return current
 }
 
-func (r *Runner) leave(lease *job.Leased) {
+func (r *Runner) leave(lease *job.Leased, within *runningJob) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.held[lease.Queue.Service]--
-	current := r.running[lease.Job]
-	current.items--
-	if current.items == 0 {
-		current.cancel()
+	within.items--
+	if within.items > 0 {
+		return
+	}
+	within.cancel(errJobEnded)
+	if r.running[lease.Job] == within {
 		delete(r.running, lease.Job)
 	}
 }
@@ -258,7 +272,10 @@
 func (r *Runner) runItem(ctx context.Context, leased *keeperapi.LeasedItem) {
 	lease, item := &leased.Lease, &leased.Item
 	result, err := r.run(ctx, leased)
-	if ctx.Err() != nil {
+	switch {
+	case stoppedByFence(ctx):
+		err = nil // the result says how far the item came
+	case ctx.Err() != nil:
 		return // the job has ended; the keepers have dropped the lease
 	}
 	reported := job.Result{Job: lease.Job, Item: lease.Item, Attempt: lease.Attempt, CustomID: item.CustomID}
@@ -273,14 +290,19 @@
 }
 
 func (r *Runner) run(ctx context.Context, leased *keeperapi.LeasedItem) (proxy.BatchResult, error) {
-	if r.options.Route == nil {
-		return r.options.Router.RunBatch(ctx, r.routed(&leased.Lease, &leased.Item))
-	}
-	routed, err := r.options.Route(leased)
+	item, err := r.routed(leased)
 	if err != nil {
 		return proxy.BatchResult{Outcome: proxy.BatchNotRun, Err: apierr.From(err)}, nil
 	}
-	return r.options.Router.RunBatch(ctx, routed)
+	item.Held = r.heldItem
+	return r.options.Router.RunBatch(ctx, item)
+}
+
+func (r *Runner) routed(leased *keeperapi.LeasedItem) (proxy.BatchItem, error) {
+	if r.options.Route != nil {
+		return r.options.Route(leased)
+	}
+	return r.byPolicy(&leased.Lease, &leased.Item), nil
 }
 
 // returnPause is how long an item that cannot run here is kept before it is
@@ -291,7 +313,8 @@
 // a late result is worth more than none.
 const graceAfterDeadline = time.Hour
 
-func (r *Runner) routed(lease *job.Leased, item *job.Item) proxy.BatchItem {
+// byPolicy gives how an item is run by the policy of its team.
+func (r *Runner) byPolicy(lease *job.Leased, item *job.Item) proxy.BatchItem {
 	deadline := time.Now().Add(graceAfterDeadline)
 	if due := lease.Deadline.Time(); due.After(deadline) {
 		deadline = due
@@ -329,30 +352,6 @@
 	return policy
 }
 
-// heartbeats renews the session and stops the items of jobs that have ended.
-func (r *Runner) heartbeats(ctx context.Context) {
-	for ctx.Err() == nil {
-		r.heartbeat(ctx)
-		pause(ctx, r.options.Heartbeat)
-	}
-}
-
-func (r *Runner) heartbeat(ctx context.Context) {
-	ctx, cancel := context.WithTimeout(ctx, leaseTimeout)
-	defer cancel()
-	ended, err := r.options.Session.Heartbeat(ctx, r.runningJobs())
-	if err != nil && ctx.Err() == nil {
-		r.options.Log.Warn("batch session not renewed", zap.Error(err))
-	}
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	for _, id := range ended {
-		if current := r.running[id]; current != nil {
-			current.cancel()
-		}
-	}
-}
-
 func (r *Runner) runningJobs() []job.ID {
 	r.mu.Lock()
 	defer r.mu.Unlock()
--- a/internal/gate/batch/runner_test.go
+++ b/internal/gate/batch/runner_test.go
@@ -28,6 +28,7 @@
 	items    []keeperapi.LeasedItem
 	failures int // of Complete, before it works
 	ended    []job.ID
+	beat     error // what Heartbeat fails with
 	results  []job.Result
 	closed   bool
 }
@@ -50,7 +51,14 @@
 func (k *keepers) Heartbeat(context.Context, []job.ID) ([]job.ID, error) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	return k.ended, nil
+	return k.ended, k.beat
+}
+
+// loseContact makes each renewal fail from now on.
+func (k *keepers) loseContact(err error) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.beat = err
 }
 
 func (k *keepers) Complete(_ context.Context, results []job.Result) error {
--- a/internal/gate/proxy/attempt.go
+++ b/internal/gate/proxy/attempt.go
@@ -14,6 +14,7 @@
 
 	"go.uber.org/zap"
 
+	"slateway.example/slateway/internal/apierr"
 	"slateway.example/slateway/internal/route"
 	"slateway.example/slateway/internal/telemetry"
 	"slateway.example/slateway/internal/upstream"
@@ -77,6 +78,10 @@
 // run sends the request and reports how it ends.
 func (a *attempt) run() {
 	defer a.cancelCtx()
+	if err := a.notHeld(); err != nil {
+		a.flight.end(err)
+		return
+	}
 	response, err := a.send()
 	if err != nil {
 		a.failed(a.causeOf(err), err)
@@ -103,6 +108,15 @@
 	}
 }
 
+// notHeld says why the request may not be sent any more. Between the decision
+// and this moment the process may have been frozen, and what it held is lost.
+func (a *attempt) notHeld() *apierr.Error {
+	if a.flight.held == nil {
+		return nil
+	}
+	return a.flight.held()
+}
+
 func (a *attempt) step(in route.Input) {
 	if !a.stopped.Load() {
 		a.flight.shard.step(in)
--- a/internal/gate/proxy/batch.go
+++ b/internal/gate/proxy/batch.go
@@ -26,6 +26,9 @@
 	Policy     route.Policy // zero: the router's own
 	// Protocol is how the item is run; nil: by Path, Plain and Body.
 	Protocol Protocol
+	// Held says why the gate may not run the item any more, and nil while it may.
+	// It is asked right before each attempt; nil: the gate always may.
+	Held func() *apierr.Error
 	// Reached and Text are what earlier attempts have made of the answer.
 	Reached int
 	Text    string
@@ -56,7 +59,7 @@
 // RunBatch runs an item in the slots that online work leaves free and returns
 // when it has ended; it waits while there are none, and goes on by itself after
 // preemptions and failures that may be retried. When ctx ends, the item is
-// stopped and the error is ctx's.
+// stopped, the result says how far it came and the error is ctx's.
 func (r *Router) RunBatch(ctx context.Context, item BatchItem) (BatchResult, error) {
 	s := r.find(item.Service)
 	if s == nil {
@@ -73,6 +76,7 @@
 		return BatchResult{Outcome: BatchFailed, Err: err}, nil
 	}
 	flight := newFlight(s, request, protocol)
+	flight.held = item.Held
 	if item.Reached > flight.tokens {
 		flight.tokens = item.Reached
 		flight.text.WriteString(item.Text)
@@ -84,7 +88,7 @@
 	for !flight.isFinished() {
 		select {
 		case <-ctx.Done():
-			return BatchResult{Outcome: BatchNotRun}, ctx.Err()
+			return flight.stopped(), ctx.Err()
 		case <-flight.wake:
 		}
 	}
@@ -133,6 +137,11 @@
 		r.options.Metrics.Observe(MetricBatchItem, time.Since(f.started))
 		return BatchResult{Outcome: BatchDone, Status: answer.Status, Body: answer.Body}
 	}
+	return f.unanswered(err)
+}
+
+// unanswered is the result of an item that ended by err.
+func (f *flight) unanswered(err *apierr.Error) BatchResult {
 	result := BatchResult{Outcome: BatchFailed, Err: err}
 	if mayGiveBack(&f.request, err) {
 		result.Outcome = BatchNotRun
@@ -144,6 +153,18 @@
 	return result
 }
 
+// ReasonStopped is why an item has no answer that its gate has stopped.
+const ReasonStopped apierr.Reason = "stopped"
+
+// stopped is the result of an item that its gate stops.
+func (f *flight) stopped() BatchResult {
+	err := apierr.New(apierr.Unavailable, ReasonStopped, "run it again", "the gate has stopped the item")
+	if f.wasSent() {
+		return f.unanswered(err.WithRan(apierr.RanUnknown))
+	}
+	return f.unanswered(err.WithRan(apierr.RanNo))
+}
+
 // mayGiveBack says whether an item that ended by err may be run elsewhere: the
 // cause lies with the gate or its upstreams for now, and running the item again
 // is allowed.
--- a/internal/gate/proxy/flight.go
+++ b/internal/gate/proxy/flight.go
@@ -20,6 +20,7 @@
 	request  route.Request
 	protocol Protocol
 	started  time.Time
+	held     func() *apierr.Error // see BatchItem; nil: always
 
 	attempts sync.WaitGroup
 	sent     atomic.Bool   // an attempt was begun
--- a/internal/gate/proxy/proxy_test.go
+++ b/internal/gate/proxy/proxy_test.go
@@ -271,6 +271,23 @@
 		Expect(g.count("cancel_preempted")()).To(Equal(1))
 	})
 
+	It("are given back unsent when the gate does not hold them any more", func() {
+		// A gate was frozen between its decision to send an item and the sending.
+		// Meanwhile its lease ran out and the item went to another gate; on waking
+		// it would send an item that is another's.
+		e := newFakeEngine("r1", 5, 0)
+		g := newGate(route.Config{}, e)
+		gone := apierr.New(apierr.Unavailable, "lease_out", "", "the lease is over")
+		result, err := g.router.RunBatch(context.Background(), proxy.BatchItem{
+			ID: "item", Service: "wordroom", Body: []byte(plainBody), Repeatable: true,
+			Held: func() *apierr.Error { return gone },
+		})
+		Expect(err).NotTo(HaveOccurred())
+		Expect(result.Outcome).To(Equal(proxy.BatchNotRun))
+		Expect(result.Err).To(Equal(gone))
+		Expect(e.count(func(e *fakeEngine) int { return e.served })()).To(BeZero())
+	})
+
 	It("are given back when the gate drains", func() {
 		e := newFakeEngine("r1", 1000, 5*time.Millisecond)
 		g := newGate(route.Config{}, e)
--- a/internal/keeper/keeperclient/session.go
+++ b/internal/keeper/keeperclient/session.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"slices"
 	"sync"
 	"time"
 
@@ -127,7 +128,7 @@
 	}
 	var mu sync.Mutex
 	var calls errgroup.Group
-	for _, group := range s.opened() {
+	for _, group := range withGroupsOf(byGroup, s.opened()) {
 		calls.Go(func() error {
 			stopped, err := s.beat(ctx, group, byGroup[group])
 			mu.Lock()
@@ -140,6 +141,17 @@
 	return ended, err
 }
 
+// withGroupsOf adds the groups whose jobs still run here though the keepers have
+// ended the session there: they too are asked which of those jobs have ended.
+func withGroupsOf(running map[uint32][]job.ID, open []uint32) []uint32 {
+	for group := range running {
+		if !slices.Contains(open, group) {
+			open = append(open, group)
+		}
+	}
+	return open
+}
+
 func (s *Session) beat(ctx context.Context, group uint32, running []job.ID) ([]job.ID, error) {
 	id, err := s.ensure(ctx, group)
 	if err != nil {
