Ask a keeper again that was slow once, and never go round in circles

By the log, 29 gates had 'no batch items leased' at the same millisecond, ten seconds after they asked. Traced with marks in the client and the leader: a herd of gates asked for items at once, the leader's handler took 0.4 s (0.25 s of it the read barrier), the first attempt waits 0.4 s, and then the call passed over the leader for the rest of its ten seconds: every other keeper sent it back to the leader, without a pause between.

Ruled out: a hanging handler (none took over 0.4 s), lost connections (each attempt was on a reused one, written within 1 ms), a stuck session (renewals went on), large answers (557 to 1,700 bytes).

Change: the keeper that did not answer is passed over for 0.8 s, the longest an election takes here, and a redirect to it is followed by a pause.

--- a/internal/keeper/keeperclient/client.go
+++ b/internal/keeper/keeperclient/client.go
@@ -26,6 +26,10 @@
 	// retryDelay is the pause before asking again; an election takes a few.
 	retryDelay    = 20 * time.Millisecond
 	maxRetryDelay = 320 * time.Millisecond
+	// passOver is how long a keeper that did not answer is not asked again by the
+	// same call while there are others: an election after a leader froze takes up
+	// to 0.8 s here. A leader that was only slow is asked again after it.
+	passOver = 800 * time.Millisecond
 )
 
 // Client calls the keepers. It is safe for concurrent use.
@@ -88,7 +92,7 @@
 func call[Req, Res any](ctx context.Context, c *Client, group uint32, wait time.Duration, p rpc.Procedure[Req, keeperapi.Reply[Res]], request *Req) (*Res, error) {
 	attempts := attempts{ran: apierr.RanNo, delay: retryDelay, timeout: c.patience}
 	for ctx.Err() == nil {
-		address, hinted := c.target(group, attempts.failed)
+		address, hinted := c.target(group, attempts.avoided(time.Now()))
 		attempt, cancel := context.WithTimeout(ctx, attempts.timeout+wait)
 		reply, err := rpc.Call(attempt, c.rpc, address, p, request)
 		cancel()
@@ -98,7 +102,9 @@
 		}
 		if err == nil {
 			c.follow(group, address, reply.NotLeader.Address)
-			if hinted || reply.NotLeader.Address == "" {
+			// Without the pause, a call that passes over the leader would be sent in
+			// circles by the other keepers as fast as they answer.
+			if hinted || reply.NotLeader.Address == "" || reply.NotLeader.Address == attempts.failed {
 				attempts.pause(ctx)
 			}
 			continue
@@ -135,11 +141,20 @@
 	delay   time.Duration // before the next one
 	timeout time.Duration // of the next one
 	failed  string        // address that did not answer the last one
+	since   time.Time     // when that was
+}
+
+// avoided is the address to pass over; empty: none.
+func (a *attempts) avoided(now time.Time) string {
+	if now.Sub(a.since) >= passOver {
+		return ""
+	}
+	return a.failed
 }
 
 func (a *attempts) note(address string, err error) {
 	a.last = err
-	a.failed = address
+	a.failed, a.since = address, time.Now()
 	a.timeout = min(2*a.timeout, maxAttemptTimeout)
 	// Without an answer the keeper may have committed the call before the
 	// connection broke.
@@ -169,9 +184,10 @@
 
 // target gives the address to ask; hinted is false if it is only the next one.
 //
-// The one that has just not answered is passed over as long as there is another:
-// a frozen leader is still the one that everybody remembers, and asked twice, the
-// second time with twice the patience, it outlasts a caller that waits a second.
+// The one that has just not answered is passed over for a while if there is
+// another: a frozen leader is still the one that everybody remembers, and asked
+// twice, the second time with twice the patience, it outlasts a caller that waits
+// a second.
 func (c *Client) target(group uint32, failed string) (address string, hinted bool) {
 	hint := c.hint(group)
 	known := c.addresses()
