Tell only as many gates of items as there are items for

Cause: each new or returned item woke all waiting gates, and all of them asked the leader for items in the same millisecond.

Change: the leader remembers for 0.25 s which sessions it told of how many items and lets the others wait. An offer is a hint, binds nobody and ends by itself.

--- a/internal/job/lease.go
+++ b/internal/job/lease.go
@@ -309,6 +309,20 @@
 	return j.parts[at]
 }
 
+// Ready counts the items of a queue that can be leased now, up to limit.
+func (t *Table) Ready(queue Queue, limit int) int {
+	tree := t.ready[queue]
+	if tree == nil {
+		return 0
+	}
+	count := 0
+	tree.Ascend(func(key readyKey) bool {
+		count += int(key.job.items-key.job.next) + len(key.job.returned)
+		return count < limit
+	})
+	return min(count, limit)
+}
+
 // HasWork reports whether Lease would find an item for one of the wants.
 func (t *Table) HasWork(wants []Want) bool {
 	for _, want := range wants {
--- a/internal/keeper/jobcalls.go
+++ b/internal/keeper/jobcalls.go
@@ -171,7 +171,7 @@
 }
 
 // awaitWork waits on the state of the leader, so that idle gates cost no log
-// entries.
+// entries. It tells of an item only to as many gates as there are items.
 func (s *Service) awaitWork(ctx context.Context, request *keeperapi.AwaitWorkRequest) (*keeperapi.AwaitWorkResponse, error) {
 	machine, err := s.ownMachine(ctx, request.Group)
 	if err != nil {
@@ -181,16 +181,22 @@
 	defer timer.Stop()
 	for {
 		changed := machine.changed.wait()
-		if machine.hasWork(request.Wants) {
+		now := time.Now()
+		if s.offers.take(request.Group, request.Session, request.Wants, machine.readyItems, now) {
 			return &keeperapi.AwaitWorkResponse{Available: true}, nil
 		}
+		again := time.NewTimer(s.offers.nextEnd(request.Group, now))
 		select {
 		case <-changed:
+		case <-again.C:
 		case <-timer.C:
+			again.Stop()
 			return &keeperapi.AwaitWorkResponse{}, nil
 		case <-ctx.Done():
+			again.Stop()
 			return nil, ctx.Err()
 		}
+		again.Stop()
 	}
 }
 
@@ -203,6 +209,7 @@
 		return nil, err
 	}
 	s.touch(request.Group, request.Session, time.Now())
+	defer s.offers.settle(request.Group, request.Session)
 	wants := boundWants(request.Wants)
 	if !machine.hasWork(wants) && !machine.taken(request) {
 		return &keeperapi.LeaseResponse{}, nil
--- a/internal/keeper/jobmachine.go
+++ b/internal/keeper/jobmachine.go
@@ -210,6 +210,12 @@
 	return found
 }
 
+// readyItems counts the items of a queue that can be leased now, up to limit.
+func (m *JobMachine) readyItems(queue job.Queue, limit int) (count int) {
+	m.read(func(jobs *job.Table, _ *claim.Table) { count = jobs.Ready(queue, limit) })
+	return count
+}
+
 // Close closes the files. The machine must not be used afterwards.
 func (m *JobMachine) Close() error {
 	m.mu.Lock()
--- a/internal/keeper/keeperapi/api.go
+++ b/internal/keeper/keeperapi/api.go
@@ -288,6 +288,8 @@
 	Group uint32
 	Wants []job.Want
 	Wait  time.Duration
+	// Session is who asks; empty: nobody whose lease is expected.
+	Session job.SessionID
 }
 
 // AwaitWorkResponse tells whether there was an item when it was sent.
--- a/internal/keeper/keeperclient/session.go
+++ b/internal/keeper/keeperclient/session.go
@@ -70,6 +70,14 @@
 	return id, err
 }
 
+// current is the session's ID in a group, whether it is open there or not.
+func (s *Session) current(number uint32) job.SessionID {
+	in := s.group(number)
+	in.mu.Lock()
+	defer in.mu.Unlock()
+	return s.idAt(in.epoch)
+}
+
 func (s *Session) idAt(epoch int) job.SessionID {
 	return job.SessionID(fmt.Sprintf("%s/%d", s.id, epoch))
 }
@@ -274,7 +282,7 @@
 	var calls errgroup.Group
 	for group := uint32(1); group < groups; group++ {
 		calls.Go(func() error {
-			request := &keeperapi.AwaitWorkRequest{Group: group, Wants: wants, Wait: wait}
+			request := &keeperapi.AwaitWorkRequest{Group: group, Wants: wants, Wait: wait, Session: s.current(group)}
 			response, err := call(ctx, s.client, group, wait, keeperapi.AwaitWork, request)
 			if err == nil && response.Available {
 				found <- group
--- a/internal/keeper/service.go
+++ b/internal/keeper/service.go
@@ -53,6 +53,7 @@
 	options Options
 	gates   *gateLeases
 	parts   *partCache
+	offers  *offers
 
 	mu       sync.Mutex
 	leading  []leadership // by group
@@ -80,6 +81,7 @@
 		options: options,
 		gates:   newGateLeases(),
 		parts:   newPartCache(),
+		offers:  newOffers(),
 		leading: make([]leadership, options.Proposer.Groups()),
 		tenures: make(map[string]heardTenure),
 	}
