--- a/internal/quorum/progress.go
+++ b/internal/quorum/progress.go
@@ -19,20 +19,11 @@
 	paused   bool // a probe is on its way
 	idle     int  // ticks since the member was heard
 	round    uint64
-	// lastMatch is the match at the last heartbeat response. No growth over
-	// lostAfter of them while the member lacks entries means that an append was
-	// lost; stalled counts them.
+	// lastMatch is the match at the last heartbeat response: no growth between
+	// two of them while the member lacks entries means that an append was lost.
 	lastMatch uint64
-	stalled   int
 }
 
-// lostAfter is how many heartbeat responses in a row bring no progress before an
-// append counts as lost. The shells send over connections that repeat lost
-// packets by themselves, 0.2 s later, and a sync takes some 20 ms; with one
-// response, at 0.1 s, each such delay sent all entries in flight again: twice the
-// bytes between the members of a busy group.
-const lostAfter = 4
-
 func newProgress(next uint64) *progress { return &progress{next: next} }
 
 func (p *progress) probe() {
--- a/internal/quorum/quorum_test.go
+++ b/internal/quorum/quorum_test.go
@@ -14,10 +14,8 @@
 	// applied are the data that each member applied, in order.
 	applied map[ID][]string
 	queue   []Message
-	// hold keeps a message back, or loses it, when it says so; nil: none.
-	hold  func(Message) bool
-	reads map[ID][]ReadState
-	cut   map[ID]bool
+	reads   map[ID][]ReadState
+	cut     map[ID]bool
 }
 
 func testConfig(id ID) Config {
@@ -75,9 +73,6 @@
 		b.queue = nil
 		for _, m := range sent {
 			busy = true
-			if b.hold != nil && b.hold(m) {
-				continue
-			}
 			if node := b.nodes[m.To]; node != nil && !b.cut[m.To] && !b.cut[m.From] {
 				node.Step(m)
 			}
@@ -135,52 +130,6 @@
 	}
 }
 
-// On a busy site a quarter of what is paid for bytes between places goes into
-// copies of log entries: a packet was lost, the connection repeated it 0.2 s
-// later, and meanwhile each heartbeat sent all entries in flight again.
-func TestDelayedAppendsAreNotSentAgainAndLostOnesAre(t *testing.T) {
-	b := newBench(t, 1, 2, 3)
-	b.propose(t, "a")
-	leader := b.leader(t)
-	slow := ID(1)
-	if leader.config.ID == slow {
-		slow = 2
-	}
-	var appends []Message
-	b.hold = func(m Message) bool {
-		held := m.Type == MsgAppend && m.To == slow && len(m.Entries) > 0
-		if held {
-			appends = append(appends, m)
-		}
-		return held
-	}
-	b.propose(t, "b")
-	heartbeat := testConfig(slow).HeartbeatTicks
-	b.tick((lostAfter - 1) * heartbeat)
-	if len(appends) != 1 {
-		t.Errorf("sent %d times within %d heartbeats", len(appends), lostAfter-1)
-	}
-	b.tick(3 * heartbeat)
-	if len(appends) < 2 {
-		t.Error("a lost append was not sent again")
-	}
-
-	// A call that failed shows the loss at once.
-	count := len(appends)
-	b.propose(t, "c")
-	count = max(count, len(appends))
-	leader.AppendLost(slow)
-	b.tick(heartbeat)
-	if len(appends) <= count {
-		t.Error("an append known to be lost was not sent again at the next heartbeat")
-	}
-	b.hold = nil
-	b.tick(3 * heartbeat)
-	if got := b.applied[slow]; len(got) != 3 {
-		t.Errorf("the slow member applied %v", got)
-	}
-}
-
 func TestSingleMemberLeads(t *testing.T) {
 	b := newBench(t, 1)
 	b.propose(t, "a")
--- a/internal/quorum/replication.go
+++ b/internal/quorum/replication.go
@@ -170,44 +170,22 @@
 	}
 	p.round = max(p.round, m.Round)
 	n.confirmReads()
-	lacks := p.match < n.log.lastIndex()
-	p.countStalled(lacks)
-	if lacks {
+	if p.match < n.log.lastIndex() {
 		n.resendLost(m.From, p)
 	}
-}
-
-// countStalled notes whether the member lacks entries and has acknowledged
-// nothing since the heartbeat response before.
-func (p *progress) countStalled(lacks bool) {
-	if lacks && p.match == p.lastMatch {
-		p.stalled++
-	} else {
-		p.stalled = 0
-	}
 	p.lastMatch = p.match
 }
 
-// AppendLost says that an append to the member may not have arrived: its
-// connection broke, or the call was not answered. The member is asked at the next
-// heartbeat how far it has come.
-func (n *Node) AppendLost(id ID) {
-	if p := n.progress[id]; n.role == Leader && p != nil && p.state == Replicating {
-		p.probe()
-	}
-}
-
 // resendLost finds appends that were lost: a member that answers heartbeats but
-// has acknowledged nothing new for some of them while it lacks entries.
+// has acknowledged nothing new since the previous one while it lacks entries.
 func (n *Node) resendLost(id ID, p *progress) {
 	switch {
 	case p.state == Snapshotting:
 		return
 	case p.state == Probing:
 		p.paused = false
-	case p.stalled >= lostAfter:
+	case p.match == p.lastMatch:
 		p.probe()
-		p.stalled = 0
 	}
 	n.sendAppend(id)
 }
--- a/internal/replica/transport.go
+++ b/internal/replica/transport.go
@@ -73,8 +73,6 @@
 	self    Member
 	timeout time.Duration
 	logger  *zap.Logger
-	// lost is told of each message that may not have arrived.
-	lost func(group uint32, to quorum.ID)
 
 	mu    sync.Mutex
 	peers map[string]*peer // by address
@@ -92,10 +90,10 @@
 	wake  chan struct{}
 }
 
-func newTransport(config Config, self Member, lost func(group uint32, to quorum.ID)) *transport {
+func newTransport(config Config, self Member) *transport {
 	ctx, cancel := context.WithCancel(context.Background())
 	return &transport{
-		client: rpc.NewClient(config.Client), http: config.Client, self: self, logger: config.Logger, lost: lost,
+		client: rpc.NewClient(config.Client), http: config.Client, self: self, logger: config.Logger,
 		timeout: config.electionTimeout() / callsPerElection,
 		peers:   map[string]*peer{}, heard: map[quorum.ID]string{}, ctx: ctx, cancel: cancel,
 	}
@@ -184,9 +182,6 @@
 				break
 			}
 			err := t.call(address, &next)
-			if err != nil {
-				t.reportLost(&next)
-			}
 			if (err == nil) != reachable {
 				reachable = err == nil
 				t.logger.Info("member", zap.String("address", address), zap.Bool("reachable", reachable), zap.Error(err))
@@ -211,16 +206,6 @@
 	return err
 }
 
-// reportLost says which members may lack an append. What they were sent after it
-// is of no use to them, and their silence would show that only later.
-func (t *transport) reportLost(lost *batch) {
-	for i := range lost.Envelopes {
-		if e := &lost.Envelopes[i]; e.Message.Type == quorum.MsgAppend {
-			t.lost(e.Group, e.Message.To)
-		}
-	}
-}
-
 func (t *transport) take(p *peer) batch {
 	t.mu.Lock()
 	defer t.mu.Unlock()
