--- a/internal/replica/bootstrap_test.go
+++ b/internal/replica/bootstrap_test.go
@@ -118,7 +118,13 @@
 		"the preferred class first":    {three, []quorum.Member{blank("d", 4), storeBlank("e", 5)}, 5, quorum.AddLearner, 5, ""},
 		"in the place of another":      {three, []quorum.Member{blank("d", 4), storeBlank("e", 5)}, 3, quorum.AddLearner, 5, ""},
 		"which leaves, no leader":      {append(three[:3:3], store(voter("e", 5, 1))), nil, 3, quorum.Remove, 2, ""},
-		"the lost VM leaves after it":  {append(three[:2:2], voter("c", 3, 60), voter("d", 4, 0)), nil, 3, quorum.Remove, 3, ""},
+		// Jobs can no longer be read, with two of three store VMs alive: a VM died
+		// and a new one joined, a control VM left in its place, and so again. Two
+		// of five voters were dead when the third loss came.
+		"no live one leaves for a dead one":        {append(three[:2:2], store(voter("d", 4, 20)), store(voter("e", 5, 1))), nil, 3, 0, 0, ""},
+		"but the dead one, once it is lost":        {append(three[:2:2], store(voter("d", 4, 60)), store(voter("e", 5, 1))), nil, 3, quorum.Remove, 4, ""},
+		"any class when one more loss is too much": {append(three[:2:2], store(voter("d", 4, 60)), store(voter("e", 5, 60)), store(voter("f", 6, 1))), []quorum.Member{blank("g", 7)}, 5, quorum.AddLearner, 7, ""},
+		"the lost VM leaves after it":              {append(three[:2:2], voter("c", 3, 60), voter("d", 4, 0)), nil, 3, quorum.Remove, 3, ""},
 	} {
 		change, ok := nextChange(repairView{members: tc.members, candidates: tc.candidates, target: tc.target, lostTicks: 50, preferred: "store", self: 1, retiring: []string{tc.retiring}, least: 3})
 		if ok != (tc.kind != 0) || change.Kind != tc.kind || change.Member.ID != tc.id {
--- a/internal/replica/replacement.go
+++ b/internal/replica/replacement.go
@@ -115,8 +115,9 @@
 }
 
 // needsSuccessor says whether a blank disk is to take the place of a lost voter.
-// One of another class does so only if fewer voters than must stay are left: a VM
-// that is frozen for a while comes back, and has to begin anew if it was replaced.
+// One of another class does so only if the voters left could not bear as many
+// further losses as the group is made for: a VM that is frozen for a while comes
+// back, and has to begin anew if it was replaced.
 func (v repairView) needsSuccessor(voters int, blank quorum.Member) bool {
 	lost := 0
 	for _, member := range v.members {
@@ -125,7 +126,8 @@
 		}
 	}
 	wellPlaced := v.preferred == "" || blank.Class == v.preferred
-	return lost > 0 && (wellPlaced || voters-lost < v.least)
+	bearable := (v.least - 1) / 2
+	return lost > 0 && (wellPlaced || voters-lost-bearable < voters/2+1)
 }
 
 func (v repairView) retires(vm string) bool { return slices.Contains(v.retiring, vm) }
@@ -218,9 +220,19 @@
 			return member.Member, true
 		}
 	}
+	if v.someSilent() {
+		return quorum.Member{}, false
+	}
 	return v.leastPreferred()
 }
 
+// someSilent says whether a voter is not heard, lost or not. No live voter of
+// another class leaves then: of five voters with a lost one among them each that
+// leaves brings the group nearer to its end, and the lost one stays.
+func (v repairView) someSilent() bool {
+	return slices.ContainsFunc(v.members, func(m quorum.MemberStatus) bool { return !m.Learner && !m.Reachable })
+}
+
 // leastPreferred gives a voter of another class than the preferred one, the
 // leader last.
 func (v repairView) leastPreferred() (quorum.Member, bool) {
