--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -6,6 +6,16 @@
 
 base=${DEMO_PORT:-18100}     # first of 12 consecutive ports
 items=${DEMO_ITEMS:-1000}    # items of the batch job
+
+# A process of another demo on one of the ports would be taken for one of this
+# one: its fleet would refuse the template in a message that leads nowhere.
+for port in $(seq "$base" $((base + 11))); do
+  if (exec 3<>"/dev/tcp/127.0.0.1/$port") 2>/dev/null; then
+    echo "port $port is taken, perhaps by another demo; set DEMO_PORT to the first of 12 free ports" >&2
+    exit 1
+  fi
+done
+
 work=$(mktemp -d)
 pids=()
 
