Give up a connection after what nearly all connections take

A connection takes a round trip, 0.2 to 6 ms. Unsent, the request may go elsewhere, also if it may not be repeated.

Ruled out: a shorter constant (a link that turns slow would never be reached again); asking other gates first (they find out in the same way).

Change: route.DialLimits learns from the connections that came; a miss doubles the limit of the address.

--- a/internal/gate/proxy/links.go
+++ b/internal/gate/proxy/links.go
@@ -7,10 +7,12 @@
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"sync"
 	"syscall"
 	"time"
 
+	"slateway.example/slateway/internal/route"
 	"slateway.example/slateway/internal/sockets"
 	"slateway.example/slateway/internal/upstream"
 )
@@ -27,8 +29,9 @@
 	probeTimeout time.Duration
 	ask          func(ctx context.Context, address string) ProbeResult
 
-	mu    sync.Mutex
-	pools map[upstream.ReplicaID]*http.Transport
+	mu     sync.Mutex // guards what follows
+	pools  map[upstream.ReplicaID]*http.Transport
+	limits *route.DialLimits
 }
 
 // Sizes and times of a connection pool.
@@ -43,6 +46,7 @@
 		probeTimeout: o.ProbeTimeout,
 		ask:          o.Probe,
 		pools:        make(map[upstream.ReplicaID]*http.Transport),
+		limits:       route.NewDialLimits(o.DialTimeout),
 	}
 	l.fresh = l.newTransport()
 	l.fresh.DisableKeepAlives = true
@@ -51,13 +55,42 @@
 
 func (l *links) newTransport() *http.Transport {
 	return &http.Transport{
-		DialContext:         l.dialer.DialContext,
+		DialContext:         l.dial,
 		MaxIdleConnsPerHost: maxIdlePerReplica,
 		IdleConnTimeout:     idleTimeout,
 		DisableCompression:  true,
 	}
 }
 
+// dial opens a connection to an upstream within the limit learned for it.
+func (l *links) dial(ctx context.Context, network, address string) (net.Conn, error) {
+	ctx, cancel := context.WithTimeout(ctx, l.dialLimit(address))
+	defer cancel()
+	start := time.Now()
+	connection, err := l.dialer.DialContext(ctx, network, address)
+	l.dialed(address, time.Since(start), err)
+	return connection, err
+}
+
+func (l *links) dialLimit(address string) time.Duration {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.limits.Limit(address)
+}
+
+// dialed reports how a connection came. One that was refused tells nothing of the
+// time that connections take.
+func (l *links) dialed(address string, took time.Duration, err error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	switch {
+	case err == nil:
+		l.limits.Connected(address, took)
+	case errors.Is(err, context.DeadlineExceeded), errors.Is(err, os.ErrDeadlineExceeded):
+		l.limits.Missed(address)
+	}
+}
+
 func (l *links) pool(id upstream.ReplicaID) *http.Transport {
 	l.mu.Lock()
 	defer l.mu.Unlock()
