A gate that starts asks all control VMs at once

Gates asked one seed at a time, and one that was still down cost 0.7 s: gates had routes at 36.42 to 36.72 s, while up to 200 callers a second stood before them.

Ruled out: the start of a control VM itself (40 ms from its first instruction to serving, 190 ms for the one with the longest log).

Change: until one has answered, all are asked at the same time; a connection between processes is begun anew each 0.1 s, as the first packet may have come to a VM without power.

--- a/internal/daemon/dial.go
+++ b/internal/daemon/dial.go
@@ -17,6 +17,9 @@
 	peerIdleTimeout = 30 * time.Second
 	// maxPeerConnections bounds the idle connections to one process.
 	maxPeerConnections = 32
+	// peerDialGap is how long a connection may take before another one is begun: well
+	// over a round trip between places.
+	peerDialGap = 100 * time.Millisecond
 	// peersCounter names the bytes between the project's own processes.
 	peersCounter = "peers"
 )
@@ -58,7 +61,11 @@
 	if p.reaches(address) {
 		d.LocalAddr = &net.TCPAddr{IP: p.source.AsSlice()}
 	}
-	return d.DialContext(ctx, network, address)
+	ctx, cancel := context.WithTimeout(ctx, p.timeout)
+	defer cancel()
+	return sockets.DialAgain(ctx, peerDialGap, func(ctx context.Context) (net.Conn, error) {
+		return d.DialContext(ctx, network, address)
+	})
 }
 
 // reaches reports whether a connection from the source address can get to the
--- a/internal/gate/follow/follower.go
+++ b/internal/gate/follow/follower.go
@@ -176,6 +176,7 @@
 
 // Run follows until ctx ends.
 func (f *Follower) Run(ctx context.Context) {
+	f.findFirst(ctx)
 	for ctx.Err() == nil {
 		address := f.target()
 		err := f.ask(ctx, address)
@@ -207,10 +208,18 @@
 	return f.current
 }
 
+// leave turns to other control VMs.
 func (f *Follower) leave(address string, err error) {
-	f.options.Metrics.Count("follow.lost")
 	f.mu.Lock()
 	f.current = ""
+	f.mu.Unlock()
+	f.missed(address, err)
+}
+
+// missed notes that a control VM did not answer.
+func (f *Follower) missed(address string, err error) {
+	f.options.Metrics.Count("follow.lost")
+	f.mu.Lock()
 	f.lost++
 	first := f.lost == 1
 	f.mu.Unlock()
@@ -222,7 +231,7 @@
 
 func (f *Follower) ask(ctx context.Context, address string) error {
 	request := f.request()
-	ctx, cancel := context.WithTimeout(ctx, callWait+callTimeout)
+	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	asked := make(chan struct{})
 	defer close(asked)
@@ -235,18 +244,23 @@
 		case <-asked:
 		}
 	}()
-	response, err := rpc.Call(ctx, f.options.Calls, address, controlapi.Follow, request)
+	response, err := f.call(ctx, address, request)
 	if err != nil {
 		if superseded.Load() {
 			return nil
 		}
 		return err
 	}
-	f.heard.Store(int64(time.Since(f.start)))
 	f.take(address, request, response)
 	return nil
 }
 
+func (f *Follower) call(ctx context.Context, address string, request *controlapi.FollowRequest) (*controlapi.FollowResponse, error) {
+	ctx, cancel := context.WithTimeout(ctx, callWait+callTimeout)
+	defer cancel()
+	return rpc.Call(ctx, f.options.Calls, address, controlapi.Follow, request)
+}
+
 // request is this gate's word and its question.
 func (f *Follower) request() *controlapi.FollowRequest {
 	f.mu.Lock()
@@ -261,7 +275,9 @@
 	return request
 }
 
+// take takes in an answer. One goroutine at a time may call it.
 func (f *Follower) take(address string, asked *controlapi.FollowRequest, response *controlapi.FollowResponse) {
+	f.heard.Store(int64(time.Since(f.start)))
 	if response.Routes != nil {
 		f.takeRoutes(address, response.Routes)
 	}
