Streams that may not run twice go on as the same run after a stall

Resumable streams were taken up again over another connection, these not.

Ruled out: sending them again (they would run twice).

Change: the engine is asked to stop the run, keep its memory and copy it to another replica; the request goes on from there, or where it was, as the same run. While that is asked, the end of the stream is no failure.

--- a/internal/gate/proxy/attempt.go
+++ b/internal/gate/proxy/attempt.go
@@ -26,7 +26,8 @@
 	flight *flight
 	target upstream.Announcement
 	resume bool
-	try    Try // as it was sent
+	memory string // of the request's run, to go on from; empty: none
+	try    Try    // as it was sent
 	began  time.Time
 
 	ctx       context.Context
@@ -38,7 +39,7 @@
 func newAttempt(f *flight, o route.Dispatch) *attempt {
 	ctx, cancel := context.WithCancel(context.Background())
 	return &attempt{
-		id: o.Attempt, flight: f, target: *o.Target, resume: o.Resume, began: time.Now(),
+		id: o.Attempt, flight: f, target: *o.Target, resume: o.Resume, memory: o.Memory, began: time.Now(),
 		ctx: ctx, cancelCtx: cancel,
 	}
 }
@@ -178,7 +179,7 @@
 	}
 	a.try = Try{
 		RequestID: a.flight.request.ID, Attempt: a.id, Target: &a.target,
-		Deadline: a.flight.request.Deadline, After: tokens, Text: text,
+		Deadline: a.flight.request.Deadline, After: tokens, Text: text, Memory: a.memory,
 	}
 }
 
--- a/internal/gate/proxy/protocol.go
+++ b/internal/gate/proxy/protocol.go
@@ -39,6 +39,22 @@
 	Assemble(p *Progress) (*Reply, error)
 }
 
+// Mover is a Protocol whose upstreams can stop a run and keep its memory, so that
+// the answer goes on as the same run over another connection or elsewhere.
+type Mover interface {
+	// Move builds the call that asks replica from to stop the request's run and to
+	// copy its memory to replica to.
+	Move(ctx context.Context, from, to *upstream.Announcement) (*http.Request, error)
+	// Moved reads the answer to it.
+	Moved(answer *http.Response, from *upstream.Announcement) (Move, error)
+}
+
+// Move says what became of a run that was to be stopped.
+type Move struct {
+	Memory string // names what to go on from
+	Copied bool   // the other replica has it too
+}
+
 // Try is one attempt of a request at one upstream.
 type Try struct {
 	RequestID string
@@ -49,6 +65,8 @@
 	// what they gave; 0 and empty to begin at the start.
 	After int
 	Text  string
+	// Memory names the memory of the request's run to go on from; empty: none.
+	Memory string
 }
 
 // Left gives the time until the deadline; never less than zero.
--- a/internal/gate/proxy/shard.go
+++ b/internal/gate/proxy/shard.go
@@ -89,6 +89,8 @@
 		switch o := o.(type) {
 		case route.Dispatch:
 			s.dispatch(o, ready)
+		case route.HandOver:
+			s.handOver(o)
 		case route.Cancel:
 			s.cancel(o)
 		case route.Refuse:
--- a/internal/gate/routed.go
+++ b/internal/gate/routed.go
@@ -50,6 +50,16 @@
 	Matcher *routes.Matcher
 }
 
+// moves says whether the service's engines can stop a run and go on with it.
+func (f Found) moves(service string) bool {
+	for _, s := range f.Matcher.Document().Services {
+		if s.Name == service {
+			return s.Engine != nil && s.Engine.Moves
+		}
+	}
+	return false
+}
+
 // Lookup finds the route of a request.
 //
 // A gate that has no routes yet, or has not heard from the control VMs for a
@@ -143,6 +153,7 @@
 		Prefix:      r.Prefix,
 		Repeatable:  found.Repeatable(),
 		Resumable:   found.Kind == routes.Streaming && found.Resumable,
+		Movable:     found.Kind == routes.Streaming && found.moves(service),
 		MaxAttempts: found.MaxAttempts,
 		UsefulUntil: usefulUntil(found, r, waited),
 	})
--- a/internal/route/attempt.go
+++ b/internal/route/attempt.go
@@ -6,6 +6,11 @@
 )
 
 func (s *Shard) dispatch(req *request, r *replica, kind DispatchKind) {
+	s.dispatchFrom(req, r, kind, "")
+}
+
+// dispatchFrom sends the request to go on from the memory of its run; empty: without.
+func (s *Shard) dispatchFrom(req *request, r *replica, kind DispatchKind, memory string) {
 	s.nextAttempt++
 	a := &attempt{id: s.nextAttempt, req: req, on: r, started: s.at, progress: s.at}
 	a.queued = !s.hasSlot(r)
@@ -15,8 +20,8 @@
 	req.tried++
 	r.attempts = append(r.attempts, a)
 	s.countOn(r, req.Class, 1)
-	resume := req.tokens > 0 && req.Resumable && r.entry.CanResume
-	s.emit(Dispatch{ID: req.ID, Attempt: a.id, Kind: kind, Target: &r.entry.Announcement, Resume: resume})
+	resume := req.tokens > 0 && r.entry.CanResume && (req.Resumable || memory != "")
+	s.emit(Dispatch{ID: req.ID, Attempt: a.id, Kind: kind, Target: &r.entry.Announcement, Resume: resume, Memory: memory})
 	if req.Class == Online {
 		s.yieldSlots(r)
 	}
--- a/internal/route/failure.go
+++ b/internal/route/failure.go
@@ -8,7 +8,7 @@
 
 func (in Failed) apply(s *Shard) {
 	a := s.attempts[in.Attempt]
-	if a == nil {
+	if a == nil || a.breaksByHandOver(in.Cause) {
 		return
 	}
 	s.failed(a, in.Cause)
--- /dev/null
+++ b/internal/route/handover_test.go
@@ -0,0 +1,110 @@
+package route_test
+
+import (
+	"slices"
+	"testing"
+	"time"
+
+	"slateway.example/slateway/internal/route"
+	"slateway.example/slateway/internal/upstream"
+)
+
+// movables is a rig with three replicas whose streams may not run twice.
+type movables struct {
+	*streams
+	asked []route.HandOver
+}
+
+func newMovables(t *testing.T, ids ...string) *movables {
+	m := &movables{streams: &streams{
+		rig: newRig(t, route.Config{HedgeMin: -1, ProbeAfter: time.Hour, StallMin: stallMin}, 1), tokens: map[string]int{},
+	}}
+	for _, id := range ids {
+		m.arrive(route.Request{
+			ID: id, Class: route.Online, Movable: true, MaxAttempts: 1, Fingerprint: upstream.FingerprintOf(id, nil),
+		})
+	}
+	m.announce("r1", 1)
+	m.announce("r2", 1)
+	return m
+}
+
+// stall lets a stream go on for a while, then stand still for as long as it takes to
+// be handed over, while the other one moves.
+func (m *movables) stall(id, other string) {
+	m.run(300*time.Millisecond, id, other)
+	for end := m.now.Add(stallMin + eventGap); m.now.Before(end); {
+		m.now = m.now.Add(eventGap)
+		m.tokens[other]++
+		m.step(route.Progress{Attempt: m.on[other].Attempt, Tokens: m.tokens[other], Delivered: true})
+		for _, o := range slices.Clone(m.shard.Step(m.now, route.Tick{})) {
+			if asked, is := o.(route.HandOver); is {
+				m.asked = append(m.asked, asked)
+			}
+		}
+	}
+}
+
+// A parent reads the answer to a question on the trip, and it stands still for a
+// quarter of a second: a packet between engine and gate was lost. The question may
+// not run twice, so that it cannot be sent once more; its run can go on elsewhere.
+func TestAStalledStreamThatMayNotRunTwiceIsHandedOver(t *testing.T) {
+	for _, copied := range []bool{true, false} {
+		m := newMovables(t, "stalled", "moving")
+		m.stall("stalled", "moving")
+		first := m.on["stalled"]
+		if len(m.asked) != 1 || m.asked[0].Attempt != first.Attempt || m.asked[0].From.Replica != "r0" || m.asked[0].To.Replica == "r0" {
+			t.Fatalf("asked %+v", m.asked)
+		}
+		m.step(route.HandedOver{Attempt: first.Attempt, Memory: "kept", Copied: copied})
+		again, want := m.on["stalled"], m.asked[0].From.Replica
+		if copied {
+			want = m.asked[0].To.Replica
+		}
+		if m.sent["stalled"] != 2 || !again.Resume || again.Memory != "kept" || again.Target.Replica != want {
+			t.Fatalf("copied %t: sent %d times, last as %+v", copied, m.sent["stalled"], again)
+		}
+		if m.stopped[first.Attempt] != route.CancelStalled {
+			t.Errorf("the stalled attempt was stopped as %q", m.stopped[first.Attempt])
+		}
+	}
+}
+
+// The engine stops the run, and the end of its stream reaches the gate before the
+// answer that names the memory. Taken for a failure, the end would break the answer.
+func TestAStreamThatEndsWhileItIsHandedOverGoesOn(t *testing.T) {
+	m := newMovables(t, "stalled", "moving")
+	m.stall("stalled", "moving")
+	first := m.on["stalled"]
+	m.step(route.Failed{Attempt: first.Attempt, Cause: route.CauseBroken})
+	if err := m.refused["stalled"]; err != nil {
+		t.Fatalf("refused: %v", err)
+	}
+	m.step(route.HandedOver{Attempt: first.Attempt, Memory: "kept"})
+	if again := m.on["stalled"]; again.Memory != "kept" {
+		t.Fatalf("last sent as %+v", again)
+	}
+}
+
+func TestAStreamThatWasNotHandedOver(t *testing.T) {
+	t.Run("goes on where it was", func(t *testing.T) {
+		m := newMovables(t, "stalled", "moving")
+		m.stall("stalled", "moving")
+		m.step(route.HandedOver{Attempt: m.on["stalled"].Attempt})
+		m.run(300*time.Millisecond, "stalled", "moving")
+		if m.sent["stalled"] != 1 || m.refused["stalled"] != nil {
+			t.Errorf("sent %d times, refused %v", m.sent["stalled"], m.refused["stalled"])
+		}
+	})
+	t.Run("ends if it broke", func(t *testing.T) {
+		m := newMovables(t, "stalled", "moving")
+		m.stall("stalled", "moving")
+		first := m.on["stalled"]
+		m.step(route.Failed{Attempt: first.Attempt, Cause: route.CauseBroken})
+		m.step(route.HandedOver{Attempt: first.Attempt})
+		m.step(route.Probed{Replica: "r0", Alive: true})
+		if m.refused["stalled"] == nil || m.sent["stalled"] != 1 {
+			t.Errorf("sent %d times, refused %v", m.sent["stalled"], m.refused["stalled"])
+		}
+	})
+}
--- a/internal/route/messages.go
+++ b/internal/route/messages.go
@@ -42,6 +42,9 @@
 	Resumable   bool                 `json:"resumable"` // its stream can go on at a token on another replica
 	Limits      Limits               `json:"limits,omitempty"`
 	Policy      Policy               `json:"policy,omitempty"` // of batch items
+	// Movable: its run can be stopped at an engine and go on there or at another one
+	// as the same run, although the request may not run again.
+	Movable bool `json:"movable,omitempty"`
 	// MaxAttempts bounds the replicas that may run the request; 0: the shard's own.
 	MaxAttempts int `json:"max_attempts,omitempty"`
 	// Reached is the event or token up to which earlier attempts, at other gates,
@@ -125,6 +128,14 @@
 	// Queued says that by its own word the replica has put an
 	// online request in its queue.
 	Queued struct{ Attempt AttemptID }
+	// HandedOver is the answer to a HandOver output: the run has stopped, and its
+	// memory is kept under a name. Copied says that the other replica has it too. An
+	// empty name says that the run was not stopped, as far as is known.
+	HandedOver struct {
+		Attempt AttemptID
+		Memory  string
+		Copied  bool
+	}
 	// Announced carries a valid announcement, from the replica or by way of a gate.
 	Announced struct{ Announcement upstream.Announcement }
 	// Withdrawn says that a replica is no longer known to the control VMs, up to
@@ -210,6 +221,15 @@
 		// Resume: continue at the token that the request has reached, instead
 		// of from the start.
 		Resume bool
+		// Memory names what the engine is to go on from; empty: the request as it came.
+		Memory string
+	}
+	// HandOver asks the replica of a running attempt to stop the run, keep its memory
+	// and copy it to another replica, and report HandedOver.
+	HandOver struct {
+		ID       string
+		Attempt  AttemptID
+		From, To *upstream.Announcement // read only
 	}
 	// Cancel asks to stop the attempt and pass nothing more of it on.
 	Cancel struct {
@@ -245,6 +265,7 @@
 )
 
 func (Dispatch) output() {}
+func (HandOver) output() {}
 func (Cancel) output()   {}
 func (Refuse) output()   {}
 func (Probe) output()    {}
--- a/internal/route/reasons.go
+++ b/internal/route/reasons.go
@@ -33,6 +33,7 @@
 	ReasonCancelPrefix                  = "cancel_" // followed by the CancelCause
 	ReasonHedged          apierr.Reason = "hedged"
 	ReasonStalled         apierr.Reason = "stalled_stream_taken_up"
+	ReasonHandOver        apierr.Reason = "stalled_stream_handed_over"
 	ReasonBatchResumed    apierr.Reason = "batch_resumed"
 	ReasonReplicaSuspect  apierr.Reason = "replica_suspect"
 	ReasonReplicaDied     apierr.Reason = "replica_died"
--- a/internal/route/stall.go
+++ b/internal/route/stall.go
@@ -31,8 +31,12 @@
 	}
 	after := s.stallAfter()
 	for _, a := range slices.Clone(r.attempts) {
-		if s.hasStalled(a, after) {
+		switch {
+		case !s.hasStalled(a, after):
+		case a.req.Resumable:
 			s.takeUp(a)
+		default:
+			s.handOver(a)
 		}
 	}
 }
@@ -52,7 +56,7 @@
 
 func (s *Shard) hasStalled(a *attempt, after time.Duration) bool {
 	req := a.req
-	mayGoOn := req.Class == Online && req.delivered && req.Resumable && a.on.entry.CanResume &&
+	mayGoOn := req.Class == Online && req.delivered && (req.Resumable || req.Movable) && a.on.entry.CanResume &&
 		a.tokens > 0 && len(req.live) == 1 && req.stalls < maxStalls
 	return mayGoOn && s.at.Sub(a.progress) >= after &&
 		s.strikes.Standing(s.at, req.Fingerprint) == upstream.StandingClear && s.othersMove(a, after)
--- a/internal/routes/document.go
+++ b/internal/routes/document.go
@@ -68,6 +68,8 @@
 type Engine struct {
 	Slots        int `cbor:"1,keyasint,omitempty"`
 	MemoryTokens int `cbor:"2,keyasint,omitempty"` // of running requests and cached prompts together
+	// Moves: a run can be stopped and go on from its memory, there or elsewhere.
+	Moves bool `cbor:"3,keyasint,omitempty"`
 }
 
 // Limits bound what a caller may send, and how slowly.
