Ask a replica whose streams all stop; look for a first answer once more

Cause, twice. A replica without power: its streams stood still until their callers left after 2 s, since the question to the replica of a quiet stream was off.

Ruled out for the first: failing all of them at once. Streams that may not run again gain nothing by it; they stay until their caller leaves or the replica is back.

Change: a replica is asked, by a connection within the learned limit, when two or more of its streams stop at the same time or a first answer is overdue, at most once a second while it lives. If it does not answer, what may go on elsewhere does so at once. A first answer that has not come after half of its caller's time is looked for over another connection, and the pool is dropped, unless answers usually take that long.

--- a/internal/gate/proxy/links.go
+++ b/internal/gate/proxy/links.go
@@ -135,12 +135,29 @@
 
 // probe asks whether the process at an address lives.
 func (l *links) probe(address string) ProbeResult {
-	ctx, cancel := context.WithTimeout(context.Background(), l.probeTimeout)
+	if l.ask == nil {
+		ctx, cancel := context.WithTimeout(context.Background(), l.probeTimeout)
+		defer cancel()
+		return l.askLoad(ctx, address)
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), min(l.probeTimeout, l.dialLimit(address)))
 	defer cancel()
-	if l.ask != nil {
-		return l.ask(ctx, address)
+	start := time.Now()
+	found := l.ask(ctx, address)
+	l.probed(address, time.Since(start), found)
+	return found
+}
+
+// probed learns from a probe that only opens a connection.
+func (l *links) probed(address string, took time.Duration, found ProbeResult) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	switch {
+	case found.Alive:
+		l.limits.Connected(address, took)
+	case !found.Refused:
+		l.limits.Missed(address)
 	}
-	return l.askLoad(ctx, address)
 }
 
 // askLoad asks an engine for its load. Any HTTP answer shows a live process: a
--- a/internal/route/attempt.go
+++ b/internal/route/attempt.go
@@ -111,6 +111,7 @@
 		s.observeGap(s.at.Sub(a.progress))
 	}
 	a.progress = s.at
+	a.on.heardAt = s.at
 	if in.Tokens > 0 && a.tokens == 0 {
 		s.firstToken.observe(s.at.Sub(a.started))
 		s.settle(a)
@@ -141,6 +142,7 @@
 	}
 	req := a.req
 	a.on.failures = 0
+	a.on.heardAt = s.at
 	s.end(a)
 	s.forget(req, CancelHedgeLost)
 	switch {
--- a/internal/route/probe.go
+++ b/internal/route/probe.go
@@ -70,6 +70,9 @@
 	}
 	s.suspectReplica(r)
 	r.missed = true
+	if s.config.StallMin > 0 {
+		s.moveQuiet(r)
+	}
 }
 
 func (s *Shard) isAwaited(r *replica) bool {
--- a/internal/route/reasons.go
+++ b/internal/route/reasons.go
@@ -36,6 +36,7 @@
 	ReasonHandOver        apierr.Reason = "stalled_stream_handed_over"
 	ReasonBatchResumed    apierr.Reason = "batch_resumed"
 	ReasonReplicaSuspect  apierr.Reason = "replica_suspect"
+	ReasonReplicaQuiet    apierr.Reason = "replica_quiet" // all of it; asked whether it lives
 	ReasonReplicaDied     apierr.Reason = "replica_died"
 	ReasonReplicaReturned apierr.Reason = "replica_returned"
 	ReasonEntryExpired    apierr.Reason = "upstream_expired"
--- a/internal/route/replica.go
+++ b/internal/route/replica.go
@@ -23,6 +23,7 @@
 // replica is one replica and the work that this gate has on it.
 type replica struct {
 	entry       *upstream.Entry
+	heardAt     time.Time // when any attempt of this gate last had progress there
 	hash        uint64    // of its ID, for rendezvous hashing
 	incarnation uint64    // of the process that the attempts run on
 	dead        bool      // that process is known to have ended
--- a/internal/route/tick.go
+++ b/internal/route/tick.go
@@ -42,6 +42,7 @@
 	}
 	s.failQuiet(r, s.silenceLimit)
 	s.askIfQuiet(r)
+	s.askIfAllQuiet(r)
 }
 
 // failQuiet fails the attempts on r that have been quiet for their limit.
@@ -87,13 +88,13 @@
 func (s *Shard) silenceLimit(a *attempt) time.Duration {
 	switch {
 	case a.on.entry.Kind == upstream.KindService:
-		return s.config.ServiceTimeout
+		return s.patienceLimit(a, s.config.ServiceTimeout)
 	case a.tokens > 0:
 		return s.config.TokenTimeout
 	case a.queued:
 		return queuedFactor * s.config.FirstTimeout
 	default:
-		return s.config.FirstTimeout
+		return s.patienceLimit(a, s.config.FirstTimeout)
 	}
 }
 
