--- a/internal/gate/proxy/move.go
+++ b/internal/gate/proxy/move.go
@@ -33,9 +33,9 @@
 		start := time.Now()
 		moved, err := f.move(o)
 		s.log().Info("run handed over", telemetry.RequestID(o.ID), zap.Uint64("attempt", uint64(o.Attempt)),
-			telemetry.Upstream(string(o.From.Replica)), zap.String("to", string(o.To.Replica)), zap.Bool("copied", moved.Copied),
+			telemetry.Upstream(string(o.From.Replica)), zap.String("to", string(o.To.Replica)), zap.Bool("copied", moved.Copied), zap.Bool("no_room", moved.NoRoom),
 			zap.Duration("after", time.Since(start)), zap.Error(err))
-		s.step(route.HandedOver{Attempt: o.Attempt, Memory: moved.Memory, Copied: moved.Copied})
+		s.step(route.HandedOver{Attempt: o.Attempt, Memory: moved.Memory, Copied: moved.Copied, NoRoom: moved.NoRoom})
 	}()
 }
 
--- a/internal/gate/proxy/protocol.go
+++ b/internal/gate/proxy/protocol.go
@@ -53,6 +53,7 @@
 type Move struct {
 	Memory string // names what to go on from
 	Copied bool   // the other replica has it too
+	NoRoom bool   // the other replica has no room, and the run goes on where it was
 }
 
 // Try is one attempt of a request at one upstream.
--- a/internal/route/handover.go
+++ b/internal/route/handover.go
@@ -1,5 +1,7 @@
 package route
 
+import "slices"
+
 // handOver asks for a stalled answer that may not run again to go on as the same
 // run: its engine stops it and keeps its memory, from which it goes on over another
 // connection.
@@ -14,11 +16,20 @@
 		return
 	}
 	a.req.stalls++
-	a.handedTo = to
 	s.count(ReasonHandOver)
+	s.askHandOver(a, to)
+}
+
+func (s *Shard) askHandOver(a *attempt, to *replica) {
+	a.handedTo = to
+	a.noRoomAt = append(a.noRoomAt, to)
 	s.emit(HandOver{ID: a.req.ID, Attempt: a.id, From: &a.on.entry.Announcement, To: &to.entry.Announcement})
 }
 
+// maxHandOvers bounds the replicas that a run is offered to. Each offer takes a round
+// trip; after some of them the lost packet has been sent again.
+const maxHandOvers = 4
+
 // handOverTo gives the other replica with the most free slots, of the attempt's
 // place if there is one. The copy takes a slot, also from batch, which does not give
 // way to it.
@@ -32,7 +43,8 @@
 			if r.entry.Place != a.on.entry.Place {
 				free -= s.slots(r) // any of the place goes first
 			}
-			if r != a.on && s.mayServe(a.req, r) && (best == nil || free > bestFree) {
+			mayTake := r != a.on && s.mayServe(a.req, r) && !slices.Contains(a.noRoomAt, r)
+			if mayTake && (best == nil || free > bestFree) {
 				best, bestFree = r, free
 			}
 		}
@@ -53,6 +65,10 @@
 	case a.broke:
 		s.failed(a, CauseBroken)
 		s.pump()
+	case in.NoRoom && len(a.noRoomAt) < maxHandOvers && s.isOverdue(a):
+		if next := s.handOverTo(a); next != nil {
+			s.askHandOver(a, next)
+		}
 	}
 }
 
--- a/internal/route/handover_test.go
+++ b/internal/route/handover_test.go
@@ -86,6 +86,28 @@
 	}
 }
 
+// At the busiest moment the first replica that is asked to take the run over has no
+// slot left, and the next one has.
+func TestAStalledStreamIsOfferedToAnotherReplica(t *testing.T) {
+	m := newMovables(t, "stalled", "moving")
+	m.stall("stalled", "moving")
+	first := m.on["stalled"]
+	var asked []route.HandOver
+	for _, o := range m.shard.Step(m.now, route.HandedOver{Attempt: first.Attempt, NoRoom: true}) {
+		if next, is := o.(route.HandOver); is {
+			asked = append(asked, next)
+		}
+	}
+	if len(asked) != 1 || asked[0].To.Replica == m.asked[0].To.Replica || asked[0].To.Replica == "r0" {
+		t.Fatalf("asked %+v after %+v", asked, m.asked)
+	}
+	for _, o := range m.shard.Step(m.now, route.HandedOver{Attempt: first.Attempt, NoRoom: true}) {
+		if next, is := o.(route.HandOver); is {
+			t.Errorf("asked once more: %+v", next)
+		}
+	}
+}
+
 func TestAStreamThatWasNotHandedOver(t *testing.T) {
 	t.Run("goes on where it was", func(t *testing.T) {
 		m := newMovables(t, "stalled", "moving")
--- a/internal/route/messages.go
+++ b/internal/route/messages.go
@@ -130,11 +130,13 @@
 	Queued struct{ Attempt AttemptID }
 	// HandedOver is the answer to a HandOver output: the run has stopped, and its
 	// memory is kept under a name. Copied says that the other replica has it too. An
-	// empty name says that the run was not stopped, as far as is known.
+	// empty name says that the run was not stopped, as far as is known; NoRoom, that
+	// the other replica has no room for it.
 	HandedOver struct {
 		Attempt AttemptID
 		Memory  string
 		Copied  bool
+		NoRoom  bool
 	}
 	// Announced carries a valid announcement, from the replica or by way of a gate.
 	Announced struct{ Announcement upstream.Announcement }
--- a/internal/route/shard.go
+++ b/internal/route/shard.go
@@ -88,9 +88,10 @@
 	started  time.Time
 	progress time.Time // when anything last arrived
 	tokens   int
-	queued   bool     // it may have to wait for a slot of the replica
-	handedTo *replica // it is being handed over, to this replica if that has room
-	broke    bool     // its connection ended meanwhile
+	queued   bool       // it may have to wait for a slot of the replica
+	handedTo *replica   // it is being handed over, to this replica if that has room
+	broke    bool       // its connection ended meanwhile
+	noRoomAt []*replica // it was offered to these
 }
 
 // NewShard makes a shard. The same config, seed and inputs give the same
