Log what a gate believes of a replica, and what a wait and a stop were for

Missing so far: a replica that was suspected, dead, back or slowly used again was counted and not logged; a preemption did not say for whom; a wait in the queue did not say how long and behind what.

--- a/internal/gate/proxy/shard.go
+++ b/internal/gate/proxy/shard.go
@@ -93,6 +93,8 @@
 			s.handOver(o)
 		case route.Cancel:
 			s.cancel(o)
+		case route.Believed:
+			s.logBelief(&o)
 		case route.Refuse:
 			s.refuse(o, ready)
 		case route.Probe:
@@ -151,7 +153,7 @@
 	}
 	delete(s.runs, o.Attempt)
 	s.log().Info("attempt stopped", telemetry.RequestID(o.ID), zap.Uint64("attempt", uint64(o.Attempt)),
-		telemetry.Upstream(string(a.target.Replica)), telemetry.Reason(string(o.Cause)), zap.Duration("after", time.Since(a.began)))
+		telemetry.Upstream(string(a.target.Replica)), telemetry.Reason(string(o.Cause)), zap.Duration("after", time.Since(a.began)), zap.String("for", o.For))
 	a.halt(o.Cause)
 }
 
@@ -164,7 +166,14 @@
 		telemetry.Upstream(string(o.Target.Replica)), zap.String("address", o.Target.Address), zap.Bool("resume", o.Resume),
 		zap.Int("slots", view.Slots), zap.Int("online", view.Online), zap.Int("batch", view.Batch),
 		zap.Int("others_online", view.OthersOnline), zap.Int("others_batch", view.OthersBatch), zap.Duration("others_age", view.OthersAge),
-		zap.Int("waiting", view.Waiting))
+		zap.Int("waiting", view.Waiting), zap.Duration("queued", o.Queued), zap.Int("behind", o.Behind), zap.Int("places", o.Places))
+}
+
+// logBelief tells what is believed of a replica from now on, and from what.
+func (s *shard) logBelief(o *route.Believed) {
+	s.log().Info("replica believed", telemetry.Upstream(string(o.Replica)), zap.String("service", s.service),
+		zap.String("belief", string(o.Belief)), zap.String("evidence", string(o.Evidence)), zap.Int("failures", o.Failures),
+		zap.Int("attempts", o.Attempts), zap.Duration("quiet", o.Quiet), zap.Bool("slowly", o.Slowly))
 }
 
 func (s *shard) refuse(o route.Refuse, ready chan struct{}) {
--- a/internal/route/admission.go
+++ b/internal/route/admission.go
@@ -1,6 +1,7 @@
 package route
 
 import (
+	"slices"
 	"time"
 
 	"slateway.example/slateway/internal/apierr"
@@ -142,11 +143,12 @@
 // enqueue puts a request among those that wait for a replica.
 func (s *Shard) enqueue(req *request) {
 	req.queuedAt = s.at
+	queue := &s.waiting
 	if req.Class == Batch {
-		s.batch.push(req)
-		return
+		queue = &s.batch
 	}
-	s.waiting.push(req)
+	queue.push(req)
+	req.behind = slices.Index(queue.list, req)
 }
 
 // maxPumpMisses bounds the waiting requests that one pass finds no replica for.
--- a/internal/route/attempt.go
+++ b/internal/route/attempt.go
@@ -21,9 +21,12 @@
 	r.attempts = append(r.attempts, a)
 	s.countOn(r, req.Class, 1)
 	resume := req.tokens > 0 && r.entry.CanResume && (req.Resumable || memory != "")
-	s.emit(Dispatch{ID: req.ID, Attempt: a.id, Kind: kind, Target: &r.entry.Announcement, Resume: resume, Memory: memory})
+	s.emit(Dispatch{
+		ID: req.ID, Attempt: a.id, Kind: kind, Target: &r.entry.Announcement, Resume: resume, Memory: memory,
+		Queued: s.at.Sub(req.queuedAt), Behind: req.behind, Places: req.places,
+	})
 	if req.Class == Online {
-		s.yieldSlots(r)
+		s.yieldSlots(r, req.ID)
 	}
 }
 
@@ -61,10 +64,13 @@
 }
 
 // cancel stops an attempt.
-func (s *Shard) cancel(a *attempt, cause CancelCause) {
+func (s *Shard) cancel(a *attempt, cause CancelCause) { s.cancelFor(a, cause, "") }
+
+// cancelFor stops an attempt to make room for a request or gate.
+func (s *Shard) cancelFor(a *attempt, cause CancelCause, forWhom string) {
 	s.end(a)
 	s.count(ReasonCancelPrefix + apierr.Reason(cause))
-	s.emit(Cancel{ID: a.req.ID, Attempt: a.id, Cause: cause})
+	s.emit(Cancel{ID: a.req.ID, Attempt: a.id, Cause: cause, For: forWhom})
 }
 
 // forget ends all that is known of a request.
--- a/internal/route/batch.go
+++ b/internal/route/batch.go
@@ -248,13 +248,13 @@
 		return
 	}
 	if victim := s.victim(a.on); victim != nil {
-		s.preempt(victim)
+		s.preempt(victim, a.req.ID)
 	}
 }
 
 // yieldSlots preempts batch on r until each batch request's policy has the
-// slots that it keeps free.
-func (s *Shard) yieldSlots(r *replica) {
+// slots that it keeps free. ForWhom names the request or gate that takes them.
+func (s *Shard) yieldSlots(r *replica, forWhom string) {
 	if s.config.Disabled.Preempt {
 		return
 	}
@@ -263,7 +263,7 @@
 		if victim == nil || s.totalLoad(r) <= s.slots(r)-victim.req.Policy.MinFree {
 			return
 		}
-		s.preempt(victim)
+		s.preempt(victim, forWhom)
 	}
 }
 
@@ -297,11 +297,11 @@
 }
 
 // preempt stops a batch attempt; its item waits and goes on later.
-func (s *Shard) preempt(a *attempt) {
+func (s *Shard) preempt(a *attempt, forWhom string) {
 	req := a.req
 	a.on.yieldedAt = s.at
 	a.on.holdUntil = s.at.Add(req.Policy.Hold)
-	s.cancel(a, CancelPreempted)
+	s.cancelFor(a, CancelPreempted, forWhom)
 	req.maybeRan = true
 	req.tried-- // a preemption is not the item's failure
 	req.next = Resume
@@ -311,7 +311,7 @@
 func (s *Shard) preemptAll(r *replica) {
 	for _, a := range slices.Clone(r.attempts) {
 		if a.preemptible() {
-			s.preempt(a)
+			s.preempt(a, "")
 		}
 	}
 }
--- a/internal/route/failure.go
+++ b/internal/route/failure.go
@@ -60,7 +60,7 @@
 		s.withdraw(r.entry.Replica, r.incarnation)
 		return
 	case CauseNotSent, CauseBroken, CauseSilent, CauseDied:
-		s.suspectReplica(r)
+		s.suspectReplica(r, Evidence(cause))
 		s.emit(Reset{Replica: r.entry.Replica})
 		return
 	case CauseMismatch:
@@ -68,7 +68,7 @@
 		s.emit(Reset{Replica: r.entry.Replica})
 	}
 	if r.failures >= maxFailures {
-		s.suspectReplica(r)
+		s.suspectReplica(r, Evidence(cause))
 	}
 }
 
--- a/internal/route/messages.go
+++ b/internal/route/messages.go
@@ -223,6 +223,10 @@
 		// Resume: continue at the token that the request has reached, instead
 		// of from the start.
 		Resume bool
+		// Queued is how long the request waited for a replica, and Behind how many stood
+		// before it when it came; Places is how many feeding gates were asked for a slot.
+		Queued         time.Duration
+		Behind, Places int
 		// Memory names what the engine is to go on from; empty: the request as it came.
 		Memory string
 	}
@@ -233,11 +237,24 @@
 		Attempt  AttemptID
 		From, To *upstream.Announcement // read only
 	}
-	// Cancel asks to stop the attempt and pass nothing more of it on.
+	// Cancel asks to stop the attempt and pass nothing more of it on. For names the
+	// request, or the gate whose request, it makes room for; empty: none.
 	Cancel struct {
 		ID      string
 		Attempt AttemptID
 		Cause   CancelCause
+		For     string
+	}
+	// Believed tells that the gate's belief of a replica has changed. Failures are
+	// attempts in a row that failed there, Attempts those that still run, and Quiet is
+	// the time since anything came from it; 0 if nothing ever did.
+	Believed struct {
+		Replica            upstream.ReplicaID
+		Belief             Belief
+		Evidence           Evidence
+		Failures, Attempts int
+		Quiet              time.Duration
+		Slowly             bool // with few requests at first
 	}
 	// Refuse asks to give the caller its final answer.
 	Refuse struct {
@@ -269,6 +286,7 @@
 func (Dispatch) output() {}
 func (HandOver) output() {}
 func (Cancel) output()   {}
+func (Believed) output() {}
 func (Refuse) output()   {}
 func (Probe) output()    {}
 func (Reset) output()    {}
--- a/internal/route/probe.go
+++ b/internal/route/probe.go
@@ -8,7 +8,7 @@
 // suspectReplica takes a replica out of use until a probe is answered. A new
 // request would otherwise be sent to a process that has died or frozen, and
 // wait there until its timeout.
-func (s *Shard) suspectReplica(r *replica) {
+func (s *Shard) suspectReplica(r *replica, evidence Evidence) {
 	if s.config.Disabled.Probe || r.health == suspect {
 		return
 	}
@@ -22,6 +22,7 @@
 	r.probeGap = s.config.ProbeMin
 	s.stale = true
 	s.count(ReasonReplicaSuspect)
+	s.believe(r, BeliefSuspect, evidence)
 	s.probe(r)
 }
 
@@ -50,15 +51,27 @@
 		s.answerHeld(s.release(r))
 		s.returned(r)
 	case restarted || in.Refused || s.isAwaited(r):
-		s.suspectReplica(r)
+		evidence := in.evidence(restarted)
+		s.suspectReplica(r, evidence)
 		r.missed = true
-		s.died(r)
+		s.died(r, evidence)
 	default:
 		s.unanswered(r)
 	}
 	s.pump()
 }
 
+func (in Probed) evidence(restarted bool) Evidence {
+	switch {
+	case restarted:
+		return EvidenceReplaced
+	case in.Refused:
+		return EvidenceRefused
+	default:
+		return EvidenceUnanswered
+	}
+}
+
 // unanswered handles a probe that got no answer. After the first one the
 // replica gets nothing new; after the second it counts as frozen, and its quiet
 // attempts need not wait for their own timeouts.
@@ -68,7 +81,7 @@
 		s.failQuiet(r, func(*attempt) time.Duration { return s.quietAfter() })
 		return
 	}
-	s.suspectReplica(r)
+	s.suspectReplica(r, EvidenceUnanswered)
 	r.missed = true
 	if s.config.StallMin > 0 {
 		s.moveQuiet(r)
@@ -87,17 +100,18 @@
 		return
 	}
 	s.count(ReasonReplicaReturned)
-	s.recover(r, r.missed || r.failures >= maxFailures)
+	s.recover(r, r.missed || r.failures >= maxFailures, EvidenceAnswered)
 }
 
 // recover puts a replica back into use, with few requests at first if slowly.
-func (s *Shard) recover(r *replica, slowly bool) {
+func (s *Shard) recover(r *replica, slowly bool, evidence Evidence) {
 	r.health = healthy
 	r.dead = false
 	s.stale = true
 	if slowly {
 		r.rampFrom = s.at
 	}
+	s.believe(r, BeliefReturned, evidence)
 }
 
 // answerHeld gives the final answers that waited for a probe.
@@ -126,7 +140,7 @@
 
 // died records a replica's death against all requests that ran on it: those
 // whose connections broke and those that have not noticed yet.
-func (s *Shard) died(r *replica) {
+func (s *Shard) died(r *replica, evidence Evidence) {
 	orphans := r.orphans
 	held := s.release(r)
 	suspects := slices.Clone(held)
@@ -136,6 +150,7 @@
 	if !r.dead {
 		r.dead = true
 		s.count(ReasonReplicaDied)
+		s.believe(r, BeliefDead, evidence)
 	}
 	s.strike(r, suspects, orphans)
 	s.answerHeld(held)
--- a/internal/route/replica.go
+++ b/internal/route/replica.go
@@ -198,7 +198,7 @@
 	if change != upstream.ChangeLoad || r.listed != s.takesWork(r) {
 		s.stale = true
 	}
-	s.yieldSlots(r)
+	s.yieldSlots(r, "")
 	s.pump()
 }
 
@@ -223,10 +223,10 @@
 // restarted handles a new incarnation: the old process is gone with what it
 // ran, and the new one starts slowly.
 func (s *Shard) restarted(r *replica) {
-	s.died(r)
+	s.died(r, EvidenceAnnounced)
 	r.incarnation = r.entry.Incarnation
 	r.failures = 0
-	s.recover(r, true)
+	s.recover(r, true, EvidenceAnnounced)
 }
 
 // expire takes replicas out of use that have not been announced for too long.
--- a/internal/route/shard.go
+++ b/internal/route/shard.go
@@ -63,6 +63,7 @@
 	stalls    int           // how often its answer was taken up after a stall
 	late      bool          // its answer has lost part of its use while it waited
 	queuedAt  time.Time
+	behind    int // requests that waited before it then
 	notBefore time.Time
 	next      DispatchKind  // kind of the next dispatch
 	struck    bool          // a replica died while it ran
--- a/internal/route/tick.go
+++ b/internal/route/tick.go
@@ -111,7 +111,7 @@
 		}
 	}
 	for _, r := range overdue {
-		s.died(r)
+		s.died(r, EvidenceNoVerdict)
 	}
 }
 
--- a/internal/route/usage.go
+++ b/internal/route/usage.go
@@ -57,7 +57,7 @@
 	}
 	r.feedVersion = s.table.Bump()
 	s.noteKnown(r)
-	s.yieldSlots(r)
+	s.yieldSlots(r, in.Gate)
 	s.pump()
 }
 
