slatectl account: what became of each request, from the processes' logs

Joins the lines of a request by its ID, and those of an item over gates, and gives each that was not served in time one cause: where the most of its time went. Tables by route and replica, JSON, a plot by second. Logs are streamed; only what has not ended is held.

--- /dev/null
+++ b/internal/account/account_test.go
@@ -0,0 +1,199 @@
+package account_test
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"slateway.example/slateway/internal/account"
+)
+
+// gateLog writes the lines of one gate's log.
+type gateLog struct {
+	text strings.Builder
+	at   time.Time
+}
+
+func newGateLog() *gateLog { return &gateLog{at: time.Unix(1_700_000_000, 0).UTC()} }
+
+func (g *gateLog) line(message, fields string) {
+	g.at = g.at.Add(time.Millisecond)
+	if fields != "" {
+		fields = "," + fields
+	}
+	fmt.Fprintf(&g.text, `{"level":"info","time":%q,"msg":%q%s}`+"\n", g.at.Format(time.RFC3339Nano), message, fields)
+}
+
+func (g *gateLog) routed(id string) {
+	g.line("request routed", fmt.Sprintf(`"request_id":%q,"route":"letters","target":"300ms","pause":"250ms","waited":"0s"`, id))
+}
+
+func (g *gateLog) attempt(id string, number int, replica, queued string) {
+	g.line("attempt", fmt.Sprintf(`"request_id":%q,"attempt":%d,"kind":"first","upstream":%q,"queued":%q`, id, number, replica, queued))
+}
+
+func (g *gateLog) failed(id string, number int, replica, reason, after string) {
+	g.line("attempt failed", fmt.Sprintf(`"request_id":%q,"attempt":%d,"upstream":%q,"reason":%q,"after":%q`, id, number, replica, reason, after))
+}
+
+func (g *gateLog) answered(id, first, pause string) {
+	g.line("request answered", fmt.Sprintf(`"request_id":%q,"first":%q,"longest_pause":%q,"after":"900ms"`, id, first, pause))
+}
+
+func (g *gateLog) account(t *testing.T) *account.Report {
+	ledger := account.NewLedger(0)
+	if err := ledger.Read("gate-1", strings.NewReader(g.text.String())); err != nil {
+		t.Fatal(err)
+	}
+	return ledger.Report()
+}
+
+func TestEachRequestHasOneCause(t *testing.T) {
+	g := newGateLog()
+	g.line("serving", `"vm":"gate-1"`)
+	cases := []struct {
+		cause account.Cause
+		write func(id string)
+	}{
+		{account.InTime, func(id string) {
+			g.attempt(id, 1, "i-1", "0s")
+			g.answered(id, "50ms", "30ms")
+		}},
+		{account.Queued, func(id string) {
+			g.attempt(id, 2, "i-1", "400ms")
+			g.answered(id, "450ms", "30ms")
+		}},
+		{account.ReplicaDown, func(id string) {
+			g.attempt(id, 3, "i-2", "0s")
+			g.failed(id, 3, "i-2", "not_sent", "700ms")
+			g.attempt(id, 4, "i-1", "0s")
+			g.answered(id, "760ms", "30ms")
+		}},
+		{account.ReplicaDied, func(id string) {
+			g.attempt(id, 5, "i-2", "0s")
+			g.failed(id, 5, "i-2", "silent", "2s")
+			g.line("request refused", fmt.Sprintf(`"request_id":%q,"reason":"upstream_failed","after":"2.1s"`, id))
+		}},
+		{account.AtReplica, func(id string) {
+			g.attempt(id, 6, "i-3", "10ms")
+			g.answered(id, "400ms", "30ms")
+		}},
+		{account.Stalled, func(id string) {
+			g.attempt(id, 7, "i-3", "0s")
+			g.answered(id, "40ms", "300ms")
+		}},
+		{account.Cut, func(id string) {
+			g.attempt(id, 8, "i-3", "0s")
+			g.line("answer broken off", fmt.Sprintf(`"request_id":%q,"reason":"upstream_failed","after":"300ms"`, id))
+		}},
+		{account.RefusedPrefix + "queue_full", func(id string) {
+			g.line("request refused", fmt.Sprintf(`"request_id":%q,"reason":"queue_full","after":"0s"`, id))
+		}},
+		{account.GateLost, func(id string) { g.attempt(id, 9, "i-3", "0s") }},
+	}
+	for i, c := range cases {
+		id := fmt.Sprint("q", i)
+		g.routed(id)
+		c.write(id)
+	}
+	report := g.account(t)
+	found := map[account.Cause]int{}
+	for _, row := range report.Rows {
+		found[row.Cause] += row.Requests
+	}
+	for _, c := range cases {
+		if found[c.cause] != 1 {
+			t.Errorf("%d requests with the cause %q, want 1: %v", found[c.cause], c.cause, found)
+		}
+	}
+	if all, inTime := report.Requests(); all != len(cases) || inTime != 1 {
+		t.Errorf("%d requests, %d in time", all, inTime)
+	}
+}
+
+func TestReplicasAreNamed(t *testing.T) {
+	g := newGateLog()
+	g.routed("q")
+	g.attempt("q", 1, "i-dark", "0s")
+	g.failed("q", 1, "i-dark", "not_sent", "700ms")
+	g.attempt("q", 2, "i-1", "0s")
+	g.answered("q", "760ms", "30ms")
+	report := g.account(t)
+	if row := report.Rows[0]; row.Replica != "i-dark" || row.Took != 700*time.Millisecond {
+		t.Errorf("%+v", row)
+	}
+}
+
+func TestItemsAreJoinedOverGates(t *testing.T) {
+	first, second := newGateLog(), newGateLog()
+	first.attempt("job/item", 1, "i-1", "0s")
+	first.line("attempt stopped", `"request_id":"job/item","attempt":1,"reason":"preempted","after":"80ms"`)
+	first.line("item ends", `"request_id":"job/item","outcome":"given_back","reached":4,"late":"0s"`)
+	second.line("attempt", `"request_id":"job/item","attempt":1,"kind":"first","upstream":"i-2","resume":true`)
+	second.line("item ends", `"request_id":"job/item","outcome":"succeeded","reached":200,"late":"2s"`)
+	second.attempt("job/other", 2, "i-2", "0s")
+	ledger := account.NewLedger(0)
+	for name, g := range map[string]*gateLog{"gate-1": first, "gate-2": second} {
+		if err := ledger.Read(name, strings.NewReader(g.text.String())); err != nil {
+			t.Fatal(err)
+		}
+	}
+	b := ledger.Report().Batch
+	if b.Items != 1 || b.Late != 1 || b.Runs != 2 || b.SeveralRuns != 1 || b.Stopped != 1 || b.Unfinished != 1 || b.MedianStopped != 80*time.Millisecond {
+		t.Errorf("%+v", b)
+	}
+}
+
+// Logs are read on call as they are: with the last line cut off, other programs' lines
+// among them, and lines longer than any of ours.
+func TestForeignAndBrokenLinesAreCountedAndNamed(t *testing.T) {
+	g := newGateLog()
+	g.routed("q")
+	g.text.WriteString("panic: not of ours\n")
+	g.text.WriteString(`{"level":"info"}` + "\n")
+	g.text.WriteString(strings.Repeat("x", 3<<20) + "\n")
+	g.answered("q", "40ms", "30ms")
+	g.text.WriteString(`{"level":"info","time":"20`)
+	report := g.account(t)
+	if all, _ := report.Requests(); all != 1 || report.Unread != 4 {
+		t.Errorf("%d requests, %d lines not read: %v", all, report.Unread, report.Foreign)
+	}
+	var numbers []int
+	for _, line := range report.Foreign {
+		numbers = append(numbers, line.Number)
+	}
+	if fmt.Sprint(numbers) != "[2 3 4 6]" {
+		t.Errorf("lines %v are named", numbers)
+	}
+}
+
+// Only what has not ended is held, so that large logs can be read.
+func TestEndedRequestsAreNotHeld(t *testing.T) {
+	g := newGateLog()
+	for i := range 2000 {
+		id := fmt.Sprint("q", i)
+		g.routed(id)
+		g.answered(id, "40ms", "30ms")
+	}
+	ledger := account.NewLedger(0)
+	if err := ledger.Read("gate-1", strings.NewReader(g.text.String())); err != nil {
+		t.Fatal(err)
+	}
+	if ledger.Open() != 0 {
+		t.Errorf("%d are held", ledger.Open())
+	}
+}
+
+func TestThePlotIsDrawn(t *testing.T) {
+	g := newGateLog()
+	for i, pause := range []string{"300ms", "20ms", "400ms"} {
+		id := fmt.Sprint("q", i)
+		g.routed(id)
+		g.answered(id, "40ms", pause)
+		g.at = g.at.Add(time.Second)
+	}
+	if err := g.account(t).Plot(t.TempDir() + "/losses.svg"); err != nil {
+		t.Error(err)
+	}
+}
--- /dev/null
+++ b/internal/account/ledger.go
@@ -0,0 +1,251 @@
+package account
+
+import (
+	"io"
+	"slices"
+	"strings"
+	"time"
+)
+
+// Ledger takes in log lines and keeps the account. Only requests that have not ended
+// are held one by one, so that its size does not grow with the logs.
+type Ledger struct {
+	pause time.Duration
+	open  map[requestKey]*request
+	items map[string]*item
+
+	start   time.Time // of the first line
+	rows    map[rowKey]*Row
+	seconds map[secondKey]int
+	batch   Batch
+	foreign []LineError
+	unread  int
+}
+
+type requestKey struct{ vm, id string }
+
+type rowKey struct {
+	cause   Cause
+	route   string
+	replica string
+}
+
+type secondKey struct {
+	second int
+	cause  Cause
+}
+
+// keptForeign bounds the foreign lines that are named; all are counted.
+const keptForeign = 20
+
+// NewLedger makes an empty ledger. A stream counts as paused if two of its events are
+// further apart than pause; 0: than its route says.
+func NewLedger(pause time.Duration) *Ledger {
+	return &Ledger{
+		pause: pause,
+		open:  map[requestKey]*request{}, items: map[string]*item{},
+		rows: map[rowKey]*Row{}, seconds: map[secondKey]int{},
+	}
+}
+
+// Read takes in the lines of one process, in their order. VM is the process's name
+// where its lines do not say it.
+func (l *Ledger) Read(vm string, from io.Reader) error {
+	process := &process{ledger: l, vm: vm, attempts: map[uint64]string{}}
+	err := read(vm, from, process.take, l.noteForeign)
+	process.end()
+	return err
+}
+
+func (l *Ledger) noteForeign(f LineError) {
+	l.unread++
+	if len(l.foreign) < keptForeign {
+		l.foreign = append(l.foreign, f)
+	}
+}
+
+// process is one process's file while it is read.
+type process struct {
+	ledger   *Ledger
+	vm       string
+	attempts map[uint64]string // request of each attempt that runs
+}
+
+func (p *process) take(in *line) {
+	l := p.ledger
+	if l.start.IsZero() || in.Time.Before(l.start) {
+		l.start = in.Time
+	}
+	switch {
+	case in.Message == msgServing:
+		p.end() // what an earlier run of the process had is lost
+		if in.VM != "" {
+			p.vm = in.VM
+		}
+	case in.Request == "":
+	case isItem(in.Request):
+		l.takeItem(in)
+	default:
+		p.takeRequest(in)
+	}
+}
+
+// isItem: a batch item's lines carry its job and its own ID.
+func isItem(id string) bool { return strings.Contains(id, "/") }
+
+func (p *process) takeRequest(in *line) {
+	key := requestKey{p.vm, in.Request}
+	if in.Message == msgRouted {
+		p.ledger.open[key] = newRequest(p.vm, in, p.ledger.pause)
+		return
+	}
+	r := p.ledger.open[key]
+	if r == nil {
+		p.unrouted(in)
+		return
+	}
+	switch in.Message {
+	case msgAttempt:
+		r.queued += time.Duration(in.Queued)
+		r.current = in
+	case msgFailed, msgStopped:
+		r.loses(in)
+	case msgAnswered:
+		p.close(key, r, r.answered(time.Duration(in.First), time.Duration(in.Pause), time.Duration(in.After)))
+	case msgRefused:
+		p.close(key, r, r.ended(Cause(RefusedPrefix+in.Reason), time.Duration(in.After)))
+	case msgBrokenOff:
+		p.close(key, r, r.ended(Cut, time.Duration(in.After)))
+	case msgLeft:
+		p.close(key, r, r.ended(CallerLeft, time.Duration(in.After)))
+	}
+}
+
+// unrouted counts a request that was refused before its route was known.
+func (p *process) unrouted(in *line) {
+	if in.Message == msgRefused {
+		p.ledger.count(&request{at: in.Time, vm: p.vm}, verdict{cause: Cause(RefusedPrefix + in.Reason)})
+	}
+}
+
+func newRequest(vm string, in *line, pause time.Duration) *request {
+	if pause == 0 {
+		pause = time.Duration(in.MaxPause)
+	}
+	return &request{
+		at: in.Time, vm: vm, route: in.Route, target: time.Duration(in.Target),
+		maxPause: pause, waited: time.Duration(in.Waited),
+	}
+}
+
+// loses notes an attempt that gave no answer. One that was stopped since another one
+// answered, or to go on elsewhere, lost nothing.
+func (r *request) loses(in *line) {
+	if in.Message == msgStopped && in.Reason != "silent" && in.Reason != "died" {
+		return
+	}
+	r.lost = append(r.lost, lostTry{cause: causeOfFailure(in.Reason), replica: in.Upstream, took: time.Duration(in.After)})
+}
+
+func (p *process) close(key requestKey, r *request, v verdict) {
+	delete(p.ledger.open, key)
+	p.ledger.count(r, v)
+}
+
+// end closes what the process has left open: it was stopped, or its log ends there.
+func (p *process) end() {
+	for key, r := range p.ledger.open {
+		if key.vm == p.vm {
+			p.close(key, r, verdict{cause: GateLost})
+		}
+	}
+}
+
+func (l *Ledger) count(r *request, v verdict) {
+	key := rowKey{v.cause, r.route, ""}
+	if v.cause != InTime {
+		key.replica = v.replica
+	}
+	row := l.rows[key]
+	if row == nil {
+		row = &Row{Cause: v.cause, Route: r.route, Replica: key.replica}
+		l.rows[key] = row
+	}
+	row.Requests++
+	row.Took += v.took
+	row.Longest = max(row.Longest, v.took)
+	l.seconds[secondKey{int(r.at.Sub(l.start) / time.Second), v.cause}]++
+}
+
+// item is what the lines say of a batch item.
+type item struct {
+	runs    int
+	reached int
+	anew    int // runs that began at the start after another had made something
+}
+
+func (l *Ledger) takeItem(in *line) {
+	found := l.items[in.Request]
+	if found == nil {
+		found = &item{}
+		l.items[in.Request] = found
+	}
+	switch in.Message {
+	case msgAttempt:
+		if found.runs > 0 && !in.Resume {
+			found.anew++
+		}
+		found.runs++
+	case msgStopped:
+		l.batch.Stopped++
+		l.batch.lengths = append(l.batch.lengths, time.Duration(in.After))
+	case msgFailed:
+		l.batch.Failed++
+	case msgItemEnds:
+		l.itemEnds(in, found)
+	}
+}
+
+func (l *Ledger) itemEnds(in *line, found *item) {
+	found.reached = max(found.reached, in.Reached)
+	if in.Outcome != "succeeded" {
+		return // another gate goes on with it, or it has failed
+	}
+	delete(l.items, in.Request)
+	l.batch.Items++
+	l.batch.Runs += found.runs
+	l.batch.Anew += found.anew
+	if found.runs > 1 {
+		l.batch.SeveralRuns++
+	}
+	if in.Late > 0 {
+		l.batch.Late++
+	}
+}
+
+// Report gives the account so far.
+func (l *Ledger) Report() *Report {
+	report := &Report{Start: l.start, Batch: l.batch, Unread: l.unread, Foreign: l.foreign}
+	report.Batch.Unfinished = len(l.items)
+	slices.Sort(report.Batch.lengths)
+	report.Batch.MedianStopped = middle(report.Batch.lengths)
+	for _, row := range l.rows {
+		report.Rows = append(report.Rows, *row)
+	}
+	slices.SortFunc(report.Rows, compareRows)
+	for key, requests := range l.seconds {
+		report.Seconds = append(report.Seconds, Second{Second: key.second, Cause: key.cause, Requests: requests})
+	}
+	slices.SortFunc(report.Seconds, compareSeconds)
+	return report
+}
+
+func middle(sorted []time.Duration) time.Duration {
+	if len(sorted) == 0 {
+		return 0
+	}
+	return sorted[len(sorted)/2]
+}
+
+// Open counts the requests whose end has not been read.
+func (l *Ledger) Open() int { return len(l.open) }
--- /dev/null
+++ b/internal/account/report.go
@@ -0,0 +1,135 @@
+package account
+
+import (
+	"cmp"
+	"fmt"
+	"io"
+	"slices"
+	"text/tabwriter"
+	"time"
+)
+
+// Report is the account of some logs.
+type Report struct {
+	Start   time.Time   `json:"start"`
+	Rows    []Row       `json:"rows"`
+	Seconds []Second    `json:"seconds"`
+	Batch   Batch       `json:"batch"`
+	Unread  int         `json:"unread"`  // lines that are none of the product's
+	Foreign []LineError `json:"foreign"` // the first of these
+}
+
+// Row counts the requests of a route with one cause at one replica.
+type Row struct {
+	Cause    Cause         `json:"cause"`
+	Route    string        `json:"route,omitempty"`
+	Replica  string        `json:"replica,omitempty"`
+	Requests int           `json:"requests"`
+	Took     time.Duration `json:"took_ns"`    // all of them together, by their cause
+	Longest  time.Duration `json:"longest_ns"` //
+}
+
+// Second counts the requests with one cause that came within one second.
+type Second struct {
+	Second   int   `json:"second"` // from the first line on
+	Cause    Cause `json:"cause"`
+	Requests int   `json:"requests"`
+}
+
+// Batch is the account of batch items.
+type Batch struct {
+	Items         int           `json:"items"` // with a result
+	Late          int           `json:"late"`
+	Unfinished    int           `json:"unfinished"` // without a result in these logs
+	Runs          int           `json:"runs"`       // of the items with a result
+	SeveralRuns   int           `json:"several_runs"`
+	Anew          int           `json:"anew"`    // runs that began at the start again
+	Stopped       int           `json:"stopped"` // runs stopped by a gate
+	Failed        int           `json:"failed"`
+	MedianStopped time.Duration `json:"median_stopped_ns"` // length of a stopped run
+
+	lengths []time.Duration
+}
+
+func compareRows(a, b Row) int {
+	return cmp.Or(
+		cmp.Compare(b.Requests, a.Requests), cmp.Compare(a.Cause, b.Cause),
+		cmp.Compare(a.Route, b.Route), cmp.Compare(a.Replica, b.Replica),
+	)
+}
+
+func compareSeconds(a, b Second) int {
+	return cmp.Or(cmp.Compare(a.Second, b.Second), cmp.Compare(a.Cause, b.Cause))
+}
+
+// Requests counts all requests, and those that were served in time.
+func (r *Report) Requests() (all, inTime int) {
+	for _, row := range r.Rows {
+		all += row.Requests
+		if row.Cause == InTime {
+			inTime += row.Requests
+		}
+	}
+	return all, inTime
+}
+
+// by joins the rows that have the same key.
+func (r *Report) by(key func(*Row) Row) []Row {
+	joined := map[Row]*Row{}
+	for i := range r.Rows {
+		row := &r.Rows[i]
+		k := key(row)
+		total := joined[k]
+		if total == nil {
+			total = &Row{Cause: k.Cause, Route: k.Route, Replica: k.Replica}
+			joined[k] = total
+		}
+		total.Requests += row.Requests
+		total.Took += row.Took
+		total.Longest = max(total.Longest, row.Longest)
+	}
+	var rows []Row
+	for _, row := range joined {
+		rows = append(rows, *row)
+	}
+	slices.SortFunc(rows, compareRows)
+	return rows
+}
+
+// mostReplicas bounds the replicas that are listed.
+const mostReplicas = 12
+
+// Write prints the account as tables.
+func (r *Report) Write(out io.Writer) error {
+	all, inTime := r.Requests()
+	table := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
+	fmt.Fprintf(table, "%d requests, %d in time\n\n", all, inTime)
+	fmt.Fprint(table, "REQUESTS\tMEAN\tLONGEST\tROUTE\tCAUSE\n")
+	for _, row := range r.by(func(row *Row) Row { return Row{Cause: row.Cause, Route: row.Route} }) {
+		fmt.Fprintf(table, "%d\t%s\t%s\t%s\t%s\n", row.Requests, mean(&row), round(row.Longest), row.Route, row.Cause)
+	}
+	fmt.Fprint(table, "\nREQUESTS\tMEAN\tLONGEST\tREPLICA\tCAUSE\n")
+	listed := 0
+	for _, row := range r.by(func(row *Row) Row { return Row{Cause: row.Cause, Replica: row.Replica} }) {
+		if row.Replica == "" || listed == mostReplicas {
+			continue
+		}
+		listed++
+		fmt.Fprintf(table, "%d\t%s\t%s\t%s\t%s\n", row.Requests, mean(&row), round(row.Longest), row.Replica, row.Cause)
+	}
+	b := &r.Batch
+	fmt.Fprintf(table, "\nBATCH ITEMS\tLATE\tUNFINISHED\tRUNS\tOF SEVERAL RUNS\tANEW\tRUNS STOPPED\tMEDIAN LENGTH\tRUNS FAILED\n")
+	fmt.Fprintf(table, "%d\t%d\t%d\t%d\t%d\t%d\t%d\t%s\t%d\n", b.Items, b.Late, b.Unfinished, b.Runs, b.SeveralRuns, b.Anew, b.Stopped,
+		round(b.MedianStopped), b.Failed)
+	if r.Unread > 0 {
+		fmt.Fprintf(table, "\n%d lines not read:\n", r.Unread)
+		for _, line := range r.Foreign {
+			fmt.Fprintln(table, line.Error())
+		}
+	}
+	return table.Flush()
+}
+
+func mean(row *Row) time.Duration { return round(row.Took / time.Duration(row.Requests)) }
+
+func round(d time.Duration) time.Duration { return d.Round(time.Millisecond) }
--- a/internal/gate/routed.go
+++ b/internal/gate/routed.go
@@ -144,7 +144,8 @@
 	waited := f.patience.waited(found.Name, r.Patience, found.Timeout)
 	f.log.Info("request routed", telemetry.RequestID(r.ID), zap.String("route", found.Name), zap.String("service", service),
 		zap.Uint64("routes", found.Matcher.Version()), zap.Duration("routes_age", f.source.Age()), zap.Duration("limit", limit),
-		zap.Duration("patience", r.Patience), zap.Duration("waited", waited))
+		zap.Duration("patience", r.Patience), zap.Duration("waited", waited),
+		zap.Duration("target", found.TargetLatency), zap.Duration("pause", found.LongestPause))
 	f.router.Serve(ctx, caller, service, r.Protocol, route.Request{
 		ID:          r.ID,
 		Team:        found.Name,
