--- a/internal/account/cause.go
+++ b/internal/account/cause.go
@@ -99,7 +99,7 @@
 	rest := first - r.queued
 	for _, try := range r.lost {
 		rest -= try.took
-		consider(verdict{cause: try.cause, replica: try.replica, took: try.took})
+		consider(verdict(try))
 	}
 	consider(verdict{cause: AtReplica, replica: r.replica(), took: rest})
 	return longest
@@ -111,7 +111,7 @@
 	result := verdict{cause: otherwise, replica: r.replica(), took: after}
 	for _, try := range r.lost {
 		if 2*try.took > after {
-			result = verdict{cause: try.cause, replica: try.replica, took: try.took}
+			result = verdict(try)
 		}
 	}
 	return result
