A gate that drains feeds nothing, and its requests count until it is gone

The gate that drained, serving its callers for 6 s more, took itself for the feeder of its replicas and told nobody of its requests; the new feeder dropped its earlier words each second, since it was not listed any more.

Change: a draining gate leaves itself out when it names the feeders and tells the new one; the words of a gate that is not listed count for a second.

--- a/internal/route/batch.go
+++ b/internal/route/batch.go
@@ -46,6 +46,19 @@
 
 func (in GatesChanged) apply(s *Shard) {
 	s.gates = slices.Clone(in.Gates)
+	s.chooseFeeders()
+	s.pump()
+}
+
+// chooseFeeders names the feeder of each replica anew.
+//
+// A gate that drains feeds nothing, also in its own eyes. It serves its callers for
+// seconds more, and if it took itself for the feeder, it would tell nobody of their
+// requests: the gates that have turned to another feeder would fill the same slots.
+func (s *Shard) chooseFeeders() {
+	if s.draining && len(s.gates) > 1 {
+		s.gates = slices.DeleteFunc(s.gates, func(g Gate) bool { return g.ID == s.config.Self })
+	}
 	s.stale = true
 	for _, r := range s.replicas {
 		feeder := s.feederOf(r)
@@ -57,12 +70,11 @@
 		if !s.feeds(r) {
 			s.preemptAll(r)
 		}
-		r.usage = slices.DeleteFunc(r.usage, func(u usage) bool { return !s.isLive(u.gate) })
+		r.usage = slices.DeleteFunc(r.usage, s.isVoid)
 		if len(r.attempts) > 0 {
 			s.tellFeeder(r)
 		}
 	}
-	s.pump()
 }
 
 func (in Draining) apply(s *Shard) {
@@ -77,6 +89,7 @@
 			}
 		}
 	}
+	s.chooseFeeders()
 }
 
 func drainingError(req *request) *apierr.Error {
--- a/internal/route/place_test.go
+++ b/internal/route/place_test.go
@@ -263,3 +263,48 @@
 		t.Errorf("the feeder counts %d requests", fed.Online)
 	}
 }
+
+// A gate is restarted as planned, and serves its callers on for some seconds. The
+// others turn to another feeder for its replicas at once. Two gates that take
+// themselves for the feeder each know half of the requests, and callers wait behind
+// those that they do not know of.
+func TestAGateThatDrainsTellsItsRequests(t *testing.T) {
+	c := newCrowd(3, 1, 40*time.Millisecond)
+	leaving := c.gate(c.gates[0].shard.Replicas()[0].Feeder)
+	var rest []route.Gate
+	for _, g := range c.gates {
+		if g != leaving {
+			rest = append(rest, route.Gate{ID: g.id, Place: "mid-a"})
+		}
+	}
+	c.step(leaving, route.Draining{})
+	c.step(leaving, route.GatesChanged{Gates: append([]route.Gate{{ID: leaving.id, Place: "mid-a"}}, rest...)})
+	for _, g := range c.gates {
+		if g != leaving {
+			c.step(g, route.GatesChanged{Gates: rest})
+		}
+	}
+	for n := range 5 {
+		id := requestAt(c.now, n)
+		c.step(leaving, route.Arrive{Request: route.Request{
+			ID: id, Class: route.Online, Deadline: c.now.Add(time.Second), Fingerprint: upstream.FingerprintOf(id, nil),
+		}})
+	}
+	c.play(0, 10*time.Millisecond)
+	feeder := c.gate(c.gates[slices.IndexFunc(c.gates, func(g *crowdGate) bool { return g != leaving })].shard.Replicas()[0].Feeder)
+	if feeder == leaving {
+		t.Fatal("the gate that drains still feeds")
+	}
+	if fed := feeder.shard.FedNow("r0"); fed.Online != 5 {
+		t.Errorf("the feeder knows of %d of 5 requests", fed.Online)
+	}
+	c.step(feeder, route.GatesChanged{Gates: rest})
+	if fed := feeder.shard.FedNow("r0"); fed.Online != 5 {
+		t.Errorf("after the gates were listed again the feeder knows of %d of 5 requests", fed.Online)
+	}
+	c.now = c.now.Add(2 * time.Second)
+	c.step(feeder, route.GatesChanged{Gates: rest})
+	if fed := feeder.shard.FedNow("r0"); fed.Online != 0 {
+		t.Errorf("%d requests of a gate count that is gone", fed.Online)
+	}
+}
--- a/internal/route/usage.go
+++ b/internal/route/usage.go
@@ -21,6 +21,16 @@
 	usageLifetime = 16 * time.Second
 )
 
+// lastWordLifetime is how long the word of a gate counts that is not listed any more:
+// about an answer's time. One that drains serves on and says more at each change; of
+// one that was killed nothing runs any more.
+const lastWordLifetime = time.Second
+
+// isVoid says whether a word counts no more, since its gate is gone.
+func (s *Shard) isVoid(u usage) bool {
+	return !s.isLive(u.gate) && s.at.Sub(u.at) >= lastWordLifetime
+}
+
 // tellFeeder tells the gate that feeds a replica how many requests this gate
 // has there. The feeding gate then stops batch, if the slots do not suffice:
 // an online request must not wait for one of its items to end.
