The account knows items by job and ID, and an answer by its status

Found by a test that plays a site of stand-ins and compares the account with what its callers saw: the line of an item's end names job and item apart, and a failure that a replica answered itself stood as an answer.

--- a/internal/account/account_test.go
+++ b/internal/account/account_test.go
@@ -129,9 +129,9 @@
 	first, second := newGateLog(), newGateLog()
 	first.attempt("job/item", 1, "i-1", "0s")
 	first.line("attempt stopped", `"request_id":"job/item","attempt":1,"reason":"preempted","after":"80ms"`)
-	first.line("item ends", `"request_id":"job/item","outcome":"given_back","reached":4,"late":"0s"`)
+	first.line("item ends", `"request_id":"item","job":"job","outcome":"given_back","reached":4,"late":"0s"`)
 	second.line("attempt", `"request_id":"job/item","attempt":1,"kind":"first","upstream":"i-2","resume":true`)
-	second.line("item ends", `"request_id":"job/item","outcome":"succeeded","reached":200,"late":"2s"`)
+	second.line("item ends", `"request_id":"item","job":"job","outcome":"succeeded","reached":200,"late":"2s"`)
 	second.attempt("job/other", 2, "i-2", "0s")
 	ledger := account.NewLedger(0)
 	for name, g := range map[string]*gateLog{"gate-1": first, "gate-2": second} {
--- a/internal/account/cause.go
+++ b/internal/account/cause.go
@@ -1,6 +1,9 @@
 package account
 
-import "time"
+import (
+	"net/http"
+	"time"
+)
 
 // Cause is why a request was not served in time.
 type Cause string
@@ -68,9 +71,13 @@
 
 // answered judges a request by its answer: of the parts of its time, the longest is
 // the cause of its being late.
-func (r *request) answered(first, pause, after time.Duration) verdict {
+func (r *request) answered(in *line) verdict {
+	first, pause := time.Duration(in.First), time.Duration(in.Pause)
 	if first == 0 {
-		first = after // not a stream
+		first = time.Duration(in.After) // not a stream
+	}
+	if in.Status >= http.StatusBadRequest {
+		return verdict{cause: ReplicaError, replica: r.replica(), took: first}
 	}
 	if r.target > 0 && r.waited+first > r.target {
 		return r.lateBy(first)
--- a/internal/account/ledger.go
+++ b/internal/account/ledger.go
@@ -83,14 +83,17 @@
 			p.vm = in.VM
 		}
 	case in.Request == "":
+	case in.Job != "" && in.Message == msgItemEnds:
+		l.takeItem(in.Job+"/"+in.Request, in)
 	case isItem(in.Request):
-		l.takeItem(in)
+		l.takeItem(in.Request, in)
 	default:
 		p.takeRequest(in)
 	}
 }
 
-// isItem: a batch item's lines carry its job and its own ID.
+// isItem says whether an attempt's ID is that of a batch item: of its job, a slash and
+// its own.
 func isItem(id string) bool { return strings.Contains(id, "/") }
 
 func (p *process) takeRequest(in *line) {
@@ -111,7 +114,7 @@
 	case msgFailed, msgStopped:
 		r.loses(in)
 	case msgAnswered:
-		p.close(key, r, r.answered(time.Duration(in.First), time.Duration(in.Pause), time.Duration(in.After)))
+		p.close(key, r, r.answered(in))
 	case msgRefused:
 		p.close(key, r, r.ended(Cause(RefusedPrefix+in.Reason), time.Duration(in.After)))
 	case msgBrokenOff:
@@ -184,11 +187,11 @@
 	anew    int // runs that began at the start after another had made something
 }
 
-func (l *Ledger) takeItem(in *line) {
-	found := l.items[in.Request]
+func (l *Ledger) takeItem(id string, in *line) {
+	found := l.items[id]
 	if found == nil {
 		found = &item{}
-		l.items[in.Request] = found
+		l.items[id] = found
 	}
 	switch in.Message {
 	case msgAttempt:
@@ -202,16 +205,16 @@
 	case msgFailed:
 		l.batch.Failed++
 	case msgItemEnds:
-		l.itemEnds(in, found)
+		l.itemEnds(id, in, found)
 	}
 }
 
-func (l *Ledger) itemEnds(in *line, found *item) {
+func (l *Ledger) itemEnds(id string, in *line, found *item) {
 	found.reached = max(found.reached, in.Reached)
 	if in.Outcome != "succeeded" {
 		return // another gate goes on with it, or it has failed
 	}
-	delete(l.items, in.Request)
+	delete(l.items, id)
 	l.batch.Items++
 	l.batch.Runs += found.runs
 	l.batch.Anew += found.anew
--- a/internal/account/line.go
+++ b/internal/account/line.go
@@ -45,6 +45,7 @@
 	Time     time.Time `json:"time"`
 	Message  string    `json:"msg"`
 	Request  string    `json:"request_id"`
+	Job      string    `json:"job"` // of an item's lines that name it by its own ID
 	VM       string    `json:"vm"`
 	Route    string    `json:"route"`
 	Target   duration  `json:"target"`        // until when the first event is of full use
@@ -56,6 +57,7 @@
 	Resume   bool      `json:"resume"`        // the attempt goes on where the last one was
 	Reason   string    `json:"reason"`        //
 	After    duration  `json:"after"`         //
+	Status   int       `json:"status"`        // of an answer
 	First    duration  `json:"first"`         // from the request to the first event; 0: it was no stream
 	Pause    duration  `json:"longest_pause"` //
 	Outcome  string    `json:"outcome"`       // of an item
--- a/internal/gate/proxy/online.go
+++ b/internal/gate/proxy/online.go
@@ -150,6 +150,7 @@
 	caller  Caller
 	metrics Metrics
 	begun   bool          // the head of a stream has been given
+	head    *Reply        // that head
 	first   time.Duration // until then
 }
 
@@ -194,6 +195,7 @@
 func (d *delivery) pass(head *Reply, data []byte) bool {
 	if !d.begun {
 		d.begun = true
+		d.head = head
 		d.caller.Begin(head)
 		d.first = time.Since(d.flight.started)
 		d.metrics.Observe(MetricFirstToken, d.first)
@@ -219,11 +221,20 @@
 	}
 	d.metrics.Count(CountOnlineDone)
 	d.metrics.Observe(MetricAnswer, time.Since(d.flight.started))
-	d.flight.shard.log().Info("request answered", telemetry.RequestID(d.flight.request.ID), zap.Duration("first", d.first),
+	d.flight.shard.log().Info("request answered", telemetry.RequestID(d.flight.request.ID), zap.Int("status", d.status(answer)),
+		zap.Duration("first", d.first),
 		zap.Duration("longest_pause", d.flight.longestPause()),
 		zap.Duration("after", time.Since(d.flight.started)))
 }
 
+// status gives the status that the caller has.
+func (d *delivery) status(whole *Reply) int {
+	if d.begun {
+		return d.head.Status
+	}
+	return whole.Status
+}
+
 // openAICaller answers in the OpenAI protocol.
 type openAICaller struct {
 	id      string
