--- a/internal/control/follow.go
+++ b/internal/control/follow.go
@@ -64,7 +64,7 @@
 //
 // Failure guarded against: all processes of a site are stopped and come back
 // together. Callers come at once, and gates would have no routes for them until a
-// leader is elected, 0.3 s later. What is on this VM's disk was committed, so it was
+// leader is elected. What is on this VM's disk was committed, so it was
 // in force; a gate without routes serves by it, and takes newer routes, never older
 // ones, with its next question, which is held until there is a leader. A VM that has
 // run for longer has lost touch with others that may have moved on: the gate asks
--- a/internal/daemon/sitegate.go
+++ b/internal/daemon/sitegate.go
@@ -59,8 +59,8 @@
 	// Two may be lost. A heartbeat also brings the news that a job was ended.
 	siteHeartbeatsPerLease = 4
 	// streamStall is the shortest pause of a stream that counts as a stalled
-	// connection: over the longest pause of 95 in 100 streams in good order, 60 ms,
-	// and well below the 120 ms by which an event may be late.
+	// connection: longer than nearly all streams in good order pause, and well below
+	// the time that TCP takes to send a lost packet again.
 	streamStall = 70 * time.Millisecond
 	// placeWait is how long a request waits at most for the word on its slot: a few
 	// round trips between places, and a small part of the latency that callers ask for.
@@ -97,7 +97,7 @@
 			StallMin:      streamStall,
 			PlaceWait:     placeWait,
 			HedgeMin:      -1,              // a second run costs more than it saves
-			ProbeAfter:    unlistedForever, // a quiet stream's replica is not asked: that would take a slot
+			ProbeAfter:    unlistedForever, // a replica is asked when all that this gate has there is quiet
 		},
 		Metrics:        site.metrics,
 		Log:            site.log.Logger,
--- a/internal/daemon/standstill.go
+++ b/internal/daemon/standstill.go
@@ -10,8 +10,8 @@
 const (
 	// pulseInterval is how often the process looks whether it has stood still.
 	pulseInterval = 500 * time.Millisecond
-	// standstillFrom is the pause that is logged. A busy process is late by some
-	// 50 ms; one that was frozen by seconds.
+	// standstillFrom is the pause that is logged: far longer than a busy process is
+	// late.
 	standstillFrom = time.Second
 )
 
@@ -34,7 +34,7 @@
 // watchStandstill logs when the process has stood still.
 //
 // Failure guarded against: a VM freezes and wakes. What it did for its callers ends
-// late and for reasons that make no sense (a stream silent for 6 s where 2 s are the
+// late and for reasons that make no sense (a stream silent for longer than its
 // limit), and nothing but a gap in its log tells why.
 func watchStandstill(ctx context.Context, log *zap.Logger) {
 	ticker := time.NewTicker(pulseInterval)
--- a/internal/gate/batch/fence.go
+++ b/internal/gate/batch/fence.go
@@ -13,8 +13,7 @@
 const (
 	// fenceShare is the part of a session's lifetime after which its items stop
 	// without a renewal. The rest covers the way of an attempt that is just being
-	// sent (about 50 ms between places) and the pace at which the fence is looked
-	// at; 0.85 of 3 s leaves 450 ms.
+	// sent and the pace at which the fence is looked at.
 	fenceShare = 0.85
 	// fenceLooks is how often the fence is looked at in a session's lifetime.
 	fenceLooks = 30
--- a/internal/gate/batch/item.go
+++ b/internal/gate/batch/item.go
@@ -65,10 +65,9 @@
 // keepers.
 //
 // Failure guarded against: a gate is killed, or all are, and what its items have
-// made is lost with it, half of their work on the average. An item of the small
-// sites takes 4.7 s of a slot (measured), of which less than a third is lost with
-// this interval. Each byte of an answer goes to the keepers twice at most, once in a
-// piece and once in the result.
+// made is lost with it, half of their work on the average. A piece bounds the loss to
+// a part of an item's run. Each byte of an answer goes to the keepers twice at most,
+// once in a piece and once in the result.
 const saveInterval = 1500 * time.Millisecond
 
 // save reports a piece of an item's answer. If its report is lost, so are those of
--- a/internal/gate/patience.go
+++ b/internal/gate/patience.go
@@ -7,7 +7,7 @@
 
 const (
 	// patienceStep groups what callers say that they wait. First attempts differ by
-	// the time that a connection takes, some 10 to 20 ms.
+	// the time that a connection takes.
 	patienceStep = 50 * time.Millisecond
 	// patienceMemory is how many of a route's requests are remembered. Before
 	// patienceEnough are, the route's own timeout counts as a caller's patience too:
--- a/internal/gate/routed.go
+++ b/internal/gate/routed.go
@@ -91,8 +91,7 @@
 const (
 	// firstRoutesWait is how long a request waits at a gate that has just started
 	// for the first routes. Callers hold its address from before and come at once;
-	// the routes come within an election and a call, some 0.3 to 0.6 s after a
-	// restart of the whole site.
+	// the routes come within an election and a call.
 	firstRoutesWait = time.Second
 	// firstRoutesRetry is when to come back if that was not enough.
 	firstRoutesRetry = 300 * time.Millisecond
--- a/internal/keeper/offers.go
+++ b/internal/keeper/offers.go
@@ -8,8 +8,8 @@
 )
 
 const (
-	// offerTime is how long items are kept for a gate that was told of them. A
-	// lease comes within 60 ms as a rule; one that comes later finds what is left.
+	// offerTime is how long items are kept for a gate that was told of them, several
+	// times as long as a lease takes; one that comes later finds what is left.
 	offerTime = 250 * time.Millisecond
 	// noOffers is how long to wait for the end of an offer when there is none.
 	noOffers = time.Hour
@@ -18,9 +18,9 @@
 // offers remembers which waiting gates were told of items, so that an item is
 // not announced to all of them.
 //
-// It guards against a herd: with 65 waiting gates, each new job woke all of
-// them, all asked for items in the same millisecond, and the leader needed 0.4 s
-// to send most of them away with nothing. An offer is a hint and binds nobody:
+// It guards against a herd: each new job would wake all waiting gates, all would ask
+// for items at the same time, and the leader would spend its processor on sending
+// most of them away with nothing. An offer is a hint and binds nobody:
 // what a gate does not take is told to the next one when the offer ends.
 type offers struct {
 	mu   sync.Mutex
--- a/internal/quorum/progress.go
+++ b/internal/quorum/progress.go
@@ -33,10 +33,9 @@
 }
 
 // lostAfter is how many heartbeat responses in a row bring no progress before an
-// append counts as lost. The shells send over connections that repeat lost
-// packets by themselves, 0.2 s later, and a sync takes some 20 ms; with one
-// response, at 0.1 s, each such delay sent all entries in flight again: twice the
-// bytes between the members of a busy group.
+// append counts as lost. The shells send over connections that repeat lost packets
+// by themselves, and a sync takes a while; if a single response counted, each such
+// delay would send all entries in flight again.
 const lostAfter = 4
 
 func newProgress(next uint64) *progress { return &progress{next: next} }
--- a/internal/route/handover.go
+++ b/internal/route/handover.go
@@ -7,8 +7,8 @@
 // connection.
 //
 // Failure guarded against: as for answers that can be resumed, a packet between
-// replica and gate is lost, and the text stands still for 0.2 s. Sent once more, the
-// request would run twice. The engine copies the memory to another replica, so that
+// replica and gate is lost, and the text stands still until TCP sends it again. Sent
+// once more, the request would run twice. The engine copies the memory to another replica, so that
 // the answer goes on there if that has room, and else where it was.
 func (s *Shard) handOver(a *attempt) {
 	to := s.handOverTo(a)
--- a/internal/route/queue.go
+++ b/internal/route/queue.go
@@ -19,10 +19,8 @@
 	passed int
 }
 
-// lateTurn: while both kinds wait, one start in four is a late request's. After
-// a stop of a whole site about half of its slots are free beside the requests
-// that come anew; a quarter keeps the late ones' wait below their deadline and
-// hardly delays the others.
+// lateTurn: while both kinds wait, one start in so many is a late request's, which
+// keeps the late ones' wait below their deadline and hardly delays the others.
 const lateTurn = 4
 
 func (q *waitQueue) len() int { return len(q.list) }
--- a/internal/route/stall.go
+++ b/internal/route/stall.go
@@ -7,9 +7,8 @@
 	"slateway.example/slateway/internal/upstream"
 )
 
-// maxStalls is how often one answer is taken up again after a stall. Where one packet
-// in some 700 is lost, a second one among 35 events is rare, and a slow replica is
-// the likelier cause.
+// maxStalls is how often one answer is taken up again after a stall. A second lost
+// packet of one answer is rare, and a slow replica is the likelier cause.
 const maxStalls = 1
 
 // stallFactor is how much longer than nearly all pauses a stall is.
@@ -18,13 +17,12 @@
 // checkStalls takes up answers again whose connection has stalled.
 //
 // Failure guarded against: a packet between a replica and the gate is lost. TCP
-// sends it again after 0.2 s, and until then every later event of the answer waits
-// in the kernel; a caller who reads along sees the text stop. The replica answers
-// others meanwhile. Over another connection to it the answer goes on at the next
-// event, with the prompt still cached there. Pauses between events in good order
-// are 32 ms at the median and below 60 ms for 95 in 100 answers (the longest of an
-// answer), stalled ones 200 to 240 ms, with nothing between, so that few answers are
-// taken up in vain.
+// sends it again only after its retransmission timeout, and until then every later
+// event of the answer waits in the kernel; a caller who reads along sees the text
+// stop. The replica answers others meanwhile. Over another connection to it the
+// answer goes on at the next event, with the prompt still cached there. A pause that
+// counts as a stall is longer than nearly all pauses in good order, so that few
+// answers are taken up in vain.
 func (s *Shard) checkStalls(r *replica) {
 	if s.config.StallMin <= 0 || len(r.attempts) == 0 || !s.takesWork(r) {
 		return
--- a/internal/route/stranded.go
+++ b/internal/route/stranded.go
@@ -10,8 +10,8 @@
 const (
 	// strandedAfter is how long a batch item waits in a gate before the gate looks
 	// for slots that others feed. Slots taken back by single online requests are free
-	// again within an answer's time, some 0.7 s; giving the item back and leasing it
-	// elsewhere costs its body and text once more between VMs.
+	// again within an answer's time; giving the item back and leasing it elsewhere
+	// costs its body and text once more between VMs.
 	strandedAfter = time.Second
 	// strandedWord is how old the other gate's word on its replica may be. On a site of
 	// control VMs it comes only with the answer to this gate's own word, at each start
@@ -25,8 +25,8 @@
 //
 // Failure guarded against: a gate leases items for the slots that it has, online
 // work takes these back, or the replicas leave, and the items wait in this gate
-// while others have idle slots and nothing to run: 14 items beside 23 idle slots for
-// two seconds, and late for it. The keepers lease them to whoever has room.
+// while others have idle slots and nothing to run, and are late for it. The keepers
+// lease them to whoever has room.
 func (s *Shard) checkStranded() {
 	if s.draining || s.batch.len() == 0 {
 		return
