A failure never ends a stream that has begun as if it were whole

A stalled run was handed over to a replica that answered 500 (replicas whose health is not what they say); for a request that may run once a replica's own 500 is its answer, so it was taken for the whole answer, and the stream, of which the caller had a part, ended as complete. A 4xx to a resumable stream that goes on had the same effect.

Change: an answer that is no stream, to an attempt that goes on with one, is a failure of the attempt.

--- a/internal/gate/proxy/attempt.go
+++ b/internal/gate/proxy/attempt.go
@@ -98,10 +98,15 @@
 	if verdict.Queued {
 		a.step(route.Queued{Attempt: a.id})
 	}
-	if events := a.flight.protocol.Events(response); events != nil {
+	events := a.flight.protocol.Events(response)
+	switch {
+	case events != nil:
 		a.flight.open(a, &Reply{Status: response.StatusCode, Header: response.Header})
 		err = a.readStream(events)
-	} else {
+	case a.flight.hasBegun():
+		a.failed(route.CauseStatus, fmt.Errorf("status %d to a stream that was to go on", response.StatusCode))
+		return
+	default:
 		err = a.readWhole(response)
 	}
 	if err != nil && !errors.Is(err, errUnused) {
--- a/internal/gate/proxy/flight.go
+++ b/internal/gate/proxy/flight.go
@@ -132,6 +132,17 @@
 	}
 }
 
+// hasBegun says whether the caller of a stream has its head, and may have part of it.
+//
+// Failure guarded against: an attempt that was to go on with the stream is answered by
+// a failure that is no stream. Taken for the request's whole answer, it would end the
+// stream as if it were complete.
+func (f *flight) hasBegun() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.protocol.Streams() && f.head != nil
+}
+
 // errUnused says that the attempt was stopped, so that nothing of it is used.
 var errUnused = errors.New("the attempt was stopped")
 
