A control VM that lacks committed changes is not in touch

A control VM counted as in touch while it heard its leader's heartbeats; if the entries to it are held up meanwhile, it tells its gates that nothing is new.

Change: heartbeats carry the leader's commit index, also beyond what the member holds; a control VM that lacks a committed entry for 0.5 s says so, and its gates ask another one.

--- a/internal/control/service.go
+++ b/internal/control/service.go
@@ -32,6 +32,7 @@
 // Group is what the service needs of the replicated groups on its VM.
 type Group interface {
 	Leader(group uint32) (replica.Member, bool)
+	Lag(group uint32) time.Duration
 	Known() []quorum.Member
 	Retire(ctx context.Context, vms []string) (left []string, err error)
 }
@@ -119,21 +120,31 @@
 	rpc.Handle(mux, controlapi.Share, controlapi.MaxMessageBytes, s.share)
 }
 
-// InTouch says whether this VM follows, or is, the leader of the configuration.
+// maxLag is how long this VM may lack a committed change and still speak for the
+// configuration: a small part of the time in which a change is to be in force.
+const maxLag = 500 * time.Millisecond
+
+// InTouch says whether this VM follows, or is, the leader of the configuration, and
+// has what that has committed.
 //
 // One that is cut off from the others would go on telling gates that nothing
 // has changed, and acknowledge replicas of which no gate hears. It learns that it
-// is cut off when the leader's heartbeats cease, within two election timeouts.
+// is cut off when the leader's heartbeats cease, within two election timeouts. One
+// that heartbeats reach and entries do not would do the same for as long as these
+// are held up; it learns by the heartbeats that it lacks them.
 func (s *Service) InTouch() bool {
 	_, known := s.options.Group.Leader(keeperapi.ConfigGroup)
+	lag := s.options.Group.Lag(keeperapi.ConfigGroup)
+	inTouch := known && lag < maxLag
 	s.mu.Lock()
-	changed := known != s.inTouch
-	s.inTouch = known
+	changed := inTouch != s.inTouch
+	s.inTouch = inTouch
 	s.mu.Unlock()
 	if changed {
-		s.options.Log.Info("touch with the leader of the configuration", zap.Bool("in_touch", known))
+		s.options.Log.Info("touch with the leader of the configuration", zap.Bool("in_touch", inTouch),
+			zap.Bool("leader_known", known), zap.Duration("lag", lag))
 	}
-	return known
+	return inTouch
 }
 
 // notInTouchRetry is when to ask again: an election takes about as long.
--- a/internal/quorum/node.go
+++ b/internal/quorum/node.go
@@ -74,6 +74,8 @@
 	transferee ID
 	reads      readQueue
 
+	lag lag
+
 	// What was committed at the last two marks, an election timeout apart.
 	recentCommit  uint64
 	earlierCommit uint64
@@ -116,6 +118,7 @@
 func (n *Node) Tick() {
 	n.ticks++
 	n.elapsed++
+	n.lag.tick(n.log.applied)
 	if n.role == Leader {
 		n.tickLeader()
 		return
@@ -226,6 +229,7 @@
 	case MsgHeartbeat:
 		n.followLeader(m)
 		n.commitTo(min(m.Commit, n.log.lastIndex()))
+		n.lag.heard(m.Committed)
 		n.respond(m, Message{Type: MsgHeartbeatResponse, Round: m.Round})
 	case MsgSnapshot:
 		n.followLeader(m)
--- a/internal/quorum/replication.go
+++ b/internal/quorum/replication.go
@@ -50,7 +50,7 @@
 		// A member learns no commit index beyond what it is known to hold: its
 		// log may end in entries of an older term at those positions.
 		commit := min(n.log.commit, n.progress[id].match)
-		n.send(Message{Type: MsgHeartbeat, To: id, Commit: commit, Round: n.reads.round})
+		n.send(Message{Type: MsgHeartbeat, To: id, Commit: commit, Round: n.reads.round, Committed: n.log.commit})
 	}
 }
 
--- a/internal/quorum/types.go
+++ b/internal/quorum/types.go
@@ -110,6 +110,9 @@
 	Round    uint64        `cbor:"12,keyasint,omitempty"` // heartbeat: round that confirms reads; append: number of a probe; repeated by the answer
 	Transfer bool          `cbor:"13,keyasint,omitempty"` // vote asked on the leader's order
 	Snapshot *SnapshotMeta `cbor:"14,keyasint,omitempty"`
+	// Committed is, of a heartbeat, the leader's commit index, also beyond what the
+	// member holds.
+	Committed uint64 `cbor:"15,keyasint,omitempty"`
 }
 
 // ReadState says that the read of this ID may be served once the entry at
--- a/internal/replica/host.go
+++ b/internal/replica/host.go
@@ -207,6 +207,18 @@
 	return g.leader()
 }
 
+// Lag gives for how long this VM has lacked a change of the group that its leader
+// had committed; 0 if it lacks none, or only newer ones.
+func (h *Host) Lag(group uint32) time.Duration {
+	if group >= uint32(len(h.groups)) {
+		return 0
+	}
+	g := h.groups[group]
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return time.Duration(g.node.Lag()) * h.config.Tick
+}
+
 // Groups implements Proposer.
 func (h *Host) Groups() uint32 { return uint32(len(h.groups)) }
 
