Routes are packed once, for the log and for all gates

After the configuration has grown to 1,140 routes, some twenty versions come within 6 s. Log entries went uncompressed to eight members.

Change: a version is packed once, without the operator's text for gates, and with it for the log. Entries and answers of earlier versions are read still.

--- a/internal/control/controlapi/api.go
+++ b/internal/control/controlapi/api.go
@@ -36,6 +36,8 @@
 	Wait   time.Duration `cbor:"5,keyasint"`
 	// Peers is the hash of the lists of control VMs and keepers of the last answer.
 	Peers uint64 `cbor:"6,keyasint"`
+	// TakesPacked: newer routes may come packed.
+	TakesPacked bool `cbor:"7,keyasint,omitempty"`
 }
 
 // FollowResponse brings the gate forward.
@@ -48,8 +50,12 @@
 	Controls []string         `cbor:"4,keyasint,omitempty"` // peers addresses of the control VMs, if they changed
 	Keepers  []string         `cbor:"5,keyasint,omitempty"` // of all VMs that hold replicated state, if they changed
 	Peers    uint64           `cbor:"6,keyasint"`           // hash of the two lists
+	Packed   routes.Packed    `cbor:"7,keyasint,omitempty"` // in place of Routes, for a gate that takes it
 }
 
+// HasRoutes says whether it brings newer routes.
+func (r *FollowResponse) HasRoutes() bool { return r.Routes != nil || len(r.Packed) > 0 }
+
 // Left names a replica that leaves, by its ID alone.
 type Left struct {
 	Replica     upstream.ReplicaID `cbor:"1,keyasint"`
--- a/internal/control/follow.go
+++ b/internal/control/follow.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"strings"
+	"sync"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -10,6 +11,7 @@
 
 	"slateway.example/slateway/internal/control/controlapi"
 	"slateway.example/slateway/internal/roster"
+	"slateway.example/slateway/internal/routes"
 )
 
 // maxFollowWait bounds how long a gate's question is held. The gate's word comes
@@ -23,9 +25,9 @@
 		since = 0
 	}
 	if request.Routes == 0 && s.hasJustStarted() && !s.InTouch() {
-		if response, news, _ := s.answer(request, since); news && response.Routes != nil {
+		if response, news, _ := s.answer(request, since); news && response.HasRoutes() {
 			s.options.Log.Info("a gate without routes starts by those on disk", zap.String("gate", request.Gate.VM),
-				zap.Uint64("version", response.Routes.Version))
+				zap.Uint64("version", s.options.Config.Routes().Version()))
 			return response, nil
 		}
 	}
@@ -92,15 +94,52 @@
 	s.addPeers(response, request.Peers)
 	matcher := s.options.Config.Routes()
 	if matcher.Version() > request.Routes {
-		response.Routes = matcher.Document()
+		s.addRoutes(response, matcher.Document(), request.TakesPacked)
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	response.Changes = s.table.Since(since)
-	news := response.Routes != nil || response.Changes.Version > since
+	news := response.HasRoutes() || response.Changes.Version > since
 	return response, news, s.changed
 }
 
+// addRoutes adds a document, packed if the gate takes that. It is packed once for
+// all gates.
+func (s *Service) addRoutes(response *controlapi.FollowResponse, document *routes.Document, packed bool) {
+	if !packed {
+		response.Routes = document
+		return
+	}
+	data, err := s.packed.of(document)
+	if err != nil {
+		s.options.Log.Warn("routes not packed, sent as they are", zap.Uint64("version", document.Version), zap.Error(err))
+		response.Routes = document
+		return
+	}
+	response.Packed = data
+}
+
+// packedRoutes keeps the newest document as gates are sent it.
+type packedRoutes struct {
+	mu      sync.Mutex
+	version uint64
+	data    routes.Packed
+}
+
+func (p *packedRoutes) of(document *routes.Document) (routes.Packed, error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.version == document.Version && p.data != nil {
+		return p.data, nil
+	}
+	data, err := routes.Pack(document.WithoutSource())
+	if err != nil {
+		return nil, err
+	}
+	p.version, p.data = document.Version, data
+	return data, nil
+}
+
 // addPeers adds the lists of control VMs and keepers, unless the gate has them.
 // Twice a second to each gate they would be most of the answers' bytes.
 func (s *Service) addPeers(response *controlapi.FollowResponse, known uint64) {
--- a/internal/control/service.go
+++ b/internal/control/service.go
@@ -75,6 +75,7 @@
 	epoch   string
 	started time.Time
 	journal *journal
+	packed  packedRoutes
 
 	mu        sync.Mutex // guards what follows
 	table     *roster.Table
--- a/internal/gate/follow/follower.go
+++ b/internal/gate/follow/follower.go
@@ -267,7 +267,7 @@
 	defer f.mu.Unlock()
 	f.gate.Sequence++
 	request := &controlapi.FollowRequest{
-		Gate: f.gate, Routes: f.Routes().Version(), Epoch: f.epoch, Since: f.since, Wait: callWait, Peers: f.peers,
+		Gate: f.gate, Routes: f.Routes().Version(), Epoch: f.epoch, Since: f.since, Wait: callWait, Peers: f.peers, TakesPacked: true,
 	}
 	if time.Since(f.wholeAt) >= wholeInterval {
 		request.Epoch, request.Since = "", 0
@@ -278,8 +278,8 @@
 // take takes in an answer. One goroutine at a time may call it.
 func (f *Follower) take(address string, asked *controlapi.FollowRequest, response *controlapi.FollowResponse) {
 	f.heard.Store(int64(time.Since(f.start)))
-	if response.Routes != nil {
-		f.takeRoutes(address, response.Routes)
+	if document := f.document(address, response); document != nil {
+		f.takeRoutes(address, document)
 	}
 	whole := asked.Since == 0 || response.Epoch != asked.Epoch
 	f.takeReplicas(address, &response.Changes, whole)
@@ -308,6 +308,20 @@
 	}
 }
 
+// document gives the routes of an answer; nil if there are none. Those that cannot be
+// unpacked are asked for again with the next question.
+func (f *Follower) document(address string, response *controlapi.FollowResponse) *routes.Document {
+	if len(response.Packed) == 0 {
+		return response.Routes
+	}
+	document, err := response.Packed.Unpack()
+	if err != nil {
+		f.options.Log.Warn("routes not taken", zap.String("control", address), zap.Error(err))
+		return nil
+	}
+	return document
+}
+
 // takeRoutes puts newer routes in force. A control VM that lags behind, or has
 // started anew, never takes a gate back to older ones.
 func (f *Follower) takeRoutes(address string, document *routes.Document) {
--- a/internal/keeper/command.go
+++ b/internal/keeper/command.go
@@ -16,8 +16,9 @@
 	Acquire *acquireTenure `cbor:"2,keyasint,omitempty"`
 	End     *endTenure     `cbor:"3,keyasint,omitempty"`
 
-	Routes *routes.Document `cbor:"4,keyasint,omitempty"`
+	Routes *routes.Document `cbor:"4,keyasint,omitempty"` // as earlier versions wrote them
 	Retire string           `cbor:"5,keyasint,omitempty"` // VM that is to hold nothing any more
+	Packed routes.Packed    `cbor:"6,keyasint,omitempty"` // routes
 }
 
 // command is an entry in the log of a job group: the time at which it was
--- a/internal/keeper/configmachine.go
+++ b/internal/keeper/configmachine.go
@@ -45,6 +45,8 @@
 		return m.applyTenure(&cmd)
 	case err == nil && cmd.Routes != nil:
 		return m.applyRoutes(cmd.Routes)
+	case err == nil && len(cmd.Packed) > 0:
+		return m.applyPacked(entry.Index, cmd.Packed)
 	case err == nil && cmd.Retire != "":
 		return m.applyRetire(cmd.Retire)
 	default:
@@ -69,6 +71,14 @@
 	return slices.Clone(m.retired)
 }
 
+func (m *ConfigMachine) applyPacked(index uint64, packed routes.Packed) []byte {
+	document, err := packed.Unpack()
+	if err != nil {
+		return codec.MustMarshal(routes.Outcome{Refusal: unreadableCommand(index)})
+	}
+	return m.applyRoutes(document)
+}
+
 func (m *ConfigMachine) applyRoutes(document *routes.Document) []byte {
 	m.mu.Lock()
 	outcome := m.routes.Replace(document)
--- a/internal/keeper/submitcalls.go
+++ b/internal/keeper/submitcalls.go
@@ -13,7 +13,11 @@
 )
 
 func (s *Service) replaceRoutes(ctx context.Context, document *routes.Document) (*routes.Outcome, error) {
-	data, err := s.options.Proposer.Propose(ctx, keeperapi.ConfigGroup, codec.MustMarshal(configCommand{Routes: document}))
+	packed, err := routes.Pack(document)
+	if err != nil {
+		return nil, err
+	}
+	data, err := s.options.Proposer.Propose(ctx, keeperapi.ConfigGroup, codec.MustMarshal(configCommand{Packed: packed}))
 	if err != nil {
 		return nil, err
 	}
