--- /dev/null
+++ b/internal/control/follow_test.go
@@ -0,0 +1,109 @@
+package control_test
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"go.uber.org/zap"
+
+	"slateway.example/slateway/internal/apierr"
+	"slateway.example/slateway/internal/codec"
+	"slateway.example/slateway/internal/control"
+	"slateway.example/slateway/internal/control/controlapi"
+	"slateway.example/slateway/internal/keeper"
+	"slateway.example/slateway/internal/keeper/keeperclient"
+	"slateway.example/slateway/internal/quorum"
+	"slateway.example/slateway/internal/replica"
+	"slateway.example/slateway/internal/roster"
+	"slateway.example/slateway/internal/routes"
+	"slateway.example/slateway/internal/rpc"
+	"slateway.example/slateway/internal/telemetry"
+)
+
+// member is a control VM's part in the groups: it follows a leader, and lags.
+type member struct{ lag time.Duration }
+
+func (m *member) Leader(uint32) (replica.Member, bool) { return replica.Member{ID: 1}, true }
+func (m *member) Lag(uint32) time.Duration             { return m.lag }
+func (m *member) Known() []quorum.Member               { return nil }
+func (m *member) Retire(context.Context, []string) ([]string, error) {
+	return nil, errors.New("not of this test")
+}
+
+// startControl serves one control VM that has applied routes of version 5.
+func startControl(t *testing.T, m *member) (address string, calls *rpc.Client) {
+	t.Helper()
+	config := keeper.NewConfigMachine()
+	packed, err := routes.Pack(&routes.Document{
+		Version: 5, Source: []byte("as it was sent"),
+		Services: []routes.Service{{Name: "wordroom"}},
+		Routes: []routes.Route{{
+			Name: "r", Host: "news.example", Prefix: "/", Kind: routes.Idempotent, Timeout: time.Second, MaxAttempts: 1,
+			Split: []routes.Share{{Service: "wordroom", Weight: 1}},
+		}},
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	config.Apply(replica.Entry{Index: 1, Data: codec.MustMarshal(map[int]any{6: packed})})
+	calls = rpc.NewClient(&http.Client{})
+	service := control.New(control.Options{
+		VM: "control-1", Folder: t.TempDir(), Group: m, Config: config, Calls: calls,
+		Keepers: keeperclient.New(calls, nil), Log: zap.NewNop(), Metrics: telemetry.NewMetrics(),
+		Roster: roster.Config{ReplicaLifetime: time.Minute, GateLifetime: time.Minute}, AnswerLifetime: time.Second, MaxEntries: 8,
+	})
+	mux := http.NewServeMux()
+	service.Mount(mux)
+	server := httptest.NewServer(mux)
+	t.Cleanup(server.Close)
+	return strings.TrimPrefix(server.URL, "http://"), calls
+}
+
+// An operator's change was acknowledged seconds ago, and a caller is still answered by
+// the routes before it: its gate asks a control VM that hears the leader and is sent
+// no entries. The gate must be told to ask another one.
+func TestAControlVMThatLagsSendsItsGatesElsewhere(t *testing.T) {
+	m := &member{}
+	address, calls := startControl(t, m)
+	ask := func() (*controlapi.FollowResponse, error) {
+		ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+		defer cancel()
+		return rpc.Call(ctx, calls, address, controlapi.Follow, &controlapi.FollowRequest{Gate: roster.Gate{VM: "gate-1"}, Routes: 4})
+	}
+	if response, err := ask(); err != nil || response.Routes == nil || response.Routes.Version != 5 {
+		t.Fatalf("got %+v, %v", response, err)
+	}
+	m.lag = 2 * time.Second
+	_, err := ask()
+	if apierr.ReasonOf(err) != controlapi.ReasonNotInTouch {
+		t.Errorf("a control VM that lags answers %v", err)
+	}
+}
+
+// A gate of the version before cannot unpack routes, and is sent them as they are; one
+// that can is sent them packed, without what their operator sent.
+func TestRoutesArePackedForGatesThatTakeIt(t *testing.T) {
+	address, calls := startControl(t, &member{})
+	for _, packed := range []bool{true, false} {
+		response, err := rpc.Call(context.Background(), calls, address, controlapi.Follow,
+			&controlapi.FollowRequest{Gate: roster.Gate{VM: "gate-1"}, Routes: 4, TakesPacked: packed})
+		if err != nil {
+			t.Fatal(err)
+		}
+		if got := len(response.Packed) > 0; got != packed || (response.Routes != nil) == packed {
+			t.Fatalf("takes packed: %t, got packed: %t and routes: %t", packed, got, response.Routes != nil)
+		}
+		if !packed {
+			continue
+		}
+		document, err := response.Packed.Unpack()
+		if err != nil || document.Version != 5 || document.Source != nil {
+			t.Errorf("unpacked %+v, %v", document, err)
+		}
+	}
+}
