--- a/internal/route/batch.go
+++ b/internal/route/batch.go
@@ -4,79 +4,9 @@
 	"slices"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	"slateway.example/slateway/internal/apierr"
 )
 
-// feederOf names the gate that feeds a replica with batch: of the live gates
-// in the replica's place, or of all if there is none, the one with the highest
-// rendezvous score. One feeder for each replica means that one gate knows all
-// batch on it, and that no two gates fill the same free slot.
-func (s *Shard) feederOf(r *replica) string {
-	if feeder := bestGate(s.gates, r.entry.Place, string(r.entry.Replica)); feeder != "" {
-		return feeder
-	}
-	if feeder := bestGate(s.gates, "", string(r.entry.Replica)); feeder != "" {
-		return feeder
-	}
-	return s.config.Self
-}
-
-// bestGate gives the gate with the highest score for the key; an empty place
-// stands for any.
-func bestGate(gates []Gate, place, key string) string {
-	best := ""
-	var bestScore uint64
-	for _, g := range gates {
-		if place != "" && g.Place != place {
-			continue
-		}
-		score := xxhash.Sum64String(g.ID + "\x00" + key)
-		if best == "" || score > bestScore {
-			best, bestScore = g.ID, score
-		}
-	}
-	return best
-}
-
-func (s *Shard) feeds(r *replica) bool {
-	return r.feeder == s.config.Self || s.config.Disabled.Feeder
-}
-
-func (in GatesChanged) apply(s *Shard) {
-	s.gates = slices.Clone(in.Gates)
-	s.chooseFeeders()
-	s.pump()
-}
-
-// chooseFeeders names the feeder of each replica anew.
-//
-// A gate that drains feeds nothing, also in its own eyes. It serves its callers for
-// seconds more, and if it took itself for the feeder, it would tell nobody of their
-// requests: the gates that have turned to another feeder would fill the same slots.
-func (s *Shard) chooseFeeders() {
-	if s.draining && len(s.gates) > 1 {
-		s.gates = slices.DeleteFunc(s.gates, func(g Gate) bool { return g.ID == s.config.Self })
-	}
-	s.stale = true
-	for _, r := range s.replicas {
-		feeder := s.feederOf(r)
-		if feeder != r.feeder {
-			r.fedAt = time.Time{}  // the old feeder's word is void
-			r.toldAt = time.Time{} // and the new one has not been told
-		}
-		r.feeder = feeder
-		if !s.feeds(r) {
-			s.preemptAll(r)
-		}
-		r.usage = slices.DeleteFunc(r.usage, s.isVoid)
-		if len(r.attempts) > 0 {
-			s.tellFeeder(r)
-		}
-	}
-}
-
 func (in Draining) apply(s *Shard) {
 	s.draining = true
 	for _, req := range slices.Clone(s.batch.list) {
@@ -146,46 +76,6 @@
 	return slots - policy.reserve(slots) - s.totalLoad(r)
 }
 
-// spareShare is the part of a replica's slots that items with time to spare leave
-// free when they start: one in eight, and at least one.
-const spareShare = 0.125
-
-// spare gives the slots of a replica beyond its policy in which an item does not
-// start now.
-//
-// It answers online requests that come and go one by one on replicas full of batch.
-// Each of them would stop an item that began a moment ago, whose connection ends and
-// whose prompt is read again, while the request waits until its slot is free. With a
-// slot to spare the request finds one, and the item runs on. An item that is short of
-// time takes each free slot.
-func (s *Shard) spare(req *request, r *replica) int {
-	if !s.hasTime(req) {
-		return 0
-	}
-	return max(1, int(spareShare*float64(s.slots(r))+0.5))
-}
-
-// hasTime says whether an item would be in time if it took twice as long as items
-// like it do.
-func (s *Shard) hasTime(req *request) bool {
-	if req.UsefulUntil.IsZero() || req.late {
-		return false
-	}
-	return s.at.Add(2 * s.itemLead(req)).Before(req.UsefulUntil)
-}
-
-// spareOfNext gives the same for the next item: the first one that waits, else one
-// that is like the last.
-func (s *Shard) spareOfNext(r *replica) int {
-	if s.batch.len() > 0 {
-		s.lastItem = s.batch.list[0]
-	}
-	if s.lastItem == nil {
-		return 0
-	}
-	return s.spare(s.lastItem, r)
-}
-
 // BatchRoom gives the number of batch items that could start now.
 func (s *Shard) BatchRoom(policy Policy) int {
 	if s.draining {
--- a/scripts/ablate.sh
+++ b/scripts/ablate.sh
@@ -38,7 +38,7 @@
     handover) edit internal/gate/routed.go "found.moves(service)," "found.moves(service) && false," ;;
     quiet) edit internal/route/quiet.go "if s.config.StallMin <= 0 || r.health" "if s.config.StallMin > 0 || r.health" ;;
     dial) edit internal/route/dial.go "if l.took.mean == 0 {" "if l.took.mean >= 0 {" ;;
-    spare) edit internal/route/batch.go "if !s.hasTime(req) {" "if true || !s.hasTime(req) {" ;;
+    spare) edit internal/route/spare.go "if !s.hasTime(req) {" "if true || !s.hasTime(req) {" ;;
     late) edit internal/route/queue.go "if !r.late && !r.delivered" "if false && !r.late && !r.delivered" ;;
     stranded) edit internal/route/stranded.go "if s.draining || s.batch.len() == 0 {" "if s.draining || s.batch.len() >= 0 {" ;;
     affinity) edit internal/route/pick.go "if req.Prefix == 0 || sampled == nil {" "if req.Prefix >= 0 || sampled == nil {" ;;
