A new feeder is told of the requests that wait for a word

Found by reading: when the feeder of a replica changes, requests that waited for the old one's word were not told to the new one, and were sent only when the wait was over. Red before: the new feeder knows of 0 requests. Names and long comments mended on the way.

--- a/internal/account/ledger.go
+++ b/internal/account/ledger.go
@@ -51,7 +51,7 @@
 // Read takes in the lines of one process, in their order. VM is the process's name
 // where its lines do not say it.
 func (l *Ledger) Read(vm string, from io.Reader) error {
-	process := &process{ledger: l, vm: vm, attempts: map[uint64]string{}}
+	process := &process{ledger: l, vm: vm}
 	err := read(vm, from, process.take, l.noteForeign)
 	process.end()
 	return err
@@ -66,9 +66,8 @@
 
 // process is one process's file while it is read.
 type process struct {
-	ledger   *Ledger
-	vm       string
-	attempts map[uint64]string // request of each attempt that runs
+	ledger *Ledger
+	vm     string
 }
 
 func (p *process) take(in *line) {
--- a/internal/route/handover.go
+++ b/internal/route/handover.go
@@ -8,8 +8,8 @@
 //
 // Failure guarded against: as for answers that can be resumed, a packet between
 // replica and gate is lost, and the text stands still until TCP sends it again. Sent
-// once more, the request would run twice. The engine copies the memory to another replica, so that
-// the answer goes on there if that has room, and else where it was.
+// once more, the request would run twice. The engine copies the memory to another
+// replica, so that the answer goes on there, or where it was if that failed.
 func (s *Shard) handOver(a *attempt) {
 	to := s.handOverTo(a)
 	if to == nil || !s.budget.take(hedgeReserve*s.config.RetryReserve*startShare) {
@@ -22,7 +22,7 @@
 
 func (s *Shard) askHandOver(a *attempt, to *replica) {
 	a.handedTo = to
-	a.noRoomAt = append(a.noRoomAt, to)
+	a.offeredTo = append(a.offeredTo, to)
 	s.emit(HandOver{ID: a.req.ID, Attempt: a.id, From: &a.on.entry.Announcement, To: &to.entry.Announcement})
 }
 
@@ -43,7 +43,7 @@
 			if r.entry.Place != a.on.entry.Place {
 				free -= s.slots(r) // any of the place goes first
 			}
-			mayTake := r != a.on && s.mayServe(a.req, r) && !slices.Contains(a.noRoomAt, r)
+			mayTake := r != a.on && s.mayServe(a.req, r) && !slices.Contains(a.offeredTo, r)
 			if mayTake && (best == nil || free > bestFree) {
 				best, bestFree = r, free
 			}
@@ -65,7 +65,7 @@
 	case a.broke:
 		s.failed(a, CauseBroken)
 		s.pump()
-	case in.NoRoom && len(a.noRoomAt) < maxHandOvers && s.isOverdue(a):
+	case in.NoRoom && len(a.offeredTo) < maxHandOvers && s.isOverdue(a):
 		if next := s.handOverTo(a); next != nil {
 			s.askHandOver(a, next)
 		}
--- a/internal/route/place.go
+++ b/internal/route/place.go
@@ -126,6 +126,8 @@
 		switch {
 		case !s.takesWork(p.on):
 			s.placeElsewhere(p)
+		case s.feeds(p.on): // since a moment ago
+			s.sendPlaced(p)
 		case waited >= s.config.PlaceWait:
 			p.on.muteUntil = s.at.Add(muteTime)
 			s.count(ReasonPlaceUnconfirmed)
--- a/internal/route/place_test.go
+++ b/internal/route/place_test.go
@@ -308,3 +308,32 @@
 		t.Errorf("%d requests of a gate count that is gone", fed.Online)
 	}
 }
+
+// Who feeds a replica changes while a request waits for the word on its slot. The new
+// feeder has not heard of it, and must be told.
+func TestANewFeederIsToldOfRequestsThatWait(t *testing.T) {
+	c := newCrowd(3, 1, 40*time.Millisecond)
+	old := c.gate(c.gates[0].shard.Replicas()[0].Feeder)
+	var rest []route.Gate
+	for _, g := range c.gates {
+		if g != old {
+			rest = append(rest, route.Gate{ID: g.id, Place: "mid-a"})
+		}
+	}
+	asked := newCrowd(3, 1, 0).gate(rest[0].ID) // of another crowd with the same names
+	c.step(asked, route.GatesChanged{Gates: rest})
+	feeder := c.gate(asked.shard.Replicas()[0].Feeder)
+	waiting := c.gate(rest[slices.IndexFunc(rest, func(g route.Gate) bool { return g.ID != feeder.id })].ID)
+	id := requestAt(c.now, 1)
+	c.step(waiting, route.Arrive{Request: route.Request{ID: id, Class: route.Online, Deadline: c.now.Add(time.Second)}})
+	c.mail = nil // what was said to the old feeder is lost with it
+	c.step(feeder, route.GatesChanged{Gates: rest})
+	c.step(waiting, route.GatesChanged{Gates: rest})
+	c.play(0, 5*time.Millisecond)
+	if len(waiting.sent) != 1 {
+		t.Error("not sent at the new feeder's word")
+	}
+	if fed := feeder.shard.FedNow("r0"); fed.Online != 1 {
+		t.Errorf("the new feeder knows of %d requests", fed.Online)
+	}
+}
--- a/internal/route/shard.go
+++ b/internal/route/shard.go
@@ -84,16 +84,16 @@
 
 // attempt is one try of a request on one replica.
 type attempt struct {
-	id       AttemptID
-	req      *request
-	on       *replica
-	started  time.Time
-	progress time.Time // when anything last arrived
-	tokens   int
-	queued   bool       // it may have to wait for a slot of the replica
-	handedTo *replica   // it is being handed over, to this replica if that has room
-	broke    bool       // its connection ended meanwhile
-	noRoomAt []*replica // it was offered to these
+	id        AttemptID
+	req       *request
+	on        *replica
+	started   time.Time
+	progress  time.Time // when anything last arrived
+	tokens    int
+	queued    bool       // it may have to wait for a slot of the replica
+	handedTo  *replica   // it is being handed over, to this replica if that has room
+	broke     bool       // its connection ended meanwhile
+	offeredTo []*replica // replicas that were asked to take it over
 }
 
 // NewShard makes a shard. The same config, seed and inputs give the same
