Ask for a slot anew when the word that a replica is full has become old

Change: a request that finds no room may ask the feeder of a replica whose word is over 0.25 s old. A first answer that does not come within half of its caller's time is a matter of the connection: it no longer counts towards the failures that keep a replica out of use for a second.

--- a/internal/account/cause.go
+++ b/internal/account/cause.go
@@ -32,7 +32,7 @@
 	switch reason {
 	case "not_sent", "misdirected":
 		return ReplicaDown
-	case "broken", "silent", "died":
+	case "broken", "silent", "unanswered", "died":
 		return ReplicaDied
 	case "declined", "busy":
 		return ReplicaFull
--- a/internal/route/admission.go
+++ b/internal/route/admission.go
@@ -143,6 +143,7 @@
 // enqueue puts a request among those that wait for a replica.
 func (s *Shard) enqueue(req *request) {
 	req.queuedAt = s.at
+	req.places = 0
 	queue := &s.waiting
 	if req.Class == Batch {
 		queue = &s.batch
--- a/internal/route/failure.go
+++ b/internal/route/failure.go
@@ -27,7 +27,7 @@
 	}
 	req.avoidReplica(r.entry.Replica)
 	s.judge(r, cause)
-	if cause == CauseSilent || (cause == CauseBroken && len(req.live) > 0) {
+	if cause == CauseSilent || cause == CauseUnanswered || (cause == CauseBroken && len(req.live) > 0) {
 		// Not held back, and struck all the same if the replica proves dead.
 		r.orphans = append(r.orphans, req.Fingerprint)
 	}
@@ -52,6 +52,13 @@
 		s.stale = true
 		return
 	}
+	if cause == CauseUnanswered {
+		// The connection has gone silent, which says little of the process: the probe
+		// tells whether that lives.
+		s.suspectReplica(r, Evidence(cause))
+		s.emit(Reset{Replica: r.entry.Replica})
+		return
+	}
 	r.failures++
 	switch cause {
 	case CauseMisdirected:
--- a/internal/route/messages.go
+++ b/internal/route/messages.go
@@ -79,6 +79,9 @@
 	CauseBroken FailureCause = "broken"
 	// CauseSilent: nothing arrived on the connection for too long.
 	CauseSilent FailureCause = "silent"
+	// CauseUnanswered: no first answer came over the connection within half of the
+	// caller's time, though answers usually take less.
+	CauseUnanswered FailureCause = "unanswered"
 	// CauseDied: the replica's process has ended.
 	CauseDied FailureCause = "died"
 	// CauseSuspect: the attempt was stopped, since another copy of a suspect
--- a/internal/route/pick.go
+++ b/internal/route/pick.go
@@ -89,7 +89,13 @@
 
 // fits says whether the replica may run the request now.
 func (s *Shard) fits(req *request, r *replica) bool {
-	if !s.mayServe(req, r) || !s.hasRoom(r) {
+	if !s.mayServe(req, r) {
+		return false
+	}
+	if s.mayAsk(req, r) {
+		return !s.isSuspect(req) || !s.sharesTrial(r)
+	}
+	if !s.hasRoom(r) {
 		return false
 	}
 	if req.late && !s.hasSlot(r) {
--- a/internal/route/place.go
+++ b/internal/route/place.go
@@ -32,6 +32,9 @@
 	lightLoad = 0.5
 	// freshWord is how long the word on a lightly loaded replica suffices.
 	freshWord = 100 * time.Millisecond
+	// oldWord is how old a word is that is asked for anew: some of the answers that ran
+	// then have ended. It also bounds how often a gate asks in vain.
+	oldWord = 250 * time.Millisecond
 	// wordLifetime is how long a word says more of a replica than the words on the
 	// others: about the time of an answer, after which other requests run there.
 	wordLifetime = time.Second
@@ -46,6 +49,19 @@
 	return !fresh || s.onlineLoad(r) > int(lightLoad*float64(s.slots(r)))
 }
 
+// mayAsk says whether the replica's feeder may be asked for a slot although the
+// replica is believed to be full.
+//
+// Failure guarded against: the word on a replica comes only with this gate's own
+// changes there. A gate that takes all replicas for full makes no changes, so that its
+// callers wait beside slots that have been free for long.
+func (s *Shard) mayAsk(req *request, r *replica) bool {
+	if !s.mustConfirm(req, r) || s.at.Before(r.fullUntil) {
+		return false
+	}
+	return s.at.Sub(r.fedAt) >= oldWord && s.at.Sub(r.toldAt) >= oldWord
+}
+
 // place takes a slot of the replica for the request and tells the feeder.
 func (s *Shard) place(req *request, r *replica) {
 	req.places++
--- a/internal/route/place_test.go
+++ b/internal/route/place_test.go
@@ -337,3 +337,37 @@
 		t.Errorf("the new feeder knows of %d requests", fed.Online)
 	}
 }
+
+// All slots are taken, and callers wait at a gate. The requests of other gates end,
+// and nobody tells it: its callers wait on beside free slots until what it was told
+// last is too old to be believed.
+func TestCallersDoNotWaitBesideSlotsThatOthersHaveLeft(t *testing.T) {
+	c := newCrowd(3, 1, 40*time.Millisecond)
+	feeder := c.gate(c.gates[0].shard.Replicas()[0].Feeder)
+	var others []*crowdGate
+	for _, g := range c.gates {
+		if g != feeder {
+			others = append(others, g)
+		}
+	}
+	const many = crowdSlots + crowdSlots/4 // with what an engine's queue is sent
+	for n := range many {
+		id := requestAt(c.now, n)
+		c.step(others[0], route.Arrive{Request: route.Request{
+			ID: id, Class: route.Online, Deadline: c.now.Add(5 * time.Second), Fingerprint: upstream.FingerprintOf(id, nil),
+		}})
+		c.play(0, 5*time.Millisecond)
+	}
+	id := requestAt(c.now, many)
+	c.step(others[1], route.Arrive{Request: route.Request{
+		ID: id, Class: route.Online, Deadline: c.now.Add(5 * time.Second), Fingerprint: upstream.FingerprintOf(id, nil),
+	}})
+	came := c.now
+	for len(others[1].sent) == 0 && c.now.Sub(came) < 5*time.Second {
+		c.play(0, 2*crowdTick)
+	}
+	// The last of those in slots has ended by then, and two run.
+	if waited := c.now.Sub(came); waited > longAnswer+100*time.Millisecond {
+		t.Errorf("the request waited %s", waited)
+	}
+}
--- a/internal/route/quiet_test.go
+++ b/internal/route/quiet_test.go
@@ -1,6 +1,7 @@
 package route_test
 
 import (
+	"fmt"
 	"slices"
 	"testing"
 	"time"
@@ -171,3 +172,40 @@
 		t.Errorf("sent %d times, refused %v", a.sent["page"], a.refused["page"])
 	}
 }
+
+// A service answers nothing for two seconds, and is sound again. Requests that looked
+// for their answers meanwhile must not keep its only replica out of use after that.
+func TestAReplicaThatWasSilentIsUsedAgainAtOnce(t *testing.T) {
+	a := newAsking(t, 1)
+	const patience = 1500 * time.Millisecond
+	for _, id := range []string{"a", "b", "c", "d"} {
+		a.arrive(id, true, patience)
+		a.run(30 * time.Millisecond)
+		a.step(route.Finished{Attempt: a.on[id].Attempt})
+	}
+	probed := func() {
+		for _, id := range a.probes {
+			a.step(route.Probed{Replica: id, Alive: true})
+		}
+		a.probes = nil
+	}
+	for n := range 2 {
+		for i := range 4 {
+			a.arrive(fmt.Sprint("unanswered-", n, "-", i), true, patience)
+		}
+		for left := a.now.Add(patience); a.now.Before(left); {
+			a.run(25 * time.Millisecond)
+			probed()
+		}
+		for i := range 4 {
+			a.step(route.Abandon{ID: fmt.Sprint("unanswered-", n, "-", i)})
+		}
+	}
+	a.arrive("page", true, patience)
+	a.run(25 * time.Millisecond)
+	probed()
+	a.run(25 * time.Millisecond)
+	if a.sent["page"] != 1 {
+		t.Errorf("sent %d times, refused %v", a.sent["page"], a.refused["page"])
+	}
+}
--- a/internal/route/tick.go
+++ b/internal/route/tick.go
@@ -54,11 +54,20 @@
 	for _, a := range slices.Clone(r.attempts) {
 		if s.attempts[a.id] != nil && isSilent(a) {
 			s.emit(Cancel{ID: a.req.ID, Attempt: a.id, Cause: CancelSilent})
-			s.failed(a, CauseSilent)
+			s.failed(a, s.silenceOf(a))
 		}
 	}
 }
 
+// silenceOf tells a first answer that is looked for over another connection from the
+// silence of a replica.
+func (s *Shard) silenceOf(a *attempt) FailureCause {
+	if a.tokens == 0 && s.at.Sub(a.progress) < s.firstLimit(a) {
+		return CauseUnanswered
+	}
+	return CauseSilent
+}
+
 // askIfQuiet probes an engine on which a stream is quiet, well before the
 // stream's own timeout: a frozen process is found soon, and a busy one is left
 // alone.
@@ -87,14 +96,25 @@
 
 func (s *Shard) silenceLimit(a *attempt) time.Duration {
 	switch {
-	case a.on.entry.Kind == upstream.KindService:
-		return s.patienceLimit(a, s.config.ServiceTimeout)
-	case a.tokens > 0:
+	case a.tokens > 0 && a.on.entry.Kind != upstream.KindService:
 		return s.config.TokenTimeout
+	case a.queued:
+		return s.firstLimit(a)
+	default:
+		return s.patienceLimit(a, s.firstLimit(a))
+	}
+}
+
+// firstLimit is how long a first answer, or the whole one of a plain service, may take
+// at most.
+func (s *Shard) firstLimit(a *attempt) time.Duration {
+	switch {
+	case a.on.entry.Kind == upstream.KindService:
+		return s.config.ServiceTimeout
 	case a.queued:
 		return queuedFactor * s.config.FirstTimeout
 	default:
-		return s.patienceLimit(a, s.config.FirstTimeout)
+		return s.config.FirstTimeout
 	}
 }
 
