The account of items does not depend on the order of the logs

Cause: an item was closed at the line of its success. Read from the last gate to the first, the lines of an earlier gate opened it anew, and it counted as ended and as unfinished. Change: some counts of each item are held until the report. The test reads both orders, and has an item that was run twice from its start.

Also, from reading the package anew: one type for a lost attempt and the verdict of a request; fields that nothing read; the report's tables written by one function, with a test of its own; the plot's legend at the left, where it covers no bars.

--- a/internal/account/account_test.go
+++ b/internal/account/account_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"regexp"
 	"strings"
 	"testing"
 	"time"
@@ -41,6 +42,16 @@
 	g.line("request answered", fmt.Sprintf(`"request_id":%q,"first":%q,"longest_pause":%q,"after":"900ms"`, id, first, pause))
 }
 
+// tried is an attempt that is answered.
+func (g *gateLog) tried(id string, number int, replica, queued, first, pause string) {
+	g.attempt(id, number, replica, queued)
+	g.answered(id, first, pause)
+}
+
+func (g *gateLog) refused(id, reason, after string) {
+	g.line("request refused", fmt.Sprintf(`"request_id":%q,"reason":%q,"after":%q`, id, reason, after))
+}
+
 func (g *gateLog) account(t *testing.T) *account.Report {
 	ledger := account.NewLedger(0)
 	if err := ledger.Read("gate-1", strings.NewReader(g.text.String())); err != nil {
@@ -56,40 +67,25 @@
 		cause account.Cause
 		write func(id string)
 	}{
-		{account.InTime, func(id string) {
-			g.attempt(id, 1, "i-1", "0s")
-			g.answered(id, "50ms", "30ms")
-		}},
-		{account.Queued, func(id string) {
-			g.attempt(id, 2, "i-1", "400ms")
-			g.answered(id, "450ms", "30ms")
-		}},
+		{account.InTime, func(id string) { g.tried(id, 1, "i-1", "0s", "50ms", "30ms") }},
+		{account.Queued, func(id string) { g.tried(id, 2, "i-1", "400ms", "450ms", "30ms") }},
+		{account.AtReplica, func(id string) { g.tried(id, 3, "i-3", "10ms", "400ms", "30ms") }},
+		{account.Stalled, func(id string) { g.tried(id, 4, "i-3", "0s", "40ms", "300ms") }},
 		{account.ReplicaDown, func(id string) {
-			g.attempt(id, 3, "i-2", "0s")
-			g.failed(id, 3, "i-2", "not_sent", "700ms")
-			g.attempt(id, 4, "i-1", "0s")
-			g.answered(id, "760ms", "30ms")
-		}},
-		{account.ReplicaDied, func(id string) {
 			g.attempt(id, 5, "i-2", "0s")
-			g.failed(id, 5, "i-2", "silent", "2s")
-			g.line("request refused", fmt.Sprintf(`"request_id":%q,"reason":"upstream_failed","after":"2.1s"`, id))
-		}},
-		{account.AtReplica, func(id string) {
-			g.attempt(id, 6, "i-3", "10ms")
-			g.answered(id, "400ms", "30ms")
+			g.failed(id, 5, "i-2", "not_sent", "700ms")
+			g.tried(id, 6, "i-1", "0s", "760ms", "30ms")
 		}},
-		{account.Stalled, func(id string) {
-			g.attempt(id, 7, "i-3", "0s")
-			g.answered(id, "40ms", "300ms")
+		{account.ReplicaDied, func(id string) {
+			g.attempt(id, 7, "i-2", "0s")
+			g.failed(id, 7, "i-2", "silent", "2s")
+			g.refused(id, "upstream_failed", "2.1s")
 		}},
 		{account.Cut, func(id string) {
 			g.attempt(id, 8, "i-3", "0s")
 			g.line("answer broken off", fmt.Sprintf(`"request_id":%q,"reason":"upstream_failed","after":"300ms"`, id))
 		}},
-		{account.RefusedPrefix + "queue_full", func(id string) {
-			g.line("request refused", fmt.Sprintf(`"request_id":%q,"reason":"queue_full","after":"0s"`, id))
-		}},
+		{account.RefusedPrefix + "queue_full", func(id string) { g.refused(id, "queue_full", "0s") }},
 		{account.GateLost, func(id string) { g.attempt(id, 9, "i-3", "0s") }},
 	}
 	for i, c := range cases {
@@ -125,23 +121,55 @@
 	}
 }
 
+func TestTheReportIsWritten(t *testing.T) {
+	g := newGateLog()
+	g.routed("in-time")
+	g.tried("in-time", 1, "i-1", "0s", "50ms", "30ms")
+	g.routed("late")
+	g.tried("late", 2, "i-2", "0s", "400ms", "30ms")
+	g.text.WriteString("not of ours\n")
+	var out strings.Builder
+	if err := g.account(t).Write(&out); err != nil {
+		t.Fatal(err)
+	}
+	for _, want := range []string{
+		`2 requests, 1 in time`,
+		`1 +400ms +400ms +letters +waited at the replica`,
+		`1 +400ms +400ms +i-2 +waited at the replica`,
+		`1 lines not read`,
+	} {
+		if !regexp.MustCompile(want).MatchString(out.String()) {
+			t.Errorf("no %q in:\n%s", want, out.String())
+		}
+	}
+}
+
+// A gate that is stopped gives an item back, and another one ends it. Whoever is on
+// call names the logs in any order; read from the last gate to the first, the item
+// counted as ended and, by the first gate's lines, as unfinished too.
 func TestItemsAreJoinedOverGates(t *testing.T) {
 	first, second := newGateLog(), newGateLog()
 	first.attempt("job/item", 1, "i-1", "0s")
 	first.line("attempt stopped", `"request_id":"job/item","attempt":1,"reason":"preempted","after":"80ms"`)
 	first.line("item ends", `"request_id":"item","job":"job","outcome":"given_back","reached":4,"late":"0s"`)
+	first.attempt("job/again", 2, "i-1", "0s")
 	second.line("attempt", `"request_id":"job/item","attempt":1,"kind":"first","upstream":"i-2","resume":true`)
 	second.line("item ends", `"request_id":"item","job":"job","outcome":"succeeded","reached":200,"late":"2s"`)
-	second.attempt("job/other", 2, "i-2", "0s")
-	ledger := account.NewLedger(0)
-	for name, g := range map[string]*gateLog{"gate-1": first, "gate-2": second} {
-		if err := ledger.Read(name, strings.NewReader(g.text.String())); err != nil {
-			t.Fatal(err)
+	second.attempt("job/again", 2, "i-2", "0s")
+	second.line("item ends", `"request_id":"again","job":"job","outcome":"succeeded","reached":200,"late":"0s"`)
+	second.attempt("job/other", 3, "i-2", "0s")
+	for _, order := range [][]*gateLog{{first, second}, {second, first}} {
+		ledger := account.NewLedger(0)
+		for i, g := range order {
+			if err := ledger.Read(fmt.Sprint("gate-", i), strings.NewReader(g.text.String())); err != nil {
+				t.Fatal(err)
+			}
+		}
+		b := ledger.Report().Batch
+		if b.Items != 2 || b.Late != 1 || b.Runs != 4 || b.SeveralRuns != 2 || b.Anew != 1 || b.Stopped != 1 || b.Unfinished != 1 ||
+			b.MedianStopped != 80*time.Millisecond {
+			t.Errorf("%+v", b)
 		}
-	}
-	b := ledger.Report().Batch
-	if b.Items != 1 || b.Late != 1 || b.Runs != 2 || b.SeveralRuns != 1 || b.Stopped != 1 || b.Unfinished != 1 || b.MedianStopped != 80*time.Millisecond {
-		t.Errorf("%+v", b)
 	}
 }
 
--- a/internal/account/cause.go
+++ b/internal/account/cause.go
@@ -51,18 +51,11 @@
 	waited   time.Duration
 
 	queued  time.Duration
-	lost    []lostTry
-	current *line // the attempt that runs
+	lost    []verdict // attempts that gave no answer
+	current *line     // the attempt that runs
 }
 
-// lostTry is an attempt that gave no answer.
-type lostTry struct {
-	cause   Cause
-	replica string
-	took    time.Duration
-}
-
-// verdict is what became of a request.
+// verdict is what became of a request, or of an attempt that gave no answer.
 type verdict struct {
 	cause   Cause
 	replica string        // where the time went, if at a replica
@@ -106,7 +99,7 @@
 	rest := first - r.queued
 	for _, try := range r.lost {
 		rest -= try.took
-		consider(verdict(try))
+		consider(try)
 	}
 	consider(verdict{cause: AtReplica, replica: r.replica(), took: rest})
 	return longest
@@ -118,7 +111,7 @@
 	result := verdict{cause: otherwise, replica: r.replica(), took: after}
 	for _, try := range r.lost {
 		if 2*try.took > after {
-			result = verdict(try)
+			result = try
 		}
 	}
 	return result
--- a/internal/account/ledger.go
+++ b/internal/account/ledger.go
@@ -7,8 +7,9 @@
 	"time"
 )
 
-// Ledger takes in log lines and keeps the account. Only requests that have not ended
-// are held one by one, so that its size does not grow with the logs.
+// Ledger takes in log lines and keeps the account. Requests are held one by one only
+// until they end. Of batch items some counts each are held to the end: several gates
+// run an item, and their logs may be read in any order.
 type Ledger struct {
 	pause time.Duration
 	open  map[requestKey]*request
@@ -17,7 +18,7 @@
 	start   time.Time // of the first line
 	rows    map[rowKey]*Row
 	seconds map[secondKey]int
-	batch   Batch
+	batch   Batch // of runs; what is counted by item comes with the report
 	foreign []LineError
 	unread  int
 }
@@ -146,7 +147,7 @@
 	if in.Message == msgStopped && in.Reason != "silent" && in.Reason != "died" {
 		return
 	}
-	r.lost = append(r.lost, lostTry{cause: causeOfFailure(in.Reason), replica: in.Upstream, took: time.Duration(in.After)})
+	r.lost = append(r.lost, verdict{cause: causeOfFailure(in.Reason), replica: in.Upstream, took: time.Duration(in.After)})
 }
 
 func (p *process) close(key requestKey, r *request, v verdict) {
@@ -181,9 +182,10 @@
 
 // item is what the lines say of a batch item.
 type item struct {
-	runs    int
-	reached int
-	anew    int // runs that began at the start after another had made something
+	runs   int
+	starts int // of them, runs from the start of the answer
+	done   bool
+	late   bool
 }
 
 func (l *Ledger) takeItem(id string, in *line) {
@@ -194,43 +196,53 @@
 	}
 	switch in.Message {
 	case msgAttempt:
-		if found.runs > 0 && !in.Resume {
-			found.anew++
-		}
 		found.runs++
+		if !in.Resume {
+			found.starts++
+		}
 	case msgStopped:
 		l.batch.Stopped++
 		l.batch.lengths = append(l.batch.lengths, time.Duration(in.After))
 	case msgFailed:
 		l.batch.Failed++
 	case msgItemEnds:
-		l.itemEnds(id, in, found)
+		if in.Outcome == "succeeded" { // otherwise another gate goes on with it, or it has failed
+			found.done = true
+			found.late = found.late || in.Late > 0
+		}
 	}
 }
 
-func (l *Ledger) itemEnds(id string, in *line, found *item) {
-	found.reached = max(found.reached, in.Reached)
-	if in.Outcome != "succeeded" {
-		return // another gate goes on with it, or it has failed
+// batchNow gives the account of the items so far.
+func (l *Ledger) batchNow() Batch {
+	b := l.batch
+	for _, found := range l.items {
+		b.count(found)
+	}
+	b.lengths = slices.Sorted(slices.Values(b.lengths))
+	b.MedianStopped = middle(b.lengths)
+	return b
+}
+
+func (b *Batch) count(i *item) {
+	if !i.done {
+		b.Unfinished++
+		return
 	}
-	delete(l.items, id)
-	l.batch.Items++
-	l.batch.Runs += found.runs
-	l.batch.Anew += found.anew
-	if found.runs > 1 {
-		l.batch.SeveralRuns++
+	b.Items++
+	b.Runs += i.runs
+	b.Anew += max(0, i.starts-1)
+	if i.runs > 1 {
+		b.SeveralRuns++
 	}
-	if in.Late > 0 {
-		l.batch.Late++
+	if i.late {
+		b.Late++
 	}
 }
 
 // Report gives the account so far.
 func (l *Ledger) Report() *Report {
-	report := &Report{Start: l.start, Batch: l.batch, Unread: l.unread, Foreign: l.foreign}
-	report.Batch.Unfinished = len(l.items)
-	slices.Sort(report.Batch.lengths)
-	report.Batch.MedianStopped = middle(report.Batch.lengths)
+	report := &Report{Start: l.start, Batch: l.batchNow(), Unread: l.unread, Foreign: l.foreign}
 	for _, row := range l.rows {
 		report.Rows = append(report.Rows, *row)
 	}
--- a/internal/account/line.go
+++ b/internal/account/line.go
@@ -48,21 +48,19 @@
 	Job      string    `json:"job"` // of an item's lines that name it by its own ID
 	VM       string    `json:"vm"`
 	Route    string    `json:"route"`
-	Target   duration  `json:"target"`        // until when the first event is of full use
-	MaxPause duration  `json:"pause"`         // between events, of full use
-	Waited   duration  `json:"waited"`        // the caller, before this request
-	Attempt  uint64    `json:"attempt"`       // number within the gate
-	Upstream string    `json:"upstream"`      // a replica
-	Queued   duration  `json:"queued"`        // in the gate, before the attempt
-	Resume   bool      `json:"resume"`        // the attempt goes on where the last one was
-	Reason   string    `json:"reason"`        //
-	After    duration  `json:"after"`         //
-	Status   int       `json:"status"`        // of an answer
-	First    duration  `json:"first"`         // from the request to the first event; 0: it was no stream
-	Pause    duration  `json:"longest_pause"` //
-	Outcome  string    `json:"outcome"`       // of an item
-	Reached  int       `json:"reached"`       // events of an item's answer
-	Late     duration  `json:"late"`          // an item, after its job was due
+	Target   duration  `json:"target"`   // until when the first event is of full use
+	MaxPause duration  `json:"pause"`    // between events, of full use
+	Waited   duration  `json:"waited"`   // the caller, before this request
+	Upstream string    `json:"upstream"` // a replica
+	Queued   duration  `json:"queued"`   // in the gate, before the attempt
+	Resume   bool      `json:"resume"`   // the attempt goes on where the last one was
+	Reason   string    `json:"reason"`
+	After    duration  `json:"after"`
+	Status   int       `json:"status"` // of an answer
+	First    duration  `json:"first"`  // from the request to the first event; 0: it was no stream
+	Pause    duration  `json:"longest_pause"`
+	Outcome  string    `json:"outcome"` // of an item
+	Late     duration  `json:"late"`    // an item, after its job was due
 }
 
 // maxLineBytes bounds a line; the longest of the product have a few KB.
--- a/internal/account/plot.go
+++ b/internal/account/plot.go
@@ -24,6 +24,7 @@
 	p.X.Label.Text = "second"
 	p.Y.Label.Text = "requests"
 	p.Legend.Top = true
+	p.Legend.Left = true
 	var below *plotter.BarChart
 	for i, cause := range r.losses() {
 		bars, err := plotter.NewBarChart(r.perSecond(cause), barWidth)
--- a/internal/account/report.go
+++ b/internal/account/report.go
@@ -25,8 +25,8 @@
 	Route    string        `json:"route,omitempty"`
 	Replica  string        `json:"replica,omitempty"`
 	Requests int           `json:"requests"`
-	Took     time.Duration `json:"took_ns"`    // all of them together, by their cause
-	Longest  time.Duration `json:"longest_ns"` //
+	Took     time.Duration `json:"took_ns"` // all of them together, by their cause
+	Longest  time.Duration `json:"longest_ns"`
 }
 
 // Second counts the requests with one cause that came within one second.
@@ -101,33 +101,46 @@
 
 // Write prints the account as tables.
 func (r *Report) Write(out io.Writer) error {
-	all, inTime := r.Requests()
 	table := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
-	fmt.Fprintf(table, "%d requests, %d in time\n\n", all, inTime)
-	fmt.Fprint(table, "REQUESTS\tMEAN\tLONGEST\tROUTE\tCAUSE\n")
-	for _, row := range r.by(func(row *Row) Row { return Row{Cause: row.Cause, Route: row.Route} }) {
-		fmt.Fprintf(table, "%d\t%s\t%s\t%s\t%s\n", row.Requests, mean(&row), round(row.Longest), row.Route, row.Cause)
+	all, inTime := r.Requests()
+	fmt.Fprintf(table, "%d requests, %d in time\n", all, inTime)
+	byRoute := r.by(func(row *Row) Row { return Row{Cause: row.Cause, Route: row.Route} })
+	writeRows(table, "ROUTE", byRoute, func(row *Row) string { return row.Route })
+	writeRows(table, "REPLICA", r.byReplica(), func(row *Row) string { return row.Replica })
+	r.Batch.write(table)
+	r.writeUnread(table)
+	return table.Flush()
+}
+
+// byReplica joins the rows that name a replica, the most frequent first.
+func (r *Report) byReplica() []Row {
+	rows := r.by(func(row *Row) Row { return Row{Cause: row.Cause, Replica: row.Replica} })
+	rows = slices.DeleteFunc(rows, func(row Row) bool { return row.Replica == "" })
+	return rows[:min(len(rows), mostReplicas)]
+}
+
+func writeRows(table io.Writer, heading string, rows []Row, name func(*Row) string) {
+	fmt.Fprintf(table, "\nREQUESTS\tMEAN\tLONGEST\t%s\tCAUSE\n", heading)
+	for i := range rows {
+		row := &rows[i]
+		fmt.Fprintf(table, "%d\t%s\t%s\t%s\t%s\n", row.Requests, mean(row), round(row.Longest), name(row), row.Cause)
 	}
-	fmt.Fprint(table, "\nREQUESTS\tMEAN\tLONGEST\tREPLICA\tCAUSE\n")
-	listed := 0
-	for _, row := range r.by(func(row *Row) Row { return Row{Cause: row.Cause, Replica: row.Replica} }) {
-		if row.Replica == "" || listed == mostReplicas {
-			continue
-		}
-		listed++
-		fmt.Fprintf(table, "%d\t%s\t%s\t%s\t%s\n", row.Requests, mean(&row), round(row.Longest), row.Replica, row.Cause)
+}
+
+func (b *Batch) write(table io.Writer) {
+	fmt.Fprint(table, "\nBATCH ITEMS\tLATE\tUNFINISHED\tRUNS\tOF SEVERAL RUNS\tANEW\tRUNS STOPPED\tMEDIAN LENGTH\tRUNS FAILED\n")
+	fmt.Fprintf(table, "%d\t%d\t%d\t%d\t%d\t%d\t%d\t%s\t%d\n", b.Items, b.Late, b.Unfinished, b.Runs, b.SeveralRuns, b.Anew,
+		b.Stopped, round(b.MedianStopped), b.Failed)
+}
+
+func (r *Report) writeUnread(table io.Writer) {
+	if r.Unread == 0 {
+		return
 	}
-	b := &r.Batch
-	fmt.Fprintf(table, "\nBATCH ITEMS\tLATE\tUNFINISHED\tRUNS\tOF SEVERAL RUNS\tANEW\tRUNS STOPPED\tMEDIAN LENGTH\tRUNS FAILED\n")
-	fmt.Fprintf(table, "%d\t%d\t%d\t%d\t%d\t%d\t%d\t%s\t%d\n", b.Items, b.Late, b.Unfinished, b.Runs, b.SeveralRuns, b.Anew, b.Stopped,
-		round(b.MedianStopped), b.Failed)
-	if r.Unread > 0 {
-		fmt.Fprintf(table, "\n%d lines not read:\n", r.Unread)
-		for _, line := range r.Foreign {
-			fmt.Fprintln(table, line.Error())
-		}
+	fmt.Fprintf(table, "\n%d lines not read:\n", r.Unread)
+	for _, line := range r.Foreign {
+		fmt.Fprintln(table, line.Error())
 	}
-	return table.Flush()
 }
 
 func mean(row *Row) time.Duration { return round(row.Took / time.Duration(row.Requests)) }
