--- a/internal/route/admission.go
+++ b/internal/route/admission.go
@@ -140,9 +140,12 @@
 	return apierr.RanNo
 }
 
-// enqueue puts a request among those that wait for a replica.
+// enqueue puts a request among those that wait for a replica. One that has only been
+// offered a slot in vain goes on waiting.
 func (s *Shard) enqueue(req *request) {
-	req.queuedAt = s.at
+	if req.queuedAt.IsZero() {
+		req.queuedAt = s.at
+	}
 	req.places = 0
 	queue := &s.waiting
 	if req.Class == Batch {
--- a/internal/route/attempt.go
+++ b/internal/route/attempt.go
@@ -1,6 +1,8 @@
 package route
 
 import (
+	"time"
+
 	"slateway.example/slateway/internal/apierr"
 	"slateway.example/slateway/internal/upstream"
 )
@@ -23,11 +25,23 @@
 	resume := req.tokens > 0 && r.entry.CanResume && (req.Resumable || memory != "")
 	s.emit(Dispatch{
 		ID: req.ID, Attempt: a.id, Kind: kind, Target: &r.entry.Announcement, Resume: resume, Memory: memory,
-		Queued: s.at.Sub(req.queuedAt), Behind: req.behind, Places: req.places,
+		Queued: s.waited(req), Behind: req.behind, Places: req.places,
 	})
-	if req.Class == Online {
-		s.yieldSlots(r, req.ID)
+	req.queuedAt, req.behind, req.places = time.Time{}, 0, 0
+	if req.Class == Batch {
+		s.lastItem = req
+		return
+	}
+	s.yieldSlots(r, req.ID)
+}
+
+// waited is how long the request has waited for the attempt that begins now; 0 if it
+// goes on at once after another one, or beside it.
+func (s *Shard) waited(req *request) time.Duration {
+	if req.queuedAt.IsZero() {
+		return 0
 	}
+	return s.at.Sub(req.queuedAt)
 }
 
 func (s *Shard) countOn(r *replica, class Class, by int) {
--- a/internal/route/failure.go
+++ b/internal/route/failure.go
@@ -8,7 +8,11 @@
 
 func (in Failed) apply(s *Shard) {
 	a := s.attempts[in.Attempt]
-	if a == nil || a.breaksByHandOver(in.Cause) {
+	if a == nil {
+		return
+	}
+	if a.handedTo != nil && in.Cause == CauseBroken {
+		a.broke = true // maybe since its run was stopped; what comes of that decides
 		return
 	}
 	s.failed(a, in.Cause)
--- a/internal/route/feeder.go
+++ b/internal/route/feeder.go
@@ -69,7 +69,7 @@
 			s.preemptAll(r)
 		}
 		r.usage = slices.DeleteFunc(r.usage, s.isVoid)
-		if len(r.attempts) > 0 || r.placing > 0 {
+		if len(r.attempts) > 0 || s.isPlacedOn(r) {
 			s.tellFeeder(r)
 		}
 	}
--- a/internal/route/handover.go
+++ b/internal/route/handover.go
@@ -83,10 +83,3 @@
 	req.maybeRan = true
 	s.dispatchFrom(req, on, Resume, in.Memory)
 }
-
-// breaksByHandOver says whether an attempt's connection may have ended because its
-// run was stopped to be handed over. Its end is then judged by what comes of that.
-func (a *attempt) breaksByHandOver(cause FailureCause) bool {
-	a.broke = a.handedTo != nil && cause == CauseBroken
-	return a.broke
-}
--- a/internal/route/handover_test.go
+++ b/internal/route/handover_test.go
@@ -1,7 +1,6 @@
 package route_test
 
 import (
-	"slices"
 	"testing"
 	"time"
 
@@ -9,16 +8,9 @@
 	"slateway.example/slateway/internal/upstream"
 )
 
-// movables is a rig with three replicas whose streams may not run twice.
-type movables struct {
-	*streams
-	asked []route.HandOver
-}
-
-func newMovables(t *testing.T, ids ...string) *movables {
-	m := &movables{streams: &streams{
-		rig: newRig(t, route.Config{HedgeMin: -1, ProbeAfter: time.Hour, StallMin: stallMin}, 1), tokens: map[string]int{},
-	}}
+// newMovables starts streams that may not run twice on one of three replicas.
+func newMovables(t *testing.T, ids ...string) *streams {
+	m := newStreamRig(t, 1)
 	for _, id := range ids {
 		m.arrive(route.Request{
 			ID: id, Class: route.Online, Movable: true, MaxAttempts: 1, Fingerprint: upstream.FingerprintOf(id, nil),
@@ -31,18 +23,9 @@
 
 // stall lets a stream go on for a while, then stand still for as long as it takes to
 // be handed over, while the other one moves.
-func (m *movables) stall(id, other string) {
-	m.run(300*time.Millisecond, id, other)
-	for end := m.now.Add(stallMin + eventGap); m.now.Before(end); {
-		m.now = m.now.Add(eventGap)
-		m.tokens[other]++
-		m.step(route.Progress{Attempt: m.on[other].Attempt, Tokens: m.tokens[other], Delivered: true})
-		for _, o := range slices.Clone(m.shard.Step(m.now, route.Tick{})) {
-			if asked, is := o.(route.HandOver); is {
-				m.asked = append(m.asked, asked)
-			}
-		}
-	}
+func (s *streams) stall(id, other string) {
+	s.run(300*time.Millisecond, id, other)
+	s.run(stallMin+eventGap, other)
 }
 
 // A parent reads the answer to a question on the trip, and it stands still for a
@@ -53,13 +36,13 @@
 		m := newMovables(t, "stalled", "moving")
 		m.stall("stalled", "moving")
 		first := m.on["stalled"]
-		if len(m.asked) != 1 || m.asked[0].Attempt != first.Attempt || m.asked[0].From.Replica != "r0" || m.asked[0].To.Replica == "r0" {
-			t.Fatalf("asked %+v", m.asked)
+		if len(m.handed) != 1 || m.handed[0].Attempt != first.Attempt || m.handed[0].From.Replica != "r0" || m.handed[0].To.Replica == "r0" {
+			t.Fatalf("asked %+v", m.handed)
 		}
 		m.step(route.HandedOver{Attempt: first.Attempt, Memory: "kept", Copied: copied})
-		again, want := m.on["stalled"], m.asked[0].From.Replica
+		again, want := m.on["stalled"], m.handed[0].From.Replica
 		if copied {
-			want = m.asked[0].To.Replica
+			want = m.handed[0].To.Replica
 		}
 		if m.sent["stalled"] != 2 || !again.Resume || again.Memory != "kept" || again.Target.Replica != want {
 			t.Fatalf("copied %t: sent %d times, last as %+v", copied, m.sent["stalled"], again)
@@ -92,19 +75,13 @@
 	m := newMovables(t, "stalled", "moving")
 	m.stall("stalled", "moving")
 	first := m.on["stalled"]
-	var asked []route.HandOver
-	for _, o := range m.shard.Step(m.now, route.HandedOver{Attempt: first.Attempt, NoRoom: true}) {
-		if next, is := o.(route.HandOver); is {
-			asked = append(asked, next)
-		}
-	}
-	if len(asked) != 1 || asked[0].To.Replica == m.asked[0].To.Replica || asked[0].To.Replica == "r0" {
-		t.Fatalf("asked %+v after %+v", asked, m.asked)
+	m.step(route.HandedOver{Attempt: first.Attempt, NoRoom: true})
+	if len(m.handed) != 2 || m.handed[1].To.Replica == m.handed[0].To.Replica || m.handed[1].To.Replica == "r0" {
+		t.Fatalf("asked %+v", m.handed)
 	}
-	for _, o := range m.shard.Step(m.now, route.HandedOver{Attempt: first.Attempt, NoRoom: true}) {
-		if next, is := o.(route.HandOver); is {
-			t.Errorf("asked once more: %+v", next)
-		}
+	m.step(route.HandedOver{Attempt: first.Attempt, NoRoom: true})
+	if len(m.handed) != 2 {
+		t.Errorf("asked once more: %+v", m.handed[2:])
 	}
 }
 
--- a/internal/route/place.go
+++ b/internal/route/place.go
@@ -65,7 +65,6 @@
 // place takes a slot of the replica for the request and tells the feeder.
 func (s *Shard) place(req *request, r *replica) {
 	req.places++
-	r.placing++
 	s.countOn(r, Online, 1)
 	s.placing = append(s.placing, placing{req: req, on: r, since: s.at, word: r.word})
 }
@@ -85,7 +84,6 @@
 // mostly the request is sent there in the same step.
 func (s *Shard) unplace(p placing) {
 	s.placing = slices.DeleteFunc(s.placing, func(other placing) bool { return other.req == p.req })
-	p.on.placing--
 	p.on.online--
 	s.onlineRunning--
 }
@@ -108,9 +106,6 @@
 
 func (s *Shard) placedOn(r *replica, answered uint64) []placing {
 	var found []placing
-	if r.placing == 0 {
-		return nil
-	}
 	for _, p := range s.placing {
 		if p.on == r && p.word <= answered {
 			found = append(found, p)
@@ -119,6 +114,10 @@
 	return found
 }
 
+func (s *Shard) isPlacedOn(r *replica) bool {
+	return slices.ContainsFunc(s.placing, func(p placing) bool { return p.on == r })
+}
+
 func (s *Shard) sendPlaced(p placing) {
 	s.unplace(p)
 	s.dispatch(p.req, p.on, p.req.next)
--- a/internal/route/place_test.go
+++ b/internal/route/place_test.go
@@ -50,6 +50,7 @@
 }
 
 const (
+	crowdPlace = "mid-a"
 	crowdSlots = 8
 	crowdWord  = 500 * time.Microsecond // one way between gates
 	crowdTick  = 25 * time.Millisecond
@@ -58,25 +59,23 @@
 
 func newCrowd(gates, engines int, wait time.Duration) *crowd {
 	c := &crowd{now: time.Unix(1_000_000, 0), random: rand.New(rand.NewPCG(5, 6))}
-	var all []route.Gate
-	for i := range gates {
-		all = append(all, route.Gate{ID: fmt.Sprint("gate-", i), Place: "mid-a"})
-	}
 	for i := range engines {
 		c.engines = append(c.engines, &crowdEngine{id: upstream.ReplicaID(fmt.Sprint("r", i))})
 	}
-	for _, g := range all {
-		config := route.Config{Self: g.ID, Place: g.Place, HedgeMin: -1, ProbeAfter: time.Hour, PlaceWait: wait}
-		made := &crowdGate{
-			id: g.ID, sent: map[route.AttemptID]*crowdEngine{},
-			shard: route.NewShard(config, rand.New(rand.NewPCG(uint64(len(c.gates)), 7))),
-		}
-		c.gates = append(c.gates, made)
-		c.step(made, route.GatesChanged{Gates: all})
+	for i := range gates {
+		id := fmt.Sprint("gate-", i)
+		config := route.Config{Self: id, Place: crowdPlace, HedgeMin: -1, ProbeAfter: time.Hour, PlaceWait: wait}
+		c.gates = append(c.gates, &crowdGate{
+			id: id, sent: map[route.AttemptID]*crowdEngine{},
+			shard: route.NewShard(config, rand.New(rand.NewPCG(uint64(i), 7))),
+		})
+	}
+	for _, g := range c.gates {
+		c.step(g, route.GatesChanged{Gates: listed(c.gates)})
 		for _, e := range c.engines {
-			c.step(made, route.Announced{Announcement: upstream.Announcement{
+			c.step(g, route.Announced{Announcement: upstream.Announcement{
 				Service: "letters", Kind: upstream.KindEngine, Replica: e.id, Incarnation: 1, Sequence: 1,
-				Address: "10.0.0.1:80", Place: "mid-a", Load: upstream.Load{Slots: crowdSlots, Ready: true},
+				Address: "10.0.0.1:80", Place: crowdPlace, Load: upstream.Load{Slots: crowdSlots, Ready: true},
 			}})
 		}
 	}
@@ -87,6 +86,22 @@
 	return c.gates[slices.IndexFunc(c.gates, func(g *crowdGate) bool { return g.id == id })]
 }
 
+// feeder is the gate that feeds the only replica, as all gates believe at first.
+func (c *crowd) feeder() *crowdGate { return c.gate(c.gates[0].shard.Replicas()[0].Feeder) }
+
+func (c *crowd) others(than *crowdGate) []*crowdGate {
+	return slices.DeleteFunc(slices.Clone(c.gates), func(g *crowdGate) bool { return g == than })
+}
+
+// listed gives the gates as the control VMs list them.
+func listed(gates []*crowdGate) []route.Gate {
+	var list []route.Gate
+	for _, g := range gates {
+		list = append(list, route.Gate{ID: g.id, Place: crowdPlace})
+	}
+	return list
+}
+
 func (c *crowd) step(g *crowdGate, in route.Input) {
 	for _, o := range slices.Clone(g.shard.Step(c.now, in)) {
 		switch o := o.(type) {
@@ -219,8 +234,7 @@
 // once, for a moment, and not again for a while.
 func TestAFeederThatDoesNotAnswerHoldsUpNobody(t *testing.T) {
 	c := newCrowd(2, 1, 40*time.Millisecond)
-	feeder := c.gates[0].shard.Replicas()[0].Feeder
-	other := c.gates[slices.IndexFunc(c.gates, func(g *crowdGate) bool { return g.id != feeder })]
+	other := c.others(c.feeder())[0]
 	arrive := func(n int) string {
 		id := requestAt(c.now, n)
 		c.step(other, route.Arrive{Request: route.Request{ID: id, Class: route.Online, Deadline: c.now.Add(time.Second)}})
@@ -250,8 +264,8 @@
 // the feeder is told so.
 func TestARequestThatIsGivenUpFreesItsPlace(t *testing.T) {
 	c := newCrowd(2, 1, 40*time.Millisecond)
-	feeder := c.gates[0].shard.Replicas()[0].Feeder
-	other := c.gates[slices.IndexFunc(c.gates, func(g *crowdGate) bool { return g.id != feeder })]
+	feeder := c.feeder()
+	other := c.others(feeder)[0]
 	id := requestAt(c.now, 1)
 	c.step(other, route.Arrive{Request: route.Request{ID: id, Class: route.Online, Deadline: c.now.Add(time.Second)}})
 	c.step(other, route.Abandon{ID: id})
@@ -259,7 +273,7 @@
 	if len(other.sent) != 0 {
 		t.Error("sent after it was given up")
 	}
-	if fed := c.gate(feeder).shard.FedNow("r0"); fed.Online != 0 {
+	if fed := feeder.shard.FedNow("r0"); fed.Online != 0 {
 		t.Errorf("the feeder counts %d requests", fed.Online)
 	}
 }
@@ -270,19 +284,13 @@
 // those that they do not know of.
 func TestAGateThatDrainsTellsItsRequests(t *testing.T) {
 	c := newCrowd(3, 1, 40*time.Millisecond)
-	leaving := c.gate(c.gates[0].shard.Replicas()[0].Feeder)
-	var rest []route.Gate
-	for _, g := range c.gates {
-		if g != leaving {
-			rest = append(rest, route.Gate{ID: g.id, Place: "mid-a"})
-		}
-	}
+	leaving := c.feeder()
+	others := c.others(leaving)
+	rest := listed(others)
 	c.step(leaving, route.Draining{})
-	c.step(leaving, route.GatesChanged{Gates: append([]route.Gate{{ID: leaving.id, Place: "mid-a"}}, rest...)})
-	for _, g := range c.gates {
-		if g != leaving {
-			c.step(g, route.GatesChanged{Gates: rest})
-		}
+	c.step(leaving, route.GatesChanged{Gates: listed(c.gates)})
+	for _, g := range others {
+		c.step(g, route.GatesChanged{Gates: rest})
 	}
 	for n := range 5 {
 		id := requestAt(c.now, n)
@@ -291,7 +299,7 @@
 		}})
 	}
 	c.play(0, 10*time.Millisecond)
-	feeder := c.gate(c.gates[slices.IndexFunc(c.gates, func(g *crowdGate) bool { return g != leaving })].shard.Replicas()[0].Feeder)
+	feeder := c.gate(others[0].shard.Replicas()[0].Feeder)
 	if feeder == leaving {
 		t.Fatal("the gate that drains still feeds")
 	}
@@ -313,17 +321,15 @@
 // feeder has not heard of it, and must be told.
 func TestANewFeederIsToldOfRequestsThatWait(t *testing.T) {
 	c := newCrowd(3, 1, 40*time.Millisecond)
-	old := c.gate(c.gates[0].shard.Replicas()[0].Feeder)
-	var rest []route.Gate
-	for _, g := range c.gates {
-		if g != old {
-			rest = append(rest, route.Gate{ID: g.id, Place: "mid-a"})
-		}
-	}
+	others := c.others(c.feeder())
+	rest := listed(others)
 	asked := newCrowd(3, 1, 0).gate(rest[0].ID) // of another crowd with the same names
 	c.step(asked, route.GatesChanged{Gates: rest})
 	feeder := c.gate(asked.shard.Replicas()[0].Feeder)
-	waiting := c.gate(rest[slices.IndexFunc(rest, func(g route.Gate) bool { return g.ID != feeder.id })].ID)
+	waiting := others[0]
+	if waiting == feeder {
+		waiting = others[1]
+	}
 	id := requestAt(c.now, 1)
 	c.step(waiting, route.Arrive{Request: route.Request{ID: id, Class: route.Online, Deadline: c.now.Add(time.Second)}})
 	c.mail = nil // what was said to the old feeder is lost with it
@@ -343,13 +349,7 @@
 // last is too old to be believed.
 func TestCallersDoNotWaitBesideSlotsThatOthersHaveLeft(t *testing.T) {
 	c := newCrowd(3, 1, 40*time.Millisecond)
-	feeder := c.gate(c.gates[0].shard.Replicas()[0].Feeder)
-	var others []*crowdGate
-	for _, g := range c.gates {
-		if g != feeder {
-			others = append(others, g)
-		}
-	}
+	others := c.others(c.feeder())
 	const many = crowdSlots + crowdSlots/4 // with what an engine's queue is sent
 	for n := range many {
 		id := requestAt(c.now, n)
--- a/internal/route/replica.go
+++ b/internal/route/replica.go
@@ -33,9 +33,8 @@
 	fullUntil   time.Time // it declined a request; until then it gets no other
 
 	attempts []*attempt // live, in the order of their start
-	online   int        // of them, online
+	online   int        // of them, online, and those that wait for the feeder's word
 	batch    int        // of them, batch
-	placing  int        // online requests that wait for the feeder's word; counted in online
 
 	usage       []usage   // of other gates, for the gate that feeds the replica
 	known       highWater // highest known count while the last report was under way
--- a/internal/route/rig_test.go
+++ b/internal/route/rig_test.go
@@ -22,6 +22,9 @@
 	sent     map[string]int            // dispatches of a request
 	stopped  map[route.AttemptID]route.CancelCause
 	refused  map[string]*apierr.Error
+	probed   []upstream.ReplicaID // asked whether they live
+	resets   []upstream.ReplicaID // whose pools were dropped
+	handed   []route.HandOver     // asked for
 }
 
 // newRig makes a shard of gate-1 among two gates, with replicas r0, r1, … of
@@ -62,6 +65,12 @@
 			r.stopped[o.Attempt] = o.Cause
 		case route.Refuse:
 			r.refused[o.ID] = o.Err
+		case route.Probe:
+			r.probed = append(r.probed, o.Replica)
+		case route.Reset:
+			r.resets = append(r.resets, o.Replica)
+		case route.HandOver:
+			r.handed = append(r.handed, o)
 		}
 	}
 }
--- a/internal/route/shard.go
+++ b/internal/route/shard.go
@@ -34,7 +34,7 @@
 	waiting  waitQueue // online requests without an attempt, by deadline
 	batch    waitQueue // batch items without an attempt, by deadline
 	known    knownLoad
-	lastItem *request  // the batch item that was first in the queue when it was last looked at
+	lastItem *request  // the batch item that was sent last
 	placing  []placing // online requests that wait for a feeder's word, in the order of their start
 
 	budget        retryBudget
@@ -63,8 +63,8 @@
 	worked    time.Duration // of a batch item: on replicas, in attempts that have ended
 	stalls    int           // how often its answer was taken up after a stall
 	late      bool          // its answer has lost part of its use while it waited
-	queuedAt  time.Time
-	behind    int // requests that waited before it then
+	queuedAt  time.Time     // since when it has waited for a replica; zero: it does not wait
+	behind    int           // requests that waited before it then
 	notBefore time.Time
 	next      DispatchKind  // kind of the next dispatch
 	struck    bool          // a replica died while it ran
--- a/internal/route/spare.go
+++ b/internal/route/spare.go
@@ -29,13 +29,14 @@
 }
 
 // spareOfNext gives the same for the next item: the first one that waits, else one
-// that is like the last.
+// like that which was sent last.
 func (s *Shard) spareOfNext(r *replica) int {
+	next := s.lastItem
 	if s.batch.len() > 0 {
-		s.lastItem = s.batch.list[0]
+		next = s.batch.list[0]
 	}
-	if s.lastItem == nil {
+	if next == nil {
 		return 0
 	}
-	return s.spare(s.lastItem, r)
+	return s.spare(next, r)
 }
--- a/internal/route/stall_test.go
+++ b/internal/route/stall_test.go
@@ -19,9 +19,15 @@
 	tokens map[string]int
 }
 
+// newStreamRig makes a rig without streams.
+func newStreamRig(t *testing.T, replicas int) *streams {
+	config := route.Config{HedgeMin: -1, ProbeAfter: time.Hour, StallMin: stallMin}
+	return &streams{rig: newRig(t, config, replicas), tokens: map[string]int{}}
+}
+
 // newStreams starts one stream for each ID, all on the one replica.
 func newStreams(t *testing.T, resumable bool, ids ...string) *streams {
-	s := &streams{rig: newRig(t, route.Config{HedgeMin: -1, ProbeAfter: time.Hour, StallMin: stallMin}, 1), tokens: map[string]int{}}
+	s := newStreamRig(t, 1)
 	for _, id := range ids {
 		s.arrive(route.Request{
 			ID: id, Class: route.Online, Resumable: resumable, MaxAttempts: 1, Fingerprint: upstream.FingerprintOf(id, nil),
@@ -61,6 +67,9 @@
 	if s.sent["stalled"] != 2 || !again.Resume || again.Target.Replica != first.Target.Replica {
 		t.Fatalf("sent %d times, last as %+v", s.sent["stalled"], again)
 	}
+	if again.Queued != 0 {
+		t.Errorf("said to have waited %s for the second attempt", again.Queued)
+	}
 	if cause := s.stopped[first.Attempt]; cause != route.CancelStalled {
 		t.Errorf("the stalled attempt was stopped as %q", cause)
 	}
