An initial member takes its membership over although it heard a leader first; blank members greet those who take them in

An initial member whose log was empty gave up looking for the initial membership as soon as a message of a leader had raised its term. An empty log votes for nobody; if that leader was lost before it had sent its log, the other member could not be elected. The new test fails before (30 s) and passes after. The member keeps the term that it heard; it cannot have voted in it.

A blank member greeted all members and all other blank ones each 0.3 s: with 45 store VMs some 8,000 greetings a second, all of which the three VMs that settings name had to answer. It now greets whoever leads a group, or its members if no leader is known, at a growing and random interval; each fourth round its seeds as well.

Also: messages of the agreement go through a client for each member. One that did not answer had the idle connections to all others closed with its own.

--- a/internal/daemon/keeper.go
+++ b/internal/daemon/keeper.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net/http"
 	"runtime"
 
 	"go.uber.org/zap"
@@ -59,6 +60,7 @@
 		ReplaceAfter:    s.Quorum.ReplaceAfter,
 		Logger:          log,
 		Client:          peerClient(s, metrics),
+		PeerClient:      func() *http.Client { return peerClient(s, metrics) },
 		Metrics:         metrics,
 	}
 	members(&options)
--- a/internal/quorum/node.go
+++ b/internal/quorum/node.go
@@ -114,6 +114,30 @@
 	return n, nil
 }
 
+// Begin gives a member whose log is empty the membership that its group began
+// with. It says whether it did. The term stays: a leader may have been heard
+// before. No vote was given in it, since an empty log votes for nobody.
+func (n *Node) Begin(initial Membership) bool {
+	if !n.Empty() {
+		return false
+	}
+	held, err := newLog(Bootstrap(initial), nil, 0)
+	if err != nil {
+		return false
+	}
+	n.log = held
+	if n.term < BootstrapTerm {
+		n.term = BootstrapTerm
+		n.saved.Term = n.term
+		n.resetElection()
+		n.hasten()
+	}
+	return true
+}
+
+// Empty says whether this member holds nothing of the log, nor is about to.
+func (n *Node) Empty() bool { return n.log.lastIndex() == 0 && n.installed == nil }
+
 // Tick passes one interval of the shell's clock.
 func (n *Node) Tick() {
 	n.ticks++
--- a/internal/replica/bootstrap.go
+++ b/internal/replica/bootstrap.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"context"
 	"fmt"
+	"math/rand/v2"
 	"path/filepath"
 	"slices"
 	"time"
@@ -15,12 +16,15 @@
 )
 
 const (
-	helloInterval = 300 * time.Millisecond
-	helloTimeout  = time.Second
-	// hastyHellos are sent at helloInterval, the rest at spareHelloInterval: a VM
-	// that is not taken in by then, 6 s after its start, is a spare.
-	hastyHellos        = 20
-	spareHelloInterval = 2 * time.Second
+	// minHelloInterval is how often a VM that may found the groups looks for the
+	// others, and where all other blank members begin; they are less and less in
+	// haste, up to maxHelloInterval.
+	minHelloInterval = 300 * time.Millisecond
+	maxHelloInterval = 2 * time.Second
+	helloTimeout     = time.Second
+	// seedRounds is how many rounds lie between two in which a blank member that
+	// knows leaders asks its seeds as well.
+	seedRounds = 4
 )
 
 // helloRequest introduces a member that is in no group yet.
@@ -43,8 +47,9 @@
 	// Leads and Term are those of group 0.
 	Leads bool   `cbor:"6,keyasint,omitempty"`
 	Term  uint64 `cbor:"7,keyasint,omitempty"`
-	// Known are the addresses of all members and candidates known here.
-	Known []string `cbor:"8,keyasint,omitempty"`
+	// Contacts are the addresses of those who take blank members in: of each
+	// group its leader or, if none is known here, its members.
+	Contacts []string `cbor:"8,keyasint,omitempty"`
 }
 
 func (h *Host) loadInitial() error {
@@ -69,8 +74,8 @@
 	return &h.initial.Membership
 }
 
-func (h *Host) anyBlank() bool {
-	return slices.ContainsFunc(h.groups, (*group).blank)
+func (h *Host) anyEmpty() bool {
+	return slices.ContainsFunc(h.groups, (*group).empty)
 }
 
 func (h *Host) hasGroups() bool {
@@ -83,30 +88,56 @@
 // Known gives the members of all groups, this one included, and the blank
 // members that wait to be taken in, by address, as far as this VM knows them.
 func (h *Host) Known() []quorum.Member {
+	return byAddress(append(h.Members(), h.freshCandidates()...))
+}
+
+// Members gives the members of all groups and this VM, by address, as far as this
+// VM knows them.
+func (h *Host) Members() []quorum.Member {
 	members := []quorum.Member{h.member()}
 	for _, g := range h.groups {
-		g.mu.Lock()
-		members = append(members, g.node.Membership().Members...)
-		g.mu.Unlock()
+		members = append(members, g.membership().Members...)
 	}
-	members = append(members, h.freshCandidates()...)
+	return byAddress(members)
+}
+
+// byAddress sorts members, each address once.
+func byAddress(members []quorum.Member) []quorum.Member {
 	slices.SortFunc(members, func(a, b quorum.Member) int { return cmp.Compare(a.Address, b.Address) })
 	return slices.CompactFunc(members, func(a, b quorum.Member) bool { return a.Address == b.Address })
 }
 
-func (h *Host) knownAddresses() []string {
+func (g *group) membership() quorum.Membership {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.node.Membership()
+}
+
+// contacts gives those who take blank members in.
+func (h *Host) contacts() []string {
+	var addresses []string
+	for _, g := range h.groups {
+		addresses = append(addresses, g.contacts()...)
+	}
+	slices.Sort(addresses)
+	return slices.Compact(addresses)
+}
+
+func (g *group) contacts() []string {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if leader, known := g.leader(); known {
+		return []string{leader.Address}
+	}
 	var addresses []string
-	for _, m := range h.Known() {
+	for _, m := range g.node.Membership().Members {
 		addresses = append(addresses, m.Address)
 	}
 	return addresses
 }
 
 func (h *Host) currentMembership() quorum.Membership {
-	g := h.groups[0]
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	return g.node.Membership()
+	return h.groups[0].membership()
 }
 
 func (h *Host) voterNames() []string {
@@ -132,50 +163,88 @@
 	leads, term := h.groups[0].leadsIn()
 	return &helloResponse{
 		Member: h.member(), HasGroups: h.hasGroups(), Initial: h.initialMembership(),
-		Current: h.currentMembership(), Voters: h.voterNames(), Leads: leads, Term: term, Known: h.knownAddresses(),
+		Current: h.currentMembership(), Voters: h.voterNames(), Leads: leads, Term: term, Contacts: h.contacts(),
 	}, nil
 }
 
 // runJoin brings a blank member into the groups: by bootstrap when they do not
 // exist anywhere, else by making itself known as a replacement.
+//
+// It goes on while a group's log is empty, even if a leader was heard: an initial
+// member with an empty log votes for nobody, and if that leader were lost before it
+// has sent the log, the other members could not elect one without it.
 func (h *Host) runJoin() {
-	ticker := time.NewTicker(helloInterval)
-	defer ticker.Stop()
-	for round := 0; h.anyBlank(); round++ {
-		if round == hastyHellos {
-			ticker.Reset(spareHelloInterval)
-		}
-		answers := h.helloAll()
+	interval := minHelloInterval
+	var contacts []string
+	for round := 0; h.anyEmpty(); round++ {
+		answers := h.helloAll(h.toGreet(round, contacts))
 		initial, ok := h.decideInitial(answers)
-		if ok && !h.hasGroups() {
+		if ok && (named(answers) || !h.hasGroups()) {
 			if err := h.adoptInitial(initial); err != nil {
 				h.fail(err)
 				return
 			}
 			break
 		}
+		contacts = contactsOf(answers, h.self.Address)
+		if !h.founds() {
+			interval = min(interval*3/2, maxHelloInterval)
+		}
 		select {
 		case <-h.ctx.Done():
 			return
-		case <-ticker.C:
+		case <-time.After(interval/2 + rand.N(interval)):
 		}
 	}
 	h.logger.Info("member of the groups", zap.Stringer("id", h.self.ID))
 }
 
-func (h *Host) helloAll() []helloResponse {
-	addresses := map[string]bool{}
+// named says whether an answer holds the membership that the groups began with.
+// decideInitial lets a member take it over only if it is among them.
+func named(answers []helloResponse) bool {
+	return slices.ContainsFunc(answers, func(answer helloResponse) bool { return answer.Initial != nil })
+}
+
+// founds says whether this VM is one of those that begin the groups together.
+func (h *Host) founds() bool {
+	if len(h.config.Seeds) == 0 {
+		return slices.ContainsFunc(h.config.Voters, func(v Voter) bool { return v.VM == h.config.VM })
+	}
+	return h.config.Found && slices.Contains(h.config.Seeds, h.self.Address)
+}
+
+// toGreet gives the addresses to introduce this member to. A founder needs the
+// answers of all others; anyone else, once it knows them, only who takes it in:
+// dozens of spares that greet all members and each other would keep the VMs that
+// settings name from founding the groups.
+func (h *Host) toGreet(round int, contacts []string) []string {
+	if len(contacts) > 0 && !h.founds() && round%seedRounds != 0 {
+		return contacts
+	}
 	h.mu.Lock()
-	contacts := append(h.config.contacts(), h.seeds...)
+	addresses := append(h.config.contacts(), h.seeds...)
 	h.mu.Unlock()
-	for _, address := range contacts {
-		if address != h.self.Address {
-			addresses[address] = true
-		}
+	addresses = append(addresses, contacts...)
+	slices.Sort(addresses)
+	return slices.DeleteFunc(slices.Compact(addresses), func(address string) bool { return address == h.self.Address })
+}
+
+// contactsOf gives the contacts that answers name.
+func contactsOf(answers []helloResponse, self string) []string {
+	var addresses []string
+	for _, answer := range answers {
+		addresses = append(addresses, answer.Contacts...)
 	}
+	slices.Sort(addresses)
+	return slices.DeleteFunc(slices.Compact(addresses), func(address string) bool { return address == self })
+}
+
+// helloAll introduces this member at all addresses at once, and to the contacts
+// among the answers that are not among these, and gives the answers.
+func (h *Host) helloAll(addresses []string) []helloResponse {
 	results := make(chan *helloResponse, len(addresses))
 	request := helloRequest{Member: h.member(), Blank: true}
-	for address := range addresses {
+	for _, address := range addresses {
 		go func() { results <- h.hello(address, request) }()
 	}
 	var answers []helloResponse
@@ -184,22 +253,12 @@
 			answers = append(answers, *answer)
 		}
 	}
-	h.helloOthers(addresses, answers, request)
-	return answers
-}
-
-// helloOthers introduces this member to those that have joined since the
-// settings were written; one of them may lead.
-func (h *Host) helloOthers(asked map[string]bool, answers []helloResponse, request helloRequest) {
-	for _, answer := range answers {
-		for _, address := range answer.Known {
-			if address == h.self.Address || asked[address] {
-				continue
-			}
-			asked[address] = true
-			h.spawn(func() { h.hello(address, request) })
+	for _, contact := range contactsOf(answers, h.self.Address) {
+		if !slices.Contains(addresses, contact) {
+			h.spawn(func() { h.hello(contact, request) })
 		}
 	}
+	return answers
 }
 
 func (h *Host) hello(address string, request helloRequest) *helloResponse {
@@ -298,23 +357,20 @@
 	h.initial = &record
 	h.mu.Unlock()
 	for _, g := range h.groups {
-		if err := g.adoptInitial(); err != nil {
-			return err
-		}
+		g.adoptInitial()
 	}
 	return nil
 }
 
 // adoptInitial begins the group unless its leader was faster.
-func (g *group) adoptInitial() error {
-	if !g.blank() {
-		return nil
-	}
+func (g *group) adoptInitial() {
+	initial := g.host.initialMembership()
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if err := g.begin(&recovered{}); err != nil {
-		return err
+	if initial == nil || !g.node.Begin(*initial) {
+		return
 	}
+	g.applied = quorum.BootstrapIndex
+	g.status.snapshotIndex = quorum.BootstrapIndex
 	g.flush()
-	return nil
 }
--- a/internal/replica/bootstrap_test.go
+++ b/internal/replica/bootstrap_test.go
@@ -1,9 +1,16 @@
 package replica
 
 import (
+	"context"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync/atomic"
 	"testing"
 
 	"slateway.example/slateway/internal/quorum"
+	"slateway.example/slateway/internal/rpc"
 )
 
 // A disk comes back blank, or a settings list differs, while the groups begin.
@@ -161,3 +168,42 @@
 		}
 	}
 }
+
+// Guards against an initial member that never votes, because a leader was heard
+// before it had taken over the initial membership and was lost right after.
+func TestAMemberThatHeardALeaderFirstStillTakesTheMembershipOver(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	v := &vm{name: "c", address: listener.Addr().String(), folder: t.TempDir(), silent: newSilence()}
+	var chosen atomic.Bool
+	mux := http.NewServeMux()
+	founder := quorum.Member{ID: 1, VM: "a"}
+	rpc.Handle(mux, procedureHello, maxBody, func(_ context.Context, request *helloRequest) (*helloResponse, error) {
+		answer := &helloResponse{Member: founder, Voters: []string{"a", "b", "c"}}
+		if chosen.Load() {
+			initial := quorum.NewMembership(founder, quorum.Member{ID: 2, VM: "b"}, request.Member)
+			answer.Initial, answer.HasGroups = &initial, true
+		}
+		return answer, nil
+	})
+	server := httptest.NewServer(mux)
+	t.Cleanup(server.Close)
+	founder.Address = strings.TrimPrefix(server.URL, "http://")
+	v.voters = []Voter{{VM: "a", Address: founder.Address}, {VM: "b", Address: founder.Address}, {VM: "c", Address: v.address}}
+	c := &cluster{t: t, vms: []*vm{v}}
+	c.open(v, listener)
+	t.Cleanup(v.kill)
+
+	const term = 3
+	heartbeat := quorum.Message{Type: quorum.MsgHeartbeat, From: founder.ID, To: v.host.self.ID, Term: term}
+	if _, err := v.host.serveMessages(context.Background(), &batch{From: founder.ID, Address: founder.Address, Envelopes: []envelope{{Message: heartbeat}}}); err != nil {
+		t.Fatal(err)
+	}
+	chosen.Store(true)
+	c.eventually("the membership is taken over", func() bool { return v.host.Status()[0].IsMember })
+	if got := v.host.Status()[0].Term; got < term {
+		t.Errorf("the term went back to %d", got)
+	}
+}
--- a/internal/replica/config.go
+++ b/internal/replica/config.go
@@ -68,7 +68,11 @@
 	Logger  *zap.Logger
 	Metrics *telemetry.Metrics
 	Client  *http.Client // for calls to the other members
-	WAL     wal.Options
+	// PeerClient makes a client for the agreement's messages to one member; nil:
+	// they go through Client. Connections of one that does not answer are then
+	// given up without those to the others.
+	PeerClient func() *http.Client
+	WAL        wal.Options
 }
 
 // Names of the metrics of a host.
--- a/internal/replica/group.go
+++ b/internal/replica/group.go
@@ -116,6 +116,14 @@
 	return s.Last == 0 && s.Term == 0
 }
 
+// empty says whether this member holds nothing of the group's log. Unlike a blank
+// one it may have heard of a term.
+func (g *group) empty() bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.node.Empty()
+}
+
 func (g *group) signal() {
 	select {
 	case g.wake <- struct{}{}:
--- a/internal/replica/host_test.go
+++ b/internal/replica/host_test.go
@@ -302,7 +302,7 @@
 	}
 	c.restart(first)
 	c.restart(c.vms[1])
-	time.Sleep(5 * helloInterval)
+	time.Sleep(5 * minHelloInterval)
 	if first.host.hasGroups() && len(first.host.Status()[0].Members) == 0 || first.host.Status()[0].Leads {
 		t.Error("a blank disk began a group while others hold one")
 	}
--- a/internal/replica/replacement.go
+++ b/internal/replica/replacement.go
@@ -30,6 +30,16 @@
 	h.candidates[member.ID] = candidate{member: member, heard: time.Now()}
 }
 
+// NoteCandidates takes in the blank members that another VM has heard.
+func (h *Host) NoteCandidates(members []quorum.Member) {
+	for _, member := range members {
+		h.noteCandidate(member)
+	}
+}
+
+// Candidates gives the blank members heard lately.
+func (h *Host) Candidates() []quorum.Member { return h.freshCandidates() }
+
 // freshCandidates gives the blank members heard lately, in order of ID.
 func (h *Host) freshCandidates() []quorum.Member {
 	h.mu.Lock()
--- a/internal/replica/transport.go
+++ b/internal/replica/transport.go
@@ -63,7 +63,7 @@
 // A lost batch is no harm: the decisions send anew.
 type transport struct {
 	client  *rpc.Client
-	http    *http.Client
+	newPeer func() *http.Client
 	self    Member
 	timeout time.Duration
 	logger  *zap.Logger
@@ -82,14 +82,21 @@
 }
 
 type peer struct {
-	queue sendQueue
-	wake  chan struct{}
+	address string
+	http    *http.Client
+	client  *rpc.Client
+	queue   sendQueue
+	wake    chan struct{}
 }
 
 func newTransport(config Config, self Member, lost func(group uint32, to quorum.ID)) *transport {
 	ctx, cancel := context.WithCancel(context.Background())
+	newPeer := config.PeerClient
+	if newPeer == nil {
+		newPeer = func() *http.Client { return config.Client }
+	}
 	return &transport{
-		client: rpc.NewClient(config.Client), http: config.Client, self: self, logger: config.Logger, lost: lost,
+		client: rpc.NewClient(config.Client), newPeer: newPeer, self: self, logger: config.Logger, lost: lost,
 		timeout: config.electionTimeout() / callsPerElection,
 		peers:   map[string]*peer{}, heard: map[quorum.ID]string{}, ctx: ctx, cancel: cancel,
 	}
@@ -154,14 +161,15 @@
 func (t *transport) peer(address string) *peer {
 	p := t.peers[address]
 	if p == nil {
-		p = &peer{wake: make(chan struct{}, 1)}
+		client := t.newPeer()
+		p = &peer{address: address, http: client, client: rpc.NewClient(client), wake: make(chan struct{}, 1)}
 		t.peers[address] = p
-		t.wait.Go(func() { t.run(address, p) })
+		t.wait.Go(func() { t.run(p) })
 	}
 	return p
 }
 
-func (t *transport) run(address string, p *peer) {
+func (t *transport) run(p *peer) {
 	reachable := true
 	for {
 		select {
@@ -174,30 +182,30 @@
 			if len(next.Envelopes) == 0 {
 				break
 			}
-			err := t.call(address, &next)
+			err := t.call(p, &next)
 			if err != nil {
 				t.reportLost(&next)
 			}
 			if (err == nil) != reachable {
 				reachable = err == nil
-				t.logger.Info("member", zap.String("address", address), zap.Bool("reachable", reachable), zap.Error(err))
+				t.logger.Info("member", zap.String("address", p.address), zap.Bool("reachable", reachable), zap.Error(err))
 			}
 		}
 	}
 }
 
-func (t *transport) call(address string, next *batch) error {
+func (t *transport) call(p *peer, next *batch) error {
 	size := 0
 	for i := range next.Envelopes {
 		size += next.Envelopes[i].size()
 	}
 	ctx, cancel := context.WithTimeout(t.ctx, t.timeout+time.Duration(size)*time.Second/slowestLink)
 	defer cancel()
-	_, err := rpc.Call(ctx, t.client, address, procedureMessages, next)
+	_, err := rpc.Call(ctx, p.client, p.address, procedureMessages, next)
 	if err != nil {
 		// A call that is given up closes its own HTTP/1 connection. The idle
 		// ones beside it may have gone silent with it.
-		t.http.CloseIdleConnections()
+		p.http.CloseIdleConnections()
 	}
 	return err
 }
