The work of control VMs grows with what changes, not with its square

Each change of a gate was an answer with all gates to each other gate, and a call to each other control VM; each question held by a VM without a leader looked for one 50 times a second; each gate stayed at the seed that had answered first; each change of a replica wrote the whole list to disk and looked at all replicas for its address.

Changed: gates are told which gates changed, changes are gathered for 4 ms a follower (250 ms at most); one call at a time to each other control VM carries what has come meanwhile; one look for the leader serves all questions; gates choose their control VM by rendezvous hashing among the members, pass over one that failed for 2 s and longer, and pace their questions at random; the list is written once for all changes that wait; addresses are indexed; renewals of replicas are shared five times in their lifetime. A connection that is slow to open is tried again at 0.1, 0.3 and 0.7 s, not each 0.1 s.

--- a/internal/control/controlapi/api.go
+++ b/internal/control/controlapi/api.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"slateway.example/slateway/internal/apierr"
+	"slateway.example/slateway/internal/quorum"
 	"slateway.example/slateway/internal/roster"
 	"slateway.example/slateway/internal/routes"
 	"slateway.example/slateway/internal/rpc"
@@ -38,6 +39,8 @@
 	Peers uint64 `cbor:"6,keyasint"`
 	// TakesPacked: newer routes may come packed.
 	TakesPacked bool `cbor:"7,keyasint,omitempty"`
+	// TakesGateChanges: the gates may come as changes, not as a whole list.
+	TakesGateChanges bool `cbor:"8,keyasint,omitempty"`
 }
 
 // FollowResponse brings the gate forward.
@@ -70,6 +73,9 @@
 	Left     []Left             `cbor:"4,keyasint,omitempty"`
 	// Whole asks for everything that the other one knows.
 	Whole bool `cbor:"5,keyasint,omitempty"`
+	// Candidates are the VMs that wait to hold replicated state, as the leader of
+	// the configuration knows them: they greet leaders only.
+	Candidates []quorum.Member `cbor:"6,keyasint,omitempty"`
 }
 
 // ShareResponse gives everything, if that was asked for.
--- a/internal/control/follow.go
+++ b/internal/control/follow.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"strings"
 	"sync"
 	"time"
@@ -31,11 +32,13 @@
 			return response, nil
 		}
 	}
-	s.awaitTouch(ctx)
+	s.awaitContact(ctx)
 	if err := s.requireTouch(); err != nil {
 		return nil, err
 	}
 	s.hear(ctx, &request.Gate)
+	s.followers.Add(1)
+	defer s.followers.Add(-1)
 	timer := time.NewTimer(min(request.Wait, maxFollowWait))
 	defer timer.Stop()
 	for {
@@ -47,6 +50,7 @@
 		select {
 		case <-routesChanged:
 		case <-rosterChanged:
+			s.gather(ctx, routesChanged)
 		case <-timer.C:
 			if err := s.requireTouch(); err != nil {
 				return nil, err
@@ -73,17 +77,25 @@
 // these.
 func (s *Service) hasJustStarted() bool { return time.Since(s.started) < startTime }
 
-const (
-	// touchWait is how long a question is held by a VM that knows no leader. After
-	// a restart of all control VMs an election takes about as long; refused at
-	// once, each gate would go round among them all the while.
-	touchWait = 300 * time.Millisecond
-	touchPoll = 20 * time.Millisecond
-)
+// gatherPerFollower is the time for which changes of the roster are gathered, for
+// each gate that waits for them. It bounds the answers to 250 a second, however
+// many gates follow: each change of one gate would else be an answer to each other
+// one, which is the square of their number when all of them start together.
+const gatherPerFollower = 4 * time.Millisecond
+
+// maxGather bounds the gathering: a replica that leaves relies on the news being
+// at all gates soon after its acknowledgement.
+const maxGather = 250 * time.Millisecond
 
-func (s *Service) awaitTouch(ctx context.Context) {
-	for end := time.Now().Add(touchWait); !s.InTouch() && time.Now().Before(end) && ctx.Err() == nil; {
-		time.Sleep(touchPoll)
+// gather lets further changes of the roster come before followers are answered.
+// New routes are not waited with.
+func (s *Service) gather(ctx context.Context, routesChanged <-chan struct{}) {
+	timer := time.NewTimer(min(maxGather, time.Duration(s.followers.Load())*gatherPerFollower))
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-routesChanged:
+	case <-ctx.Done():
 	}
 }
 
@@ -99,6 +111,9 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	response.Changes = s.table.Since(since)
+	if since > 0 && !request.TakesGateChanges {
+		s.table.AllGates(&response.Changes)
+	}
 	news := response.HasRoutes() || response.Changes.Version > since
 	return response, news, s.changed
 }
@@ -143,23 +158,61 @@
 // addPeers adds the lists of control VMs and keepers, unless the gate has them.
 // Twice a second to each gate they would be most of the answers' bytes.
 func (s *Service) addPeers(response *controlapi.FollowResponse, known uint64) {
-	controls := s.controls()
-	var keepers []string
-	for _, m := range s.options.Group.Known() {
-		keepers = append(keepers, m.Address)
+	peers := s.peers.get(time.Now(), s.listPeers)
+	response.Peers = peers.hash
+	if peers.hash != known {
+		response.Controls, response.Keepers = peers.controls, peers.keepers
+	}
+}
+
+// listPeers lists this VM and the members of the groups. A control VM that is no
+// member knows no leader, and a gate would only be sent on by it.
+func (s *Service) listPeers() peerLists {
+	lists := peerLists{controls: []string{s.options.Address}}
+	for _, m := range s.options.Group.Members() {
+		lists.keepers = append(lists.keepers, m.Address)
+		if m.Class == ClassControl {
+			lists.controls = append(lists.controls, m.Address)
+		}
 	}
-	response.Peers = xxhash.Sum64String(strings.Join(controls, ",") + ";" + strings.Join(keepers, ","))
-	if response.Peers != known {
-		response.Controls, response.Keepers = controls, keepers
+	slices.Sort(lists.controls)
+	lists.controls = slices.Compact(lists.controls)
+	lists.hash = xxhash.Sum64String(strings.Join(lists.controls, ",") + ";" + strings.Join(lists.keepers, ","))
+	return lists
+}
+
+// peerLists are the peers addresses that gates are told.
+type peerLists struct {
+	controls []string
+	keepers  []string // all VMs that hold replicated state
+	hash     uint64
+}
+
+// peerCache keeps the lists for peersLifetime: they are made from the members of
+// all groups, under the groups' locks, and every gate asks for them.
+type peerCache struct {
+	mu    sync.Mutex
+	lists peerLists
+	at    time.Time
+}
+
+const peersLifetime = 100 * time.Millisecond
+
+func (c *peerCache) get(now time.Time, list func() peerLists) peerLists {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if now.Sub(c.at) > peersLifetime {
+		c.lists, c.at = list(), now
 	}
+	return c.lists
 }
 
-// hear takes in a gate's word; what callers and other gates must know goes to
+// hear takes in a gate's report; what callers and other gates must know goes to
 // the other control VMs at once.
 func (s *Service) hear(ctx context.Context, gate *roster.Gate) {
 	s.mu.Lock()
 	news := s.table.Hear(time.Now(), *gate, 0)
-	s.gates[gate.VM] = struct{}{}
+	s.heardGates[gate.VM] = struct{}{}
 	if news {
 		s.notify()
 	}
@@ -169,5 +222,5 @@
 	}
 	s.options.Log.Info("gate changed", zap.String("gate", gate.VM), zap.String("callers", gate.Callers),
 		zap.Bool("ready", gate.Ready), zap.Bool("draining", gate.Draining), zap.Uint64("sequence", gate.Sequence))
-	s.push(ctx, &controlapi.ShareRequest{Gates: []roster.HeardGate{{Gate: *gate}}})
+	s.spread(ctx, &controlapi.ShareRequest{Gates: []roster.HeardGate{{Gate: *gate}}})
 }
--- a/internal/control/follow_test.go
+++ b/internal/control/follow_test.go
@@ -30,7 +30,10 @@
 
 func (m *member) Leader(uint32) (replica.Member, bool) { return replica.Member{ID: 1}, true }
 func (m *member) Lag(uint32) time.Duration             { return m.lag }
+func (m *member) Members() []quorum.Member             { return nil }
+func (m *member) Candidates() []quorum.Member          { return nil }
 func (m *member) Known() []quorum.Member               { return nil }
+func (m *member) NoteCandidates([]quorum.Member)       {}
 func (m *member) Retire(context.Context, []string) ([]string, error) {
 	return nil, errors.New("not of this test")
 }
--- a/internal/control/journal.go
+++ b/internal/control/journal.go
@@ -26,8 +26,10 @@
 	path string
 	log  *zap.Logger
 
-	mu      sync.Mutex // one write at a time
-	written uint64     // roster version on the disk
+	mu      sync.Mutex    // guards what follows
+	writing bool          // a write is in progress
+	next    chan struct{} // closes when the write after that one has ended; nil: none is wanted
+	written uint64        // roster version on the disk; only the writer uses it
 }
 
 // journalFile is its name in the data folder.
@@ -65,28 +67,63 @@
 	return found.Replicas
 }
 
-// save writes the replicas of a roster version, unless a newer one is written
-// already. It returns when they last or journalWait is over.
-func (j *journal) save(version uint64, replicas []roster.Heard) {
-	done := make(chan struct{})
-	go func() {
-		defer close(done)
-		j.mu.Lock()
-		defer j.mu.Unlock()
-		if version <= j.written {
-			return
-		}
-		if err := wal.ReplaceFile(j.path, codec.MustMarshal(kept{Replicas: replicas})); err != nil {
-			j.log.Warn("known replicas not kept", zap.Uint64("version", version), zap.Error(err))
-			return
-		}
-		j.written = version
-	}()
+// snapshot gives the replicas known now, and the roster version of them.
+type snapshot func() (version uint64, replicas []roster.Heard)
+
+// save makes what is known now last. It returns when it does, or after
+// journalWait. Calls that come while a write is in progress share the next one:
+// when all replicas announce themselves at once, a write for each would write the
+// whole list as many times.
+func (j *journal) save(known snapshot) {
+	done := j.request(known)
 	timer := time.NewTimer(journalWait)
 	defer timer.Stop()
 	select {
 	case <-done:
 	case <-timer.C:
-		j.log.Warn("the disk is slow, a change of replicas is acknowledged before it lasts", zap.Uint64("version", version))
+		j.log.Warn("the disk is slow, a change of replicas is acknowledged before it lasts")
+	}
+}
+
+// request gives a channel that closes when a write has ended that began after
+// this call.
+func (j *journal) request(known snapshot) <-chan struct{} {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	if j.next == nil {
+		j.next = make(chan struct{})
+	}
+	if !j.writing {
+		j.writing = true
+		go j.writeAll(known)
+	}
+	return j.next
+}
+
+// writeAll writes until nobody waits for a write that has not begun.
+func (j *journal) writeAll(known snapshot) {
+	for {
+		j.mu.Lock()
+		done := j.next
+		j.next = nil
+		j.writing = done != nil
+		j.mu.Unlock()
+		if done == nil {
+			return
+		}
+		j.write(known)
+		close(done)
+	}
+}
+
+func (j *journal) write(known snapshot) {
+	version, replicas := known()
+	if version <= j.written {
+		return
+	}
+	if err := wal.ReplaceFile(j.path, codec.MustMarshal(kept{Replicas: replicas})); err != nil {
+		j.log.Warn("known replicas not kept", zap.Uint64("version", version), zap.Error(err))
+		return
 	}
+	j.written = version
 }
--- a/internal/control/service.go
+++ b/internal/control/service.go
@@ -9,6 +9,7 @@
 	"math/rand/v2"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/google/uuid"
@@ -33,7 +34,12 @@
 type Group interface {
 	Leader(group uint32) (replica.Member, bool)
 	Lag(group uint32) time.Duration
+	// Members are those of all groups; Candidates are the blank members that wait
+	// to be taken in, Known both.
+	Members() []quorum.Member
+	Candidates() []quorum.Member
 	Known() []quorum.Member
+	NoteCandidates(members []quorum.Member)
 	Retire(ctx context.Context, vms []string) (left []string, err error)
 }
 
@@ -71,21 +77,29 @@
 
 // Service is one control VM. Run must run beside it.
 type Service struct {
-	options Options
-	epoch   string
-	started time.Time
-	journal *journal
-	packed  packedRoutes
+	options  Options
+	epoch    string
+	started  time.Time
+	journal  *journal
+	spreader *spreader
+	packed   packedRoutes
+	peers    peerCache
+	contact  contactWatch
+	// followers is how many questions of gates are held now.
+	followers atomic.Int64
 
 	mu        sync.Mutex // guards what follows
 	table     *roster.Table
 	directory *directory.Directory
-	changed   chan struct{}                   // closes at the next change of the roster
-	dirty     map[upstream.ReplicaID]struct{} // heard here since the last share
-	gates     map[string]struct{}             // the same of gates
-	contacts  map[string]time.Time            // control VMs that shared something, and when
-	inTouch   bool                            // as last logged
-	seeds     []string
+	changed   chan struct{} // closes at the next change of the roster
+	// heardReplicas were heard here since the last share, and when they were last
+	// shared; heardGates are the gates.
+	heardReplicas map[upstream.ReplicaID]struct{}
+	sharedAt      map[upstream.ReplicaID]time.Time
+	heardGates    map[string]struct{}
+	contacts      map[string]time.Time // control VMs that shared something, and when
+	inTouch       bool                 // as last logged
+	seeds         []string
 }
 
 // New makes a service.
@@ -98,11 +112,15 @@
 		table:     roster.New(options.Roster),
 		directory: directory.New(uint64(time.Now().UnixMilli()), random),
 		changed:   make(chan struct{}),
-		dirty:     make(map[upstream.ReplicaID]struct{}),
-		gates:     make(map[string]struct{}),
 		contacts:  make(map[string]time.Time),
-		seeds:     options.Seeds,
-		journal:   newJournal(options.Folder, options.Log),
+
+		heardReplicas: make(map[upstream.ReplicaID]struct{}),
+		sharedAt:      make(map[upstream.ReplicaID]time.Time),
+		heardGates:    make(map[string]struct{}),
+
+		seeds:    options.Seeds,
+		journal:  newJournal(options.Folder, options.Log),
+		spreader: newSpreader(options.Address, options.Calls, options.Log),
 	}
 	s.merge(s.journal.load(), nil)
 	return s
@@ -182,9 +200,10 @@
 	s.mu.Lock()
 	verdict := s.table.Announce(time.Now(), a, 0)
 	if verdict != roster.Stale {
-		s.dirty[a.Replica] = struct{}{}
+		s.heardReplicas[a.Replica] = struct{}{}
 	}
 	if verdict == roster.Changed {
+		delete(s.sharedAt, a.Replica) // the push below may not reach all
 		s.notify()
 	}
 	s.mu.Unlock()
@@ -202,10 +221,11 @@
 
 // keep makes what is known of replicas last on this VM's disk.
 func (s *Service) keep() {
-	s.mu.Lock()
-	version, replicas := s.table.Version(), s.table.Replicas(time.Now())
-	s.mu.Unlock()
-	s.journal.save(version, replicas)
+	s.journal.save(func() (uint64, []roster.Heard) {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		return s.table.Version(), s.table.Replicas(time.Now())
+	})
 }
 
 func (s *Service) logReplica(what string, a *upstream.Announcement) {
--- a/internal/control/share.go
+++ b/internal/control/share.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"slices"
 	"sync"
 	"time"
@@ -9,6 +10,7 @@
 	"go.uber.org/zap"
 
 	"slateway.example/slateway/internal/control/controlapi"
+	"slateway.example/slateway/internal/keeper/keeperapi"
 	"slateway.example/slateway/internal/roster"
 	"slateway.example/slateway/internal/rpc"
 	"slateway.example/slateway/internal/upstream"
@@ -40,6 +42,7 @@
 		s.shareHeard(ctx)
 		if round%wholeEvery == 0 {
 			s.askWhole(ctx, round/wholeEvery)
+			s.shareCandidates(ctx)
 		}
 		select {
 		case <-ctx.Done():
@@ -67,7 +70,19 @@
 	if len(request.Replicas)+len(request.Gates) == 0 {
 		return
 	}
-	go s.send(ctx, request, shareTimeout)
+	s.spread(ctx, request)
+}
+
+// shareCandidates tells the other control VMs, from the one that leads the
+// configuration, which VMs wait to hold state: any of them may be asked to retire
+// one.
+func (s *Service) shareCandidates(ctx context.Context) {
+	leader, known := s.options.Group.Leader(keeperapi.ConfigGroup)
+	candidates := s.options.Group.Candidates()
+	if !known || leader.Address != s.options.Address || len(candidates) == 0 {
+		return
+	}
+	s.spread(ctx, &controlapi.ShareRequest{Candidates: candidates})
 }
 
 // askWhole asks one of the other control VMs for everything; the first time, all
@@ -88,33 +103,46 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := time.Now()
-	request := &controlapi.ShareRequest{}
-	for _, heard := range s.table.Replicas(now) {
-		if _, direct := s.dirty[heard.Replica.Replica]; direct {
-			request.Replicas = append(request.Replicas, heard)
-		}
+	request := &controlapi.ShareRequest{
+		Replicas: s.table.Heard(now, s.renewalsDue(now)),
+		Gates:    s.table.HeardOf(now, slices.Collect(maps.Keys(s.heardGates))),
 	}
-	for _, heard := range s.table.HeardGates(now) {
-		if _, direct := s.gates[heard.Gate.VM]; direct {
-			request.Gates = append(request.Gates, heard)
+	clear(s.heardReplicas)
+	clear(s.heardGates)
+	return request
+}
+
+// renewalsPerLifetime is how often the other control VMs are told, within the
+// lifetime of a replica, that it was heard. Its changes they are told at once.
+const renewalsPerLifetime = 5
+
+// renewalsDue gives the replicas heard since the last share whose last renewal is
+// old. The mutex is held.
+func (s *Service) renewalsDue(now time.Time) []upstream.ReplicaID {
+	interval := s.options.Roster.ReplicaLifetime / renewalsPerLifetime
+	maps.DeleteFunc(s.sharedAt, func(_ upstream.ReplicaID, at time.Time) bool { return now.Sub(at) >= interval })
+	var due []upstream.ReplicaID
+	for id := range s.heardReplicas {
+		if _, recent := s.sharedAt[id]; !recent {
+			due = append(due, id)
+			s.sharedAt[id] = now
 		}
 	}
-	clear(s.dirty)
-	clear(s.gates)
-	return request
+	return due
 }
 
 // push tells all other control VMs of a change and waits for them, pushTimeout
 // at most. It goes on when the one who brought the change has left.
 func (s *Service) push(ctx context.Context, request *controlapi.ShareRequest) {
-	s.send(context.WithoutCancel(ctx), request, pushTimeout)
+	await(s.spread(ctx, request), pushTimeout)
 }
 
-// send calls all other control VMs at once and gives the answers that came.
-func (s *Service) send(ctx context.Context, request *controlapi.ShareRequest, timeout time.Duration) []*controlapi.ShareResponse {
-	return s.sendTo(ctx, s.controls(), request, timeout)
+// spread tells all other control VMs, and does not wait for them.
+func (s *Service) spread(ctx context.Context, request *controlapi.ShareRequest) []<-chan struct{} {
+	return s.spreader.spread(ctx, s.controls(), request)
 }
 
+// sendTo calls control VMs at once and gives the answers that came.
 func (s *Service) sendTo(ctx context.Context, addresses []string, request *controlapi.ShareRequest, timeout time.Duration) []*controlapi.ShareResponse {
 	request.From = s.options.Address
 	ctx, cancel := context.WithTimeout(ctx, timeout)
@@ -168,6 +196,7 @@
 	s.mu.Lock()
 	s.contacts[request.From] = time.Now()
 	s.mu.Unlock()
+	s.options.Group.NoteCandidates(request.Candidates)
 	changed := s.merge(request.Replicas, request.Gates)
 	if s.mergeLeft(request.Left) || changed {
 		s.keep()
--- a/internal/gate/follow/first.go
+++ b/internal/gate/follow/first.go
@@ -48,6 +48,7 @@
 }
 
 func (f *Follower) askUntilAnswered(ctx context.Context, control string, answers chan<- firstAnswer) {
+	var retry backoff
 	for ctx.Err() == nil {
 		request := f.request()
 		response, err := f.call(ctx, control, request)
@@ -62,6 +63,6 @@
 			return
 		}
 		f.missed(control, err)
-		pause(ctx, retryPause)
+		pause(ctx, retry.next(err))
 	}
 }
--- a/internal/gate/follow/follower.go
+++ b/internal/gate/follow/follower.go
@@ -5,7 +5,6 @@
 
 import (
 	"context"
-	"math/rand/v2"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -44,8 +43,6 @@
 	// callTimeout is the time for an answer beside the wait. A control VM that is
 	// frozen, or a connection that has gone silent for good, shows by it only.
 	callTimeout = 600 * time.Millisecond
-	// retryPause is between two control VMs that did not answer.
-	retryPause = 50 * time.Millisecond
 	// wholeInterval is how often everything is asked for: what this gate was not
 	// told, while it went from one control VM to another, is made good by it.
 	wholeInterval = 10 * time.Second
@@ -73,6 +70,7 @@
 	controls []string
 	keepers  []string
 	peers    uint64 // hash of the two lists, as the control VM gave it
+	choice   chooser
 	current  string // control VM that is asked
 	lost     int    // control VMs in a row that did not answer
 	epoch    string
@@ -95,7 +93,7 @@
 	f := &Follower{
 		options: options, gate: options.Gate, controls: slices.Clone(options.Seeds),
 		wake: make(chan struct{}, 1), listed: make(map[upstream.ReplicaID]listing), start: time.Now(),
-		first: make(chan struct{}),
+		first: make(chan struct{}), choice: newChooser(options.Gate.VM),
 	}
 	f.matcher.Store(routes.NewMatcher(&routes.Document{}))
 	return f
@@ -177,14 +175,16 @@
 // Run follows until ctx ends.
 func (f *Follower) Run(ctx context.Context) {
 	f.findFirst(ctx)
+	var retry backoff
 	for ctx.Err() == nil {
 		address := f.target()
 		err := f.ask(ctx, address)
 		if err == nil || ctx.Err() != nil {
+			retry = 0
 			continue
 		}
 		f.leave(address, err)
-		pause(ctx, retryPause)
+		pause(ctx, retry.next(err))
 	}
 }
 
@@ -197,13 +197,15 @@
 	}
 }
 
-// target gives the control VM to ask: the one that answered last, else another
-// one, by lot, so that gates spread over them.
+// target gives the control VM to ask: the one that answered last, else the first
+// choice of those that did not fail lately. With each question for everything the
+// choice is made anew, so that gates come back to a control VM that was gone.
 func (f *Follower) target() string {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if f.current == "" {
-		f.current = f.controls[rand.IntN(len(f.controls))]
+	now := time.Now()
+	if f.current == "" || now.Sub(f.wholeAt) >= wholeInterval {
+		f.current = f.choice.choose(now, f.controls)
 	}
 	return f.current
 }
@@ -212,6 +214,7 @@
 func (f *Follower) leave(address string, err error) {
 	f.mu.Lock()
 	f.current = ""
+	f.choice.failed(time.Now(), address)
 	f.mu.Unlock()
 	f.missed(address, err)
 }
@@ -267,7 +270,8 @@
 	defer f.mu.Unlock()
 	f.gate.Sequence++
 	request := &controlapi.FollowRequest{
-		Gate: f.gate, Routes: f.Routes().Version(), Epoch: f.epoch, Since: f.since, Wait: callWait, Peers: f.peers, TakesPacked: true,
+		Gate: f.gate, Routes: f.Routes().Version(), Epoch: f.epoch, Since: f.since, Wait: callWait, Peers: f.peers,
+		TakesPacked: true, TakesGateChanges: true,
 	}
 	if time.Since(f.wholeAt) >= wholeInterval {
 		request.Epoch, request.Since = "", 0
@@ -289,9 +293,10 @@
 			zap.Int("asked_in_vain", f.lost))
 	}
 	f.lost = 0
+	f.choice.answered(address)
 	f.epoch, f.since = response.Epoch, response.Changes.Version
 	if len(response.Controls) > 0 {
-		f.controls = response.Controls
+		f.takeControls(response.Controls)
 		f.keepers = response.Keepers
 		f.peers = response.Peers
 	}
@@ -308,6 +313,17 @@
 	}
 }
 
+// takeControls notes the control VMs. The first time, the one that answered is one
+// of the few that the settings of all gates name: each gate goes on at its own
+// choice among all. The mutex is held.
+func (f *Follower) takeControls(controls []string) {
+	first := f.peers == 0
+	f.controls = controls
+	if first {
+		f.current = ""
+	}
+}
+
 // document gives the routes of an answer; nil if there are none. Those that cannot be
 // unpacked are asked for again with the next question.
 func (f *Follower) document(address string, response *controlapi.FollowResponse) *routes.Document {
@@ -372,9 +388,9 @@
 
 // takeGates notes the gates and gives what to call for it. The mutex is held.
 func (f *Follower) takeGates(changes *roster.Changes) []func() {
-	if !changes.HasGates {
+	if !changes.HasGates && len(changes.Gates)+len(changes.GatesGone) == 0 {
 		return nil
 	}
-	f.gates = changes.Gates
+	f.gates = roster.ApplyGates(f.gates, changes)
 	return f.onGates
 }
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -7,6 +7,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"time"
 
@@ -86,6 +87,7 @@
 type gateRow struct {
 	gate    Gate
 	seen    time.Time
+	version uint64 // of the last change that others must know
 	expired bool
 }
 
@@ -94,13 +96,18 @@
 	config   Config
 	version  uint64
 	replicas map[upstream.ReplicaID]*replicaRow
-	gates    map[string]*gateRow
-	gatesAt  uint64 // version of the last change of the gates
+	// holders gives the replica that has an address. Invariant: it names exactly
+	// the replicas whose rows are not gone.
+	holders map[string]upstream.ReplicaID
+	gates   map[string]*gateRow
 }
 
 // New makes an empty roster.
 func New(config Config) *Table {
-	return &Table{config: config, replicas: make(map[upstream.ReplicaID]*replicaRow), gates: make(map[string]*gateRow)}
+	return &Table{
+		config: config, replicas: make(map[upstream.ReplicaID]*replicaRow),
+		holders: make(map[string]upstream.ReplicaID), gates: make(map[string]*gateRow),
+	}
 }
 
 // Version grows with each change that gates must know.
@@ -137,7 +144,9 @@
 		a.Leaving = true // it is never taken back within one process
 	}
 	known, forgotten := row.announcement, row.gone
+	t.release(row)
 	row.announcement, row.gone = a, false
+	t.holders[a.Address] = a.Replica
 	row.seen = now.Add(-age)
 	if !forgotten && sameForGates(&known, &a) {
 		return Refreshed
@@ -154,19 +163,33 @@
 // addressTaken says whether a later process has the address; an earlier one is
 // forgotten.
 func (t *Table) addressTaken(a *upstream.Announcement) bool {
-	for id, other := range t.replicas {
-		if id == a.Replica || other.gone || other.announcement.Address != a.Address {
-			continue
-		}
-		if other.announcement.Incarnation > a.Incarnation {
-			return true
-		}
-		other.gone = true
-		t.change(other)
+	holder, held := t.holders[a.Address]
+	if !held || holder == a.Replica {
+		return false
+	}
+	other := t.replicas[holder]
+	if other.announcement.Incarnation > a.Incarnation {
+		return true
 	}
+	t.forget(other)
 	return false
 }
 
+// forget notes that a replica is gone.
+func (t *Table) forget(row *replicaRow) {
+	t.release(row)
+	row.gone = true
+	t.change(row)
+}
+
+// release frees the address of a replica, if it has one.
+func (t *Table) release(row *replicaRow) {
+	address := row.announcement.Address
+	if t.holders[address] == row.announcement.Replica {
+		delete(t.holders, address)
+	}
+}
+
 func after(a, known *upstream.Announcement) bool {
 	if a.Incarnation != known.Incarnation {
 		return a.Incarnation > known.Incarnation
@@ -218,11 +241,15 @@
 	if same {
 		return false
 	}
-	t.version++
-	t.gatesAt = t.version
+	t.changeGate(row)
 	return true
 }
 
+func (t *Table) changeGate(row *gateRow) {
+	t.version++
+	row.version = t.version
+}
+
 // forgetFactor times a lifetime is how long what is gone is remembered, so that
 // a late word of it is known to be late.
 const forgetFactor = 4
@@ -233,10 +260,10 @@
 		silent := now.Sub(row.seen)
 		switch {
 		case silent > forgetFactor*t.config.ReplicaLifetime:
+			t.release(row)
 			delete(t.replicas, id)
 		case silent > t.config.ReplicaLifetime && !row.gone:
-			row.gone = true
-			t.change(row)
+			t.forget(row)
 		}
 	}
 	for vm, row := range t.gates {
@@ -246,8 +273,7 @@
 			delete(t.gates, vm)
 		case silent > t.config.GateLifetime && !row.expired:
 			row.expired = true
-			t.version++
-			t.gatesAt = t.version
+			t.changeGate(row)
 		}
 	}
 }
@@ -258,12 +284,14 @@
 	Replicas []upstream.Announcement `cbor:"2,keyasint,omitempty"`
 	Gone     []Gone                  `cbor:"3,keyasint,omitempty"`
 	Gates    []Gate                  `cbor:"4,keyasint,omitempty"`
-	HasGates bool                    `cbor:"5,keyasint,omitempty"` // Gates are all that live; otherwise they are as before
+	HasGates bool                    `cbor:"5,keyasint,omitempty"` // Gates are all that live; otherwise those that changed
+	// GatesGone are the VMs of gates that live no longer.
+	GatesGone []string `cbor:"6,keyasint,omitempty"`
 }
 
 // Since gives what changed after a version; 0 gives everything that lives.
 func (t *Table) Since(version uint64) Changes {
-	changes := Changes{Version: t.version, HasGates: version == 0 || t.gatesAt > version}
+	changes := Changes{Version: t.version, HasGates: version == 0}
 	for _, row := range t.replicas {
 		switch {
 		case row.version <= version || (row.gone && version == 0):
@@ -274,11 +302,47 @@
 			changes.Replicas = append(changes.Replicas, row.announcement)
 		}
 	}
+	for vm, row := range t.gates {
+		switch {
+		case row.version <= version || (row.expired && version == 0):
+		case row.expired:
+			changes.GatesGone = append(changes.GatesGone, vm)
+		default:
+			changes.Gates = append(changes.Gates, row.gate)
+		}
+	}
 	slices.SortFunc(changes.Replicas, func(a, b upstream.Announcement) int { return cmp.Compare(a.Replica, b.Replica) })
+	slices.SortFunc(changes.Gates, byVM)
+	return changes
+}
+
+func byVM(a, b Gate) int { return cmp.Compare(a.VM, b.VM) }
+
+// AllGates replaces the gates that changed by all that live, for a follower that
+// takes whole lists only.
+func (t *Table) AllGates(changes *Changes) {
+	if len(changes.Gates)+len(changes.GatesGone) == 0 {
+		return
+	}
+	changes.Gates, changes.GatesGone, changes.HasGates = t.Gates(), nil, true
+}
+
+// ApplyGates gives a follower's list of gates, by VM, brought forward by changes.
+func ApplyGates(known []Gate, changes *Changes) []Gate {
 	if changes.HasGates {
-		changes.Gates = t.Gates()
+		return changes.Gates
 	}
-	return changes
+	gates := make(map[string]Gate, len(known)+len(changes.Gates))
+	for _, gate := range known {
+		gates[gate.VM] = gate
+	}
+	for _, vm := range changes.GatesGone {
+		delete(gates, vm)
+	}
+	for _, gate := range changes.Gates {
+		gates[gate.VM] = gate
+	}
+	return slices.SortedFunc(maps.Values(gates), byVM)
 }
 
 // Gates gives the gates that live, by VM.
@@ -289,7 +353,7 @@
 			gates = append(gates, row.gate)
 		}
 	}
-	slices.SortFunc(gates, func(a, b Gate) int { return cmp.Compare(a.VM, b.VM) })
+	slices.SortFunc(gates, byVM)
 	return gates
 }
 
@@ -305,11 +369,17 @@
 	Age  time.Duration `cbor:"2,keyasint"`
 }
 
-// Replicas gives the replicas that live with the age of their last word.
+// Replicas gives the replicas that live with the age of their last heartbeat.
 func (t *Table) Replicas(now time.Time) []Heard {
+	return t.Heard(now, slices.Collect(maps.Keys(t.replicas)))
+}
+
+// Heard gives those of the named replicas that live, by ID, with the age of
+// their last heartbeat.
+func (t *Table) Heard(now time.Time, ids []upstream.ReplicaID) []Heard {
 	var heard []Heard
-	for _, row := range t.replicas {
-		if !row.gone {
+	for _, id := range ids {
+		if row := t.replicas[id]; row != nil && !row.gone {
 			heard = append(heard, Heard{Replica: row.announcement, Age: max(0, now.Sub(row.seen))})
 		}
 	}
@@ -317,11 +387,20 @@
 	return heard
 }
 
-// HeardGates gives the gates that live with the age of their last word.
+// HeardGates gives the gates that live with the age of their last report.
 func (t *Table) HeardGates(now time.Time) []HeardGate {
+	return t.HeardOf(now, slices.Collect(maps.Keys(t.gates)))
+}
+
+// HeardOf gives those of the named gates that live, by VM, with the age of their
+// last report.
+func (t *Table) HeardOf(now time.Time, vms []string) []HeardGate {
 	var heard []HeardGate
-	for _, gate := range t.Gates() {
-		heard = append(heard, HeardGate{Gate: gate, Age: max(0, now.Sub(t.gates[gate.VM].seen))})
+	for _, vm := range vms {
+		if row := t.gates[vm]; row != nil && !row.expired {
+			heard = append(heard, HeardGate{Gate: row.gate, Age: max(0, now.Sub(row.seen))})
+		}
 	}
+	slices.SortFunc(heard, func(a, b HeardGate) int { return byVM(a.Gate, b.Gate) })
 	return heard
 }
--- a/internal/sockets/again.go
+++ b/internal/sockets/again.go
@@ -6,9 +6,10 @@
 	"time"
 )
 
-// DialAgain opens a connection with dial, which is called again each gap until one
-// has come; the first wins and the others are closed. An error other than the end
-// of ctx ends it.
+// DialAgain opens a connection with dial, which is called again after gap, twice
+// gap and so on until one has come; the first wins and the others are closed. An
+// error other than the end of ctx ends it. The gap doubles so that a VM which is
+// slow to accept is not asked for more and more connections by all that call it.
 //
 // Failure guarded against: the packet that opens a connection is lost, or comes to
 // a VM that has no power yet. It is sent again only after a second, which is longer
@@ -17,14 +18,16 @@
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	results := make(chan dialResult)
-	ticker := time.NewTicker(gap)
-	defer ticker.Stop()
+	timer := time.NewTimer(gap)
+	defer timer.Stop()
 	go tryDial(ctx, dial, results)
 	for {
 		select {
 		case <-ctx.Done():
 			return nil, ctx.Err()
-		case <-ticker.C:
+		case <-timer.C:
+			gap *= 2
+			timer.Reset(gap)
 			go tryDial(ctx, dial, results)
 		case found := <-results:
 			return found.connection, found.err
