A listener's connections are bounded below the process's descriptors

Each listener has a share of the descriptors that the process may have (limits.descriptors, or the system's limit) less 400 kept for files and its own connections. A connection beyond it is answered 503 with a time to come back, counted (too_many_connections) and logged once a second.

--- a/internal/daemon/site.go
+++ b/internal/daemon/site.go
@@ -157,6 +157,7 @@
 			}
 			return err
 		}
+		l.socket = s.bounded(entry.key, l.socket)
 		s.listeners = append(s.listeners, l)
 	}
 	for _, l := range s.listeners {
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -153,6 +153,7 @@
 	MaxItemBytes  int `toml:"max_item_bytes"`  // one item of a part
 	MaxQueue      int `toml:"max_queue"`       // online requests waiting in a gate
 	MaxInProgress int `toml:"max_in_progress"` // online requests running in a gate
+	Descriptors   int `toml:"descriptors"`     // open files and connections of the process; 0: the system's limit
 }
 
 // Timeouts bound waiting.
