Tests of what many gates cost a control VM

Each names the failure that it guards against: answers and calls that grow with the square of the gates, a write of the whole list for each replica, gates that stay at the seeds or ask in step, addresses that stay taken, a spare that cannot be retired because only leaders hear of it.

--- a/internal/control/follow_test.go
+++ b/internal/control/follow_test.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"net/http/httptest"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -26,20 +27,39 @@
 )
 
 // member is a control VM's part in the groups: it follows a leader, and lags.
-type member struct{ lag time.Duration }
+type member struct {
+	lag time.Duration
+
+	mu         sync.Mutex
+	candidates []quorum.Member
+}
 
 func (m *member) Leader(uint32) (replica.Member, bool) { return replica.Member{ID: 1}, true }
 func (m *member) Lag(uint32) time.Duration             { return m.lag }
 func (m *member) Members() []quorum.Member             { return nil }
 func (m *member) Candidates() []quorum.Member          { return nil }
 func (m *member) Known() []quorum.Member               { return nil }
-func (m *member) NoteCandidates([]quorum.Member)       {}
 func (m *member) Retire(context.Context, []string) ([]string, error) {
 	return nil, errors.New("not of this test")
 }
 
-// startControl serves one control VM that has applied routes of version 5.
-func startControl(t *testing.T, m *member) (address string, calls *rpc.Client) {
+func (m *member) NoteCandidates(members []quorum.Member) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.candidates = append(m.candidates, members...)
+}
+
+func (m *member) noted() []quorum.Member {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.candidates
+}
+
+func candidate(vm string) []quorum.Member { return []quorum.Member{{VM: vm}} }
+
+// startControl serves one control VM that has applied routes of version 5, beside
+// others at the addresses given.
+func startControl(t *testing.T, m *member, others ...string) (address string, calls *rpc.Client) {
 	t.Helper()
 	config := keeper.NewConfigMachine()
 	packed, err := routes.Pack(&routes.Document{
@@ -56,7 +76,7 @@
 	config.Apply(replica.Entry{Index: 1, Data: codec.MustMarshal(map[int]any{6: packed})})
 	calls = rpc.NewClient(&http.Client{})
 	service := control.New(control.Options{
-		VM: "control-1", Folder: t.TempDir(), Group: m, Config: config, Calls: calls,
+		VM: "control-1", Folder: t.TempDir(), Seeds: others, Group: m, Config: config, Calls: calls,
 		Keepers: keeperclient.New(calls, nil), Log: zap.NewNop(), Metrics: telemetry.NewMetrics(),
 		Roster: roster.Config{ReplicaLifetime: time.Minute, GateLifetime: time.Minute}, AnswerLifetime: time.Second, MaxEntries: 8,
 	})
--- /dev/null
+++ b/internal/control/herd_test.go
@@ -0,0 +1,126 @@
+package control_test
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"slateway.example/slateway/internal/control/controlapi"
+	"slateway.example/slateway/internal/roster"
+	"slateway.example/slateway/internal/rpc"
+)
+
+// Guards against answers that grow with the square of the gates when all of them start together.
+func TestGatesThatStartTogetherAreAnsweredTogether(t *testing.T) {
+	const gates = 120
+	address, calls := startControl(t, &member{})
+	ctx, cancel := context.WithTimeout(context.Background(), 2*time.Second)
+	defer cancel()
+	var answers, entries atomic.Int64
+	var following sync.WaitGroup
+	for i := range gates {
+		following.Go(func() {
+			request := &controlapi.FollowRequest{
+				Gate: roster.Gate{VM: fmt.Sprint("gate-", i), Ready: true, Started: 1}, Routes: 5,
+				Wait: 500 * time.Millisecond, TakesGateChanges: true,
+			}
+			time.Sleep(time.Duration(i) * 5 * time.Millisecond)
+			for ctx.Err() == nil {
+				request.Gate.Sequence++
+				response, err := rpc.Call(ctx, calls, address, controlapi.Follow, request)
+				if err != nil {
+					return
+				}
+				request.Epoch, request.Since = response.Epoch, response.Changes.Version
+				answers.Add(1)
+				entries.Add(int64(len(response.Changes.Gates)))
+			}
+		})
+	}
+	following.Wait()
+	// Each gate must hear of each other one once: no less, and hardly more.
+	if got := entries.Load(); got < gates*gates || got > gates*gates*3/2 {
+		t.Errorf("%d entries for %d gates", got, gates)
+	}
+	// In two seconds each gate is due some 4 answers of held questions and 8 of gathered changes.
+	if got := answers.Load(); got > gates*16 {
+		t.Errorf("%d answers for %d gates", got, gates)
+	}
+}
+
+// shareCounter stands for another control VM and counts the calls that it serves.
+type shareCounter struct {
+	now, most, calls atomic.Int64
+
+	mu    sync.Mutex
+	gates map[string]bool
+}
+
+func (c *shareCounter) start(t *testing.T) (address string) {
+	c.gates = make(map[string]bool)
+	mux := http.NewServeMux()
+	rpc.Handle(mux, controlapi.Share, controlapi.MaxMessageBytes, func(_ context.Context, request *controlapi.ShareRequest) (*controlapi.ShareResponse, error) {
+		c.calls.Add(1)
+		c.most.Store(max(c.most.Load(), c.now.Add(1)))
+		defer c.now.Add(-1)
+		time.Sleep(20 * time.Millisecond)
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		for _, heard := range request.Gates {
+			c.gates[heard.Gate.VM] = true
+		}
+		return &controlapi.ShareResponse{}, nil
+	})
+	server := httptest.NewServer(mux)
+	t.Cleanup(server.Close)
+	return strings.TrimPrefix(server.URL, "http://")
+}
+
+func (c *shareCounter) known() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return len(c.gates)
+}
+
+// Guards against a connection to each other control VM for each gate that starts.
+func TestOneCallAtATimeTellsAnotherControlVM(t *testing.T) {
+	const gates = 200
+	other := &shareCounter{}
+	address, calls := startControl(t, &member{}, other.start(t))
+	var following sync.WaitGroup
+	for i := range gates {
+		following.Go(func() {
+			request := &controlapi.FollowRequest{Gate: roster.Gate{VM: fmt.Sprint("gate-", i)}, Routes: 4}
+			if _, err := rpc.Call(context.Background(), calls, address, controlapi.Follow, request); err != nil {
+				t.Error(err)
+			}
+		})
+	}
+	following.Wait()
+	for deadline := time.Now().Add(5 * time.Second); other.known() < gates && time.Now().Before(deadline); {
+		time.Sleep(5 * time.Millisecond)
+	}
+	if other.known() != gates || other.most.Load() > 1 || other.calls.Load() > gates/4 {
+		t.Errorf("%d gates told in %d calls, %d at once", other.known(), other.calls.Load(), other.most.Load())
+	}
+}
+
+// Guards against a VM that waits to hold state and cannot be retired, since only leaders are greeted by it.
+func TestCandidatesOfTheLeaderAreKnownToAll(t *testing.T) {
+	m := &member{}
+	address, calls := startControl(t, m)
+	spare := candidate("store-9")
+	_, err := rpc.Call(context.Background(), calls, address, controlapi.Share, &controlapi.ShareRequest{Candidates: spare})
+	if err != nil {
+		t.Fatal(err)
+	}
+	if got := m.noted(); len(got) != 1 || got[0].VM != "store-9" {
+		t.Errorf("noted %+v", got)
+	}
+}
--- /dev/null
+++ b/internal/control/journal_test.go
@@ -0,0 +1,38 @@
+package control
+
+import (
+	"sync"
+	"sync/atomic"
+	"testing"
+
+	"go.uber.org/zap"
+
+	"slateway.example/slateway/internal/roster"
+	"slateway.example/slateway/internal/upstream"
+)
+
+// Guards against a write of the whole list for each replica, when all of them announce themselves at once.
+func TestChangesThatWaitForTheDiskShareAWrite(t *testing.T) {
+	const changes = 300
+	folder := t.TempDir()
+	j := newJournal(folder, zap.NewNop())
+	var version, reads atomic.Uint64
+	known := func() (uint64, []roster.Heard) {
+		reads.Add(1)
+		return version.Load(), []roster.Heard{{Replica: upstream.Announcement{Replica: "r", Sequence: version.Load()}}}
+	}
+	var saving sync.WaitGroup
+	for range changes {
+		saving.Go(func() {
+			mine := version.Add(1)
+			j.save(known)
+			if found := newJournal(folder, zap.NewNop()).load(); len(found) != 1 || found[0].Replica.Sequence < mine {
+				t.Errorf("change %d is acknowledged and not on the disk", mine)
+			}
+		})
+	}
+	saving.Wait()
+	if got := reads.Load(); got > changes/2 {
+		t.Errorf("%d writes for %d changes", got, changes)
+	}
+}
--- a/internal/roster/roster_test.go
+++ b/internal/roster/roster_test.go
@@ -119,3 +119,46 @@
 		t.Fatal("not named after a new word")
 	}
 }
+
+// Guards against followers that miss a gate, or keep one that is gone, when they are told changes only.
+func TestGatesAsChanges(t *testing.T) {
+	r := table()
+	gate := func(vm string, sequence uint64) roster.Gate {
+		return roster.Gate{VM: vm, Started: 5, Sequence: sequence, Ready: true}
+	}
+	r.Hear(start, gate("gate-1", 1), 0)
+	r.Hear(start, gate("gate-2", 1), 0)
+	first := r.Since(0)
+	if !first.HasGates || len(first.Gates) != 2 {
+		t.Fatalf("%+v", first)
+	}
+	r.Hear(start.Add(3*time.Second), gate("gate-3", 1), 0)
+	r.Hear(start.Add(3*time.Second), gate("gate-2", 2), 0)
+	r.Tick(start.Add(3 * time.Second))
+	later := r.Since(first.Version)
+	if later.HasGates || len(later.Gates) != 1 || len(later.GatesGone) != 1 || later.GatesGone[0] != "gate-1" {
+		t.Fatalf("%+v", later)
+	}
+	known := roster.ApplyGates(first.Gates, &later)
+	if len(known) != 2 || known[0].VM != "gate-2" || known[1].VM != "gate-3" {
+		t.Errorf("%+v", known)
+	}
+	r.AllGates(&later)
+	if !later.HasGates || len(later.Gates) != 2 || len(later.GatesGone) != 0 {
+		t.Errorf("a follower of whole lists gets %+v", later)
+	}
+}
+
+// Guards against an address that nobody can take over: a replica that moved, and one that was forgotten, held it.
+func TestAnAddressIsFreeOnceItsReplicaMovedOrIsForgotten(t *testing.T) {
+	r := table()
+	r.Announce(start, announcement("r1", 9, 1, "10.0.0.9:80"), 0)
+	r.Announce(start, announcement("r1", 9, 2, "10.0.0.10:80"), 0)
+	if v := r.Announce(start, announcement("r2", 5, 1, "10.0.0.9:80"), 0); v != roster.Changed {
+		t.Fatalf("after a move: %v", v)
+	}
+	r.Tick(start.Add(21 * time.Second))
+	if v := r.Announce(start.Add(21*time.Second), announcement("r3", 3, 1, "10.0.0.10:80"), 0); v != roster.Changed {
+		t.Errorf("after it was forgotten: %v", v)
+	}
+}
