A replica is told which control VM to announce itself to; gates choose feeders by hashes made once

The answer to a heartbeat names one member by rendezvous hashing, not one whose last call failed. Each change of a gate made each other gate hash 246 IDs for each of 135 replicas; the hashes of the gates are made once.

--- a/internal/control/follow.go
+++ b/internal/control/follow.go
@@ -158,13 +158,15 @@
 // addPeers adds the lists of control VMs and keepers, unless the gate has them.
 // Twice a second to each gate they would be most of the answers' bytes.
 func (s *Service) addPeers(response *controlapi.FollowResponse, known uint64) {
-	peers := s.peers.get(time.Now(), s.listPeers)
+	peers := s.knownPeers()
 	response.Peers = peers.hash
 	if peers.hash != known {
 		response.Controls, response.Keepers = peers.controls, peers.keepers
 	}
 }
 
+func (s *Service) knownPeers() peerLists { return s.peers.get(time.Now(), s.listPeers) }
+
 // listPeers lists this VM and the members of the groups. A control VM that is no
 // member knows no leader, and a gate would only be sent on by it.
 func (s *Service) listPeers() peerLists {
--- a/internal/control/service.go
+++ b/internal/control/service.go
@@ -59,6 +59,7 @@
 	Place   string
 	Region  string
 	Address string   // peers address of this VM
+	Control string   // address of this VM for replicas and operators
 	Folder  string   // data folder of this VM
 	Seeds   []string // peers addresses of some control VMs
 	Group   Group
--- a/internal/control/spread.go
+++ b/internal/control/spread.go
@@ -27,6 +27,8 @@
 
 	mu    sync.Mutex
 	peers map[string]*outgoing // by peers address
+	// unreachable are those whose last call failed.
+	unreachable map[string]bool
 }
 
 // outgoing is what one control VM is still to be told.
@@ -45,7 +47,7 @@
 }
 
 func newSpreader(self string, calls *rpc.Client, log *zap.Logger) *spreader {
-	return &spreader{self: self, calls: calls, log: log, peers: make(map[string]*outgoing)}
+	return &spreader{self: self, calls: calls, log: log, peers: make(map[string]*outgoing), unreachable: make(map[string]bool)}
 }
 
 // spread queues a message for the control VMs at the addresses and gives a channel
@@ -103,11 +105,27 @@
 func (s *spreader) send(ctx context.Context, address string, p *parcel) {
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), shareTimeout)
 	defer cancel()
-	if _, err := rpc.Call(ctx, s.calls, address, controlapi.Share, p.request(s.self)); err != nil {
-		s.log.Debug("control VM not told", zap.String("address", address), zap.Error(err))
+	_, err := rpc.Call(ctx, s.calls, address, controlapi.Share, p.request(s.self))
+	s.mu.Lock()
+	before := s.unreachable[address]
+	if err != nil {
+		s.unreachable[address] = true
+	} else {
+		delete(s.unreachable, address)
+	}
+	s.mu.Unlock()
+	if before != (err != nil) {
+		s.log.Info("control VM", zap.String("address", address), zap.Bool("reachable", err == nil), zap.Error(err))
 	}
 }
 
+// isUnreachable says whether the last call to a control VM failed.
+func (s *spreader) isUnreachable(address string) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.unreachable[address]
+}
+
 func newParcel() *parcel {
 	return &parcel{
 		replicas: make(map[upstream.ReplicaID]roster.Heard), gates: make(map[string]roster.HeardGate),
--- a/internal/daemon/sitecontrol.go
+++ b/internal/daemon/sitecontrol.go
@@ -78,7 +78,7 @@
 	keepers.SetHint(made.leaderAddress)
 	c.service = control.New(control.Options{
 		VM: s.VM.Name, Place: s.VM.Place, Region: s.VM.Region,
-		Address: s.Listen.Peers, Folder: s.VM.DataFolder, Seeds: s.SeedPeers(),
+		Address: s.Listen.Peers, Control: s.Listen.Control, Folder: s.VM.DataFolder, Seeds: s.SeedPeers(),
 		Group: made.host, Tolerance: s.Control.Tolerance, Config: made.config, Keepers: keepers,
 		Calls: site.calls, Log: site.log.Logger, Metrics: site.metrics,
 		Roster: roster.Config{
--- a/internal/gate/follow/choice.go
+++ b/internal/gate/follow/choice.go
@@ -5,9 +5,8 @@
 	"math/rand/v2"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	"slateway.example/slateway/internal/apierr"
+	"slateway.example/slateway/internal/rendezvous"
 )
 
 // chooser picks the control VM that a gate follows by rendezvous hashing: the gates
@@ -52,23 +51,20 @@
 // choose gives the first choice among the control VMs that are not passed over,
 // or the one whose time is over first.
 func (c *chooser) choose(now time.Time, controls []string) string {
-	var best, soonest string
-	var bestScore uint64
+	var able []string
+	soonest := ""
 	for _, control := range controls {
-		if c.failures[control].until.After(now) {
-			if soonest == "" || c.failures[control].until.Before(c.failures[soonest].until) {
-				soonest = control
-			}
-			continue
-		}
-		if score := xxhash.Sum64String(c.gate + "|" + control); best == "" || score > bestScore {
-			best, bestScore = control, score
+		switch until := c.failures[control].until; {
+		case !until.After(now):
+			able = append(able, control)
+		case soonest == "" || until.Before(c.failures[soonest].until):
+			soonest = control
 		}
 	}
-	if best == "" {
+	if len(able) == 0 {
 		return soonest
 	}
-	return best
+	return rendezvous.Best(c.gate, able)
 }
 
 // backoff paces the questions that no control VM has answered. It is the pause
--- a/internal/route/shard.go
+++ b/internal/route/shard.go
@@ -19,7 +19,7 @@
 	table   *upstream.Table
 	strikes *upstream.Strikes
 	hints   *upstream.CacheHints
-	gates   []Gate
+	gates   []rankedGate
 
 	replicas []*replica // in the order of their IDs
 	local    []*replica // of the own place, that take work
