A gate without room for items waits for decisions instead of looking for room 200 times a second

Cause: of 246 gates half feed no replica; each looked for room of each service every 5 ms, and for results every 20 ms, some 450 wake-ups a second for nothing. The lease loop now waits for a decision on the service, an item's end, or 0.2 s; the reporter sleeps until there is a result.

--- a/internal/gate/batch/reporter.go
+++ b/internal/gate/batch/reporter.go
@@ -24,7 +24,8 @@
 type reporter struct {
 	options Options
 	slots   chan struct{}
-	full    chan struct{}
+	any     chan struct{} // gets a value when results wait
+	full    chan struct{} // gets a value when they make a group
 
 	mu       sync.Mutex
 	pending  []job.Result
@@ -35,6 +36,7 @@
 	return &reporter{
 		options: options,
 		slots:   make(chan struct{}, maxReports),
+		any:     make(chan struct{}, 1),
 		full:    make(chan struct{}, 1),
 	}
 }
@@ -44,35 +46,42 @@
 	r.pending = append(r.pending, result)
 	enough := len(r.pending) >= r.options.ResultGroup
 	r.mu.Unlock()
-	if !enough {
-		return
-	}
-	select {
-	case r.full <- struct{}{}:
-	default:
+	signal(r.any)
+	if enough {
+		signal(r.full)
 	}
 }
 
-// run reports groups until ctx ends.
+// run reports groups until ctx ends. A group goes when it is full, or ResultFlush
+// after its first result.
 func (r *reporter) run(ctx context.Context) {
-	ticker := time.NewTicker(r.options.ResultFlush)
-	defer ticker.Stop()
 	for {
 		select {
 		case <-ctx.Done():
 			return
-		case <-ticker.C:
+		case <-r.any:
+		}
+		timer := time.NewTimer(r.options.ResultFlush)
+		select {
+		case <-ctx.Done():
+			timer.Stop()
+			return
+		case <-timer.C:
 		case <-r.full:
+			timer.Stop()
 		}
 		r.flush(ctx)
 	}
 }
 
+// flush sends the results that wait. When enough groups are on their way, it asks
+// to be called again, and the group grows meanwhile.
 func (r *reporter) flush(ctx context.Context) {
 	select {
 	case r.slots <- struct{}{}:
 	default:
-		return // enough groups are on their way; this one grows meanwhile
+		signal(r.any)
+		return
 	}
 	group := r.take()
 	if len(group) == 0 {
--- a/internal/gate/batch/runner.go
+++ b/internal/gate/batch/runner.go
@@ -29,6 +29,8 @@
 // Router runs single items.
 type Router interface {
 	BatchTarget(service string, policy route.Policy) int
+	// Stepped gets a value when BatchTarget may have changed; nil: it does not tell.
+	Stepped(service string) <-chan struct{}
 	RunBatch(ctx context.Context, item proxy.BatchItem) (proxy.BatchResult, error)
 	Upstreams() []proxy.Replica
 }
@@ -59,7 +61,7 @@
 const (
 	// scanInterval is how often a runner looks for new services.
 	scanInterval = 200 * time.Millisecond
-	// roomInterval is how often a full service is looked at for free room.
+	// roomInterval is the least time between two looks at a full service.
 	roomInterval = 5 * time.Millisecond
 	// leaseWait is how long a lease call waits at the keepers for work. The
 	// wanted queues are decided before it, so it also bounds how long a newly
@@ -83,7 +85,8 @@
 	items sync.WaitGroup
 
 	mu      sync.Mutex
-	held    map[string]int // items held, by service
+	held    map[string]int           // items held, by service
+	freed   map[string]chan struct{} // by service: gets a value when an item has ended
 	running map[job.ID]*runningJob
 }
 
@@ -106,6 +109,7 @@
 		services: make(map[string]struct{}),
 		held:     make(map[string]int),
 		running:  make(map[job.ID]*runningJob),
+		freed:    make(map[string]chan struct{}),
 	}
 }
 
@@ -144,6 +148,9 @@
 				continue
 			}
 			r.services[service] = struct{}{}
+			r.mu.Lock()
+			r.freed[service] = make(chan struct{}, 1)
+			r.mu.Unlock()
 			loops.Go(func() { r.leaseLoop(ctx, background, service) })
 		}
 		pause(ctx, scanInterval)
@@ -154,7 +161,7 @@
 	for ctx.Err() == nil {
 		wants := r.wants(service)
 		if len(wants) == 0 || !r.holdsItems() {
-			pause(ctx, roomInterval)
+			r.awaitRoom(ctx, service)
 			continue
 		}
 		items, err := r.lease(ctx, wants)
@@ -168,6 +175,24 @@
 	}
 }
 
+// awaitRoom returns when there may be room for items of the service: roomInterval
+// at least, so that a busy service is not looked at after each decision. A gate that
+// feeds no replica would else look for room for good.
+func (r *Runner) awaitRoom(ctx context.Context, service string) {
+	r.mu.Lock()
+	freed := r.freed[service]
+	r.mu.Unlock()
+	pause(ctx, roomInterval)
+	timer := time.NewTimer(scanInterval)
+	defer timer.Stop()
+	select {
+	case <-r.options.Router.Stepped(service):
+	case <-freed:
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
+
 func (r *Runner) lease(ctx context.Context, wants []job.Want) ([]keeperapi.LeasedItem, error) {
 	ctx, cancel := context.WithTimeout(ctx, leaseTimeout)
 	defer cancel()
@@ -257,6 +282,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.held[lease.Queue.Service]--
+	signal(r.freed[lease.Queue.Service])
 	within.items--
 	if within.items > 0 {
 		return
@@ -278,6 +304,14 @@
 	return ids
 }
 
+// signal wakes the reader of a channel that holds one value.
+func signal(c chan<- struct{}) {
+	select {
+	case c <- struct{}{}:
+	default:
+	}
+}
+
 func pause(ctx context.Context, d time.Duration) {
 	timer := time.NewTimer(d)
 	defer timer.Stop()
--- a/internal/gate/batch/runner_test.go
+++ b/internal/gate/batch/runner_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -93,10 +94,20 @@
 
 // engines is a fake router with one replica that runs items by run.
 type engines struct {
-	run func(ctx context.Context, item proxy.BatchItem) (proxy.BatchResult, error)
+	full  bool         // there is room for no item
+	looks atomic.Int64 // how often that was asked for
+	run   func(ctx context.Context, item proxy.BatchItem) (proxy.BatchResult, error)
 }
 
-func (e *engines) BatchTarget(string, route.Policy) int { return 4 }
+func (e *engines) BatchTarget(string, route.Policy) int {
+	e.looks.Add(1)
+	if e.full {
+		return 0
+	}
+	return 4
+}
+
+func (e *engines) Stepped(string) <-chan struct{} { return nil }
 
 func (e *engines) RunBatch(ctx context.Context, item proxy.BatchItem) (proxy.BatchResult, error) {
 	return e.run(ctx, item)
@@ -222,3 +233,14 @@
 		})
 	}
 }
+
+// Guards against gates that feed no replica and spend their processor time on looking for room.
+func TestAGateWithoutRoomLooksForItNowAndThen(t *testing.T) {
+	e := &engines{full: true}
+	stop := startFenced(&keepers{}, e)
+	time.Sleep(time.Second)
+	stop()
+	if got := e.looks.Load(); got < 2 || got > 20 {
+		t.Errorf("looked %d times in a second", got)
+	}
+}
--- a/internal/gate/proxy/router.go
+++ b/internal/gate/proxy/router.go
@@ -244,6 +244,17 @@
 	return s.decide.BatchTarget(policy)
 }
 
+// Stepped gives a channel that gets a value after decisions on the service, which
+// may have changed its BatchTarget; nil for an unknown service. One reader at a
+// time may use it.
+func (r *Router) Stepped(service string) <-chan struct{} {
+	s := r.find(service)
+	if s == nil {
+		return nil
+	}
+	return s.stepped
+}
+
 // DrainBatch stops batch work: items are given back.
 func (r *Router) DrainBatch() {
 	r.mu.Lock()
--- a/internal/gate/proxy/shard.go
+++ b/internal/gate/proxy/shard.go
@@ -23,6 +23,8 @@
 	decide  *route.Shard
 	flights map[string]*flight           // requests in progress by ID
 	runs    map[route.AttemptID]*attempt // attempts in progress
+
+	stepped chan struct{} // gets a value after decisions, unless one waits there
 }
 
 func newShard(r *Router, service string, decide *route.Shard) *shard {
@@ -32,6 +34,7 @@
 		decide:  decide,
 		flights: make(map[string]*flight),
 		runs:    make(map[route.AttemptID]*attempt),
+		stepped: make(chan struct{}, 1),
 	}
 }
 
@@ -42,6 +45,14 @@
 	s.execute(s.decide.Step(time.Now(), in))
 }
 
+// signalStep tells the reader of stepped, if it has read the last value.
+func (s *shard) signalStep() {
+	select {
+	case s.stepped <- struct{}{}:
+	default:
+	}
+}
+
 // open registers a flight and offers its request. A request whose ID is in
 // progress already is refused without touching the first one.
 func (s *shard) open(f *flight) {
@@ -84,6 +95,7 @@
 // gates know of the strikes, so that neither the next attempt nor the caller's
 // next request is ahead of the news.
 func (s *shard) execute(outputs []route.Output) {
+	defer s.signalStep()
 	ready := alreadyDone
 	for _, o := range outputs {
 		switch o := o.(type) {
