Items are shared among the gates that wait for some, the emptiest first

Cause: a job's ten items went to the gate that asked first, which filled the slots of its one or two engines while others stood idle. Leases and offers are now bounded to a gate's share of the items that wait, and the gates with the least of their room filled are told first; an offer that is not taken still ends after 0.25 s.

--- a/internal/gate/batch/runner.go
+++ b/internal/gate/batch/runner.go
@@ -204,14 +204,15 @@
 // keepers.
 func (r *Runner) wants(service string) []job.Want {
 	target := r.options.Router.BatchTarget(service, route.ThroughputPolicy())
-	count := min(target-r.heldItems(service), r.options.LeaseItems)
+	holds := r.heldItems(service)
+	count := min(target-holds, r.options.LeaseItems)
 	if count <= 0 {
 		return nil
 	}
 	queues := r.queues(service)
 	wants := make([]job.Want, len(queues))
 	for i, queue := range queues {
-		wants[i] = job.Want{Queue: queue, Max: count}
+		wants[i] = job.Want{Queue: queue, Max: count, Held: holds}
 	}
 	return wants
 }
--- a/internal/job/lease.go
+++ b/internal/job/lease.go
@@ -23,6 +23,7 @@
 type Want struct {
 	Queue Queue `cbor:"1,keyasint"`
 	Max   int   `cbor:"2,keyasint"`
+	Held  int   `cbor:"3,keyasint,omitempty"` // items of it that the session's gate holds already
 }
 
 // Leased is an item that a gate may run now.
--- a/internal/keeper/jobcalls.go
+++ b/internal/keeper/jobcalls.go
@@ -188,6 +188,7 @@
 	}
 	timer := time.NewTimer(min(request.Wait, maxWait))
 	defer timer.Stop()
+	defer s.offers.wait(request.Group, request.Session, request.Wants)()
 	for {
 		changed := machine.changed.wait()
 		now := time.Now()
@@ -220,8 +221,11 @@
 	s.touch(request.Group, request.Session, time.Now())
 	defer s.offers.settle(request.Group, request.Session)
 	wants := boundWants(request.Wants)
-	if !machine.hasWork(wants) && !machine.taken(request) {
-		return &keeperapi.LeaseResponse{}, nil
+	if !machine.taken(request) { // a resend gets the same items
+		wants = s.offers.bound(request.Group, request.Session, wants, machine.readyItems, time.Now())
+		if !machine.hasWork(wants) {
+			return &keeperapi.LeaseResponse{}, nil
+		}
 	}
 	return s.proposeLease(ctx, machine, request, wants)
 }
