A VM finds the leaders of groups of which it is no member

The leader of the configuration is to tell the leader of the jobs, but with 45 store VMs no control VM is a member of that group any more: 'group 1 has no known leader' 127 times. Smaller sites have fewer store VMs than voters, so that control VMs stay members. A VM that was removed also believed in the last leader that it had heard for good.

--- a/internal/control/follow_test.go
+++ b/internal/control/follow_test.go
@@ -43,6 +43,8 @@
 	return nil, errors.New("not of this test")
 }
 
+func (m *member) Locate(context.Context) {}
+
 func (m *member) NoteCandidates(members []quorum.Member) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
--- a/internal/control/service.go
+++ b/internal/control/service.go
@@ -40,6 +40,8 @@
 	Candidates() []quorum.Member
 	Known() []quorum.Member
 	NoteCandidates(members []quorum.Member)
+	// Locate brings what is known of groups forward of which this VM is no member.
+	Locate(ctx context.Context)
 	Retire(ctx context.Context, vms []string) (left []string, err error)
 }
 
--- a/internal/control/share.go
+++ b/internal/control/share.go
@@ -43,6 +43,7 @@
 		if round%wholeEvery == 0 {
 			s.askWhole(ctx, round/wholeEvery)
 			s.shareCandidates(ctx)
+			go s.options.Group.Locate(ctx)
 		}
 		select {
 		case <-ctx.Done():
--- a/internal/quorum/node.go
+++ b/internal/quorum/node.go
@@ -325,8 +325,14 @@
 // Membership gives the membership in force: the newest in the log.
 func (n *Node) Membership() Membership { return n.log.membership() }
 
-// Leader gives the leader that this member follows or is; None if unknown.
-func (n *Node) Leader() ID { return n.leader }
+// Leader gives the leader that this member follows or is; None if unknown. One that
+// was removed hears no other leader, and is not told that this one has gone.
+func (n *Node) Leader() ID {
+	if !n.Membership().IsVoter(n.config.ID) && !n.hearsLeader() {
+		return None
+	}
+	return n.leader
+}
 
 // IsLeader says whether this member leads.
 func (n *Node) IsLeader() bool { return n.role == Leader }
--- a/internal/replica/bootstrap.go
+++ b/internal/replica/bootstrap.go
@@ -95,8 +95,8 @@
 // VM knows them.
 func (h *Host) Members() []quorum.Member {
 	members := []quorum.Member{h.member()}
-	for _, g := range h.groups {
-		members = append(members, g.membership().Members...)
+	for id := range h.Groups() {
+		members = append(members, h.membersOf(id)...)
 	}
 	return byAddress(members)
 }
--- a/internal/replica/host.go
+++ b/internal/replica/host.go
@@ -41,6 +41,7 @@
 	candidates map[quorum.ID]candidate
 	seeds      []string // as the settings name them now
 	retiring   []string // VMs that are to hold nothing any more
+	located    map[uint32]located
 	failure    error
 	ended      bool
 }
@@ -61,7 +62,7 @@
 	h := &Host{
 		config: config, logger: config.Logger, lock: lock,
 		done: make(chan struct{}), candidates: map[quorum.ID]candidate{},
-		pacer: newPacer(config.TransferRate), seeds: config.Seeds,
+		pacer: newPacer(config.TransferRate), seeds: config.Seeds, located: make(map[uint32]located),
 	}
 	h.ctx, h.cancel = context.WithCancel(context.Background())
 	if err := h.recover(); err != nil {
--- /dev/null
+++ b/internal/replica/locate.go
@@ -0,0 +1,145 @@
+package replica
+
+import (
+	"context"
+	"slices"
+	"sync"
+	"time"
+
+	"slateway.example/slateway/internal/quorum"
+	"slateway.example/slateway/internal/rpc"
+)
+
+const (
+	// searchHops bounds a search: members that were asked name others, which may
+	// have taken their place.
+	searchHops = 4
+	// searchTimeout bounds each hop.
+	searchTimeout = 300 * time.Millisecond
+)
+
+// located is what this VM has learnt of a group of which it is no member.
+type located struct {
+	leader  Member
+	members []quorum.Member
+}
+
+// Locate looks for the leaders of the groups of which this VM knows none, since it
+// is no member of them or not any more. What it finds counts for Members, and where
+// a leader is needed.
+func (h *Host) Locate(ctx context.Context) {
+	for id := range h.Groups() {
+		if _, known := h.Leader(id); !known {
+			h.search(ctx, id)
+		}
+	}
+}
+
+// findLeader gives the leader of a group, which may be looked for.
+func (h *Host) findLeader(ctx context.Context, id uint32) (Member, bool) {
+	if leader, known := h.Leader(id); known {
+		return leader, true
+	}
+	return h.search(ctx, id)
+}
+
+// search asks the members of a group, as far as they are known here, and those
+// whom they name, until one says that it leads.
+func (h *Host) search(ctx context.Context, id uint32) (Member, bool) {
+	asked := map[string]bool{h.self.Address: true}
+	next := h.whereabouts(id)
+	for range searchHops {
+		var named []string
+		for address, status := range h.askStatus(ctx, id, next, asked) {
+			if status.Leads {
+				return h.noteLocated(id, address, &status), true
+			}
+			named = append(named, addressesOf(&status)...)
+		}
+		next = named
+	}
+	return Member{}, false
+}
+
+// whereabouts gives the addresses at which a search for the group begins: the
+// members found by the last one, else those that this VM knew last, else everyone.
+func (h *Host) whereabouts(id uint32) []string {
+	h.mu.Lock()
+	members := h.located[id].members
+	h.mu.Unlock()
+	if len(members) == 0 {
+		members = h.groups[id].membership().Members
+	}
+	if len(members) == 0 {
+		members = h.Known()
+	}
+	addresses := h.config.contacts()
+	for _, m := range members {
+		addresses = append(addresses, m.Address)
+	}
+	return addresses
+}
+
+// askStatus asks all addresses at once that were not asked before, and gives what
+// they say of the group, by address.
+func (h *Host) askStatus(ctx context.Context, id uint32, addresses []string, asked map[string]bool) map[string]GroupStatus {
+	ctx, cancel := context.WithTimeout(ctx, searchTimeout)
+	defer cancel()
+	var mu sync.Mutex
+	found := make(map[string]GroupStatus)
+	var calls sync.WaitGroup
+	for _, address := range addresses {
+		if asked[address] {
+			continue
+		}
+		asked[address] = true
+		calls.Go(func() {
+			answer, err := rpc.Call(ctx, h.transport.client, address, procedureStatus, &statusRequest{})
+			if err != nil || int(id) >= len(answer.Groups) {
+				return // another one is asked as well
+			}
+			mu.Lock()
+			defer mu.Unlock()
+			found[address] = answer.Groups[id]
+		})
+	}
+	calls.Wait()
+	return found
+}
+
+func (h *Host) noteLocated(id uint32, address string, status *GroupStatus) Member {
+	found := located{leader: Member{ID: status.Leader, Address: address}}
+	for _, m := range status.Members {
+		if m.Address == address {
+			found.leader.VM = m.VM
+		}
+		found.members = append(found.members, quorum.Member{ID: m.ID, VM: m.VM, Address: m.Address, Learner: m.Learner, Class: m.Class})
+	}
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.located[id] = found
+	return found.leader
+}
+
+// membersOf gives the members of a group, as they were last found if this VM hears
+// no leader of it.
+func (h *Host) membersOf(id uint32) []quorum.Member {
+	own := h.groups[id].membership().Members
+	if _, known := h.Leader(id); known {
+		return own
+	}
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if found := h.located[id].members; len(found) > 0 {
+		return slices.Clone(found)
+	}
+	return own
+}
+
+func addressesOf(status *GroupStatus) []string {
+	var addresses []string
+	for _, m := range status.Members {
+		addresses = append(addresses, m.Address)
+	}
+	return addresses
+}
--- a/internal/replica/orders.go
+++ b/internal/replica/orders.go
@@ -30,7 +30,7 @@
 func (h *Host) Retire(ctx context.Context, vms []string) (left []string, err error) {
 	request := &retireRequest{VMs: vms}
 	for id := range h.Groups() {
-		leader, ok := h.Leader(id)
+		leader, ok := h.findLeader(ctx, id)
 		if !ok {
 			return vms, &NotLeaderError{Group: id}
 		}
--- a/internal/replica/status.go
+++ b/internal/replica/status.go
@@ -16,6 +16,7 @@
 	// Match and Reachable are known to the leader only.
 	Match     uint64 `cbor:"5,keyasint,omitempty"` // last entry it has synced
 	Reachable bool   `cbor:"6,keyasint,omitempty"`
+	Class     string `cbor:"7,keyasint,omitempty"` // kind of VM
 }
 
 // GroupStatus is the state of a group as one VM sees it.
@@ -62,7 +63,7 @@
 	for _, m := range s.Members {
 		status.IsMember = status.IsMember || m.ID == s.ID
 		status.Members = append(status.Members, MemberStatus{
-			ID: m.ID, VM: m.VM, Address: m.Address, Learner: m.Learner, Match: m.Match, Reachable: m.Reachable,
+			ID: m.ID, VM: m.VM, Address: m.Address, Learner: m.Learner, Match: m.Match, Reachable: m.Reachable, Class: m.Class,
 		})
 	}
 	return status
@@ -84,7 +85,7 @@
 	statuses := h.Status()
 	asked := map[string]*statusResponse{}
 	for i := range statuses {
-		leader, ok := h.Leader(uint32(i))
+		leader, ok := h.findLeader(ctx, uint32(i))
 		if !ok || leader.ID == h.self.ID {
 			continue
 		}
