--- a/internal/control/service.go
+++ b/internal/control/service.go
@@ -90,6 +90,7 @@
 	contact  contactWatch
 	// followers is how many questions of gates are held now.
 	followers atomic.Int64
+	locating  atomic.Bool // a search for leaders is under way
 
 	mu        sync.Mutex // guards what follows
 	table     *roster.Table
--- a/internal/control/share.go
+++ b/internal/control/share.go
@@ -40,10 +40,10 @@
 	for round := 0; ; round++ {
 		s.tick()
 		s.shareHeard(ctx)
+		s.locate(ctx)
 		if round%wholeEvery == 0 {
 			s.askWhole(ctx, round/wholeEvery)
 			s.shareCandidates(ctx)
-			go s.options.Group.Locate(ctx)
 		}
 		select {
 		case <-ctx.Done():
@@ -86,6 +86,17 @@
 	s.spread(ctx, &controlapi.ShareRequest{Candidates: candidates})
 }
 
+// locate looks for leaders beside the rounds, one search at a time.
+func (s *Service) locate(ctx context.Context) {
+	if !s.locating.CompareAndSwap(false, true) {
+		return
+	}
+	go func() {
+		defer s.locating.Store(false)
+		s.options.Group.Locate(ctx)
+	}()
+}
+
 // askWhole asks one of the other control VMs for everything; the first time, all
 // of them, since a VM that has just started knows nothing.
 func (s *Service) askWhole(ctx context.Context, turn int) {
--- a/internal/keeper/leadership.go
+++ b/internal/keeper/leadership.go
@@ -125,10 +125,22 @@
 	if _, leads := s.termOf(group); leads {
 		return nil
 	}
-	leader, _ := s.options.Proposer.Leader(group)
+	leader := s.leaderHint(group)
 	return &replica.NotLeaderError{Group: group, Leader: leader, Address: leader.Address}
 }
 
+// leaderHint gives the member to send a caller to; zero if none is known.
+func (s *Service) leaderHint(group uint32) replica.Member {
+	if host, found := s.options.Proposer.(interface {
+		LeaderHint(group uint32) (replica.Member, bool)
+	}); found {
+		leader, _ := host.LeaderHint(group)
+		return leader
+	}
+	leader, _ := s.options.Proposer.Leader(group)
+	return leader
+}
+
 // termConfirmed reports whether this VM leads the group in a term in which a
 // read barrier has passed.
 func (s *Service) termConfirmed(group uint32) bool {
--- a/internal/replica/locate.go
+++ b/internal/replica/locate.go
@@ -16,25 +16,54 @@
 	searchHops = 4
 	// searchTimeout bounds each hop.
 	searchTimeout = 300 * time.Millisecond
+	// locatedLifetime is how long a leader that was found is not looked for again.
+	locatedLifetime = 2 * time.Second
 )
 
 // located is what this VM has learnt of a group of which it is no member.
 type located struct {
-	leader  Member
+	leader  Member // zero: none was found
 	members []quorum.Member
+	at      time.Time
 }
 
 // Locate looks for the leaders of the groups of which this VM knows none, since it
-// is no member of them or not any more. What it finds counts for Members, and where
-// a leader is needed.
+// is no member of them or not any more, and found none lately. What it finds counts
+// for Members, and where a leader is needed.
 func (h *Host) Locate(ctx context.Context) {
 	for id := range h.Groups() {
-		if _, known := h.Leader(id); !known {
+		if _, known := h.Leader(id); !known && h.locatedAge(id) > locatedLifetime {
 			h.search(ctx, id)
 		}
 	}
 }
 
+// LeaderHint gives the member to ask for the group's leader: the one that this VM
+// follows, else the one that it last found.
+func (h *Host) LeaderHint(group uint32) (Member, bool) {
+	if leader, known := h.Leader(group); known {
+		return leader, true
+	}
+	return h.locatedLeader(group)
+}
+
+func (h *Host) locatedLeader(id uint32) (Member, bool) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	leader := h.located[id].leader
+	return leader, leader.Address != ""
+}
+
+// locatedAge is how long ago a leader of the group was found.
+func (h *Host) locatedAge(id uint32) time.Duration {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.located[id].leader.Address == "" {
+		return locatedLifetime + 1
+	}
+	return time.Since(h.located[id].at)
+}
+
 // findLeader gives the leader of a group, which may be looked for.
 func (h *Host) findLeader(ctx context.Context, id uint32) (Member, bool) {
 	if leader, known := h.Leader(id); known {
@@ -58,9 +87,20 @@
 		}
 		next = named
 	}
+	h.forgetLocated(id)
 	return Member{}, false
 }
 
+// forgetLocated notes that no leader was found. The members are a start for the
+// next search.
+func (h *Host) forgetLocated(id uint32) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	found := h.located[id]
+	found.leader = Member{}
+	h.located[id] = found
+}
+
 // whereabouts gives the addresses at which a search for the group begins: the
 // members found by the last one, else those that this VM knew last, else everyone.
 func (h *Host) whereabouts(id uint32) []string {
@@ -108,7 +148,7 @@
 }
 
 func (h *Host) noteLocated(id uint32, address string, status *GroupStatus) Member {
-	found := located{leader: Member{ID: status.Leader, Address: address}}
+	found := located{leader: Member{ID: status.Leader, Address: address}, at: time.Now()}
 	for _, m := range status.Members {
 		if m.Address == address {
 			found.leader.VM = m.VM
--- a/internal/replica/locate_test.go
+++ b/internal/replica/locate_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"testing"
 	"time"
 )
@@ -46,6 +47,10 @@
 	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
 	defer cancel()
 	control.host.Locate(ctx)
+	var refused *NotLeaderError
+	if _, err := control.host.Propose(ctx, jobs, nil); !errors.As(err, &refused) || refused.Address == "" {
+		t.Errorf("a caller is not sent on: %v", err)
+	}
 	var stores []string
 	for _, m := range control.host.Members() {
 		if m.Class == "store" {
--- a/internal/replica/waiting.go
+++ b/internal/replica/waiting.go
@@ -68,6 +68,9 @@
 	if leader.ID == g.host.self.ID {
 		leader = Member{}
 	}
+	if leader.Address == "" {
+		leader, _ = g.host.locatedLeader(g.id)
+	}
 	return &NotLeaderError{Group: g.id, Leader: leader, Address: leader.Address}
 }
 
