Changes of the roster are packed once for all gates that ask for them

Cause: after a stop of all processes 246 gates ask three control VMs for everything; each answer (135 replicas, hundreds of gates) was encoded and compressed anew. Answers to gates are now packed by version and not compressed again by the transport.

--- a/internal/control/controlapi/api.go
+++ b/internal/control/controlapi/api.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"slateway.example/slateway/internal/apierr"
+	"slateway.example/slateway/internal/codec"
 	"slateway.example/slateway/internal/quorum"
 	"slateway.example/slateway/internal/roster"
 	"slateway.example/slateway/internal/routes"
@@ -39,7 +40,8 @@
 	Peers uint64 `cbor:"6,keyasint"`
 	// TakesPacked: newer routes may come packed.
 	TakesPacked bool `cbor:"7,keyasint,omitempty"`
-	// TakesGateChanges: the gates may come as changes, not as a whole list.
+	// TakesGateChanges: the gates may come as changes, not as a whole list, and all
+	// changes may come packed.
 	TakesGateChanges bool `cbor:"8,keyasint,omitempty"`
 }
 
@@ -54,6 +56,17 @@
 	Keepers  []string         `cbor:"5,keyasint,omitempty"` // of all VMs that hold replicated state, if they changed
 	Peers    uint64           `cbor:"6,keyasint"`           // hash of the two lists
 	Packed   routes.Packed    `cbor:"7,keyasint,omitempty"` // in place of Routes, for a gate that takes it
+	// PackedChanges are Changes that are large, for a gate that takes GateChanges.
+	PackedChanges []byte `cbor:"8,keyasint,omitempty"`
+}
+
+// Unpack puts packed changes in the place of Changes.
+func (r *FollowResponse) Unpack() error {
+	if len(r.PackedChanges) == 0 {
+		return nil
+	}
+	r.Changes = roster.Changes{}
+	return codec.Unpack(r.PackedChanges, MaxMessageBytes, &r.Changes)
 }
 
 // HasRoutes says whether it brings newer routes.
--- a/internal/control/follow.go
+++ b/internal/control/follow.go
@@ -110,12 +110,29 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	response.Changes = s.table.Since(since)
-	if since > 0 && !request.TakesGateChanges {
+	s.addChanges(response, since, request.TakesGateChanges)
+	news := response.HasRoutes() || s.table.Version() > since
+	return response, news, s.changed
+}
+
+// addChanges adds what changed in the roster. The mutex is held.
+func (s *Service) addChanges(response *controlapi.FollowResponse, since uint64, takesGateChanges bool) {
+	if !takesGateChanges {
+		response.Changes = s.table.Since(since)
 		s.table.AllGates(&response.Changes)
+		return
 	}
-	news := response.HasRoutes() || response.Changes.Version > since
-	return response, news, s.changed
+	found, err := s.packedChanges.of(s.table, since)
+	if err != nil {
+		s.options.Log.Warn("changes of the roster not packed, sent as they are", zap.Uint64("since", since), zap.Error(err))
+		response.Changes = s.table.Since(since)
+		return
+	}
+	if len(found.packed) > 0 {
+		response.PackedChanges = found.packed
+		return
+	}
+	response.Changes = found.changes
 }
 
 // addRoutes adds a document, packed if the gate takes that. It is packed once for
@@ -134,27 +151,6 @@
 	response.Packed = data
 }
 
-// packedRoutes keeps the newest document as gates are sent it.
-type packedRoutes struct {
-	mu      sync.Mutex
-	version uint64
-	data    routes.Packed
-}
-
-func (p *packedRoutes) of(document *routes.Document) (routes.Packed, error) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	if p.version == document.Version && p.data != nil {
-		return p.data, nil
-	}
-	data, err := routes.Pack(document.WithoutSource())
-	if err != nil {
-		return nil, err
-	}
-	p.version, p.data = document.Version, data
-	return data, nil
-}
-
 // addPeers adds the lists of control VMs and keepers, unless the gate has them.
 // Twice a second to each gate they would be most of the answers' bytes.
 func (s *Service) addPeers(response *controlapi.FollowResponse, known uint64) {
--- a/internal/control/herd_test.go
+++ b/internal/control/herd_test.go
@@ -1,6 +1,7 @@
 package control_test
 
 import (
+	"bytes"
 	"context"
 	"fmt"
 	"net/http"
@@ -37,6 +38,10 @@
 				if err != nil {
 					return
 				}
+				if err := response.Unpack(); err != nil {
+					t.Error(err)
+					return
+				}
 				request.Epoch, request.Since = response.Epoch, response.Changes.Version
 				answers.Add(1)
 				entries.Add(int64(len(response.Changes.Gates)))
@@ -124,3 +129,40 @@
 		t.Errorf("noted %+v", got)
 	}
 }
+
+// Guards against changes that are encoded and compressed for each gate, when all gates ask for everything at once.
+func TestEverythingIsPackedOnceForAllGates(t *testing.T) {
+	address, calls := startControl(t, &member{})
+	var gates []roster.HeardGate
+	for i := range 200 {
+		gates = append(gates, roster.HeardGate{Gate: roster.Gate{VM: fmt.Sprint("gate-", i), Started: 1, Sequence: 1, Ready: true}})
+	}
+	ctx := context.Background()
+	if _, err := rpc.Call(ctx, calls, address, controlapi.Share, &controlapi.ShareRequest{Gates: gates}); err != nil {
+		t.Fatal(err)
+	}
+	request := &controlapi.FollowRequest{Gate: roster.Gate{VM: "gate-1", Started: 1, Sequence: 1}, Routes: 5, TakesGateChanges: true}
+	var first []byte
+	for range 2 {
+		response, err := rpc.Call(ctx, calls, address, controlapi.Follow, request)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if len(response.PackedChanges) == 0 || len(response.Changes.Gates) > 0 {
+			t.Fatal("not packed")
+		}
+		if first == nil {
+			first = response.PackedChanges
+		} else if !bytes.Equal(first, response.PackedChanges) {
+			t.Error("packed anew")
+		}
+		if err := response.Unpack(); err != nil || len(response.Changes.Gates) != 200 {
+			t.Errorf("%d gates, %v", len(response.Changes.Gates), err)
+		}
+	}
+	request.TakesGateChanges = false
+	response, err := rpc.Call(ctx, calls, address, controlapi.Follow, request)
+	if err != nil || len(response.PackedChanges) > 0 || len(response.Changes.Gates) != 200 {
+		t.Errorf("a gate of the version before gets %d gates, %v", len(response.Changes.Gates), err)
+	}
+}
--- a/internal/control/service.go
+++ b/internal/control/service.go
@@ -80,14 +80,15 @@
 
 // Service is one control VM. Run must run beside it.
 type Service struct {
-	options  Options
-	epoch    string
-	started  time.Time
-	journal  *journal
-	spreader *spreader
-	packed   packedRoutes
-	peers    peerCache
-	contact  contactWatch
+	options       Options
+	epoch         string
+	started       time.Time
+	journal       *journal
+	spreader      *spreader
+	packed        packedRoutes
+	packedChanges packedChanges
+	peers         peerCache
+	contact       contactWatch
 	// followers is how many questions of gates are held now.
 	followers atomic.Int64
 	locating  atomic.Bool // a search for leaders is under way
@@ -139,7 +140,7 @@
 
 // Mount adds the calls of gates and other control VMs to mux.
 func (s *Service) Mount(mux *http.ServeMux) {
-	rpc.Handle(mux, controlapi.Follow, controlapi.MaxMessageBytes, s.follow)
+	rpc.HandlePacked(mux, controlapi.Follow, controlapi.MaxMessageBytes, s.follow)
 	rpc.Handle(mux, controlapi.Share, controlapi.MaxMessageBytes, s.share)
 }
 
--- a/internal/gate/follow/follower.go
+++ b/internal/gate/follow/follower.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"fmt"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -261,7 +262,14 @@
 func (f *Follower) call(ctx context.Context, address string, request *controlapi.FollowRequest) (*controlapi.FollowResponse, error) {
 	ctx, cancel := context.WithTimeout(ctx, callWait+callTimeout)
 	defer cancel()
-	return rpc.Call(ctx, f.options.Calls, address, controlapi.Follow, request)
+	response, err := rpc.Call(ctx, f.options.Calls, address, controlapi.Follow, request)
+	if err != nil {
+		return nil, err
+	}
+	if err := response.Unpack(); err != nil {
+		return nil, fmt.Errorf("read the changes of %s: %w", address, err)
+	}
+	return response, nil
 }
 
 // request is this gate's word and its question.
--- a/internal/routes/pack.go
+++ b/internal/routes/pack.go
@@ -1,13 +1,6 @@
 package routes
 
-import (
-	"bytes"
-	"compress/gzip"
-	"fmt"
-	"io"
-
-	"slateway.example/slateway/internal/codec"
-)
+import "slateway.example/slateway/internal/codec"
 
 // Packed is a document as it is kept in the log and sent to gates: encoded and
 // compressed.
@@ -22,40 +15,12 @@
 const maxUnpacked = 16 << 20
 
 // Pack encodes and compresses a document.
-func Pack(d *Document) (Packed, error) {
-	data, err := codec.Marshal(d)
-	if err != nil {
-		return nil, err
-	}
-	var packed bytes.Buffer
-	writer, err := gzip.NewWriterLevel(&packed, gzip.BestSpeed)
-	if err != nil {
-		return nil, fmt.Errorf("pack routes: %w", err)
-	}
-	if _, err := writer.Write(data); err != nil {
-		return nil, fmt.Errorf("pack routes: %w", err)
-	}
-	if err := writer.Close(); err != nil {
-		return nil, fmt.Errorf("pack routes: %w", err)
-	}
-	return packed.Bytes(), nil
-}
+func Pack(d *Document) (Packed, error) { return codec.Pack(d) }
 
 // Unpack gives the document.
 func (p Packed) Unpack() (*Document, error) {
-	reader, err := gzip.NewReader(bytes.NewReader(p))
-	if err != nil {
-		return nil, fmt.Errorf("unpack routes: %w", err)
-	}
-	data, err := io.ReadAll(io.LimitReader(reader, maxUnpacked+1))
-	if err != nil {
-		return nil, fmt.Errorf("unpack routes: %w", err)
-	}
-	if len(data) > maxUnpacked {
-		return nil, fmt.Errorf("unpack routes: the document is over %d bytes", maxUnpacked)
-	}
 	d := &Document{}
-	if err := codec.Unmarshal(data, d); err != nil {
+	if err := codec.Unpack(p, maxUnpacked, d); err != nil {
 		return nil, err
 	}
 	return d, nil
--- a/internal/rpc/rpc.go
+++ b/internal/rpc/rpc.go
@@ -6,6 +6,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"math"
 	"net/http"
 	"time"
 
@@ -39,6 +40,16 @@
 
 // Handle mounts fn on mux. Bodies over maxBytes are refused before decoding.
 func Handle[Req, Res any](mux *http.ServeMux, p Procedure[Req, Res], maxBytes int, fn func(context.Context, *Req) (*Res, error)) {
+	handle(mux, p, maxBytes, compressMinBytes, fn)
+}
+
+// HandlePacked mounts fn on mux as Handle does. Its responses are not compressed:
+// what is large in them is packed already, once for all callers.
+func HandlePacked[Req, Res any](mux *http.ServeMux, p Procedure[Req, Res], maxBytes int, fn func(context.Context, *Req) (*Res, error)) {
+	handle(mux, p, maxBytes, math.MaxInt, fn)
+}
+
+func handle[Req, Res any](mux *http.ServeMux, p Procedure[Req, Res], maxBytes, compressMin int, fn func(context.Context, *Req) (*Res, error)) {
 	unary := func(ctx context.Context, request *connect.Request[Req]) (*connect.Response[Res], error) {
 		response, err := fn(ctx, request.Msg)
 		if err != nil {
@@ -47,7 +58,7 @@
 		return connect.NewResponse(response), nil
 	}
 	handler := connect.NewUnaryHandler(string(p), unary,
-		connect.WithCodec(cborCodec{}), connect.WithReadMaxBytes(maxBytes), connect.WithCompressMinBytes(compressMinBytes))
+		connect.WithCodec(cborCodec{}), connect.WithReadMaxBytes(maxBytes), connect.WithCompressMinBytes(compressMin))
 	mux.Handle(string(p), handler)
 }
 
