A control VM that is back calls the gates that it knew

Control VMs now keep the gates on disk beside the replicas, and after a start call those of which none has heard; a gate without an answer asks who calls it.

--- a/internal/control/controlapi/api.go
+++ b/internal/control/controlapi/api.go
@@ -26,8 +26,18 @@
 const (
 	Follow rpc.Procedure[FollowRequest, FollowResponse] = "/slateway.control/Follow"
 	Share  rpc.Procedure[ShareRequest, ShareResponse]   = "/slateway.control/Share"
+	// Invite is served by gates.
+	Invite rpc.Procedure[InviteRequest, InviteResponse] = "/slateway.control/Invite"
 )
 
+// InviteRequest tells a gate of a control VM that it can follow.
+type InviteRequest struct {
+	Control string `cbor:"1,keyasint"` // peers address
+}
+
+// InviteResponse says that it was read.
+type InviteResponse struct{}
+
 // FollowRequest is a gate's word and its question for what is new. The answer
 // waits until there is something, Wait at most.
 type FollowRequest struct {
--- /dev/null
+++ b/internal/control/invite_test.go
@@ -0,0 +1,85 @@
+package control
+
+import (
+	"context"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"go.uber.org/zap"
+
+	"slateway.example/slateway/internal/control/controlapi"
+	"slateway.example/slateway/internal/roster"
+	"slateway.example/slateway/internal/rpc"
+	"slateway.example/slateway/internal/telemetry"
+)
+
+// calledGate stands for a gate and counts the calls of control VMs.
+type calledGate struct {
+	mu    sync.Mutex
+	calls int
+}
+
+func (g *calledGate) start(t *testing.T) (address string) {
+	mux := http.NewServeMux()
+	rpc.Handle(mux, controlapi.Invite, 1<<10, func(context.Context, *controlapi.InviteRequest) (*controlapi.InviteResponse, error) {
+		g.mu.Lock()
+		defer g.mu.Unlock()
+		g.calls++
+		return &controlapi.InviteResponse{}, nil
+	})
+	server := httptest.NewServer(mux)
+	t.Cleanup(server.Close)
+	return strings.TrimPrefix(server.URL, "http://")
+}
+
+func (g *calledGate) called() int {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.calls
+}
+
+func serviceIn(folder string) *Service {
+	return New(Options{
+		VM: "control-1", Address: "10.0.0.1:7660", Folder: folder, Log: zap.NewNop(), Metrics: telemetry.NewMetrics(),
+		Calls:  rpc.NewClient(&http.Client{}),
+		Roster: roster.Config{ReplicaLifetime: time.Minute, GateLifetime: time.Minute},
+	})
+}
+
+// Guards against gates that find no control VM after a stop of the whole site, and calls to those that have found one.
+func TestAControlVMThatIsBackCallsTheGatesThatItKnew(t *testing.T) {
+	folder := t.TempDir()
+	var lost, found calledGate
+	before := serviceIn(folder)
+	for vm, address := range map[string]string{"lost": lost.start(t), "found": found.start(t)} {
+		before.table.Hear(time.Now(), roster.Gate{VM: vm, Peers: address, Started: 1, Sequence: 1, Ready: true}, 0)
+	}
+	before.keep()
+
+	after := serviceIn(folder)
+	after.table.Hear(time.Now(), roster.Gate{VM: "found", Started: 2, Sequence: 1, Ready: true}, 0)
+	if _, known := after.snapshot(); len(known.Gates) != 2 {
+		t.Errorf("a second stop would leave %d gates known", len(known.Gates))
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+	defer cancel()
+	done := make(chan struct{})
+	go func() {
+		after.inviteGates(ctx, after.gatesBefore)
+		close(done)
+	}()
+	for lost.called() == 0 && ctx.Err() == nil {
+		time.Sleep(5 * time.Millisecond)
+	}
+	after.mu.Lock()
+	after.table.Hear(time.Now(), roster.Gate{VM: "lost", Started: 2, Sequence: 1}, 0)
+	after.mu.Unlock()
+	<-done
+	if lost.called() > 3 || found.called() > 0 {
+		t.Errorf("%d calls to the gate that was lost, %d to the other", lost.called(), found.called())
+	}
+}
--- a/internal/control/journal.go
+++ b/internal/control/journal.go
@@ -15,7 +15,7 @@
 	"slateway.example/slateway/internal/wal"
 )
 
-// journal keeps the replicas that a control VM knows on its disk.
+// journal keeps the replicas and gates that a control VM knows on its disk.
 //
 // When all processes of the system are stopped at once, the replicas run on; known
 // again only by their next heartbeats, they would serve nothing for seconds. What
@@ -47,14 +47,15 @@
 // kept is the content of the file.
 type kept struct {
 	Replicas []roster.Heard `cbor:"1,keyasint"`
+	Gates    []roster.Gate  `cbor:"2,keyasint,omitempty"`
 }
 
-// load gives the replicas that were known; none if there is no file, or it is
-// damaged: heartbeats bring them back.
-func (j *journal) load() []roster.Heard {
+// load gives what was known; nothing if there is no file, or it is damaged:
+// heartbeats bring it back.
+func (j *journal) load() kept {
 	data, err := os.ReadFile(j.path)
 	if errors.Is(err, fs.ErrNotExist) {
-		return nil
+		return kept{}
 	}
 	var found kept
 	if err == nil {
@@ -62,13 +63,13 @@
 	}
 	if err != nil {
 		j.log.Warn("known replicas not read, their heartbeats bring them back", zap.Error(err))
-		return nil
+		return kept{}
 	}
-	return found.Replicas
+	return found
 }
 
-// snapshot gives the replicas known now, and the roster version of them.
-type snapshot func() (version uint64, replicas []roster.Heard)
+// snapshot gives what is known now, and the roster version of it.
+type snapshot func() (version uint64, known kept)
 
 // save makes what is known now last. It returns when it does, or after
 // journalWait. Calls that come while a write is in progress share the next one:
@@ -117,11 +118,11 @@
 }
 
 func (j *journal) write(known snapshot) {
-	version, replicas := known()
+	version, content := known()
 	if version <= j.written {
 		return
 	}
-	if err := wal.ReplaceFile(j.path, codec.MustMarshal(kept{Replicas: replicas})); err != nil {
+	if err := wal.ReplaceFile(j.path, codec.MustMarshal(content)); err != nil {
 		j.log.Warn("known replicas not kept", zap.Uint64("version", version), zap.Error(err))
 		return
 	}
--- a/internal/control/journal_test.go
+++ b/internal/control/journal_test.go
@@ -17,16 +17,17 @@
 	folder := t.TempDir()
 	j := newJournal(folder, zap.NewNop())
 	var version, reads atomic.Uint64
-	known := func() (uint64, []roster.Heard) {
+	known := func() (uint64, kept) {
 		reads.Add(1)
-		return version.Load(), []roster.Heard{{Replica: upstream.Announcement{Replica: "r", Sequence: version.Load()}}}
+		at := version.Load()
+		return at, kept{Replicas: []roster.Heard{{Replica: upstream.Announcement{Replica: "r", Sequence: at}}}}
 	}
 	var saving sync.WaitGroup
 	for range changes {
 		saving.Go(func() {
 			mine := version.Add(1)
 			j.save(known)
-			if found := newJournal(folder, zap.NewNop()).load(); len(found) != 1 || found[0].Replica.Sequence < mine {
+			if found := newJournal(folder, zap.NewNop()).load().Replicas; len(found) != 1 || found[0].Replica.Sequence < mine {
 				t.Errorf("change %d is acknowledged and not on the disk", mine)
 			}
 		})
--- a/internal/control/service.go
+++ b/internal/control/service.go
@@ -105,6 +105,8 @@
 	contacts      map[string]time.Time // control VMs that shared something, and when
 	inTouch       bool                 // as last logged
 	seeds         []string
+
+	gatesBefore []roster.Gate // known before the start
 }
 
 // New makes a service.
@@ -127,7 +129,9 @@
 		journal:  newJournal(options.Folder, options.Log),
 		spreader: newSpreader(options.Address, options.Calls, options.Log),
 	}
-	s.merge(s.journal.load(), nil)
+	found := s.journal.load()
+	s.merge(found.Replicas, nil)
+	s.gatesBefore = found.Gates
 	return s
 }
 
@@ -225,12 +229,22 @@
 }
 
 // keep makes what is known of replicas last on this VM's disk.
-func (s *Service) keep() {
-	s.journal.save(func() (uint64, []roster.Heard) {
-		s.mu.Lock()
-		defer s.mu.Unlock()
-		return s.table.Version(), s.table.Replicas(time.Now())
-	})
+func (s *Service) keep() { s.journal.save(s.snapshot) }
+
+func (s *Service) snapshot() (version uint64, known kept) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.table.Version(), kept{Replicas: s.table.Replicas(time.Now()), Gates: s.gatesToKeep()}
+}
+
+// gatesToKeep gives the gates that live; right after the start also those that may
+// not be back yet, so that a second stop finds them. The mutex is held.
+func (s *Service) gatesToKeep() []roster.Gate {
+	live := s.table.Gates()
+	if time.Since(s.started) < inviteTime && len(live) < len(s.gatesBefore) {
+		return s.gatesBefore
+	}
+	return live
 }
 
 func (s *Service) logReplica(what string, a *upstream.Announcement) {
--- a/internal/control/share.go
+++ b/internal/control/share.go
@@ -35,12 +35,14 @@
 // Run shares and forgets until ctx ends.
 func (s *Service) Run(ctx context.Context) {
 	go s.runRetire(ctx)
+	go s.inviteGates(ctx, slices.Clone(s.gatesBefore))
 	ticker := time.NewTicker(shareInterval)
 	defer ticker.Stop()
 	for round := 0; ; round++ {
 		s.tick()
 		s.shareHeard(ctx)
 		s.locate(ctx)
+		s.journal.request(s.snapshot) // gates that came or went; replicas are on the disk already
 		if round%wholeEvery == 0 {
 			s.askWhole(ctx, round/wholeEvery)
 			s.shareCandidates(ctx)
--- a/internal/daemon/site.go
+++ b/internal/daemon/site.go
@@ -188,6 +188,7 @@
 	}
 	if s.gate != nil {
 		s.gate.exchange.Mount(peers)
+		s.gate.follower.Mount(peers)
 		list = append(list,
 			served{"callers", addresses.Callers, s.gate.handler(s.edge)},
 			served{"readiness", addresses.Readiness, s.edge.Readiness(s.gate.ready)},
--- a/internal/gate/follow/first.go
+++ b/internal/gate/follow/first.go
@@ -2,10 +2,12 @@
 
 import (
 	"context"
+	"net/http"
 	"slices"
 	"sync"
 
 	"slateway.example/slateway/internal/control/controlapi"
+	"slateway.example/slateway/internal/rpc"
 )
 
 // firstAnswer is a control VM's answer to a gate that has just started.
@@ -25,20 +27,55 @@
 func (f *Follower) findFirst(ctx context.Context) {
 	ctx, stop := context.WithCancel(ctx)
 	answers := make(chan firstAnswer)
+	asked := make(map[string]bool)
 	var asking sync.WaitGroup
+	ask := func(control string) {
+		if !asked[control] {
+			asked[control] = true
+			asking.Go(func() { f.askUntilAnswered(ctx, control, answers) })
+		}
+	}
 	for _, control := range f.knownControls() {
-		asking.Go(func() { f.askUntilAnswered(ctx, control, answers) })
+		ask(control)
 	}
 	defer asking.Wait()
 	defer stop()
-	select {
-	case <-ctx.Done():
-	case first := <-answers:
-		f.mu.Lock()
-		f.current = first.control
-		f.mu.Unlock()
-		f.take(first.control, first.asked, first.response)
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case control := <-f.invites:
+			ask(control)
+		case first := <-answers:
+			f.mu.Lock()
+			f.current = first.control
+			f.mu.Unlock()
+			f.take(first.control, first.asked, first.response)
+			return
+		}
+	}
+}
+
+// maxInvites bounds the control VMs whose calls wait to be answered.
+const maxInvites = 16
+
+// Mount adds the calls of control VMs to mux.
+func (f *Follower) Mount(mux *http.ServeMux) {
+	rpc.Handle(mux, controlapi.Invite, inviteBytes, f.invited)
+}
+
+// inviteBytes bounds an invitation: an address.
+const inviteBytes = 4 << 10
+
+// invited notes a control VM that can be asked. Once one has answered, all are known.
+func (f *Follower) invited(_ context.Context, request *controlapi.InviteRequest) (*controlapi.InviteResponse, error) {
+	if f.heard.Load() == 0 {
+		select {
+		case f.invites <- request.Control:
+		default:
+		}
 	}
+	return &controlapi.InviteResponse{}, nil
 }
 
 func (f *Follower) knownControls() []string {
--- a/internal/gate/follow/first_test.go
+++ b/internal/gate/follow/first_test.go
@@ -77,3 +77,43 @@
 		<-done
 	}
 }
+
+// Guards against callers who wait at gates without routes while the only control VMs that are back are not in the settings.
+func TestAGateFollowsAControlVMThatCallsIt(t *testing.T) {
+	var seeds []string
+	for range 3 {
+		dark, err := link.NewDark()
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(dark.Close)
+		seeds = append(seeds, dark.Address)
+	}
+	calls := rpc.NewClient(&http.Client{Transport: &http.Transport{}})
+	f := follow.New(follow.Options{
+		Gate: roster.Gate{VM: "gate-1"}, Seeds: seeds, Router: noReplicas{},
+		Calls: calls, Log: zap.NewNop(), Metrics: telemetry.NewMetrics(),
+	})
+	mux := http.NewServeMux()
+	f.Mount(mux)
+	gate := httptest.NewServer(mux)
+	t.Cleanup(gate.Close)
+	ctx, stop := context.WithTimeout(context.Background(), 10*time.Second)
+	defer stop()
+	done := make(chan struct{})
+	go func() {
+		f.Run(ctx)
+		close(done)
+	}()
+	invite := &controlapi.InviteRequest{Control: controlWithRoutes(t)}
+	if _, err := rpc.Call(ctx, calls, strings.TrimPrefix(gate.URL, "http://"), controlapi.Invite, invite); err != nil {
+		t.Fatal(err)
+	}
+	start := time.Now()
+	f.Await(ctx)
+	if took := time.Since(start); took > 300*time.Millisecond || f.Routes().Version() != 7 {
+		t.Errorf("routes of version %d after %s", f.Routes().Version(), took)
+	}
+	stop()
+	<-done
+}
--- a/internal/gate/follow/follower.go
+++ b/internal/gate/follow/follower.go
@@ -64,6 +64,7 @@
 	heard   atomic.Int64 // when a control VM last answered, in ns since start
 	start   time.Time
 	first   chan struct{} // closes once routes and replicas are known
+	invites chan string   // peers addresses of control VMs that have called
 	known   sync.Once
 
 	mu       sync.Mutex // guards what follows
@@ -94,7 +95,7 @@
 	f := &Follower{
 		options: options, gate: options.Gate, controls: slices.Clone(options.Seeds),
 		wake: make(chan struct{}, 1), listed: make(map[upstream.ReplicaID]listing), start: time.Now(),
-		first: make(chan struct{}), choice: newChooser(options.Gate.VM),
+		first: make(chan struct{}), invites: make(chan string, maxInvites), choice: newChooser(options.Gate.VM),
 	}
 	f.matcher.Store(routes.NewMatcher(&routes.Document{}))
 	return f
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -357,6 +357,12 @@
 	return gates
 }
 
+// Lives says whether a gate was heard within its lifetime.
+func (t *Table) Lives(vm string) bool {
+	row := t.gates[vm]
+	return row != nil && !row.expired
+}
+
 // Heard is a row with its age, as control VMs share it.
 type Heard struct {
 	Replica upstream.Announcement `cbor:"1,keyasint"`
