Late requests of online callers use no more than half of the slots, shared among the gates

Load: an outage of all gates. The rule that late requests go last holds within a gate only; keeping slots free of late ones at each replica was tried before and failed for that reason. Each gate now runs no more late requests than its share of half of the slots; how many gates there are it hears from the control VM, which knows also those that are not back yet.

--- a/internal/control/controlapi/api.go
+++ b/internal/control/controlapi/api.go
@@ -68,6 +68,9 @@
 	Packed   routes.Packed    `cbor:"7,keyasint,omitempty"` // in place of Routes, for a gate that takes it
 	// PackedChanges are Changes that are large, for a gate that takes GateChanges.
 	PackedChanges []byte `cbor:"8,keyasint,omitempty"`
+	// ExpectedGates is how many gates there are, also those that were known before
+	// this VM started and may not be back.
+	ExpectedGates int `cbor:"9,keyasint,omitempty"`
 }
 
 // Unpack puts packed changes in the place of Changes.
--- a/internal/control/follow.go
+++ b/internal/control/follow.go
@@ -111,6 +111,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.addChanges(response, since, request.TakesGateChanges)
+	response.ExpectedGates = s.expectedGates()
 	news := response.HasRoutes() || s.table.Version() > since
 	return response, news, s.changed
 }
--- a/internal/control/service.go
+++ b/internal/control/service.go
@@ -240,10 +240,19 @@
 // gatesToKeep gives the gates that live; right after the start also those that may
 // not be back yet, so that a second stop finds them. The mutex is held.
 func (s *Service) gatesToKeep() []roster.Gate {
-	live := s.table.Gates()
-	if time.Since(s.started) < inviteTime && len(live) < len(s.gatesBefore) {
+	if s.expectedGates() > s.table.CountGates() {
 		return s.gatesBefore
 	}
+	return s.table.Gates()
+}
+
+// expectedGates gives how many gates there are: those that live or, right after the
+// start, those that were known before it if they were more. The mutex is held.
+func (s *Service) expectedGates() int {
+	live := s.table.CountGates()
+	if time.Since(s.started) < inviteTime {
+		return max(live, len(s.gatesBefore))
+	}
 	return live
 }
 
--- a/internal/daemon/sitegate.go
+++ b/internal/daemon/sitegate.go
@@ -86,7 +86,7 @@
 	})
 	g.exchange = exchange.New(exchange.Options{
 		VM: s.VM.Name, Place: s.VM.Place, Region: s.VM.Region,
-		Fleet: g.follower.Fleet(), Client: site.calls, Log: site.log.Logger, DirectLifetime: s.Upstream.ExpireAfter,
+		Fleet: g.follower.Fleet(), ExpectedGates: g.follower.ExpectedGates, Client: site.calls, Log: site.log.Logger, DirectLifetime: s.Upstream.ExpireAfter,
 	})
 	g.router = proxy.New(proxy.Options{
 		Self: s.VM.Name, Place: s.VM.Place, Seed: maphash.String(maphash.MakeSeed(), s.VM.Name),
--- a/internal/gate/exchange/exchange.go
+++ b/internal/gate/exchange/exchange.go
@@ -43,10 +43,21 @@
 	Client *rpc.Client
 	Log    *zap.Logger
 
+	// ExpectedGates gives how many gates there are, if some may not be back after a
+	// stop of all; nil: it is not known.
+	ExpectedGates func() int
+
 	// DirectLifetime is how long a replica counts as announced to this gate.
 	DirectLifetime time.Duration
 }
 
+func (o *Options) expected() int {
+	if o.ExpectedGates == nil {
+		return 0
+	}
+	return o.ExpectedGates()
+}
+
 // Exchange is one gate's side of the exchange. It is safe for concurrent use.
 type Exchange struct {
 	options Options
@@ -217,7 +228,7 @@
 			gates = append(gates, route.Gate{ID: entry.VM, Place: area.Place})
 		}
 	}
-	e.router.SetGates(gates)
+	e.router.SetGates(gates, e.options.expected())
 }
 
 func (e *Exchange) merge(data []byte) {
--- a/internal/gate/follow/follower.go
+++ b/internal/gate/follow/follower.go
@@ -80,6 +80,7 @@
 	wholeAt  time.Time
 	listed   map[upstream.ReplicaID]listing
 	gates    []roster.Gate
+	expected int // gates that there are, as the control VM last said
 	onGates  []func()
 }
 
@@ -138,6 +139,14 @@
 	return f.gates
 }
 
+// ExpectedGates gives how many gates there are, also those that may not be back
+// after a stop of all; 0 if that is not known.
+func (f *Follower) ExpectedGates() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.expected
+}
+
 // OnGates adds fn to what is called when the gates have changed.
 func (f *Follower) OnGates(fn func()) {
 	f.mu.Lock()
@@ -312,7 +321,7 @@
 	if whole {
 		f.wholeAt = time.Now()
 	}
-	calls := f.takeGates(&response.Changes)
+	calls := f.takeGates(&response.Changes, response.ExpectedGates)
 	f.mu.Unlock()
 	for _, fn := range calls {
 		fn()
@@ -396,10 +405,11 @@
 }
 
 // takeGates notes the gates and gives what to call for it. The mutex is held.
-func (f *Follower) takeGates(changes *roster.Changes) []func() {
-	if !changes.HasGates && len(changes.Gates)+len(changes.GatesGone) == 0 {
+func (f *Follower) takeGates(changes *roster.Changes, expected int) []func() {
+	if !changes.HasGates && len(changes.Gates)+len(changes.GatesGone) == 0 && f.expected == expected {
 		return nil
 	}
+	f.expected = expected
 	f.gates = roster.ApplyGates(f.gates, changes)
 	return f.onGates
 }
--- a/internal/gate/proxy/gates_test.go
+++ b/internal/gate/proxy/gates_test.go
@@ -42,7 +42,7 @@
 		}))
 	}
 	for _, r := range routers {
-		r.SetGates(gates)
+		r.SetGates(gates, 0)
 		for _, e := range engines {
 			Expect(r.Announce(e.announcement())).To(Succeed())
 		}
--- a/internal/gate/proxy/router.go
+++ b/internal/gate/proxy/router.go
@@ -24,7 +24,7 @@
 
 	mu       sync.RWMutex // guards what follows; taken before a shard's lock
 	shards   map[string]*shard
-	gates    []route.Gate
+	gates    route.GatesChanged
 	draining bool
 }
 
@@ -103,7 +103,7 @@
 	}
 	rng := rand.New(rand.NewPCG(r.options.Seed, xxhash.Sum64String(service)))
 	s := newShard(r, service, route.NewShard(r.options.Route, rng))
-	s.step(route.GatesChanged{Gates: r.gates})
+	s.step(r.gates)
 	if r.draining {
 		s.step(route.Draining{})
 	}
@@ -147,12 +147,14 @@
 }
 
 // SetGates tells which gates live, this one included; it decides which of them
-// feeds a replica with batch.
-func (r *Router) SetGates(gates []route.Gate) {
+// feeds a replica with batch. Expected is how many there are, if some may not be
+// back after a stop of all; else 0.
+func (r *Router) SetGates(gates []route.Gate, expected int) {
+	changed := route.GatesChanged{Gates: slices.Clone(gates), Expected: expected}
 	r.mu.Lock()
-	r.gates = slices.Clone(gates)
+	r.gates = changed
 	r.mu.Unlock()
-	r.each(route.GatesChanged{Gates: gates})
+	r.each(changed)
 }
 
 // Fed takes in how much batch another gate runs on a replica.
--- a/internal/gate/proxy/weigh_test.go
+++ b/internal/gate/proxy/weigh_test.go
@@ -123,7 +123,7 @@
 		b.Cleanup(router.Close)
 	}
 	for _, g := range f.gates {
-		g.SetGates(gates)
+		g.SetGates(gates, 0)
 	}
 	for range weighEngines {
 		options := engine.Defaults()
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -357,6 +357,17 @@
 	return gates
 }
 
+// CountGates gives the number of gates that live.
+func (t *Table) CountGates() int {
+	count := 0
+	for _, row := range t.gates {
+		if !row.expired {
+			count++
+		}
+	}
+	return count
+}
+
 // Lives says whether a gate was heard within its lifetime.
 func (t *Table) Lives(vm string) bool {
 	row := t.gates[vm]
--- a/internal/route/admission.go
+++ b/internal/route/admission.go
@@ -171,7 +171,7 @@
 }
 
 func (s *Shard) startOnline(req *request) startResult {
-	if !s.mayRunNow(req) {
+	if !s.mayRunNow(req) || req.late && !req.delivered && !s.mayStartLate() {
 		return held
 	}
 	if r := s.boundTo(req); r != nil {
--- a/internal/route/config.go
+++ b/internal/route/config.go
@@ -46,7 +46,7 @@
 
 // Guards names protections that a test can switch off one by one.
 type Guards struct {
-	Leaving, Probe, Silence, Poison, Holder, Trial, Copies, Preempt, Yield, Feeder, Budget, Retry, Settle, Unfed bool
+	Leaving, Probe, Silence, Poison, Holder, Trial, Copies, Preempt, Yield, Feeder, Budget, Retry, Settle, Unfed, LateShare bool
 }
 
 // Defaults of Config.
--- a/internal/route/feeder.go
+++ b/internal/route/feeder.go
@@ -54,6 +54,7 @@
 	for i, g := range in.Gates {
 		s.gates[i] = rankedGate{Gate: g, hash: xxhash.Sum64String(g.ID)}
 	}
+	s.expected = in.Expected
 	s.chooseFeeders()
 	s.pump()
 }
--- a/internal/route/messages.go
+++ b/internal/route/messages.go
@@ -178,7 +178,12 @@
 		Online, Batch int
 	}
 	// GatesChanged lists the live gates, this one included.
-	GatesChanged struct{ Gates []Gate }
+	GatesChanged struct {
+		Gates []Gate
+		// Expected is how many gates there are, if some of them may not be back
+		// after a stop of all.
+		Expected int
+	}
 	// Draining says that the gate stops taking batch work.
 	Draining struct{}
 	// Tick says that time has passed; due every 20 to 50 ms.
--- a/internal/route/place_test.go
+++ b/internal/route/place_test.go
@@ -20,6 +20,7 @@
 	engines []*crowdEngine
 	mail    []letter // words and answers under way, in the order of sending
 	waits   []time.Duration
+	starts  []crowdStart
 	asked   int // words between gates
 }
 
@@ -43,6 +44,9 @@
 	ends    time.Time
 }
 
+// crowdStart is when a request got its slot.
+type crowdStart struct{ came, at time.Time }
+
 // letter is handed over at a time.
 type letter struct {
 	at   time.Time
@@ -58,13 +62,18 @@
 )
 
 func newCrowd(gates, engines int, wait time.Duration) *crowd {
+	return newCrowdOf(gates, engines, func(config *route.Config) { config.PlaceWait = wait })
+}
+
+func newCrowdOf(gates, engines int, set func(*route.Config)) *crowd {
 	c := &crowd{now: time.Unix(1_000_000, 0), random: rand.New(rand.NewPCG(5, 6))}
 	for i := range engines {
 		c.engines = append(c.engines, &crowdEngine{id: upstream.ReplicaID(fmt.Sprint("r", i))})
 	}
 	for i := range gates {
 		id := fmt.Sprint("gate-", i)
-		config := route.Config{Self: id, Place: crowdPlace, HedgeMin: -1, ProbeAfter: time.Hour, PlaceWait: wait}
+		config := route.Config{Self: id, Place: crowdPlace, HedgeMin: -1, ProbeAfter: time.Hour}
+		set(&config)
 		c.gates = append(c.gates, &crowdGate{
 			id: id, sent: map[route.AttemptID]*crowdEngine{},
 			shard: route.NewShard(config, rand.New(rand.NewPCG(uint64(i), 7))),
@@ -180,6 +189,7 @@
 		first := e.waiting[0]
 		e.waiting = e.waiting[1:]
 		c.waits = append(c.waits, c.now.Sub(first.came))
+		c.starts = append(c.starts, crowdStart{came: first.came, at: c.now})
 		first.ends = c.now.Add(shortAnswer + time.Duration(c.random.Int64N(int64(longAnswer-shortAnswer))))
 		e.running = append(e.running, first)
 		c.step(first.gate, route.Progress{Attempt: first.attempt, Tokens: 1, Delivered: true})
--- a/internal/route/shard.go
+++ b/internal/route/shard.go
@@ -21,6 +21,8 @@
 	hints   *upstream.CacheHints
 	gates   []rankedGate
 
+	expected int // gates that there are, known or not
+
 	replicas []*replica // in the order of their IDs
 	local    []*replica // of the own place, that take work
 	remote   []*replica // of other places, that take work
