--- a/internal/control/contact.go
+++ b/internal/control/contact.go
@@ -14,16 +14,16 @@
 	contactPoll = 20 * time.Millisecond
 )
 
-// awaitContact returns when this VM is in touch with the leader of the
+// awaitContact returns when this VM is in contact with the leader of the
 // configuration, after contactWait, or when ctx has ended.
 func (s *Service) awaitContact(ctx context.Context) {
-	if s.InTouch() {
+	if s.InContact() {
 		return
 	}
 	timer := time.NewTimer(contactWait)
 	defer timer.Stop()
 	select {
-	case <-s.contact.regained(s.InTouch):
+	case <-s.contact.regained(s.InContact):
 	case <-timer.C:
 	case <-ctx.Done():
 	}
@@ -37,19 +37,19 @@
 	found chan struct{} // closes when the look in progress ends; nil: none
 }
 
-// regained gives a channel that closes when inTouch holds, or after contactWait.
-func (w *contactWatch) regained(inTouch func() bool) <-chan struct{} {
+// regained gives a channel that closes when inContact holds, or after contactWait.
+func (w *contactWatch) regained(inContact func() bool) <-chan struct{} {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	if w.found == nil {
 		w.found = make(chan struct{})
-		go w.look(inTouch)
+		go w.look(inContact)
 	}
 	return w.found
 }
 
-func (w *contactWatch) look(inTouch func() bool) {
-	for end := time.Now().Add(contactWait); !inTouch() && time.Now().Before(end); {
+func (w *contactWatch) look(inContact func() bool) {
+	for end := time.Now().Add(contactWait); !inContact() && time.Now().Before(end); {
 		time.Sleep(contactPoll)
 	}
 	w.mu.Lock()
--- a/internal/control/controlapi/api.go
+++ b/internal/control/controlapi/api.go
@@ -18,9 +18,9 @@
 // its operator sent it and decoded.
 const MaxMessageBytes = 16 << 20
 
-// ReasonNotInTouch refuses calls to a control VM that knows no leader: what it
+// ReasonNoContact refuses calls to a control VM that knows no leader: what it
 // knows may be old.
-const ReasonNotInTouch apierr.Reason = "control_not_in_touch"
+const ReasonNoContact apierr.Reason = "control_no_contact"
 
 // Procedures.
 const (
--- a/internal/control/follow.go
+++ b/internal/control/follow.go
@@ -25,7 +25,7 @@
 	if request.Epoch != s.epoch {
 		since = 0
 	}
-	if request.Routes == 0 && s.hasJustStarted() && !s.InTouch() {
+	if request.Routes == 0 && s.hasJustStarted() && !s.InContact() {
 		if response, news, _ := s.answer(request, since); news && response.HasRoutes() {
 			s.options.Log.Info("a gate without routes starts by those on disk", zap.String("gate", request.Gate.VM),
 				zap.Uint64("version", s.options.Config.Routes().Version()))
@@ -33,7 +33,7 @@
 		}
 	}
 	s.awaitContact(ctx)
-	if err := s.requireTouch(); err != nil {
+	if err := s.requireContact(); err != nil {
 		return nil, err
 	}
 	s.hear(ctx, &request.Gate)
@@ -52,7 +52,7 @@
 		case <-rosterChanged:
 			s.gather(ctx, routesChanged)
 		case <-timer.C:
-			if err := s.requireTouch(); err != nil {
+			if err := s.requireContact(); err != nil {
 				return nil, err
 			}
 			return response, nil
@@ -73,7 +73,7 @@
 // leader is elected. What is on this VM's disk was committed, so it was
 // in force; a gate without routes serves by it, and takes newer routes, never older
 // ones, with its next question, which is held until there is a leader. A VM that has
-// run for longer has lost touch with others that may have moved on: the gate asks
+// run for longer has lost contact with others that may have moved on: the gate asks
 // these.
 func (s *Service) hasJustStarted() bool { return time.Since(s.started) < startTime }
 
--- a/internal/control/follow_test.go
+++ b/internal/control/follow_test.go
@@ -105,7 +105,7 @@
 	}
 	m.lag = 2 * time.Second
 	_, err := ask()
-	if apierr.ReasonOf(err) != controlapi.ReasonNotInTouch {
+	if apierr.ReasonOf(err) != controlapi.ReasonNoContact {
 		t.Errorf("a control VM that lags answers %v", err)
 	}
 }
--- a/internal/control/retire.go
+++ b/internal/control/retire.go
@@ -63,7 +63,7 @@
 	if !slices.Contains(s.options.Config.Retired(), vm) {
 		// The order may have been given at another VM, and not have come here.
 		return false, apierr.New(apierr.Unavailable, ReasonRetireOff, "ask again, or order it first",
-			"this VM knows of no order to empty VM %q", vm).WithRetryAfter(notInTouchRetry)
+			"this VM knows of no order to empty VM %q", vm).WithRetryAfter(noContactRetry)
 	}
 	left, err := s.options.Group.Retire(ctx, []string{vm})
 	return err == nil && !slices.Contains(left, vm), err
--- a/internal/control/service.go
+++ b/internal/control/service.go
@@ -103,7 +103,7 @@
 	sharedAt      map[upstream.ReplicaID]time.Time
 	heardGates    map[string]struct{}
 	contacts      map[string]time.Time // control VMs that shared something, and when
-	inTouch       bool                 // as last logged
+	inContact     bool                 // as last logged
 	seeds         []string
 
 	gatesBefore []roster.Gate // known before the start
@@ -152,7 +152,7 @@
 // configuration: a small part of the time in which a change is to be in force.
 const maxLag = 500 * time.Millisecond
 
-// InTouch says whether this VM follows, or is, the leader of the configuration, and
+// InContact says whether this VM follows, or is, the leader of the configuration, and
 // has what that has committed.
 //
 // One that is cut off from the others would go on telling gates that nothing
@@ -160,31 +160,31 @@
 // is cut off when the leader's heartbeats cease, within two election timeouts. One
 // that heartbeats reach and entries do not would do the same for as long as these
 // are held up; it learns by the heartbeats that it lacks them.
-func (s *Service) InTouch() bool {
+func (s *Service) InContact() bool {
 	_, known := s.options.Group.Leader(keeperapi.ConfigGroup)
 	lag := s.options.Group.Lag(keeperapi.ConfigGroup)
-	inTouch := known && lag < maxLag
+	inContact := known && lag < maxLag
 	s.mu.Lock()
-	changed := inTouch != s.inTouch
-	s.inTouch = inTouch
+	changed := inContact != s.inContact
+	s.inContact = inContact
 	s.mu.Unlock()
 	if changed {
-		s.options.Log.Info("touch with the leader of the configuration", zap.Bool("in_touch", inTouch),
+		s.options.Log.Info("contact with the leader of the configuration", zap.Bool("in_contact", inContact),
 			zap.Bool("leader_known", known), zap.Duration("lag", lag))
 	}
-	return inTouch
+	return inContact
 }
 
-// notInTouchRetry is when to ask again: an election takes about as long.
-const notInTouchRetry = 200 * time.Millisecond
+// noContactRetry is when to ask again: an election takes about as long.
+const noContactRetry = 200 * time.Millisecond
 
-func (s *Service) requireTouch() error {
-	if s.InTouch() {
+func (s *Service) requireContact() error {
+	if s.InContact() {
 		return nil
 	}
-	s.options.Metrics.Refused(controlapi.ReasonNotInTouch)
-	return apierr.New(apierr.Unavailable, controlapi.ReasonNotInTouch, "ask another control VM",
-		"this VM is not in touch with the leader of the configuration").WithRetryAfter(notInTouchRetry)
+	s.options.Metrics.Refused(controlapi.ReasonNoContact)
+	return apierr.New(apierr.Unavailable, controlapi.ReasonNoContact, "ask another control VM",
+		"this VM is not in contact with the leader of the configuration").WithRetryAfter(noContactRetry)
 }
 
 // notify wakes the gates that wait. The mutex is held.
@@ -203,7 +203,7 @@
 	if err := a.Validate(); err != nil {
 		return err
 	}
-	if err := s.requireTouch(); err != nil {
+	if err := s.requireContact(); err != nil {
 		return err
 	}
 	s.mu.Lock()
@@ -265,7 +265,7 @@
 // Leave takes in that a replica goes away, by its ID alone; an incarnation of 0
 // stands for the one known.
 func (s *Service) Leave(ctx context.Context, id upstream.ReplicaID, incarnation uint64) error {
-	if err := s.requireTouch(); err != nil {
+	if err := s.requireContact(); err != nil {
 		return err
 	}
 	s.mu.Lock()
--- a/internal/control/share.go
+++ b/internal/control/share.go
@@ -56,7 +56,7 @@
 }
 
 func (s *Service) tick() {
-	s.InTouch() // logs its changes also while nobody asks
+	s.InContact() // logs its changes also while nobody asks
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	before := s.table.Version()
--- a/internal/gate/routed_test.go
+++ b/internal/gate/routed_test.go
@@ -90,7 +90,7 @@
 	s.come()
 	front, _ := routed(s)
 	if _, refusal := front.Lookup(t.Context(), "r1", "news.example", "/new/x"); refusal == nil || refusal.Kind != apierr.NotFound {
-		t.Fatalf("in touch: %+v", refusal)
+		t.Fatalf("in contact: %+v", refusal)
 	}
 	s.stale = true
 	if _, refusal := front.Lookup(t.Context(), "r1", "news.example", "/new/x"); refusal == nil || refusal.Kind != apierr.Unavailable {
