--- a/internal/control/herd_test.go
+++ b/internal/control/herd_test.go
@@ -12,9 +12,15 @@
 	"testing"
 	"time"
 
+	"go.uber.org/zap"
+
+	"slateway.example/slateway/internal/control"
 	"slateway.example/slateway/internal/control/controlapi"
+	"slateway.example/slateway/internal/keeper"
+	"slateway.example/slateway/internal/keeper/keeperclient"
 	"slateway.example/slateway/internal/roster"
 	"slateway.example/slateway/internal/rpc"
+	"slateway.example/slateway/internal/telemetry"
 )
 
 // Guards against answers that grow with the square of the gates when all of them start together.
@@ -166,3 +172,38 @@
 		t.Errorf("a gate of the version before gets %d gates, %v", len(response.Changes.Gates), err)
 	}
 }
+
+// Guards against callers who are sent to a gate for half a second longer than its lifetime after it has gone silent.
+func TestASilentGateIsLeftOutRightAfterItsLifetime(t *testing.T) {
+	const lifetime = 550 * time.Millisecond
+	calls := rpc.NewClient(&http.Client{})
+	service := control.New(control.Options{
+		VM: "control-1", Folder: t.TempDir(), Group: &member{}, Config: keeper.NewConfigMachine(), Calls: calls,
+		Keepers: keeperclient.New(calls, nil), Log: zap.NewNop(), Metrics: telemetry.NewMetrics(),
+		Roster: roster.Config{ReplicaLifetime: time.Minute, GateLifetime: lifetime}, AnswerLifetime: time.Second, MaxEntries: 8,
+	})
+	mux := http.NewServeMux()
+	service.Mount(mux)
+	server := httptest.NewServer(mux)
+	t.Cleanup(server.Close)
+	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+	defer cancel()
+	go service.Run(ctx)
+	time.Sleep(50 * time.Millisecond) // between two rounds
+	_, err := rpc.Call(ctx, calls, strings.TrimPrefix(server.URL, "http://"), controlapi.Share, &controlapi.ShareRequest{
+		Gates: []roster.HeardGate{{Gate: roster.Gate{VM: "gate-1", Place: "a", Callers: "10.0.0.1:80", Started: 1, Sequence: 1, Ready: true}}},
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	heard := time.Now()
+	for ctx.Err() == nil {
+		if answer, err := service.Entries("a"); err != nil || len(answer.Entries) == 0 {
+			break
+		}
+		time.Sleep(5 * time.Millisecond)
+	}
+	if took := time.Since(heard); took < lifetime || took > lifetime+250*time.Millisecond {
+		t.Errorf("left out after %s, its lifetime is %s", took, lifetime)
+	}
+}
--- a/internal/control/share.go
+++ b/internal/control/share.go
@@ -17,9 +17,12 @@
 )
 
 const (
-	// shareInterval is how often what was heard goes to the other control VMs.
-	// Gates renew their words twice a second, replicas about once.
-	shareInterval = 500 * time.Millisecond
+	// tickInterval is how often the silent are looked for: a small part of the
+	// silence after which a gate is no longer named to callers.
+	tickInterval = 100 * time.Millisecond
+	// ticksPerShare is how many ticks lie between two shares of what was heard. Gates
+	// renew their reports twice a second, replicas about once.
+	ticksPerShare = 5
 	// wholeEvery is how many shares lie between two that ask one other VM, each in
 	// turn, for everything, so that what was lost on its way, or while a VM was cut
 	// off, is made good. Asked of all at once it was most of the bytes that nine
@@ -36,16 +39,12 @@
 func (s *Service) Run(ctx context.Context) {
 	go s.runRetire(ctx)
 	go s.inviteGates(ctx, slices.Clone(s.gatesBefore))
-	ticker := time.NewTicker(shareInterval)
+	ticker := time.NewTicker(tickInterval)
 	defer ticker.Stop()
-	for round := 0; ; round++ {
+	for count := 0; ; count++ {
 		s.tick()
-		s.shareHeard(ctx)
-		s.locate(ctx)
-		s.journal.request(s.snapshot) // gates that came or went; replicas are on the disk already
-		if round%wholeEvery == 0 {
-			s.askWhole(ctx, round/wholeEvery)
-			s.shareCandidates(ctx)
+		if count%ticksPerShare == 0 {
+			s.exchange(ctx, count/ticksPerShare)
 		}
 		select {
 		case <-ctx.Done():
@@ -55,6 +54,17 @@
 	}
 }
 
+// exchange tells the other control VMs what was heard and asks them in turn.
+func (s *Service) exchange(ctx context.Context, round int) {
+	s.shareHeard(ctx)
+	s.locate(ctx)
+	s.journal.request(s.snapshot) // gates that came or went; replicas are on the disk already
+	if round%wholeEvery == 0 {
+		s.askWhole(ctx, round/wholeEvery)
+		s.shareCandidates(ctx)
+	}
+}
+
 func (s *Service) tick() {
 	s.InContact() // logs its changes also while nobody asks
 	s.mu.Lock()
