--- a/scripts/ablate.sh
+++ b/scripts/ablate.sh
@@ -16,7 +16,7 @@
 : "${PLAY:?set PLAY to the program that plays days}"
 out=$1 site=$2 days=$3 plays=$4 jobs=$5
 shift 5
-all="none place stall handover quiet dial spare late stranded affinity slowstart pieces first"
+all="none place stall handover quiet dial spare late stranded affinity slowstart pieces first lateshare share invite"
 mechanisms=${*:-$all}
 work=$(mktemp -d)
 trap 'rm -rf "$work"' EXIT
@@ -45,6 +45,9 @@
     slowstart) edit internal/route/config.go "defaultSlowStart      = 5 * time.Second" "defaultSlowStart      = time.Millisecond" ;;
     pieces) edit internal/gate/batch/item.go "if leased.Lease.OnlyAnswersCount {" "if false && leased.Lease.OnlyAnswersCount {" ;;
     first) edit internal/gate/follow/follower.go "	f.findFirst(ctx)" "" ;;
+    lateshare) edit internal/route/late.go "return s.config.Disabled.LateShare ||" "return true ||" ;;
+    share) edit internal/keeper/offers.go "return min(want.Max, max(1, free/(others+1)))" "return want.Max" ;;
+    invite) edit internal/control/share.go "go s.inviteGates(ctx, slices.Clone(s.gatesBefore))" "" ;;
     *) echo "no mechanism $1; there are: $all" >&2; exit 2 ;;
   esac
 }
