--- a/internal/control/assign.go
+++ b/internal/control/assign.go
@@ -11,7 +11,7 @@
 // AnnounceAt gives the address at which a replica is to announce itself from now
 // on: that of one control VM, the same whoever is asked. Replicas that go round
 // among all control VMs hold a connection to each of them, and meet those that are
-// no members and refuse them. Empty: no other one is better than this.
+// no members and refuse them. Empty: no control VM is known to answer.
 func (s *Service) AnnounceAt(id upstream.ReplicaID) string {
 	own, err := netip.ParseAddrPort(s.options.Control)
 	if err != nil {
--- a/internal/control/controlapi/api.go
+++ b/internal/control/controlapi/api.go
@@ -38,7 +38,7 @@
 // InviteResponse says that it was read.
 type InviteResponse struct{}
 
-// FollowRequest is a gate's word and its question for what is new. The answer
+// FollowRequest is a gate's report and its question for what is new. The answer
 // waits until there is something, Wait at most.
 type FollowRequest struct {
 	Gate   roster.Gate   `cbor:"1,keyasint"`
--- a/internal/control/follow.go
+++ b/internal/control/follow.go
@@ -15,11 +15,11 @@
 	"slateway.example/slateway/internal/routes"
 )
 
-// maxFollowWait bounds how long a gate's question is held. The gate's word comes
-// with its question, so it also bounds how old that word gets.
+// maxFollowWait bounds how long a gate's question is held. The gate's report comes
+// with its question, so it also bounds how old that report gets.
 const maxFollowWait = time.Second
 
-// follow takes in a gate's word and answers when there is something new.
+// follow takes in a gate's report and answers when there is something new.
 func (s *Service) follow(ctx context.Context, request *controlapi.FollowRequest) (*controlapi.FollowResponse, error) {
 	since := request.Since
 	if request.Epoch != s.epoch {
--- a/internal/daemon/descriptors.go
+++ b/internal/daemon/descriptors.go
@@ -66,7 +66,7 @@
 	loggedAt time.Time
 }
 
-// overloadedAnswer names no replica and no gate, so that it costs next to nothing.
+// overloadedAnswer names no replica and no gate, and is made once: refusing must be cheap.
 var overloadedAnswer = fmt.Appendf(nil,
 	"HTTP/1.1 503 Service Unavailable\r\nRetry-After: 1\r\nConnection: close\r\nContent-Length: 0\r\n\r\n")
 
--- a/internal/gate/follow/follower.go
+++ b/internal/gate/follow/follower.go
@@ -58,7 +58,7 @@
 // Follower is one gate's side. Run must run beside it.
 type Follower struct {
 	options Options
-	wake    chan struct{} // this gate's word has changed
+	wake    chan struct{} // this gate's report has changed
 
 	matcher atomic.Pointer[routes.Matcher]
 	heard   atomic.Int64 // when a control VM last answered, in ns since start
@@ -250,7 +250,7 @@
 	asked := make(chan struct{})
 	defer close(asked)
 	superseded := atomic.Bool{}
-	go func() { // a new word does not wait for the answer to the last
+	go func() { // a new report does not wait for the answer to the last
 		select {
 		case <-f.wake:
 			superseded.Store(true)
@@ -282,7 +282,7 @@
 	return response, nil
 }
 
-// request is this gate's word and its question.
+// request is this gate's report and its question.
 func (f *Follower) request() *controlapi.FollowRequest {
 	f.mu.Lock()
 	defer f.mu.Unlock()
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -33,7 +33,7 @@
 	Callers  string `cbor:"4,keyasint"` // IP:port for callers
 	Peers    string `cbor:"5,keyasint"` // IP:port for the project's own processes
 	Started  int64  `cbor:"6,keyasint"` // start of its process, in ms since 1970
-	Sequence uint64 `cbor:"7,keyasint"` // rises with each word of one process
+	Sequence uint64 `cbor:"7,keyasint"` // rises with each report of one process
 	Ready    bool   `cbor:"8,keyasint,omitempty"`
 	Draining bool   `cbor:"9,keyasint,omitempty"`
 }
@@ -56,7 +56,7 @@
 	return members
 }
 
-// newer orders the words of a gate: by its process, then by sequence.
+// newer orders the reports of a gate: by its process, then by sequence.
 func (g *Gate) newer(other *Gate) bool {
 	if g.Started != other.Started {
 		return g.Started > other.Started
@@ -64,7 +64,7 @@
 	return g.Sequence > other.Sequence
 }
 
-// sameState says whether two words differ in their sequence only.
+// sameState says whether two reports differ in their sequence only.
 func (g Gate) sameState(other Gate) bool {
 	g.Sequence = other.Sequence
 	return g == other
@@ -215,7 +215,7 @@
 }
 
 // Leave notes that a replica leaves. An incarnation of 0 stands for the one
-// known. It returns the announcement with that word for the other control VMs;
+// known. It returns the announcement with that change for the other control VMs;
 // ok is false if the replica is not known or this is no news.
 func (t *Table) Leave(id upstream.ReplicaID, incarnation uint64) (upstream.Announcement, bool) {
 	row := t.replicas[id]
@@ -227,7 +227,7 @@
 	return row.announcement, true
 }
 
-// Hear takes in a gate's word of age ago. It says whether others must know.
+// Hear takes in a gate's report of age ago. It says whether others must know.
 func (t *Table) Hear(now time.Time, g Gate, age time.Duration) bool {
 	row := t.gates[g.VM]
 	if row == nil {
@@ -251,7 +251,7 @@
 }
 
 // forgetFactor times a lifetime is how long what is gone is remembered, so that
-// a late word of it is known to be late.
+// a late report of it is known to be late.
 const forgetFactor = 4
 
 // Tick lets time pass: the silent are forgotten.
@@ -380,7 +380,7 @@
 	Age     time.Duration         `cbor:"2,keyasint"`
 }
 
-// HeardGate is a gate's word with its age.
+// HeardGate is a gate's report with its age.
 type HeardGate struct {
 	Gate Gate          `cbor:"1,keyasint"`
 	Age  time.Duration `cbor:"2,keyasint"`
--- a/internal/roster/roster_test.go
+++ b/internal/roster/roster_test.go
@@ -99,7 +99,7 @@
 }
 
 // A gate is killed: callers are not sent there after its lifetime, although
-// another control VM still shares the old word of it.
+// another control VM still shares the old report of it.
 func TestASilentGateIsNotNamed(t *testing.T) {
 	r := table()
 	gate := roster.Gate{VM: "gate-1", Callers: "10.0.0.1:80", Started: 5, Sequence: 1, Ready: true}
@@ -112,11 +112,11 @@
 	}
 	r.Hear(start.Add(3*time.Second), gate, 3*time.Second)
 	if len(r.Gates()) != 0 {
-		t.Fatal("named again by an old word")
+		t.Fatal("named again by an old report")
 	}
 	gate.Sequence = 2
 	if !r.Hear(start.Add(4*time.Second), gate, 0) || len(r.Gates()) != 1 {
-		t.Fatal("not named after a new word")
+		t.Fatal("not named after a new report")
 	}
 }
 
