Limits of teams over all gates: the decisions

Cause: a cap that each gate counts for itself grows with the gates; at 62 gates fixed shares of a small team's cap are under one request a window at each. Change: internal/limit. Each team has one owner among the gates (rendezvous hashing), which holds a token bucket; each request takes one credit from it. A gate that takes over opens with a third of what the site's tolerance allows beyond the cap, so that a move needs no history; the standby grants as much while the owner is silent; a gate that has just started owns nothing beside older ones; a gate that knows few of the expected ones opens with its part.

--- a/internal/archtest/imports_test.go
+++ b/internal/archtest/imports_test.go
@@ -13,7 +13,7 @@
 
 // decisionPackages hold deterministic aggregates: no clock, socket, file or
 // random source of their own, so that a recorded trace replays to one outcome.
-var decisionPackages = []string{"quorum", "team", "job", "claim", "upstream", "route", "member", "directory", "order", "tenure", "routes", "roster"}
+var decisionPackages = []string{"quorum", "team", "job", "claim", "upstream", "route", "member", "directory", "order", "tenure", "routes", "roster", "limit"}
 
 // forbiddenCalls read the clock or the shared random source.
 var forbiddenCalls = []string{
--- /dev/null
+++ b/internal/limit/holders_test.go
@@ -0,0 +1,83 @@
+package limit_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"slateway.example/slateway/internal/limit"
+)
+
+func gatesStarted(at ...time.Duration) []limit.Gate {
+	gates := make([]limit.Gate, len(at))
+	for i, offset := range at {
+		gates[i] = limit.Gate{VM: fmt.Sprint("gate-", i), Started: start.Add(offset).UnixMilli()}
+	}
+	return gates
+}
+
+// owned counts the teams of which a gate is the owner.
+func owned(h *limit.Holders, vm string) int {
+	count := 0
+	for i := range 200 {
+		if h.Of(fmt.Sprint("team-", i)).Owner == vm {
+			count++
+		}
+	}
+	return count
+}
+
+// Guards against a gate that restarts and takes its teams' accounts over at once, empty of what was granted.
+func TestAGateThatHasJustStartedOwnsNoTeamBesideOlderOnes(t *testing.T) {
+	gates := gatesStarted(0, 0, 20*time.Second)
+	now := start.Add(21 * time.Second)
+	h := limit.NewHolders(gates, 3, now)
+	if got := owned(h, "gate-2"); got != 0 {
+		t.Errorf("owns %d teams after a second", got)
+	}
+	if h.SettledAt.IsZero() || h.SettledAt.After(start.Add(26*time.Second)) {
+		t.Errorf("settles at %s", h.SettledAt)
+	}
+	if got := owned(limit.NewHolders(gates, 3, h.SettledAt), "gate-2"); got == 0 {
+		t.Error("owns no team once it has settled")
+	}
+}
+
+// Guards against a site that starts and has no owner for any team.
+func TestGatesThatStartTogetherOwnTeamsAtOnce(t *testing.T) {
+	h := limit.NewHolders(gatesStarted(0, 100*time.Millisecond, time.Second), 3, start.Add(time.Second))
+	for _, vm := range []string{"gate-0", "gate-1", "gate-2"} {
+		if owned(h, vm) == 0 {
+			t.Errorf("%s owns no team", vm)
+		}
+	}
+}
+
+// Guards against a gate that leaves and is still asked.
+func TestADrainingGateOwnsNoTeam(t *testing.T) {
+	gates := gatesStarted(0, 0)
+	gates[0].Draining = true
+	h := limit.NewHolders(gates, 2, start)
+	if owned(h, "gate-0") != 0 || owned(h, "gate-1") != 200 {
+		t.Error("the gate that drains owns teams")
+	}
+}
+
+// Guards against a standby that is not the one who takes over.
+func TestTheStandbyFollowsTheOwner(t *testing.T) {
+	gates := gatesStarted(0, 0, 0, 0)
+	h := limit.NewHolders(gates, 4, start)
+	for i := range 50 {
+		team := fmt.Sprint("team-", i)
+		choice := h.Of(team)
+		var left []limit.Gate
+		for _, g := range gates {
+			if g.VM != choice.Owner {
+				left = append(left, g)
+			}
+		}
+		if got := limit.NewHolders(left, 4, start).Of(team).Owner; got != choice.Standby {
+			t.Errorf("%s goes to %s, the standby was %s", team, got, choice.Standby)
+		}
+	}
+}
--- /dev/null
+++ b/internal/limit/ledger_test.go
@@ -0,0 +1,172 @@
+package limit_test
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"slateway.example/slateway/internal/limit"
+)
+
+var (
+	start     = time.Unix(1_000_000, 0)
+	tolerance = limit.Tolerance{Window: 5 * time.Second, Overshoot: 0.1, Slack: 20}
+)
+
+func newLedger() *limit.Ledger {
+	return limit.NewLedger(tolerance, rand.New(rand.NewPCG(1, 2)))
+}
+
+func askFor(c limit.Cap) limit.Ask { return limit.Ask{Team: "council", Cap: c, Version: 1} }
+
+// granted counts the credits that an owner grants of so many asks at one moment.
+func granted(l *limit.Ledger, now time.Time, c limit.Cap, asks int) int {
+	count := 0
+	for range asks {
+		if l.Take(now, askFor(c), true, 1).Verdict == limit.Granted {
+			count++
+		}
+	}
+	return count
+}
+
+// Guards against a team that gets more than its rate and burst in the long run, or less.
+func TestAnOwnerGrantsTheRateAndTheBurst(t *testing.T) {
+	l := newLedger()
+	c := limit.Cap{Rate: 10, Burst: 5}
+	l.Take(start, askFor(c), true, 1)
+	rested := start.Add(time.Minute)
+	if got := granted(l, rested, c, 100); got != 5 {
+		t.Errorf("%d at once after a rest, the burst is 5", got)
+	}
+	total := 0
+	for at := rested; at.Before(rested.Add(10 * time.Second)); at = at.Add(10 * time.Millisecond) {
+		total += granted(l, at, c, 3)
+	}
+	if total < 98 || total > 100 {
+		t.Errorf("%d in 10 s at 10 a second", total)
+	}
+}
+
+// Guards against callers who come back before there is credit, or long after.
+func TestARefusalSaysWhenThereIsCredit(t *testing.T) {
+	l := newLedger()
+	c := limit.Cap{Rate: 4, Burst: 1}
+	granted(l, start, c, 10)
+	answer := l.Take(start, askFor(c), true, 1)
+	if answer.Verdict != limit.OverCap || answer.Wait != 250*time.Millisecond {
+		t.Fatalf("%+v", answer)
+	}
+	if got := l.Take(start.Add(answer.Wait), askFor(c), true, 1); got.Verdict != limit.Granted {
+		t.Errorf("%+v after the wait", got)
+	}
+}
+
+// Guards against an ask that is sent again and takes a second credit.
+func TestARepeatedAskTakesOneCredit(t *testing.T) {
+	l := newLedger()
+	ask := askFor(limit.Cap{Rate: 0.001, Burst: 2})
+	ask.ID = limit.AskID{Gate: "gate-1", Number: 7}
+	for range 5 {
+		if got := l.Take(start, ask, true, 1); got.Verdict != limit.Granted {
+			t.Fatalf("%+v", got)
+		}
+	}
+	ask.ID.Number++
+	if got := l.Take(start, ask, true, 1); got.Verdict != limit.Granted {
+		t.Errorf("%+v: the repeats took credit", got)
+	}
+}
+
+// Guards against a standby that grants without end because the owner cannot be reached from one side.
+func TestAStandbyGrantsAFewInAWindow(t *testing.T) {
+	l := newLedger()
+	c := limit.Cap{Rate: 100, Burst: 100}
+	count := 0
+	for at := start; at.Before(start.Add(tolerance.Window)); at = at.Add(5 * time.Millisecond) {
+		if answer := l.Take(at, askFor(c), false, 1); answer.Verdict == limit.Granted {
+			count++
+		} else if answer.Verdict != limit.Undecided {
+			t.Fatalf("%+v: a standby does not know that the team is over its cap", answer)
+		}
+	}
+	if count == 0 || count > 26 { // a third of 0.1 * 600 + 20
+		t.Errorf("%d granted without owning the team", count)
+	}
+}
+
+// Guards against a gate that counts credit for the time in which another one granted it.
+func TestNoCreditComesInWhileAnotherGateOwnsTheTeam(t *testing.T) {
+	l := newLedger()
+	c := limit.Cap{Rate: 10, Burst: 10}
+	granted(l, start, c, 100)
+	l.SetOwned(start, func(string) bool { return false })
+	l.SetOwned(start.Add(time.Minute), func(string) bool { return true })
+	if got := granted(l, start.Add(time.Minute), c, 100); got != 0 {
+		t.Errorf("%d granted", got)
+	}
+}
+
+// Guards against a cap that an operator lowers or raises and that stays as it was.
+func TestACapOfNewerRoutesCounts(t *testing.T) {
+	l := newLedger()
+	c := limit.Cap{Rate: 10, Burst: 10}
+	granted(l, start, c, 100)
+	l.SetOwned(start, func(string) bool { return true })
+	raised := limit.Ask{Team: "council", Cap: limit.Cap{Rate: 10, Burst: 40}, Version: 3}
+	if got := l.Take(start, raised, true, 1); got.Verdict != limit.Granted {
+		t.Errorf("%+v: a raised burst is there at once", got)
+	}
+	older := limit.Ask{Team: "council", Cap: limit.Cap{Rate: 1000, Burst: 1000}, Version: 2}
+	if got := granted(l, start, raised.Cap, 100); got > 29 {
+		t.Errorf("%d granted of the raised burst", got)
+	}
+	if got := l.Take(start, older, true, 1); got.Verdict != limit.OverCap {
+		t.Errorf("%+v: the cap of older routes counts", got)
+	}
+	lowered := limit.Ask{Team: "council", Cap: limit.Cap{Rate: 1, Burst: 1}, Version: 4}
+	l.Take(start, lowered, true, 1)
+	if got := granted(l, start.Add(time.Minute), lowered.Cap, 10); got > 1 {
+		t.Errorf("%d at once with a burst of 1", got)
+	}
+}
+
+// Guards against a request that did not run and still counts.
+func TestAReturnedCreditIsThereAgain(t *testing.T) {
+	l := newLedger()
+	c := limit.Cap{Rate: 0.001, Burst: 1}
+	granted(l, start, c, 5)
+	l.Return("council")
+	if got := granted(l, start, c, 5); got != 1 {
+		t.Errorf("%d granted after one was returned", got)
+	}
+}
+
+// Guards against openings that add up: after a stop of all, each gate knows itself alone.
+func TestGatesThatKnowFewOthersOpenWithLittle(t *testing.T) {
+	const gates = 62
+	random := rand.New(rand.NewPCG(5, 6))
+	c := limit.Cap{Rate: 20, Burst: 20}
+	total := 0
+	for range gates {
+		l := limit.NewLedger(tolerance, random)
+		for range 50 {
+			if l.Take(start, askFor(c), true, 1.0/gates).Verdict == limit.Granted {
+				total++
+			}
+		}
+	}
+	if most := 0.1*120 + 20; float64(total) > most {
+		t.Errorf("%d granted at once, the tolerance is %g", total, most)
+	}
+}
+
+// Guards against credit at the gates that costs memory for each team there ever was.
+func TestAccountsThatNobodyAsksForAreForgotten(t *testing.T) {
+	l := newLedger()
+	l.Take(start, askFor(limit.Cap{Rate: 1, Burst: 1}), true, 1)
+	l.Forget(start.Add(time.Hour))
+	if _, _, known := l.Credit(start.Add(time.Hour), "council"); known {
+		t.Error("still there")
+	}
+}
