Keys and caps of teams on sites of control VMs

Cause: routes knew no teams: keys were passed on to replicas, unknown ones ran. Change: routes.Document holds teams with hashes of their keys; a key of two teams makes a document invalid. Gates replace the key by the team's name, refuse unknown keys with 401 only after a control VM has confirmed that the routes are the newest (one question at a time for all who wait), and take a credit for each request by datagram (internal/gate/credit). Jobs and their quota of waiting tokens belong to the team, any of its keys reaches them.

--- a/internal/daemon/site.go
+++ b/internal/daemon/site.go
@@ -25,7 +25,7 @@
 	Readiness    func(ready func() bool) http.Handler
 	Control      func(service *control.Service) http.Handler
 	Directory    func(entries Entries) http.Handler
-	ItemProtocol func(host string, item *job.Item) proxy.Protocol
+	ItemProtocol func(host, team string, item *job.Item) proxy.Protocol
 	Refuse       func(w http.ResponseWriter, err error)
 }
 
@@ -76,7 +76,11 @@
 		site.control = made
 	}
 	if s.Is(settings.RoleGate) {
-		site.gate = newSiteGate(site)
+		made, err := newSiteGate(site)
+		if err != nil {
+			return nil, err
+		}
+		site.gate = made
 	}
 	return site, nil
 }
--- a/internal/daemon/sitegate.go
+++ b/internal/daemon/sitegate.go
@@ -15,11 +15,13 @@
 	"slateway.example/slateway/internal/directory"
 	"slateway.example/slateway/internal/gate"
 	"slateway.example/slateway/internal/gate/batch"
+	"slateway.example/slateway/internal/gate/credit"
 	"slateway.example/slateway/internal/gate/exchange"
 	"slateway.example/slateway/internal/gate/follow"
 	"slateway.example/slateway/internal/gate/proxy"
 	"slateway.example/slateway/internal/job"
 	"slateway.example/slateway/internal/keeper/keeperclient"
+	"slateway.example/slateway/internal/limit"
 	"slateway.example/slateway/internal/roster"
 	"slateway.example/slateway/internal/route"
 	"slateway.example/slateway/internal/settings"
@@ -36,6 +38,7 @@
 	jobs     *gate.Jobs
 	entries  *gate.Entries
 	runner   *batch.Runner
+	credit   *credit.Service
 	draining *drain
 	isReady  atomic.Bool
 
@@ -69,7 +72,7 @@
 	jobCallTimeout = 1500 * time.Millisecond
 )
 
-func newSiteGate(site *Site) *siteGate {
+func newSiteGate(site *Site) (*siteGate, error) {
 	s := &site.settings
 	g := &siteGate{log: site.log.Logger, settings: s}
 	g.draining = &drain{decide: directory.NewDrain(directory.DrainConfig{
@@ -112,7 +115,15 @@
 	keepers := keeperclient.NewDynamic(site.calls, g.follower.Keepers)
 	keepers.CountRetries(site.metrics)
 	keepers.SetPatience(sitePatience)
-	g.routed = gate.NewRouted(g.follower, g.router, site.metrics, site.log.Logger)
+	held, err := credit.New(credit.Options{
+		VM: s.VM.Name, Listen: s.Listen.Peers, Fleet: g.follower, Metrics: site.metrics, Log: site.log.Logger,
+		Tolerance: limit.Tolerance{Window: s.Limits.TeamWindow, Overshoot: s.Limits.TeamOvershoot, Slack: s.Limits.TeamSlack},
+	})
+	if err != nil {
+		return nil, err
+	}
+	g.credit = held
+	g.routed = gate.NewRouted(g.follower, g.router, g.credit, site.metrics, site.log.Logger)
 	g.jobs = gate.NewJobs(gate.JobsOptions{
 		Keepers: keepers, Source: g.follower, Router: g.router, Metrics: site.metrics, Log: site.log.Logger,
 		Retention: s.Batch.Retention, Timeout: jobCallTimeout, Protocol: site.edge.ItemProtocol,
@@ -133,7 +144,7 @@
 		Heartbeat:   s.Batch.Lease / siteHeartbeatsPerLease,
 		Lifetime:    s.Batch.Lease,
 	})
-	return g
+	return g, nil
 }
 
 func (g *siteGate) start(ctx context.Context) {
@@ -141,6 +152,7 @@
 	g.stopOthers = stopOthers
 	g.others.Go(func() { g.follower.Run(othersContext) })
 	g.others.Go(func() { g.exchange.RunGates(othersContext) })
+	g.others.Go(func() { g.credit.Run(othersContext) })
 	g.others.Go(func() { g.awaitReady(othersContext) })
 	batchContext, stopBatch := context.WithCancel(ctx)
 	g.stopBatch = stopBatch
--- /dev/null
+++ b/internal/gate/authenticate.go
@@ -0,0 +1,75 @@
+package gate
+
+import (
+	"context"
+	"time"
+
+	"go.uber.org/zap"
+
+	"slateway.example/slateway/internal/apierr"
+	"slateway.example/slateway/internal/routes"
+	"slateway.example/slateway/internal/telemetry"
+)
+
+// Reasons of requests that are refused for their key.
+const (
+	ReasonNoKey      apierr.Reason = "no_key"
+	ReasonUnknownKey apierr.Reason = "unknown_key"
+	// ReasonKeyUnconfirmed is of a gate that does not know whether the key is new.
+	ReasonKeyUnconfirmed apierr.Reason = "key_unconfirmed"
+)
+
+const (
+	// confirmTimeout bounds the question whether an unknown key is new.
+	confirmTimeout = 700 * time.Millisecond
+	// confirmRetry is when to come back if there was no answer to it.
+	confirmRetry = 300 * time.Millisecond
+)
+
+// Authenticate finds the team that holds a key. The team is empty where callers show
+// no keys, and on routes that allow anonymous requests unless the key is known.
+//
+// To callers an unknown key is final, so a gate that does not know one first asks
+// whether it has the newest routes: an operator may just have added the key.
+func (f *Routed) Authenticate(ctx context.Context, requestID, key string, anonymous bool) (routes.Team, *apierr.Error) {
+	matcher := f.firstRoutes(ctx)
+	if team := matcher.TeamOf(key); team != nil {
+		return *team, nil
+	}
+	if anonymous || matcher.Version() > 0 && !matcher.RequiresKey() {
+		return routes.Team{}, nil
+	}
+	ctx, cancel := context.WithTimeout(ctx, confirmTimeout)
+	defer cancel()
+	unconfirmed := f.confirm(ctx, matcher, key)
+	matcher = f.source.Routes()
+	if team := matcher.TeamOf(key); team != nil {
+		return *team, nil
+	}
+	refusal := keyRefusal(key, matcher.Version(), unconfirmed)
+	f.metrics.Refused(refusal.Reason)
+	f.log.Info("request refused", telemetry.RequestID(requestID), telemetry.Reason(string(refusal.Reason)),
+		zap.Uint64("routes", matcher.Version()), zap.Duration("routes_age", f.source.Age()), zap.NamedError("unconfirmed", unconfirmed))
+	return routes.Team{}, refusal
+}
+
+// confirm makes sure that the routes are the newest; a missing key needs no question.
+func (f *Routed) confirm(ctx context.Context, matcher *routes.Matcher, key string) error {
+	if key == "" && matcher.Version() > 0 {
+		return nil
+	}
+	return f.source.Confirm(ctx)
+}
+
+func keyRefusal(key string, version uint64, unconfirmed error) *apierr.Error {
+	switch {
+	case unconfirmed != nil:
+		return apierr.New(apierr.Unavailable, ReasonKeyUnconfirmed, "use another gate or come back",
+			"no team of version %d of the routes has the key, and this gate may not have the newest", version).WithRetryAfter(confirmRetry)
+	case key == "":
+		return apierr.New(apierr.Unauthorized, ReasonNoKey, "send a key of your team", "the request has no key")
+	default:
+		return apierr.New(apierr.Unauthorized, ReasonUnknownKey, "ask the operators for a key in force",
+			"no team of version %d of the routes has the key", version)
+	}
+}
--- /dev/null
+++ b/internal/gate/authenticate_test.go
@@ -0,0 +1,71 @@
+package gate_test
+
+import (
+	"errors"
+	"testing"
+
+	"slateway.example/slateway/internal/apierr"
+	"slateway.example/slateway/internal/gate"
+	"slateway.example/slateway/internal/routes"
+)
+
+// withTeams gives routes in which one team has these keys.
+func withTeams(version uint64, keys ...string) *routes.Matcher {
+	team := routes.Team{Name: "council"}
+	for _, key := range keys {
+		team.Keys = append(team.Keys, routes.HashKey(key))
+	}
+	return routes.NewMatcher(&routes.Document{Version: version, RequiresKey: true, Teams: []routes.Team{team}})
+}
+
+// Guards against a final refusal of a key that was added a moment ago.
+func TestAKeyIsLookedUpInTheNewestRoutesBeforeItIsRefused(t *testing.T) {
+	s := newSource()
+	s.matcher.Store(withTeams(3, "old"))
+	s.confirming = func() { s.matcher.Store(withTeams(4, "old", "new")) }
+	front, _ := routed(s)
+	team, refusal := front.Authenticate(t.Context(), "r1", "new", false)
+	if refusal != nil || team.Name != "council" {
+		t.Fatalf("%+v, %v", team, refusal)
+	}
+}
+
+// Guards against a final refusal by a gate that cannot tell whether the key is new.
+func TestAKeyThatCannotBeConfirmedIsNotRefusedForGood(t *testing.T) {
+	s := newSource()
+	s.matcher.Store(withTeams(3, "old"))
+	s.unconfirmed = errors.New("no control VM answers")
+	front, _ := routed(s)
+	_, refusal := front.Authenticate(t.Context(), "r1", "new", false)
+	if refusal == nil || refusal.Kind != apierr.Unavailable || refusal.RetryAfter == 0 || refusal.Ran != apierr.RanNo {
+		t.Fatalf("%+v", refusal)
+	}
+}
+
+// Guards against questions to the control VMs for each request that shows a known key, or none.
+func TestOnlyUnknownKeysAreAskedFor(t *testing.T) {
+	s := newSource()
+	s.matcher.Store(withTeams(3, "old"))
+	asked := 0
+	s.confirming = func() { asked++ }
+	front, _ := routed(s)
+	for key, want := range map[string]apierr.Reason{"old": "", "": gate.ReasonNoKey, "nobody": gate.ReasonUnknownKey} {
+		_, refusal := front.Authenticate(t.Context(), "r1", key, false)
+		if (refusal == nil) != (want == "") || refusal != nil && refusal.Reason != want {
+			t.Errorf("%q: %v", key, refusal)
+		}
+	}
+	if asked != 1 {
+		t.Errorf("asked %d times", asked)
+	}
+}
+
+// Guards against keys that are asked for where the routes name no teams.
+func TestWhereThereAreNoTeamsNoKeyIsNeeded(t *testing.T) {
+	s := newSource()
+	s.come()
+	front, _ := routed(s)
+	if team, refusal := front.Authenticate(t.Context(), "r1", "anything", false); refusal != nil || team.Name != "" {
+		t.Fatalf("%+v, %v", team, refusal)
+	}
+}
--- /dev/null
+++ b/internal/gate/credit/packets.go
@@ -0,0 +1,127 @@
+package credit
+
+import (
+	"errors"
+	"fmt"
+	"net"
+	"net/netip"
+	"time"
+
+	"go.uber.org/zap"
+
+	"slateway.example/slateway/internal/codec"
+	"slateway.example/slateway/internal/limit"
+)
+
+// kind says what a datagram is.
+type kind int
+
+const (
+	kindAsk kind = iota + 1
+	kindAnswer
+	kindReturn
+)
+
+// packet is a datagram between gates.
+type packet struct {
+	Kind    kind          `cbor:"1,keyasint"`
+	Number  uint64        `cbor:"2,keyasint,omitempty"` // of the ask, at the gate that asks
+	Gate    string        `cbor:"3,keyasint,omitempty"` // process that asks
+	Team    string        `cbor:"4,keyasint,omitempty"`
+	Rate    float64       `cbor:"5,keyasint,omitempty"`
+	Burst   int           `cbor:"6,keyasint,omitempty"`
+	Version uint64        `cbor:"7,keyasint,omitempty"`
+	Verdict limit.Verdict `cbor:"8,keyasint,omitempty"`
+	Wait    time.Duration `cbor:"9,keyasint,omitempty"`
+}
+
+// maxPacketBytes bounds a datagram: a team's name and numbers.
+const maxPacketBytes = 2 << 10
+
+func askPacket(ask limit.Ask) *packet {
+	return &packet{
+		Kind: kindAsk, Number: ask.ID.Number, Gate: ask.ID.Gate, Team: ask.Team,
+		Rate: ask.Cap.Rate, Burst: ask.Cap.Burst, Version: ask.Version,
+	}
+}
+
+func (p *packet) ask() limit.Ask {
+	return limit.Ask{
+		ID: limit.AskID{Gate: p.Gate, Number: p.Number}, Team: p.Team,
+		Cap: limit.Cap{Rate: p.Rate, Burst: p.Burst}, Version: p.Version,
+	}
+}
+
+func returnPacket(team string) *packet { return &packet{Kind: kindReturn, Team: team} }
+
+func listen(address string) (*net.UDPConn, error) {
+	parsed, err := netip.ParseAddrPort(address)
+	if err != nil {
+		return nil, fmt.Errorf("peers address %q: %w", address, err)
+	}
+	socket, err := net.ListenUDP("udp", net.UDPAddrFromAddrPort(parsed))
+	if err != nil {
+		return nil, fmt.Errorf("listen for other gates on %s; free the UDP port or change listen.peers: %w", address, err)
+	}
+	return socket, nil
+}
+
+// send sends a datagram to a gate. One that is lost shows as no answer.
+func (s *Service) send(gate string, p *packet) {
+	s.mu.Lock()
+	address, known := s.peers[gate]
+	s.mu.Unlock()
+	if known {
+		s.sendTo(address, p)
+	}
+}
+
+func (s *Service) sendTo(address netip.AddrPort, p *packet) {
+	data, err := codec.Marshal(p)
+	if err == nil {
+		_, err = s.socket.WriteToUDPAddrPort(data, address)
+	}
+	if err != nil {
+		s.options.Metrics.Count("team_cap.not_sent")
+		s.options.Log.Debug("datagram not sent", zap.Stringer("address", address), zap.Error(err))
+	}
+}
+
+// receive takes datagrams in until the socket is closed.
+func (s *Service) receive() {
+	buffer := make([]byte, maxPacketBytes)
+	for {
+		size, from, err := s.socket.ReadFromUDPAddrPort(buffer)
+		if errors.Is(err, net.ErrClosed) {
+			return
+		}
+		if err != nil {
+			s.options.Log.Debug("datagram not received", zap.Error(err))
+			continue
+		}
+		var p packet
+		if err := codec.Unmarshal(buffer[:size], &p); err != nil {
+			s.options.Metrics.Count("team_cap.unreadable")
+			continue
+		}
+		s.take(from, &p)
+	}
+}
+
+func (s *Service) take(from netip.AddrPort, p *packet) {
+	switch p.Kind {
+	case kindAsk:
+		answer := s.grant(p.ask())
+		s.sendTo(from, &packet{Kind: kindAnswer, Number: p.Number, Verdict: answer.Verdict, Wait: answer.Wait})
+	case kindAnswer:
+		s.mu.Lock()
+		waiting := s.waiting[p.Number]
+		s.mu.Unlock()
+		select {
+		case waiting <- limit.Answer{Verdict: p.Verdict, Wait: p.Wait}:
+		default: // nobody waits for it any more
+		}
+	case kindReturn:
+		s.giveBack(p.Team)
+	}
+}
--- a/internal/gate/follow/follower.go
+++ b/internal/gate/follow/follower.go
@@ -67,6 +67,9 @@
 	invites chan string   // peers addresses of control VMs that have called
 	known   sync.Once
 
+	routesMu sync.Mutex // makes putting newer routes in force one step
+	confirms confirmer
+
 	mu       sync.Mutex // guards what follows
 	gate     roster.Gate
 	controls []string
@@ -359,6 +362,8 @@
 // takeRoutes puts newer routes in force. A control VM that lags behind, or has
 // started anew, never takes a gate back to older ones.
 func (f *Follower) takeRoutes(address string, document *routes.Document) {
+	f.routesMu.Lock()
+	defer f.routesMu.Unlock()
 	before := f.Routes().Version()
 	if document.Version <= before {
 		return
--- a/internal/gate/jobs.go
+++ b/internal/gate/jobs.go
@@ -34,12 +34,29 @@
 	Retention time.Duration // results stay readable after a job's end
 	Timeout   time.Duration // of a call that names no other
 	// Protocol gives how an item of a host is run.
-	Protocol func(host string, item *job.Item) proxy.Protocol
+	Protocol func(host, team string, item *job.Item) proxy.Protocol
 }
 
 // NewJobs makes a Jobs.
 func NewJobs(options JobsOptions) *Jobs { return &Jobs{options: options} }
 
+// JobName is how callers name a job: by an ID that is the team's own, on a host.
+// Team is empty where callers show no keys.
+type JobName struct {
+	Host, Team, ID string
+}
+
+// key gives the job key under which the keepers hold the job. With the team in it,
+// the jobs of other teams are not found, whatever ID a caller gives.
+func (n JobName) key() string {
+	if n.Team == "" {
+		return n.ID
+	}
+	return n.Team + "\x00" + n.ID
+}
+
+func (n JobName) jobID() job.ID { return job.NewID(n.Host, n.key()) }
+
 // SubmittedItem is an item of a job as its caller handed it in.
 type SubmittedItem struct {
 	ID     string
@@ -58,8 +75,8 @@
 	ReasonItemNoRoute  apierr.Reason = "item_without_route"
 )
 
-// Submit accepts a whole job, or nothing of it.
-func (j *Jobs) Submit(ctx context.Context, found Found, id string, items []SubmittedItem) error {
+// Submit accepts a whole job of a team, or nothing of it.
+func (j *Jobs) Submit(ctx context.Context, found Found, team, id string, items []SubmittedItem) error {
 	if len(items) == 0 || len(items) > maxSubmittedItems {
 		return j.refused("job refused", id, apierr.New(apierr.Invalid, ReasonTooManyItems, "split the job",
 			"a job has 1 to %d items, not %d", maxSubmittedItems, len(items)))
@@ -67,18 +84,18 @@
 	ctx, cancel := context.WithTimeout(ctx, found.Timeout)
 	defer cancel()
 	began := time.Now()
-	submission := j.submission(found, id, items, began)
+	submission := j.submission(found, JobName{Host: found.Host, Team: team, ID: id}, items, began)
 	status, err := j.options.Keepers.SubmitJob(ctx, submission)
 	if err != nil {
 		return j.refused("job refused", id, err)
 	}
-	j.options.Log.Info("job accepted", telemetry.RequestID(id), zap.String("job", string(status.ID)), zap.String("route", found.Name),
+	j.options.Log.Info("job accepted", telemetry.RequestID(id), zap.String("job", string(status.ID)), telemetry.Team(team), zap.String("route", found.Name),
 		zap.String("service", submission.Spec.Queue.Service), zap.Int("items", len(items)),
 		zap.Uint64("routes", found.Matcher.Version()), zap.Duration("took", time.Since(began)))
 	return nil
 }
 
-func (j *Jobs) submission(found Found, id string, items []SubmittedItem, now time.Time) *job.Submission {
+func (j *Jobs) submission(found Found, named JobName, items []SubmittedItem, now time.Time) *job.Submission {
 	stored := make([]job.Item, len(items))
 	tokens := make([]uint32, len(items))
 	for i, item := range items {
@@ -86,8 +103,9 @@
 		stored[i] = job.Item{CustomID: item.ID, Endpoint: item.Path, Header: item.Header, Body: item.Body, Tokens: item.Tokens}
 	}
 	spec := job.Spec{
-		Team:             found.Host,
-		Key:              id,
+		Team:             named.Host,
+		Key:              named.key(),
+		Owner:            named.Team,
 		Queue:            job.Queue{Service: found.Pick(rand.Float64(), j.options.Router.Knows)},
 		Within:           found.CompletionTarget,
 		MaxAttempts:      max(1, found.MaxAttempts),
@@ -110,38 +128,38 @@
 
 // Results reads results of a job in the order in which they were made, at most
 // maxBytes of them; it waits up to wait for the first.
-func (j *Jobs) Results(ctx context.Context, host, id string, position uint32, maxBytes int, wait time.Duration) (*keeperapi.ListResultsResponse, error) {
+func (j *Jobs) Results(ctx context.Context, named JobName, position uint32, maxBytes int, wait time.Duration) (*keeperapi.ListResultsResponse, error) {
 	ctx, cancel := context.WithTimeout(ctx, wait+j.options.Timeout)
 	defer cancel()
 	response, err := j.options.Keepers.ListResults(ctx, keeperapi.ListResultsRequest{
-		Job: job.NewID(host, id), Position: position, MaxBytes: maxBytes, Wait: wait,
+		Job: named.jobID(), Position: position, MaxBytes: maxBytes, Wait: wait,
 	})
 	if err != nil {
-		return nil, j.refused("results not read", id, err)
+		return nil, j.refused("results not read", named.ID, err)
 	}
 	return response, nil
 }
 
 // Item reads the body of an item that waits or runs.
-func (j *Jobs) Item(ctx context.Context, host, id, item string) ([]byte, error) {
+func (j *Jobs) Item(ctx context.Context, named JobName, item string) ([]byte, error) {
 	ctx, cancel := context.WithTimeout(ctx, j.options.Timeout)
 	defer cancel()
-	found, err := j.options.Keepers.ReadItem(ctx, job.NewID(host, id), item)
+	found, err := j.options.Keepers.ReadItem(ctx, named.jobID(), item)
 	if err != nil {
-		return nil, j.refused("item not read", id, err)
+		return nil, j.refused("item not read", named.ID, err)
 	}
 	return found.Body, nil
 }
 
 // End ends a job for good; one that has ended by itself is left as it is.
-func (j *Jobs) End(ctx context.Context, host, id string) error {
+func (j *Jobs) End(ctx context.Context, named JobName) error {
 	ctx, cancel := context.WithTimeout(ctx, j.options.Timeout)
 	defer cancel()
-	_, err := j.options.Keepers.CancelJob(ctx, job.NewID(host, id))
+	_, err := j.options.Keepers.CancelJob(ctx, named.jobID())
 	if err != nil && apierr.ReasonOf(err) != job.ReasonJobEnded {
-		return j.refused("job not ended", id, err)
+		return j.refused("job not ended", named.ID, err)
 	}
-	j.options.Log.Info("job ended by its caller", telemetry.RequestID(id))
+	j.options.Log.Info("job ended by its caller", telemetry.RequestID(named.ID), telemetry.Team(named.Team))
 	return nil
 }
 
@@ -165,7 +183,7 @@
 		Repeatable: true,
 		Patient:    lease.OnlyAnswersCount,
 		Policy:     route.ThroughputPolicy(),
-		Protocol:   j.options.Protocol(lease.Team, item),
+		Protocol:   j.options.Protocol(lease.Team, lease.Owner, item),
 		Reached:    lease.Reached,
 		Text:       string(leased.Partial),
 	}
--- a/internal/gate/routed.go
+++ b/internal/gate/routed.go
@@ -8,7 +8,9 @@
 	"go.uber.org/zap"
 
 	"slateway.example/slateway/internal/apierr"
+	"slateway.example/slateway/internal/gate/credit"
 	"slateway.example/slateway/internal/gate/proxy"
+	"slateway.example/slateway/internal/limit"
 	"slateway.example/slateway/internal/route"
 	"slateway.example/slateway/internal/routes"
 	"slateway.example/slateway/internal/telemetry"
@@ -27,21 +29,33 @@
 	Routes() *routes.Matcher
 	Await(ctx context.Context) // returns when the first routes are known, or ctx has ended
 	Age() time.Duration        // since they were last confirmed
-	Stale() bool               // whether they may be out of date
+	// Confirm returns nil once the routes are those that were in force when it was
+	// called, or newer ones.
+	Confirm(ctx context.Context) error
+	Stale() bool // whether they may be out of date
 }
 
 // Routed serves callers' requests by the operators' routes.
 type Routed struct {
 	source   RouteSource
 	router   *proxy.Router
+	credit   Credit
 	metrics  Metrics
 	log      *zap.Logger
 	patience *patience
 }
 
+// Credit holds all gates together to what teams may send.
+type Credit interface {
+	// Take takes a credit for a request; its error says why there is none.
+	Take(ctx context.Context, r *credit.Request) *apierr.Error
+	// Return gives back the credit of a request that has not run.
+	Return(r *credit.Request)
+}
+
 // NewRouted makes a Routed.
-func NewRouted(source RouteSource, router *proxy.Router, metrics Metrics, log *zap.Logger) *Routed {
-	return &Routed{source: source, router: router, metrics: metrics, log: log, patience: newPatience()}
+func NewRouted(source RouteSource, router *proxy.Router, credit Credit, metrics Metrics, log *zap.Logger) *Routed {
+	return &Routed{source: source, router: router, credit: credit, metrics: metrics, log: log, patience: newPatience()}
 }
 
 // Found is the route of a request with the document that has it.
@@ -120,6 +134,7 @@
 	// Patience is how long the caller waits; 0: as long as the route allows.
 	Patience time.Duration
 	Arrived  time.Time
+	Team     routes.Team // that sends it; empty where callers show no keys
 	Protocol proxy.Protocol
 }
 
@@ -135,13 +150,21 @@
 
 // Serve answers a request to a route that is not for jobs.
 func (f *Routed) Serve(ctx context.Context, caller proxy.Caller, found Found, r *RoutedRequest) {
+	taken := &credit.Request{
+		ID: r.ID, Team: r.Team.Name, Cap: limit.Cap{Rate: r.Team.Rate, Burst: r.Team.Burst}, Version: found.Matcher.Version(),
+	}
+	if refusal := f.credit.Take(ctx, taken); refusal != nil {
+		caller.Refuse(refusal)
+		return
+	}
+	caller = &creditedCaller{Caller: caller, credit: f.credit, taken: taken}
 	service := found.Pick(rand.Float64(), f.router.Knows)
 	limit := found.Timeout
 	if r.Patience > 0 {
 		limit = min(limit, r.Patience)
 	}
 	waited := f.patience.waited(found.Name, r.Patience, found.Timeout)
-	f.log.Info("request routed", telemetry.RequestID(r.ID), zap.String("route", found.Name), zap.String("service", service),
+	f.log.Info("request routed", telemetry.RequestID(r.ID), telemetry.Team(r.Team.Name), zap.String("route", found.Name), zap.String("service", service),
 		zap.Uint64("routes", found.Matcher.Version()), zap.Duration("routes_age", f.source.Age()), zap.Duration("limit", limit),
 		zap.Duration("patience", r.Patience), zap.Duration("waited", waited),
 		zap.Duration("target", found.TargetLatency), zap.Duration("pause", found.LongestPause))
@@ -158,3 +181,18 @@
 		UsefulUntil: usefulUntil(found, r, waited),
 	})
 }
+
+// creditedCaller gives the credit of a request back that ends without having run.
+type creditedCaller struct {
+	proxy.Caller
+	credit Credit
+	taken  *credit.Request
+}
+
+// Refuse gives the final answer of a request that has no other.
+func (c *creditedCaller) Refuse(err *apierr.Error) {
+	if err.Ran == apierr.RanNo {
+		c.credit.Return(c.taken)
+	}
+	c.Caller.Refuse(err)
+}
--- a/internal/gate/routed_test.go
+++ b/internal/gate/routed_test.go
@@ -19,6 +19,10 @@
 	matcher atomic.Pointer[routes.Matcher]
 	came    chan struct{}
 	stale   bool
+	// unconfirmed is the answer to the question whether the routes are the newest.
+	unconfirmed error
+	// confirming is called with the question, before its answer.
+	confirming func()
 }
 
 func newSource() *source {
@@ -30,6 +34,12 @@
 func (s *source) Routes() *routes.Matcher { return s.matcher.Load() }
 func (s *source) Age() time.Duration      { return 0 }
 func (s *source) Stale() bool             { return s.stale }
+func (s *source) Confirm(context.Context) error {
+	if s.confirming != nil {
+		s.confirming()
+	}
+	return s.unconfirmed
+}
 func (s *source) Await(ctx context.Context) {
 	select {
 	case <-s.came:
@@ -47,7 +57,7 @@
 
 func routed(s *source) (*gate.Routed, *telemetry.Metrics) {
 	metrics := telemetry.NewMetrics()
-	return gate.NewRouted(s, nil, metrics, zap.NewNop()), metrics
+	return gate.NewRouted(s, nil, nil, metrics, zap.NewNop()), metrics
 }
 
 // All processes of a site were stopped and are back; callers come to the
--- a/internal/job/lease.go
+++ b/internal/job/lease.go
@@ -47,6 +47,7 @@
 	// Takes is how long items of the queue take from their lease to their end; 0:
 	// not known.
 	Takes time.Duration `cbor:"15,keyasint,omitempty"`
+	Owner string        `cbor:"17,keyasint,omitempty"` // of the job's Spec
 }
 
 // loseItem ends the lease of an item whose gate is lost.
@@ -218,6 +219,7 @@
 		Reached:          j.partials[item].Reached,
 		Partial:          pieces,
 		Takes:            takes,
+		Owner:            j.spec.Owner,
 	}
 }
 
--- a/internal/job/submit.go
+++ b/internal/job/submit.go
@@ -10,8 +10,8 @@
 	Spec   Spec     `cbor:"1,keyasint"`
 	Tokens []uint32 `cbor:"2,keyasint"` // by item
 	Items  []byte   `cbor:"3,keyasint"` // encoded []Item
-	// Quota is how many tokens may wait in the queue with those of this job;
-	// zero sets no bound.
+	// Quota is how many tokens of the job's owner may wait in the queue with those of
+	// this job; zero sets no bound.
 	Quota uint64 `cbor:"4,keyasint,omitempty"`
 }
 
@@ -44,7 +44,7 @@
 
 func (t *Table) checkQuota(s *Submission) *apierr.Error {
 	asked := sum(s.Tokens)
-	waiting := t.waiting[s.Spec.Queue]
+	waiting := t.waiting[s.Spec.account()]
 	if s.Quota == 0 || waiting+asked <= s.Quota {
 		return nil
 	}
@@ -52,6 +52,14 @@
 		"%d tokens wait for %s, %d more would exceed the quota of %d", waiting, s.Spec.Queue.Service, asked, s.Quota)
 }
 
+// account names whose waiting tokens count together.
+type account struct {
+	queue Queue
+	owner string
+}
+
+func (s *Spec) account() account { return account{queue: s.Queue, owner: s.Owner} }
+
 func sum(tokens []uint32) uint64 {
 	total := uint64(0)
 	for _, count := range tokens {
@@ -60,7 +68,7 @@
 	return total
 }
 
-// schedule makes a job that begins to run count against its queue's quota and
+// schedule makes a job that begins to run count against its owner's quota and
 // notes when its items are given up.
 func (t *Table) schedule(job *entry) {
 	if job.spec.GiveUp != 0 {
@@ -68,7 +76,7 @@
 	}
 	for item, count := range job.tokens {
 		if !job.done(uint32(item)) {
-			t.waiting[job.spec.Queue] += uint64(count)
+			t.waiting[job.spec.account()] += uint64(count)
 		}
 	}
 }
@@ -78,7 +86,7 @@
 	t.giveUps.Delete(job.giveUpKey())
 	for item, count := range job.tokens {
 		if !job.done(uint32(item)) {
-			t.addWaiting(job.spec.Queue, -int64(count))
+			t.addWaiting(job.spec.account(), -int64(count))
 		}
 	}
 }
@@ -86,17 +94,17 @@
 // freeTokens takes an item that has its result out of the quota.
 func (t *Table) freeTokens(job *entry, item uint32) {
 	if int(item) < len(job.tokens) {
-		t.addWaiting(job.spec.Queue, -int64(job.tokens[item]))
+		t.addWaiting(job.spec.account(), -int64(job.tokens[item]))
 	}
 }
 
-func (t *Table) addWaiting(queue Queue, count int64) {
-	left := int64(t.waiting[queue]) + count
+func (t *Table) addWaiting(of account, count int64) {
+	left := int64(t.waiting[of]) + count
 	if left <= 0 {
-		delete(t.waiting, queue)
+		delete(t.waiting, of)
 		return
 	}
-	t.waiting[queue] = uint64(left)
+	t.waiting[of] = uint64(left)
 }
 
 func (j *entry) giveUpKey() expiryKey {
--- a/internal/job/submit_test.go
+++ b/internal/job/submit_test.go
@@ -4,6 +4,7 @@
 	"testing"
 	"time"
 
+	"slateway.example/slateway/internal/apierr"
 	"slateway.example/slateway/internal/codec"
 	"slateway.example/slateway/internal/instant"
 	"slateway.example/slateway/internal/job"
@@ -101,6 +102,30 @@
 	}
 }
 
+// Guards against one customer whose waiting items keep all others out.
+func TestEachOwnerHasAQuotaOfItsOwn(t *testing.T) {
+	table := job.NewTable(&memory{})
+	submit := func(owner, key string) *apierr.Error {
+		_, refusal := table.Submit(&job.Submission{
+			Spec:   job.Spec{Team: "news.example", Owner: owner, Key: owner + key, Queue: job.Queue{Service: "wordroom"}, MaxAttempts: 1},
+			Tokens: []uint32{30}, Items: codec.MustMarshal([]job.Item{{CustomID: "i"}}), Quota: 50,
+		}, 1)
+		return refusal
+	}
+	for _, owner := range []string{"council", "parish"} {
+		if refusal := submit(owner, "a"); refusal != nil {
+			t.Fatalf("%s: %v", owner, refusal)
+		}
+		if refusal := submit(owner, "b"); refusal == nil {
+			t.Fatalf("%s has 60 tokens waiting under a quota of 50", owner)
+		}
+	}
+	table = roundTrip(t, table)
+	if refusal := submit("council", "c"); refusal == nil {
+		t.Fatal("whose items wait was forgotten over a snapshot")
+	}
+}
+
 func roundTrip(t *testing.T, table *job.Table) *job.Table {
 	t.Helper()
 	data, err := table.Snapshot()
--- a/internal/job/table.go
+++ b/internal/job/table.go
@@ -25,7 +25,7 @@
 	bodies   segmentUse
 	results  segmentUse
 	giveUps  *btree.BTreeG[expiryKey] // running jobs, by when their items are given up
-	waiting  map[Queue]uint64         // tokens of the items without a result
+	waiting  map[account]uint64       // tokens of the items without a result
 
 	// taken is how long an item takes from its lease to its end, a mean by queue.
 	// The keepers keep it, as gates forget it when they start, which is when much
@@ -111,7 +111,7 @@
 		bodies:   make(segmentUse),
 		results:  make(segmentUse),
 		giveUps:  btree.NewG(btreeDegree, expiryKey.less),
-		waiting:  make(map[Queue]uint64),
+		waiting:  make(map[account]uint64),
 		taken:    make(map[Queue]time.Duration),
 	}
 }
--- a/internal/job/types.go
+++ b/internal/job/types.go
@@ -79,6 +79,9 @@
 	// OnlyAnswersCount: an attempt counts only if an upstream answered that it
 	// failed. The loss of a gate or of a connection says nothing of the item.
 	OnlyAnswersCount bool `cbor:"11,keyasint,omitempty"`
+	// Owner is the customer whose waiting tokens the job's count with; jobs without
+	// one count together.
+	Owner string `cbor:"12,keyasint,omitempty"`
 }
 
 // sameContent tells a resent creation from another job under the same key.
--- a/internal/routes/check.go
+++ b/internal/routes/check.go
@@ -15,6 +15,7 @@
 	ReasonNoWeight       apierr.Reason = "route_without_weight"
 	ReasonNoTimeout      apierr.Reason = "route_without_timeout"
 	ReasonBadRoute       apierr.Reason = "route_incomplete"
+	ReasonSharedKey      apierr.Reason = "teams_share_key"
 )
 
 func invalid(reason apierr.Reason, remedy, format string, args ...any) *apierr.Error {
@@ -44,7 +45,7 @@
 		}
 		taken[place] = route.Name
 	}
-	return nil
+	return checkTeams(d.Teams)
 }
 
 var kinds = []Kind{Idempotent, NonIdempotent, Streaming, Batch}
--- a/internal/routes/document.go
+++ b/internal/routes/document.go
@@ -27,6 +27,10 @@
 	// Source is the document as its operator sent it. Readers get it back byte
 	// by byte, with what this version of the program does not know.
 	Source []byte `cbor:"5,keyasint,omitempty"`
+	// RequiresKey: callers show a key of one of Teams, but for routes that allow
+	// anonymous requests.
+	RequiresKey bool   `cbor:"6,keyasint,omitempty"`
+	Teams       []Team `cbor:"7,keyasint,omitempty"`
 }
 
 // Route says where requests of a host and path prefix go.
@@ -44,10 +48,12 @@
 	Resumable     bool          `cbor:"10,keyasint,omitempty"`
 	LongestPause  time.Duration `cbor:"11,keyasint,omitempty"` // between the events of a stream on time
 
+	Anonymous bool `cbor:"15,keyasint,omitempty"` // requests need no key
+
 	// Of batch routes.
 	CompletionTarget time.Duration `cbor:"12,keyasint,omitempty"` // after which all results of a job are late
 	GiveUpAfter      time.Duration `cbor:"13,keyasint,omitempty"` // after which items without a result may end
-	QuotaTokens      uint64        `cbor:"14,keyasint,omitempty"` // that may wait; 0: no bound
+	QuotaTokens      uint64        `cbor:"14,keyasint,omitempty"` // of one team that may wait; 0: no bound
 }
 
 // Share is a service's part of a route's requests.
--- a/internal/routes/match.go
+++ b/internal/routes/match.go
@@ -12,11 +12,14 @@
 	document *Document
 	hosts    map[string][]*Route // longest prefix first
 	services map[string]*Service
+	teams    map[KeyHash]*Team
 }
 
 // NewMatcher indexes a document, which must not change any more.
 func NewMatcher(d *Document) *Matcher {
-	m := &Matcher{document: d, hosts: make(map[string][]*Route), services: make(map[string]*Service)}
+	m := &Matcher{
+		document: d, hosts: make(map[string][]*Route), services: make(map[string]*Service), teams: make(map[KeyHash]*Team),
+	}
 	for i := range d.Routes {
 		host := canonicalHost(d.Routes[i].Host)
 		m.hosts[host] = append(m.hosts[host], &d.Routes[i])
@@ -27,6 +30,11 @@
 	for i := range d.Services {
 		m.services[d.Services[i].Name] = &d.Services[i]
 	}
+	for i := range d.Teams {
+		for _, key := range d.Teams[i].Keys {
+			m.teams[key] = &d.Teams[i]
+		}
+	}
 	return m
 }
 
@@ -50,6 +58,12 @@
 // Service finds a service of the document; nil if it has none of the name.
 func (m *Matcher) Service(name string) *Service { return m.services[name] }
 
+// TeamOf gives the team that holds a key; nil if none does.
+func (m *Matcher) TeamOf(key string) *Team { return m.teams[HashKey(key)] }
+
+// RequiresKey says whether callers of routes that are not anonymous show a key.
+func (m *Matcher) RequiresKey() bool { return m.document.RequiresKey }
+
 // HasHost says whether any route is on the host.
 func (m *Matcher) HasHost(host string) bool { return len(m.hosts[canonicalHost(host)]) > 0 }
 
--- a/internal/settings/numbers.go
+++ b/internal/settings/numbers.go
@@ -32,6 +32,7 @@
 		{"batch.lease", s.Batch.Lease},
 		{"batch.result_flush", s.Batch.ResultFlush},
 		{"batch.retention", s.Batch.Retention},
+		{"limits.team_window", s.Limits.TeamWindow},
 		{"timeouts.dial", s.Timeouts.Dial},
 		{"timeouts.request", s.Timeouts.Request},
 		{"timeouts.stream_idle", s.Timeouts.StreamIdle},
@@ -63,12 +64,29 @@
 	}
 }
 
+type partEntry struct {
+	key   string
+	value float64
+}
+
+func (s *Settings) parts() []partEntry {
+	return []partEntry{
+		{"limits.team_overshoot", s.Limits.TeamOvershoot},
+		{"limits.team_slack", s.Limits.TeamSlack},
+	}
+}
+
 func (s *Settings) checkNumbers(c *checker) {
 	for _, entry := range s.durations() {
 		if entry.value < shortestDuration {
 			c.add(entry.key, entry.value.String(), "too short", "set it to at least "+shortestDuration.String())
 		}
 	}
+	for _, entry := range s.parts() {
+		if entry.value < 0 {
+			c.add(entry.key, fmt.Sprint(entry.value), "must not be negative", "set it to 0 or above")
+		}
+	}
 	for _, entry := range s.counts() {
 		if entry.value < 1 {
 			c.add(entry.key, fmt.Sprint(entry.value), "must be positive", "set it to at least 1")
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -154,6 +154,12 @@
 	MaxQueue      int `toml:"max_queue"`       // online requests waiting in a gate
 	MaxInProgress int `toml:"max_in_progress"` // online requests running in a gate
 	Descriptors   int `toml:"descriptors"`     // open files and connections of the process; 0: the system's limit
+
+	// In any TeamWindow, all gates together run at most so many requests of a team
+	// beyond its rate and burst: the part TeamOvershoot of these, and TeamSlack.
+	TeamWindow    time.Duration `toml:"team_window"`
+	TeamOvershoot float64       `toml:"team_overshoot"`
+	TeamSlack     float64       `toml:"team_slack"`
 }
 
 // Timeouts bound waiting.
@@ -213,6 +219,7 @@
 		Limits: Limits{
 			MaxBodyBytes: 8 << 20, MaxPartBytes: 16 << 20, MaxItemBytes: 1 << 20,
 			MaxQueue: 1024, MaxInProgress: 4096,
+			TeamWindow: 5 * time.Second, TeamOvershoot: 0.1, TeamSlack: 20,
 		},
 		Timeouts: Timeouts{
 			Dial: time.Second, Request: 2 * time.Minute, StreamIdle: 10 * time.Second, Drain: 30 * time.Minute,
