A suspect item may be tried by a gate that feeds a replica for it

Cause: after a replica has died of a request one gate alone may try it, the one that saw the death. If that gate feeds no live replica it refused the item itself, and the others refused it for its sake, until the strike was forgotten after ten minutes (a job stood still for 265 s). Change: for items the right goes to a live gate that feeds a replica that serves them; online requests need no feeder and are judged as before. Test: TestASuspectItemIsTriedByAGateThatOwnsAReplica, red before (refused, sent 0 times).

--- a/internal/route/poison.go
+++ b/internal/route/poison.go
@@ -44,9 +44,11 @@
 	if s.config.Disabled.Holder {
 		return nil
 	}
-	holder := s.strikes.Holder(s.at, req.Fingerprint, s.isLive)
+	able := func(gate string) bool { return s.isLive(gate) && s.mayTry(gate, req) }
+	holder := s.strikes.Holder(s.at, req.Fingerprint, able)
 	if holder == "" {
-		holder = bestGate(s.gates, "", fmt.Sprint(uint64(req.Fingerprint)))
+		gates := slices.DeleteFunc(slices.Clone(s.gates), func(g Gate) bool { return !able(g.ID) })
+		holder = bestGate(gates, "", fmt.Sprint(uint64(req.Fingerprint)))
 	}
 	if holder == "" || holder == s.config.Self {
 		return nil
@@ -57,6 +59,20 @@
 		WithRan(req.ran()).WithRetryAfter(suspectRetryAfter)
 }
 
+// mayTry says whether a gate can start the request: items start only at the gate that
+// feeds a replica for them.
+func (s *Shard) mayTry(gate string, req *request) bool {
+	if req.Class != Batch {
+		return true
+	}
+	for _, r := range s.replicas {
+		if r.feeder == gate && r.serves(req) {
+			return true
+		}
+	}
+	return false
+}
+
 func (s *Shard) isLive(gate string) bool {
 	return gate == s.config.Self || slices.ContainsFunc(s.gates, func(g Gate) bool { return g.ID == gate })
 }
--- a/internal/route/suspect_item_test.go
+++ b/internal/route/suspect_item_test.go
@@ -36,6 +36,22 @@
 	}
 }
 
+// Guards against a job that stands still because the one gate that may try its item owns no replica.
+func TestASuspectItemIsTriedByAGateThatOwnsAReplica(t *testing.T) {
+	r := newRig(t, route.Config{}, 1)
+	r.step(route.GatesChanged{Gates: []route.Gate{{ID: "gate-0", Place: "edin-b"}, {ID: "gate-1", Place: "glas-a"}}})
+	first := item("notice-1")
+	first.Patient = false
+	r.step(route.Struck{Strikes: []upstream.Strike{{
+		Fingerprint: first.Fingerprint, Replica: "r9", Incarnation: 1, Gate: "gate-0", At: r.now,
+	}}})
+	r.arrive(first)
+	r.pass(3 * time.Second)
+	if err := r.refused["notice-1"]; err != nil || r.sent["notice-1"] != 1 {
+		t.Fatalf("sent %d times, refused: %v", r.sent["notice-1"], err)
+	}
+}
+
 // Replicas go down one after the other under an innocent item. It is not refused
 // for good, since its job waits for it; but each death doubles the time until it
 // is tried again, so that a harmful one takes few replicas down with it.
