--- a/internal/replica/host_test.go
+++ b/internal/replica/host_test.go
@@ -10,6 +10,9 @@
 	"testing"
 	"time"
 
+	"go.uber.org/zap"
+	"go.uber.org/zap/zaptest/observer"
+
 	"slateway.example/slateway/internal/wal"
 )
 
@@ -246,7 +249,9 @@
 // catch up by that one transfer, or a busy group could never be made whole.
 func TestMemberCatchesUpWhileChangesGoOn(t *testing.T) {
 	const size = 16 << 10
+	core, logged := observer.New(zap.InfoLevel)
 	c := start(t, 3, 3, func(config *Config) {
+		config.Logger = zap.New(core)
 		config.SnapshotEntries = 20
 		config.KeepEntries = 10
 		config.TransferRate = 4 << 20
@@ -283,7 +288,10 @@
 	close(stop)
 	wait.Wait()
 	if sent := c.leader().host.config.Metrics.Value(metricTransfers); sent != 1 {
-		t.Errorf("%d snapshots were sent to catch up", sent)
+		t.Errorf("%d snapshots were sent to catch up %s", sent, away.host.self.ID)
+		for _, entry := range logged.FilterMessageSnippet("snapshot").All() {
+			t.Log(entry.Time, entry.Message, entry.ContextMap())
+		}
 	}
 }
 
--- a/internal/replica/transfer.go
+++ b/internal/replica/transfer.go
@@ -63,6 +63,9 @@
 			g.host.config.Metrics.Count(metricTransferFails)
 			g.host.logger.Warn("snapshot transfer", zap.Uint32("group", g.id), zap.String("to", address), zap.Error(err))
 			sleep(g.host.ctx, transferRetry)
+		} else {
+			g.host.logger.Info("snapshot sent", zap.Uint32("group", g.id), zap.Stringer("member", to), zap.String("to", address),
+				zap.Uint64("index", index))
 		}
 		g.mu.Lock()
 		defer g.mu.Unlock()
