Requests of a team with plenty start at once, their credit is charged beside

The tolerance is in four margins: bursts, two moves of the credit, and requests that start until all gates know.

--- a/internal/gate/credit/credit.go
+++ b/internal/gate/credit/credit.go
@@ -67,6 +67,7 @@
 	holders *limit.Holders
 	peers   map[string]netip.AddrPort // by VM
 	silent  map[string]time.Time      // until when a gate is passed over that did not answer
+	caution *limit.Caution
 	waiting map[uint64]chan limit.Answer
 }
 
@@ -91,7 +92,7 @@
 		process: options.VM + "/" + strconv.FormatInt(now.UnixNano(), 36),
 		holders: limit.NewHolders(nil, 0, now),
 		settles: make(chan struct{}, 1),
-		peers:   make(map[string]netip.AddrPort), silent: make(map[string]time.Time),
+		peers:   make(map[string]netip.AddrPort), silent: make(map[string]time.Time), caution: limit.NewCaution(),
 		waiting: make(map[uint64]chan limit.Answer),
 	}
 	for i := range s.shards {
@@ -154,6 +155,7 @@
 func (s *Service) forget(now time.Time) {
 	s.mu.Lock()
 	maps.DeleteFunc(s.silent, func(_ string, until time.Time) bool { return now.After(until) })
+	s.caution.Forget(now)
 	s.mu.Unlock()
 	for i := range s.shards {
 		sh := &s.shards[i]
@@ -186,19 +188,27 @@
 	for i := range s.shards {
 		sh := &s.shards[i]
 		sh.mu.Lock()
-		sh.ledger.SetOwned(now, func(team string) bool { return s.choice(team).Owner == s.options.VM })
+		sh.ledger.SetOwned(now, s.owns)
 		sh.mu.Unlock()
 	}
 }
 
-func (s *Service) choice(team string) limit.Choice {
+func (s *Service) owns(team string) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.holders.Of(team)
+	return s.holders.Of(team).Owner == s.options.VM
 }
 
 // grant takes a credit from this gate's own ledger.
 func (s *Service) grant(ask limit.Ask) limit.Answer {
+	answer := s.takeOwn(ask)
+	if answer.TellAll {
+		go s.tellLow(ask.Team)
+	}
+	return answer
+}
+
+func (s *Service) takeOwn(ask limit.Ask) limit.Answer {
 	s.mu.Lock()
 	owned, share := s.holders.Of(ask.Team).Owner == s.options.VM, s.holders.Share
 	s.mu.Unlock()
--- /dev/null
+++ b/internal/gate/credit/credit_test.go
@@ -0,0 +1,233 @@
+package credit_test
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"go.uber.org/zap"
+
+	"slateway.example/slateway/internal/apierr"
+	"slateway.example/slateway/internal/gate/credit"
+	"slateway.example/slateway/internal/limit"
+	"slateway.example/slateway/internal/roster"
+	"slateway.example/slateway/internal/telemetry"
+)
+
+// fleet is the gates as each of them knows them.
+type fleet struct {
+	mu    sync.Mutex
+	gates []roster.Gate
+	calls []func()
+}
+
+func (f *fleet) Gates() []roster.Gate {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.gates
+}
+
+func (f *fleet) ExpectedGates() int { return 0 }
+
+func (f *fleet) OnGates(fn func()) { f.calls = append(f.calls, fn) }
+
+func (f *fleet) set(gates []roster.Gate) {
+	f.mu.Lock()
+	f.gates = gates
+	f.mu.Unlock()
+	for _, fn := range f.calls {
+		fn()
+	}
+}
+
+// gates is some gates on loopback.
+type gates struct {
+	fleet    *fleet
+	services []*credit.Service
+	metrics  []*telemetry.Metrics
+	stop     []func()
+}
+
+func start(t *testing.T, count int, slack float64) *gates {
+	g := &gates{fleet: &fleet{}}
+	var known []roster.Gate
+	for i := range count {
+		address := freePort(t)
+		metrics := telemetry.NewMetrics()
+		s, err := credit.New(credit.Options{
+			VM: fmt.Sprint("gate-", i), Listen: address, Fleet: g.fleet, Metrics: metrics, Log: zap.NewNop(),
+			Tolerance: limit.Tolerance{Window: 5 * time.Second, Overshoot: 0.1, Slack: slack},
+		})
+		if err != nil {
+			t.Fatal(err)
+		}
+		ctx, cancel := context.WithCancel(t.Context())
+		done := make(chan struct{})
+		go func() {
+			s.Run(ctx)
+			close(done)
+		}()
+		stop := sync.OnceFunc(func() {
+			cancel()
+			<-done
+		})
+		t.Cleanup(stop)
+		g.services, g.metrics, g.stop = append(g.services, s), append(g.metrics, metrics), append(g.stop, stop)
+		known = append(known, roster.Gate{VM: fmt.Sprint("gate-", i), Peers: address, Started: 1})
+	}
+	g.fleet.set(known)
+	return g
+}
+
+func freePort(t *testing.T) string {
+	t.Helper()
+	socket, err := net.ListenPacket("udp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer socket.Close()
+	return socket.LocalAddr().String()
+}
+
+func (g *gates) take(ctx context.Context, gate int, team string, c limit.Cap) *apierr.Error {
+	return g.services[gate].Take(ctx, &credit.Request{ID: "r", Team: team, Cap: c, Version: 1})
+}
+
+// flood lets a team send through all gates at once and counts what may run.
+func (g *gates) flood(ctx context.Context, team string, c limit.Cap, each int) (ran int64) {
+	var count atomic.Int64
+	var sending sync.WaitGroup
+	for gate := range g.services {
+		sending.Go(func() {
+			for range each {
+				if g.take(ctx, gate, team, c) == nil {
+					count.Add(1)
+				}
+				time.Sleep(time.Millisecond)
+			}
+		})
+	}
+	sending.Wait()
+	return count.Load()
+}
+
+// ownerOf gives the gate that owns a team.
+func (g *gates) ownerOf(team string) (owner, standby int) {
+	var known []limit.Gate
+	for _, gate := range g.fleet.Gates() {
+		known = append(known, limit.Gate{VM: gate.VM, Started: gate.Started})
+	}
+	choice := limit.NewHolders(known, 0, time.Now()).Of(team)
+	_, _ = fmt.Sscanf(choice.Owner, "gate-%d", &owner)
+	_, _ = fmt.Sscanf(choice.Standby, "gate-%d", &standby)
+	return owner, standby
+}
+
+// Guards against a cap that grows with the number of gates.
+func TestGatesTogetherKeepToTheCap(t *testing.T) {
+	g := start(t, 8, 20)
+	c := limit.Cap{Rate: 20, Burst: 20}
+	began := time.Now()
+	ran := g.flood(t.Context(), "council", c, 200)
+	most := 1.1*(c.Rate*max(5, time.Since(began).Seconds())+float64(c.Burst)) + 20
+	if float64(ran) > most || ran < 8 {
+		t.Errorf("%d of 1,600 ran, at most %.0f may", ran, most)
+	}
+}
+
+// Guards against refusals of a team that sends less than it may.
+func TestNothingBelowTheCapIsRefused(t *testing.T) {
+	g := start(t, 8, 20)
+	c := limit.Cap{Rate: 50, Burst: 50}
+	for i := range 60 {
+		if refusal := g.take(t.Context(), i%8, "council", c); refusal != nil {
+			t.Fatalf("request %d: %v", i, refusal)
+		}
+		time.Sleep(25 * time.Millisecond)
+	}
+}
+
+// Guards against requests that wait for other gates though their team has plenty.
+func TestRequestsOfATeamWithPlentyDoNotWait(t *testing.T) {
+	g := start(t, 3, 20)
+	owner, _ := g.ownerOf("council")
+	c := limit.Cap{Rate: 5, Burst: 5}
+	g.stop[owner]()
+	began := time.Now()
+	if refusal := g.take(t.Context(), (owner+1)%3, "council", c); refusal != nil {
+		t.Fatal(refusal)
+	}
+	if took := time.Since(began); took > 5*time.Millisecond {
+		t.Errorf("waited %s", took)
+	}
+}
+
+// Guards against a team that is refused, or waits for each request, because the gate that owns it is frozen.
+func TestTheStandbyGrantsWhileTheOwnerIsSilent(t *testing.T) {
+	g := start(t, 3, 40)
+	owner, standby := g.ownerOf("council")
+	other := 3 - owner - standby
+	g.stop[owner]()
+	c := limit.Cap{Rate: 5, Burst: 5}
+	var slow int
+	for i := range 8 {
+		began := time.Now()
+		if refusal := g.take(t.Context(), other, "council", c); refusal != nil {
+			t.Fatalf("request %d: %v", i, refusal)
+		}
+		if time.Since(began) > 30*time.Millisecond {
+			slow++
+		}
+		time.Sleep(50 * time.Millisecond) // within the time for which the owner is passed over
+	}
+	if slow > 1 {
+		t.Errorf("%d of 8 requests waited for the owner", slow)
+	}
+	if got := g.metrics[other].Value("team_cap.unanswered"); got != 1 {
+		t.Errorf("the owner was found silent %d times", got)
+	}
+}
+
+// Guards against a caller who is told nothing useful when no gate can decide.
+func TestWithoutAnAnswerARequestIsRefusedForAMoment(t *testing.T) {
+	g := start(t, 3, 20)
+	owner, standby := g.ownerOf("council")
+	g.stop[owner]()
+	g.stop[standby]()
+	c := limit.Cap{Rate: 5, Burst: 5}
+	other := 3 - owner - standby
+	_ = g.take(t.Context(), other, "council", c) // starts, and finds the owner silent
+	time.Sleep(100 * time.Millisecond)
+	began := time.Now()
+	refusal := g.take(t.Context(), other, "council", c)
+	if refusal == nil || refusal.Kind != apierr.Unavailable || refusal.RetryAfter == 0 || refusal.Ran != apierr.RanNo {
+		t.Fatalf("%+v", refusal)
+	}
+	if took := time.Since(began); took > 200*time.Millisecond {
+		t.Errorf("refused after %s", took)
+	}
+}
+
+// Guards against datagrams of others that end the gate's part.
+func TestUnreadableDatagramsAreCounted(t *testing.T) {
+	g := start(t, 1, 20)
+	conn, err := net.Dial("udp", g.fleet.Gates()[0].Peers)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer conn.Close()
+	if _, err := conn.Write([]byte("\xff\x00 no packet")); err != nil {
+		t.Fatal(err)
+	}
+	for range 100 {
+		if g.metrics[0].Value("team_cap.unreadable") > 0 {
+			return
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	t.Error("not counted")
+}
--- a/internal/gate/credit/packets.go
+++ b/internal/gate/credit/packets.go
@@ -20,6 +20,7 @@
 	kindAsk kind = iota + 1
 	kindAnswer
 	kindReturn
+	kindLow // the team's credit runs low
 )
 
 // packet is a datagram between gates.
@@ -33,6 +34,8 @@
 	Version uint64        `cbor:"7,keyasint,omitempty"`
 	Verdict limit.Verdict `cbor:"8,keyasint,omitempty"`
 	Wait    time.Duration `cbor:"9,keyasint,omitempty"`
+	Started bool          `cbor:"10,keyasint,omitempty"`
+	Low     bool          `cbor:"11,keyasint,omitempty"`
 }
 
 // maxPacketBytes bounds a datagram: a team's name and numbers.
@@ -41,19 +44,29 @@
 func askPacket(ask limit.Ask) *packet {
 	return &packet{
 		Kind: kindAsk, Number: ask.ID.Number, Gate: ask.ID.Gate, Team: ask.Team,
-		Rate: ask.Cap.Rate, Burst: ask.Cap.Burst, Version: ask.Version,
+		Rate: ask.Cap.Rate, Burst: ask.Cap.Burst, Version: ask.Version, Started: ask.Started,
 	}
 }
 
 func (p *packet) ask() limit.Ask {
 	return limit.Ask{
 		ID: limit.AskID{Gate: p.Gate, Number: p.Number}, Team: p.Team,
-		Cap: limit.Cap{Rate: p.Rate, Burst: p.Burst}, Version: p.Version,
+		Cap: limit.Cap{Rate: p.Rate, Burst: p.Burst}, Version: p.Version, Started: p.Started,
 	}
 }
 
+func answerPacket(number uint64, answer limit.Answer) *packet {
+	return &packet{Kind: kindAnswer, Number: number, Verdict: answer.Verdict, Wait: answer.Wait, Low: answer.Low}
+}
+
+func (p *packet) answer() limit.Answer {
+	return limit.Answer{Verdict: p.Verdict, Wait: p.Wait, Low: p.Low}
+}
+
 func returnPacket(team string) *packet { return &packet{Kind: kindReturn, Team: team} }
 
+func lowPacket(team string) *packet { return &packet{Kind: kindLow, Team: team} }
+
 func listen(address string) (*net.UDPConn, error) {
 	parsed, err := netip.ParseAddrPort(address)
 	if err != nil {
@@ -111,17 +124,18 @@
 func (s *Service) take(from netip.AddrPort, p *packet) {
 	switch p.Kind {
 	case kindAsk:
-		answer := s.grant(p.ask())
-		s.sendTo(from, &packet{Kind: kindAnswer, Number: p.Number, Verdict: answer.Verdict, Wait: answer.Wait})
+		s.sendTo(from, answerPacket(p.Number, s.grant(p.ask())))
 	case kindAnswer:
 		s.mu.Lock()
 		waiting := s.waiting[p.Number]
 		s.mu.Unlock()
 		select {
-		case waiting <- limit.Answer{Verdict: p.Verdict, Wait: p.Wait}:
+		case waiting <- p.answer():
 		default: // nobody waits for it any more
 		}
 	case kindReturn:
 		s.giveBack(p.Team)
+	case kindLow:
+		s.noteLow(p.Team)
 	}
 }
--- a/internal/gate/credit/take.go
+++ b/internal/gate/credit/take.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"time"
 
 	"go.uber.org/zap"
@@ -12,11 +13,11 @@
 )
 
 const (
-	// answerWait is how long an owner's answer is waited for before the standby is
-	// asked too: a few round trips between places.
-	answerWait = 30 * time.Millisecond
-	// giveUpWait is how long a request waits for its credit in all.
-	giveUpWait = 90 * time.Millisecond
+	// repeatAfter is the time without an answer after which an ask is sent again: a
+	// round trip between places, and some more.
+	repeatAfter = 20 * time.Millisecond
+	// answerWait is the time without an answer after which a gate counts as silent.
+	answerWait = 45 * time.Millisecond
 	// silentFor is how long a gate that did not answer is passed over.
 	silentFor = 500 * time.Millisecond
 )
@@ -29,26 +30,59 @@
 	Version uint64 // of the routes that have the cap
 }
 
-// Take takes a credit for a request; its error says why there is none.
+// Take takes a credit for a request; its error says why there is none. While the team
+// has plenty, it returns at once and the credit is charged beside.
 func (s *Service) Take(ctx context.Context, r *Request) *apierr.Error {
 	if r.Cap.Unlimited() {
 		return nil
 	}
-	began := time.Now()
 	ask := limit.Ask{
 		ID:   limit.AskID{Gate: s.process, Number: s.numbers.Add(1)},
 		Team: r.Team, Cap: r.Cap, Version: r.Version,
 	}
-	answer, from := s.ask(ctx, ask)
-	s.options.Metrics.Observe("team_cap.wait", time.Since(began))
+	choice, plenty := s.choose(r.Team)
+	if choice.Owner == s.options.VM || choice.Owner == "" {
+		return s.outcome(r, s.grant(ask), s.options.VM, 0)
+	}
+	if plenty {
+		ask.Started = true
+		go s.charge(ask, choice.Owner)
+		return nil
+	}
+	began := time.Now()
+	answer, from := s.ask(ctx, ask, choice)
+	return s.outcome(r, answer, from, time.Since(began))
+}
+
+// choose gives the gates that hold a team's credit, and whether a request of the team
+// may start before they are asked.
+func (s *Service) choose(team string) (choice limit.Choice, plenty bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := time.Now()
+	choice = s.holders.Of(team)
+	return choice, s.holders.Share == 1 && !s.caution.AskFirst(now, team) && !now.Before(s.silent[choice.Owner])
+}
+
+// charge tells the owner of a request that has started.
+func (s *Service) charge(ask limit.Ask, owner string) {
+	s.options.Metrics.Count("team_cap.charged")
+	if _, answered := s.askGate(context.Background(), ask, owner); !answered {
+		s.noteSilent(owner, ask.Team)
+	}
+}
+
+// outcome gives the refusal that an answer means; nil if there is none.
+func (s *Service) outcome(r *Request, answer limit.Answer, from string, took time.Duration) *apierr.Error {
+	s.options.Metrics.Observe("team_cap.wait", took)
 	if answer.Verdict == limit.Granted {
 		return nil
 	}
 	refusal := refusalOf(r, answer)
 	s.options.Metrics.Refused(refusal.Reason)
 	s.options.Log.Info("request refused", telemetry.RequestID(r.ID), telemetry.Team(r.Team), telemetry.Reason(string(refusal.Reason)),
-		zap.String("owner", from), zap.Float64("rate", r.Cap.Rate), zap.Int("burst", r.Cap.Burst), zap.Uint64("routes", r.Version),
-		zap.Duration("retry_after", refusal.RetryAfter), zap.Duration("took", time.Since(began)))
+		zap.String("answered_by", from), zap.Float64("rate", r.Cap.Rate), zap.Int("burst", r.Cap.Burst), zap.Uint64("routes", r.Version),
+		zap.Duration("retry_after", refusal.RetryAfter), zap.Duration("took", took))
 	return refusal
 }
 
@@ -62,15 +96,9 @@
 }
 
 // ask gives the answer for an ask and the gate that gave it.
-func (s *Service) ask(ctx context.Context, ask limit.Ask) (limit.Answer, string) {
-	choice := s.choice(ask.Team)
-	if choice.Owner == s.options.VM || choice.Owner == "" {
-		return s.grant(ask), s.options.VM
-	}
-	ctx, cancel := context.WithTimeout(ctx, giveUpWait)
-	defer cancel()
+func (s *Service) ask(ctx context.Context, ask limit.Ask, choice limit.Choice) (limit.Answer, string) {
 	if !s.isSilent(choice.Owner) {
-		answer, answered := s.askGates(ctx, ask, answerWait, choice.Owner)
+		answer, answered := s.askGate(ctx, ask, choice.Owner)
 		if answered && answer.Verdict != limit.Undecided {
 			return answer, choice.Owner
 		}
@@ -81,16 +109,16 @@
 	if choice.Standby == s.options.VM {
 		return s.grant(ask), s.options.VM
 	}
-	answer, answered := s.askGates(ctx, ask, giveUpWait, choice.Standby, choice.Owner)
+	answer, answered := s.askGate(ctx, ask, choice.Standby)
 	if !answered {
-		answer = limit.Answer{Verdict: limit.Undecided, Wait: giveUpWait}
+		answer = limit.Answer{Verdict: limit.Undecided, Wait: answerWait}
 	}
 	return answer, choice.Standby
 }
 
-// askGates asks gates at once and gives the first answer; false if none comes in time.
-func (s *Service) askGates(ctx context.Context, ask limit.Ask, wait time.Duration, gates ...string) (limit.Answer, bool) {
-	answers := make(chan limit.Answer, len(gates))
+// askGate asks a gate, twice if need be; false if it does not answer in time.
+func (s *Service) askGate(ctx context.Context, ask limit.Ask, gate string) (limit.Answer, bool) {
+	answers := make(chan limit.Answer, 1)
 	s.mu.Lock()
 	s.waiting[ask.ID.Number] = answers
 	s.mu.Unlock()
@@ -99,20 +127,45 @@
 		delete(s.waiting, ask.ID.Number)
 		s.mu.Unlock()
 	}()
-	for _, gate := range gates {
+	for _, wait := range [...]time.Duration{repeatAfter, answerWait - repeatAfter} {
 		s.send(gate, askPacket(ask))
-	}
-	timer := time.NewTimer(wait)
-	defer timer.Stop()
-	select {
-	case answer := <-answers:
-		return answer, true
-	case <-timer.C:
-	case <-ctx.Done():
+		timer := time.NewTimer(wait)
+		select {
+		case answer := <-answers:
+			timer.Stop()
+			if answer.Low {
+				s.noteLow(ask.Team)
+			}
+			return answer, true
+		case <-timer.C:
+		case <-ctx.Done():
+			timer.Stop()
+			return limit.Answer{}, false
+		}
 	}
 	return limit.Answer{}, false
 }
 
+// noteLow makes this gate ask first for a team.
+func (s *Service) noteLow(team string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.caution.Note(time.Now(), team)
+}
+
+// tellLow tells all gates that a team's credit runs low.
+func (s *Service) tellLow(team string) {
+	s.mu.Lock()
+	peers := maps.Clone(s.peers)
+	s.mu.Unlock()
+	delete(peers, s.options.VM)
+	s.options.Metrics.Count("team_cap.low")
+	s.options.Log.Info("a team's credit runs low, all gates ask first", telemetry.Team(team), zap.Int("gates", len(peers)))
+	for _, address := range peers {
+		s.sendTo(address, lowPacket(team))
+	}
+}
+
 func (s *Service) isSilent(gate string) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -128,7 +181,7 @@
 	s.mu.Unlock()
 	s.options.Metrics.Count("team_cap.unanswered")
 	if !known || now.After(until) {
-		s.options.Log.Info("owner of a team's credit does not answer, asking the standby", zap.String("gate", gate), telemetry.Team(team))
+		s.options.Log.Info("the owner of a team's credit does not answer, its standby is asked", zap.String("gate", gate), telemetry.Team(team))
 	}
 }
 
@@ -137,7 +190,8 @@
 	if r.Cap.Unlimited() {
 		return
 	}
-	owner := s.choice(r.Team).Owner
+	choice, _ := s.choose(r.Team)
+	owner := choice.Owner
 	if owner == s.options.VM || owner == "" {
 		s.giveBack(r.Team)
 		return
--- a/internal/limit/doc.go
+++ b/internal/limit/doc.go
@@ -2,9 +2,11 @@
 // together.
 //
 // Each team has one owner among the gates, which all gates choose alike. The owner
-// holds the team's credit, a token bucket; for each request of the team a gate takes
-// one credit from it. When the owner does not answer, the standby, the second choice,
-// grants a few.
+// holds the team's credit, a token bucket; each request of the team takes one credit
+// from it. While there is plenty, gates start requests at once and charge them to the
+// owner beside; when credit runs low the owner tells all gates, and for a while they
+// ask before they start a request of the team. When the owner does not answer, the
+// standby, the second choice, grants a few.
 //
 // It is a decision package: time and randomness are passed in, and nothing here does
 // I/O. The load that it answers: hundreds of gates, each of which sees a request of a
@@ -22,9 +24,6 @@
 // Unlimited says whether any number of requests may run.
 func (c Cap) Unlimited() bool { return c.Rate <= 0 }
 
-// depth is the most credit that an unused account holds: one request must always fit.
-func (c Cap) depth() float64 { return max(1, float64(c.Burst)) }
-
 // Tolerance says how many more requests than a cap allows may run in any window.
 type Tolerance struct {
 	Window    time.Duration
@@ -32,7 +31,11 @@
 	Slack     float64 // requests
 }
 
-// excess gives the requests above the cap that may run in a window.
-func (t Tolerance) excess(c Cap) float64 {
-	return t.Overshoot*(c.Rate*t.Window.Seconds()+c.depth()) + t.Slack
+// margins is how many things may each use a margin in the same window: bursts, two
+// moves of the credit to another gate, and requests that started while credit ran low.
+const margins = 4
+
+// margin gives an equal part of the requests above the cap that may run in a window.
+func (t Tolerance) margin(c Cap) float64 {
+	return (t.Overshoot*(c.Rate*t.Window.Seconds()+float64(c.Burst)) + t.Slack) / margins
 }
--- a/internal/limit/ledger.go
+++ b/internal/limit/ledger.go
@@ -22,11 +22,13 @@
 // account is one team's credit.
 type account struct {
 	cap     Cap
-	version uint64 // of the routes that have the cap
-	owned   bool   // this gate is the owner, so that credit comes in
+	version uint64  // of the routes that have the cap
+	margin  float64 // requests above the cap
+	owned   bool    // this gate is the owner, so that credit comes in
 	credit  float64
 	at      time.Time // until when what came in is counted
 	granted time.Time // when the last credit was taken
+	told    time.Time // when all gates were last to be told that credit runs low
 	asked   time.Time // when one was last asked for
 }
 
@@ -42,10 +44,12 @@
 	Undecided
 )
 
-// Answer is a verdict, and when there may be credit if there is none.
+// Answer is a verdict.
 type Answer struct {
 	Verdict Verdict
-	Wait    time.Duration
+	Wait    time.Duration // until there may be credit, if there is none
+	Low     bool          // credit runs low: ask before a request of the team starts
+	TellAll bool          // all gates are to be told so
 }
 
 // undecidedWait is how soon to ask again where the owner is not known: about the time
@@ -58,6 +62,7 @@
 	Team    string
 	Cap     Cap
 	Version uint64 // of the routes that have the cap
+	Started bool   // the request runs already: the credit is charged, though there is none
 }
 
 // Take takes one credit of a team. Owned says whether this gate owns the team, share
@@ -68,20 +73,20 @@
 	}
 	a := l.account(now, &ask, share)
 	a.setOwned(now, owned)
-	a.setCap(now, ask.Cap, ask.Version)
+	a.setCap(now, ask.Cap, ask.Version, l.tolerance)
 	a.asked = now
-	answer := a.take(now, l.tolerance)
+	answer := a.take(now, l.tolerance, ask.Started)
 	l.answered.add(now, ask.ID, answer)
 	return answer
 }
 
-// account gives the team's account. A new one begins with what the tolerance allows
-// beyond the credit that another gate may have granted a moment ago.
+// account gives the team's account. A new one begins with a margin: another gate may
+// have granted all else a moment ago.
 func (l *Ledger) account(now time.Time, ask *Ask, share float64) *account {
 	a := l.accounts[ask.Team]
 	if a == nil {
-		a = &account{cap: ask.Cap, version: ask.Version, at: now}
-		a.credit = l.whole(a.opening(l.tolerance) * share)
+		a = &account{cap: ask.Cap, version: ask.Version, margin: l.tolerance.margin(ask.Cap), at: now}
+		a.credit = l.whole(a.margin * share)
 		l.accounts[ask.Team] = a
 	}
 	return a
@@ -100,16 +105,6 @@
 	return floor
 }
 
-// openings is how many times in a window a team's credit may move to another gate
-// without more than the tolerance being granted.
-const openings = 3
-
-// opening is the credit that a gate begins with which may not know what others have
-// granted.
-func (a *account) opening(t Tolerance) float64 {
-	return min(a.cap.depth(), t.excess(a.cap)/openings)
-}
-
 // SetOwned tells which teams this gate owns from now on.
 func (l *Ledger) SetOwned(now time.Time, owned func(team string) bool) {
 	for team, a := range l.accounts {
@@ -123,6 +118,9 @@
 	a.owned = owned
 }
 
+// depth is the most credit that the account holds.
+func (a *account) depth() float64 { return max(1, float64(a.cap.Burst)+a.margin) }
+
 func (a *account) fill(now time.Time) {
 	passed := now.Sub(a.at)
 	if passed <= 0 {
@@ -130,45 +128,61 @@
 	}
 	a.at = now
 	if a.owned {
-		a.credit = min(a.cap.depth(), a.credit+a.cap.Rate*passed.Seconds())
+		a.credit = min(a.depth(), a.credit+a.cap.Rate*passed.Seconds())
 	}
 }
 
 // setCap puts the cap of the newest routes in force. A larger burst is there at once.
-func (a *account) setCap(now time.Time, c Cap, version uint64) {
+func (a *account) setCap(now time.Time, c Cap, version uint64, t Tolerance) {
 	if version < a.version || c == a.cap {
 		return
 	}
 	a.fill(now)
-	if a.owned && c.depth() > a.cap.depth() {
-		a.credit += c.depth() - a.cap.depth()
+	before := a.depth()
+	a.cap, a.version, a.margin = c, version, t.margin(c)
+	if a.owned {
+		a.credit += max(0, a.depth()-before)
 	}
-	a.cap, a.version = c, version
-	a.credit = min(a.credit, c.depth())
+	a.credit = min(a.credit, a.depth())
 }
 
-func (a *account) take(now time.Time, t Tolerance) Answer {
+// lowShare: credit runs low when less than a half of the margin is left. Until all
+// gates know it, the rest and a margin of its own cover the requests that start.
+const lowShare = 2
+
+// tellInterval is the least time between two times that all gates are told that a
+// team's credit runs low.
+const tellInterval = time.Second
+
+func (a *account) take(now time.Time, t Tolerance, started bool) Answer {
 	a.fill(now)
 	if !a.owned && !a.granted.IsZero() && now.Sub(a.granted) >= t.Window {
-		a.credit = max(a.credit, a.opening(t))
+		a.credit = max(a.credit, a.margin)
 	}
+	var answer Answer
 	switch {
-	case a.credit >= 1:
-		a.credit--
+	case a.credit >= 1 || started:
+		a.credit = max(a.credit-1, -a.depth())
 		a.granted = now
-		return Answer{Verdict: Granted}
+		answer.Verdict = Granted
 	case a.owned:
 		missing := (1 - a.credit) / a.cap.Rate
-		return Answer{Verdict: OverCap, Wait: time.Duration(missing * float64(time.Second))}
+		answer.Verdict, answer.Wait = OverCap, time.Duration(missing*float64(time.Second))
 	default:
-		return Answer{Verdict: Undecided, Wait: undecidedWait}
+		answer.Verdict, answer.Wait = Undecided, undecidedWait
 	}
+	answer.Low = !a.owned || a.credit < a.margin/lowShare
+	if answer.Low && a.owned && now.Sub(a.told) >= tellInterval {
+		a.told = now
+		answer.TellAll = true
+	}
+	return answer
 }
 
 // Return gives a credit back whose request did not run.
 func (l *Ledger) Return(team string) {
 	if a := l.accounts[team]; a != nil {
-		a.credit = min(a.cap.depth(), a.credit+1)
+		a.credit = min(a.depth(), a.credit+1)
 	}
 }
 
--- a/internal/limit/property_test.go
+++ b/internal/limit/property_test.go
@@ -21,6 +21,7 @@
 	number  uint64
 	ran     []time.Time
 	refused int
+	caution []*limit.Caution
 }
 
 func newSite(gates int, c limit.Cap) *site {
@@ -29,6 +30,7 @@
 		s.ledgers = append(s.ledgers, nil)
 		s.gates = append(s.gates, limit.Gate{VM: fmt.Sprint("gate-", i)})
 		s.views = append(s.views, nil)
+		s.caution = append(s.caution, nil)
 		s.startGate(i)
 	}
 	s.lookAll()
@@ -43,6 +45,7 @@
 
 func (s *site) startGate(i int) {
 	s.ledgers[i] = limit.NewLedger(tolerance, rand.New(rand.NewPCG(uint64(i), 9)))
+	s.caution[i] = limit.NewCaution()
 	s.gates[i].Started, s.gates[i].Draining = s.now.UnixMilli(), false
 	s.look(i)
 }
@@ -79,6 +82,12 @@
 	s.number++
 	ask := limit.Ask{ID: limit.AskID{Gate: s.gates[i].VM, Number: s.number}, Team: "council", Cap: s.cap, Version: 1}
 	choice := s.views[i].Of("council")
+	if owner := s.index(choice.Owner); owner >= 0 && !s.gates[owner].Draining && !s.caution[i].AskFirst(s.now, "council") && !lost {
+		ask.Started = true
+		s.ran = append(s.ran, s.now)
+		s.hear(i, s.ledgers[owner].Take(s.now, ask, s.views[owner].Of("council").Owner == choice.Owner, s.views[owner].Share))
+		return
+	}
 	for _, vm := range []string{choice.Owner, choice.Standby} {
 		at := s.index(vm)
 		if at < 0 || s.gates[at].Draining {
@@ -88,6 +97,7 @@
 		if lost && vm == choice.Owner {
 			continue
 		}
+		s.hear(i, answer)
 		if answer.Verdict == limit.Granted {
 			s.ran = append(s.ran, s.now)
 			return
@@ -99,6 +109,15 @@
 	s.refused++
 }
 
+// hear lets a gate take in an answer, and all gates what the owner tells them.
+func (s *site) hear(i int, answer limit.Answer) {
+	for j := range s.caution {
+		if answer.TellAll || answer.Low && i == j {
+			s.caution[j].Note(s.now, "council")
+		}
+	}
+}
+
 // mostInWindow gives the most requests that ran in any window.
 func (s *site) mostInWindow() int {
 	most, first := 0, 0
