--- a/internal/ctl/app.go
+++ b/internal/ctl/app.go
@@ -70,6 +70,7 @@
 			a.upstreamCommand(),
 			a.memberCommand(),
 			a.entriesCommand(),
+			a.capCommand(),
 			a.accountCommand(),
 		},
 		Reader:    streams.In,
--- /dev/null
+++ b/internal/ctl/caps.go
@@ -0,0 +1,99 @@
+package ctl
+
+import (
+	"cmp"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"slices"
+
+	"github.com/urfave/cli/v3"
+)
+
+const capsPath = "/v1/caps"
+
+// capStatus is a team's credit at one gate.
+type capStatus struct {
+	Team   string  `json:"team"`
+	Gate   string  `json:"gate"`
+	Owner  bool    `json:"owner"`
+	Rate   float64 `json:"rate_per_second"`
+	Burst  int     `json:"burst"`
+	Credit float64 `json:"credit"`
+	Low    bool    `json:"low"`
+}
+
+func (a *app) capCommand() *cli.Command {
+	return &cli.Command{
+		Name:  "cap",
+		Usage: "what teams may send, and how much of it is left",
+		Commands: []*cli.Command{{
+			Name:        "list",
+			Usage:       "list teams by the credit that is left",
+			ArgsUsage:   "[TEAM]",
+			Description: "asks the metrics address of each --server; give all gates, since each holds the credit of some teams",
+			Flags:       []cli.Flag{&cli.BoolFlag{Name: "all-gates", Usage: "also list gates that hold credit of a team without owning it"}},
+			Action:      a.capList,
+		}},
+	}
+}
+
+func (a *app) capList(ctx context.Context, command *cli.Command) error {
+	if command.Args().Len() > 1 {
+		return &UsageError{Message: command.FullName() + " takes one team at most"}
+	}
+	rows, err := a.askCaps(ctx, command)
+	if len(rows) == 0 && err != nil {
+		return err
+	}
+	team := command.Args().First()
+	rows = slices.DeleteFunc(rows, func(c capStatus) bool {
+		return team != "" && c.Team != team || !c.Owner && !command.Bool("all-gates")
+	})
+	slices.SortFunc(rows, func(a, b capStatus) int {
+		return cmp.Or(cmp.Compare(a.Credit, b.Credit), cmp.Compare(a.Team, b.Team), cmp.Compare(a.Gate, b.Gate))
+	})
+	if err != nil {
+		fmt.Fprintln(a.streams.Err, "slatectl: not all gates answered:", err)
+	}
+	raw, err := json.Marshal(rows)
+	if err != nil {
+		return err
+	}
+	return a.print(command, raw, func(w io.Writer) {
+		fmt.Fprintln(w, "TEAM\tCREDIT\tRATE\tBURST\tSTATE\tGATE")
+		for _, c := range rows {
+			fmt.Fprintf(w, "%s\t%.1f\t%g\t%d\t%s\t%s\n", c.Team, c.Credit, c.Rate, c.Burst, c.state(), c.Gate)
+		}
+	})
+}
+
+func (c *capStatus) state() string {
+	switch {
+	case !c.Owner:
+		return "standby"
+	case c.Credit < 1:
+		return "over"
+	case c.Low:
+		return "low"
+	default:
+		return "plenty"
+	}
+}
+
+// askCaps asks each server once; its error names those that did not answer.
+func (a *app) askCaps(ctx context.Context, command *cli.Command) ([]capStatus, error) {
+	var rows []capStatus
+	var failed []error
+	for _, server := range command.StringSlice("server") {
+		var held []capStatus
+		if _, err := NewClient([]string{server}, "", 0).get(ctx, capsPath, nil, &held); err != nil {
+			failed = append(failed, err)
+			continue
+		}
+		rows = append(rows, held...)
+	}
+	return rows, errors.Join(failed...)
+}
--- a/internal/daemon/site.go
+++ b/internal/daemon/site.go
@@ -11,6 +11,7 @@
 	"slateway.example/slateway/internal/control"
 	"slateway.example/slateway/internal/directory"
 	"slateway.example/slateway/internal/gate"
+	"slateway.example/slateway/internal/gate/credit"
 	"slateway.example/slateway/internal/gate/proxy"
 	"slateway.example/slateway/internal/job"
 	"slateway.example/slateway/internal/rpc"
@@ -193,6 +194,7 @@
 	if s.gate != nil {
 		s.gate.exchange.Mount(peers)
 		s.gate.follower.Mount(peers)
+		metrics.HandleFunc("GET "+credit.PathCaps, s.gate.credit.ServeCaps)
 		list = append(list,
 			served{"callers", addresses.Callers, s.gate.handler(s.edge)},
 			served{"readiness", addresses.Readiness, s.edge.Readiness(s.gate.ready)},
--- a/internal/limit/ledger.go
+++ b/internal/limit/ledger.go
@@ -150,6 +150,8 @@
 // gates know it, the rest and a margin of its own cover the requests that start.
 const lowShare = 2
 
+func (a *account) low() bool { return a.credit < a.margin/lowShare }
+
 // tellInterval is the least time between two times that all gates are told that a
 // team's credit runs low.
 const tellInterval = time.Second
@@ -171,7 +173,7 @@
 	default:
 		answer.Verdict, answer.Wait = Undecided, undecidedWait
 	}
-	answer.Low = !a.owned || a.credit < a.margin/lowShare
+	answer.Low = !a.owned || a.low()
 	if answer.Low && a.owned && now.Sub(a.told) >= tellInterval {
 		a.told = now
 		answer.TellAll = true
@@ -198,13 +200,21 @@
 	}
 }
 
-// Credit gives a team's credit at this gate, and whether the gate owns it; false if
-// it holds none.
-func (l *Ledger) Credit(now time.Time, team string) (credit float64, owned, known bool) {
-	a := l.accounts[team]
-	if a == nil {
-		return 0, false, false
+// Status is what a gate knows of a team's credit.
+type Status struct {
+	Team   string
+	Cap    Cap
+	Credit float64
+	Owned  bool // this gate owns the team, so that its credit is the team's
+	Low    bool
+}
+
+// Statuses lists the accounts at this gate.
+func (l *Ledger) Statuses(now time.Time) []Status {
+	list := make([]Status, 0, len(l.accounts))
+	for team, a := range l.accounts {
+		a.fill(now)
+		list = append(list, Status{Team: team, Cap: a.cap, Credit: a.credit, Owned: a.owned, Low: a.low()})
 	}
-	a.fill(now)
-	return a.credit, a.owned, true
+	return list
 }
--- a/internal/limit/ledger_test.go
+++ b/internal/limit/ledger_test.go
@@ -72,8 +72,8 @@
 			t.Fatalf("%+v", got)
 		}
 	}
-	if credit, _, _ := l.Credit(start, "council"); credit < 4 {
-		t.Errorf("%.1f left: the repeats took credit", credit)
+	if left := l.Statuses(start)[0].Credit; left < 4 {
+		t.Errorf("%.1f left: the repeats took credit", left)
 	}
 }
 
@@ -215,7 +215,7 @@
 	l := newLedger()
 	l.Take(start, askFor(limit.Cap{Rate: 1, Burst: 1}), true, 1)
 	l.Forget(start.Add(time.Hour))
-	if _, _, known := l.Credit(start.Add(time.Hour), "council"); known {
-		t.Error("still there")
+	if left := l.Statuses(start.Add(time.Hour)); len(left) > 0 {
+		t.Errorf("still there: %+v", left)
 	}
 }
