Caps after a stop of all, and while an owner is silent

Change: control VMs name the gates that they knew before the stop and that are not back, so that all gates choose the same owners at once. A standby to which three gates say that the owner is silent acts for it; an owner that runs after all is told and yields. Gates that have just started ask first.

--- a/internal/control/controlapi/api.go
+++ b/internal/control/controlapi/api.go
@@ -71,6 +71,9 @@
 	// ExpectedGates is how many gates there are, also those that were known before
 	// this VM started and may not be back.
 	ExpectedGates int `cbor:"9,keyasint,omitempty"`
+	// GatesBefore are those of them that are not back, with an answer that gives
+	// everything.
+	GatesBefore []roster.Gate `cbor:"10,keyasint,omitempty"`
 }
 
 // Unpack puts packed changes in the place of Changes.
--- a/internal/control/follow.go
+++ b/internal/control/follow.go
@@ -112,6 +112,9 @@
 	defer s.mu.Unlock()
 	s.addChanges(response, since, request.TakesGateChanges)
 	response.ExpectedGates = s.expectedGates()
+	if since == 0 {
+		response.GatesBefore = s.gatesNotBack(response.ExpectedGates)
+	}
 	news := response.HasRoutes() || s.table.Version() > since
 	return response, news, s.changed
 }
--- a/internal/control/service.go
+++ b/internal/control/service.go
@@ -8,6 +8,7 @@
 	"context"
 	"math/rand/v2"
 	"net/http"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -256,6 +257,19 @@
 	return live
 }
 
+// gatesNotBack gives the gates that were known before the start and are not back.
+// The mutex is held.
+func (s *Service) gatesNotBack(expected int) []roster.Gate {
+	if expected <= s.table.CountGates() {
+		return nil
+	}
+	back := make(map[string]bool)
+	for _, g := range s.table.Gates() {
+		back[g.VM] = true
+	}
+	return slices.DeleteFunc(slices.Clone(s.gatesBefore), func(g roster.Gate) bool { return back[g.VM] })
+}
+
 func (s *Service) logReplica(what string, a *upstream.Announcement) {
 	s.options.Log.Info(what, telemetry.Upstream(string(a.Replica)), zap.String("service", a.Service),
 		zap.String("address", a.Address), zap.Uint64("incarnation", a.Incarnation), zap.Uint64("sequence", a.Sequence),
--- a/internal/gate/credit/credit.go
+++ b/internal/gate/credit/credit.go
@@ -37,7 +37,8 @@
 // Fleet tells of the gates that live.
 type Fleet interface {
 	Gates() []roster.Gate
-	ExpectedGates() int // 0: not known
+	GatesBefore() []roster.Gate // that lived before a stop of all and are not back
+	ExpectedGates() int         // 0: not known
 	OnGates(fn func())
 }
 
@@ -92,7 +93,7 @@
 		process: options.VM + "/" + strconv.FormatInt(now.UnixNano(), 36),
 		holders: limit.NewHolders(nil, 0, now),
 		settles: make(chan struct{}, 1),
-		peers:   make(map[string]netip.AddrPort), silent: make(map[string]time.Time), caution: limit.NewCaution(),
+		peers:   make(map[string]netip.AddrPort), silent: make(map[string]time.Time), caution: limit.NewCaution(now),
 		waiting: make(map[uint64]chan limit.Answer),
 	}
 	for i := range s.shards {
@@ -167,15 +168,20 @@
 
 // takeGates takes in which gates live.
 func (s *Service) takeGates() {
-	known := s.options.Fleet.Gates()
-	gates := make([]limit.Gate, len(known))
-	peers := make(map[string]netip.AddrPort, len(known))
-	for i, g := range known {
-		gates[i] = limit.Gate{VM: g.VM, Started: g.Started, Draining: g.Draining}
+	var gates []limit.Gate
+	peers := make(map[string]netip.AddrPort)
+	add := func(g *roster.Gate, started int64) {
+		gates = append(gates, limit.Gate{VM: g.VM, Started: started, Draining: g.Draining})
 		if address, err := netip.ParseAddrPort(g.Peers); err == nil {
 			peers[g.VM] = address
 		}
 	}
+	for _, g := range s.options.Fleet.Gates() {
+		add(&g, g.Started)
+	}
+	for _, g := range s.options.Fleet.GatesBefore() {
+		add(&g, 0)
+	}
 	now := time.Now()
 	holders := limit.NewHolders(gates, s.options.Fleet.ExpectedGates(), now)
 	s.mu.Lock()
@@ -205,17 +211,27 @@
 	if answer.TellAll {
 		go s.tellLow(ask.Team)
 	}
+	if answer.TellOwner {
+		s.tellOwner(ask.Team)
+	}
 	return answer
 }
 
 func (s *Service) takeOwn(ask limit.Ask) limit.Answer {
 	s.mu.Lock()
-	owned, share := s.holders.Of(ask.Team).Owner == s.options.VM, s.holders.Share
+	stance := s.holders.Stance(ask.Team, s.options.VM)
 	s.mu.Unlock()
 	sh := s.shardOf(ask.Team)
 	sh.mu.Lock()
 	defer sh.mu.Unlock()
-	return sh.ledger.Take(time.Now(), ask, owned, share)
+	return sh.ledger.Take(time.Now(), ask, stance)
+}
+
+func (s *Service) yield(team string) {
+	sh := s.shardOf(team)
+	sh.mu.Lock()
+	defer sh.mu.Unlock()
+	sh.ledger.Yield(time.Now(), team)
 }
 
 func (s *Service) giveBack(team string) {
--- a/internal/gate/credit/packets.go
+++ b/internal/gate/credit/packets.go
@@ -20,7 +20,8 @@
 	kindAsk kind = iota + 1
 	kindAnswer
 	kindReturn
-	kindLow // the team's credit runs low
+	kindLow    // the team's credit runs low
+	kindActing // the sender, its standby, acts for the owner of the team
 )
 
 // packet is a datagram between gates.
@@ -36,6 +37,7 @@
 	Wait    time.Duration `cbor:"9,keyasint,omitempty"`
 	Started bool          `cbor:"10,keyasint,omitempty"`
 	Low     bool          `cbor:"11,keyasint,omitempty"`
+	Silent  bool          `cbor:"12,keyasint,omitempty"`
 }
 
 // maxPacketBytes bounds a datagram: a team's name and numbers.
@@ -44,14 +46,14 @@
 func askPacket(ask limit.Ask) *packet {
 	return &packet{
 		Kind: kindAsk, Number: ask.ID.Number, Gate: ask.ID.Gate, Team: ask.Team,
-		Rate: ask.Cap.Rate, Burst: ask.Cap.Burst, Version: ask.Version, Started: ask.Started,
+		Rate: ask.Cap.Rate, Burst: ask.Cap.Burst, Version: ask.Version, Started: ask.Started, Silent: ask.Silent,
 	}
 }
 
 func (p *packet) ask() limit.Ask {
 	return limit.Ask{
 		ID: limit.AskID{Gate: p.Gate, Number: p.Number}, Team: p.Team,
-		Cap: limit.Cap{Rate: p.Rate, Burst: p.Burst}, Version: p.Version, Started: p.Started,
+		Cap: limit.Cap{Rate: p.Rate, Burst: p.Burst}, Version: p.Version, Started: p.Started, Silent: p.Silent,
 	}
 }
 
@@ -65,6 +67,8 @@
 
 func returnPacket(team string) *packet { return &packet{Kind: kindReturn, Team: team} }
 
+func actingPacket(team string) *packet { return &packet{Kind: kindActing, Team: team} }
+
 func lowPacket(team string) *packet { return &packet{Kind: kindLow, Team: team} }
 
 func listen(address string) (*net.UDPConn, error) {
@@ -137,5 +141,7 @@
 		s.giveBack(p.Team)
 	case kindLow:
 		s.noteLow(p.Team)
+	case kindActing:
+		s.yield(p.Team)
 	}
 }
--- a/internal/gate/credit/take.go
+++ b/internal/gate/credit/take.go
@@ -61,14 +61,21 @@
 	defer s.mu.Unlock()
 	now := time.Now()
 	choice = s.holders.Of(team)
-	return choice, s.holders.Share == 1 && !s.caution.AskFirst(now, team) && !now.Before(s.silent[choice.Owner])
+	return choice, s.holders.Complete && !s.caution.AskFirst(now, team) && !now.Before(s.silent[choice.Owner])
 }
 
 // charge tells the owner of a request that has started.
 func (s *Service) charge(ask limit.Ask, owner string) {
 	s.options.Metrics.Count("team_cap.charged")
-	if _, answered := s.askGate(context.Background(), ask, owner); !answered {
-		s.noteSilent(owner, ask.Team)
+	if _, answered := s.askGate(context.Background(), ask, owner); answered {
+		return
+	}
+	s.noteSilent(owner, ask.Team)
+	ask.Silent = true
+	if choice, _ := s.choose(ask.Team); choice.Standby == s.options.VM {
+		s.grant(ask)
+	} else {
+		s.send(choice.Standby, askPacket(ask))
 	}
 }
 
@@ -106,6 +113,7 @@
 			s.noteSilent(choice.Owner, ask.Team)
 		}
 	}
+	ask.Silent = true
 	if choice.Standby == s.options.VM {
 		return s.grant(ask), s.options.VM
 	}
@@ -198,3 +206,11 @@
 	}
 	s.send(owner, returnPacket(r.Team))
 }
+
+// tellOwner tells the owner of a team, in case it runs, that its standby acts for it.
+func (s *Service) tellOwner(team string) {
+	choice, _ := s.choose(team)
+	s.options.Metrics.Count("team_cap.acting")
+	s.options.Log.Info("standing in for the owner of a team's credit", telemetry.Team(team), zap.String("owner", choice.Owner))
+	s.send(choice.Owner, actingPacket(team))
+}
--- a/internal/gate/follow/follower.go
+++ b/internal/gate/follow/follower.go
@@ -83,7 +83,8 @@
 	wholeAt  time.Time
 	listed   map[upstream.ReplicaID]listing
 	gates    []roster.Gate
-	expected int // gates that there are, as the control VM last said
+	expected int           // gates that there are, as the control VM last said
+	before   []roster.Gate // those of them that are not back after a stop of all
 	onGates  []func()
 }
 
@@ -150,6 +151,14 @@
 	return f.expected
 }
 
+// GatesBefore gives the gates that lived before a stop of all and are not back, as far
+// as the control VMs know them.
+func (f *Follower) GatesBefore() []roster.Gate {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.before
+}
+
 // OnGates adds fn to what is called when the gates have changed.
 func (f *Follower) OnGates(fn func()) {
 	f.mu.Lock()
@@ -324,7 +333,7 @@
 	if whole {
 		f.wholeAt = time.Now()
 	}
-	calls := f.takeGates(&response.Changes, response.ExpectedGates)
+	calls := f.takeGates(response, whole)
 	f.mu.Unlock()
 	for _, fn := range calls {
 		fn()
@@ -410,11 +419,27 @@
 }
 
 // takeGates notes the gates and gives what to call for it. The mutex is held.
-func (f *Follower) takeGates(changes *roster.Changes, expected int) []func() {
+func (f *Follower) takeGates(response *controlapi.FollowResponse, whole bool) []func() {
+	changes, expected := &response.Changes, response.ExpectedGates
 	if !changes.HasGates && len(changes.Gates)+len(changes.GatesGone) == 0 && f.expected == expected {
 		return nil
 	}
 	f.expected = expected
 	f.gates = roster.ApplyGates(f.gates, changes)
+	if whole {
+		f.before = response.GatesBefore
+	}
+	f.before = f.notBack()
 	return f.onGates
 }
+
+// notBack gives those of the gates from before a stop of all that do not live again;
+// none once as many live as there are. The mutex is held.
+func (f *Follower) notBack() []roster.Gate {
+	if f.expected <= len(f.gates) {
+		return nil
+	}
+	return slices.DeleteFunc(slices.Clone(f.before), func(before roster.Gate) bool {
+		return slices.ContainsFunc(f.gates, func(g roster.Gate) bool { return g.VM == before.VM })
+	})
+}
--- a/internal/limit/doc.go
+++ b/internal/limit/doc.go
@@ -31,9 +31,9 @@
 	Slack     float64 // requests
 }
 
-// margins is how many things may each use a margin in the same window: bursts, two
+// margins is how many things may each use a margin in the same window: a burst, three
 // moves of the credit to another gate, and requests that started while credit ran low.
-const margins = 4
+const margins = 5
 
 // margin gives an equal part of the requests above the cap that may run in a window.
 func (t Tolerance) margin(c Cap) float64 {
--- a/internal/limit/holders.go
+++ b/internal/limit/holders.go
@@ -9,7 +9,7 @@
 // Gate is a gate that may hold the credit of teams.
 type Gate struct {
 	VM       string
-	Started  int64 // start of its process, in ms since 1970
+	Started  int64 // start of its process, in ms since 1970; 0: stopped with all others, and soon back
 	Draining bool
 }
 
@@ -24,9 +24,10 @@
 type Holders struct {
 	names  []string
 	chosen map[string]Choice // by team, as far as it was asked for
-	// Share is the part of all gates that the view holds, 0 to 1. After a stop of
-	// all, gates that know few others each choose owners of their own.
-	Share float64
+	// Complete: the view holds all gates there are. After a stop of all, gates that
+	// know few others each choose owners of their own.
+	Complete bool
+	opening  float64 // with how many margins an owner's new account begins
 	// SettledAt is when the view changes though no gate does: when a gate has run for
 	// SettleTime. Zero: not by itself.
 	SettledAt time.Time
@@ -39,15 +40,10 @@
 // NewHolders makes the view of a gate that knows these gates, of so many expected
 // ones; 0: as many as it knows.
 func NewHolders(gates []Gate, expected int, now time.Time) *Holders {
-	h := &Holders{chosen: make(map[string]Choice), Share: 1}
-	if expected > len(gates) {
-		h.Share = float64(len(gates)) / float64(expected)
-	}
-	oldest := int64(0)
-	for i, g := range gates {
-		if i == 0 || g.Started < oldest {
-			oldest = g.Started
-		}
+	h := &Holders{chosen: make(map[string]Choice), Complete: expected <= len(gates), opening: 1}
+	oldest := oldestOf(gates)
+	if !h.Complete {
+		h.opening = float64(len(gates)) / float64(expected)
 	}
 	for _, g := range gates {
 		if g.Draining {
@@ -65,6 +61,17 @@
 	return h
 }
 
+// oldestOf gives the start of the process that has run for longest; 0 if none runs.
+func oldestOf(gates []Gate) int64 {
+	oldest := int64(0)
+	for _, g := range gates {
+		if g.Started > 0 && (oldest == 0 || g.Started < oldest) {
+			oldest = g.Started
+		}
+	}
+	return oldest
+}
+
 // Of gives the gates that hold a team's credit.
 func (h *Holders) Of(team string) Choice {
 	if choice, known := h.chosen[team]; known {
@@ -75,3 +82,29 @@
 	h.chosen[team] = choice
 	return choice
 }
+
+// Stance is what a gate is to a team.
+type Stance struct {
+	Owned   bool    // the gate owns it
+	Opening float64 // with how many margins a new account begins
+	// Witnesses is the number of gates that must find the owner silent before the
+	// gate, its standby, acts for it.
+	Witnesses int
+}
+
+// standbyOpening is how many margins a standby grants in a window while it does not
+// act for the owner.
+const standbyOpening = 0.5
+
+// maxWitnesses: one gate alone may have lost its way to an owner that goes on granting
+// credit to the others.
+const maxWitnesses = 3
+
+// Stance gives what a gate is to a team.
+func (h *Holders) Stance(team, vm string) Stance {
+	stance := Stance{Owned: h.Of(team).Owner == vm, Opening: h.opening, Witnesses: max(1, min(len(h.names)/2, maxWitnesses))}
+	if !stance.Owned {
+		stance.Opening = min(stance.Opening, standbyOpening)
+	}
+	return stance
+}
--- a/internal/limit/holders_test.go
+++ b/internal/limit/holders_test.go
@@ -53,6 +53,26 @@
 	}
 }
 
+// Guards against owners that change with each gate that is back after a stop of all.
+func TestGatesThatAreNotBackYetKeepTheirTeams(t *testing.T) {
+	gates := gatesStarted(0, 0, 0, 0)
+	whole := limit.NewHolders(gates, 4, start)
+	gates[1].Started, gates[2].Started, gates[3].Started = 0, 0, 0
+	first := limit.NewHolders(gates, 4, start)
+	for i := range 50 {
+		team := fmt.Sprint("team-", i)
+		if got, want := first.Of(team), whole.Of(team); got != want {
+			t.Errorf("%s: %+v while three of four gates are not back, then %+v", team, got, want)
+		}
+	}
+	if !first.Complete || first.Stance("team-1", first.Of("team-1").Owner).Opening < 1 {
+		t.Errorf("complete %t, or accounts begin with less than a margin", first.Complete)
+	}
+	if alone := limit.NewHolders(gates[:1], 4, start); alone.Complete || alone.Stance("team-1", "gate-0").Opening >= 1 {
+		t.Errorf("a gate that knows itself alone of four: complete %t, or begins with a margin", alone.Complete)
+	}
+}
+
 // Guards against a gate that leaves and is still asked.
 func TestADrainingGateOwnsNoTeam(t *testing.T) {
 	gates := gatesStarted(0, 0)
--- a/internal/limit/ledger.go
+++ b/internal/limit/ledger.go
@@ -3,6 +3,7 @@
 import (
 	"math"
 	"math/rand/v2"
+	"slices"
 	"time"
 )
 
@@ -30,6 +31,17 @@
 	granted time.Time // when the last credit was taken
 	told    time.Time // when all gates were last to be told that credit runs low
 	asked   time.Time // when one was last asked for
+
+	witnesses []witness // gates to which the owner is silent
+	acting    bool      // this gate is the standby, and stands in for the owner
+	toldOwner time.Time // when the owner was last to be told so
+	yields    time.Time // until when this gate, the owner, leaves the team to its standby
+}
+
+// witness is a gate to which the owner of a team did not answer.
+type witness struct {
+	gate string
+	at   time.Time
 }
 
 // Verdict is the answer to a request for a credit.
@@ -50,6 +62,8 @@
 	Wait    time.Duration // until there may be credit, if there is none
 	Low     bool          // credit runs low: ask before a request of the team starts
 	TellAll bool          // all gates are to be told so
+	// TellOwner: the owner is to be told that this gate, its standby, acts for it.
+	TellOwner bool
 }
 
 // undecidedWait is how soon to ask again where the owner is not known: about the time
@@ -63,30 +77,33 @@
 	Cap     Cap
 	Version uint64 // of the routes that have the cap
 	Started bool   // the request runs already: the credit is charged, though there is none
+	Silent  bool   // the owner did not answer the gate that asks
 }
 
-// Take takes one credit of a team. Owned says whether this gate owns the team, share
-// which part of all gates it knows. A repeated ask gets the answer of the first.
-func (l *Ledger) Take(now time.Time, ask Ask, owned bool, share float64) Answer {
+// Take takes one credit of a team. A repeated ask gets the answer of the first.
+func (l *Ledger) Take(now time.Time, ask Ask, stance Stance) Answer {
 	if answer, known := l.answered.find(now, ask.ID); known {
 		return answer
 	}
-	a := l.account(now, &ask, share)
-	a.setOwned(now, owned)
+	a := l.account(now, &ask, stance.Opening)
+	a.setOwned(now, stance.Owned)
 	a.setCap(now, ask.Cap, ask.Version, l.tolerance)
 	a.asked = now
+	if ask.Silent {
+		a.hearOf(now, ask.ID.Gate, stance.Witnesses)
+	}
 	answer := a.take(now, l.tolerance, ask.Started)
 	l.answered.add(now, ask.ID, answer)
 	return answer
 }
 
-// account gives the team's account. A new one begins with a margin: another gate may
-// have granted all else a moment ago.
-func (l *Ledger) account(now time.Time, ask *Ask, share float64) *account {
+// account gives the team's account. A new one begins with margins only: another gate
+// may have granted all else a moment ago.
+func (l *Ledger) account(now time.Time, ask *Ask, opening float64) *account {
 	a := l.accounts[ask.Team]
 	if a == nil {
 		a = &account{cap: ask.Cap, version: ask.Version, margin: l.tolerance.margin(ask.Cap), at: now}
-		a.credit = l.whole(a.margin * share)
+		a.credit = min(a.depth(), l.whole(a.margin*opening))
 		l.accounts[ask.Team] = a
 	}
 	return a
@@ -116,6 +133,15 @@
 func (a *account) setOwned(now time.Time, owned bool) {
 	a.fill(now)
 	a.owned = owned
+	if owned {
+		a.acting, a.witnesses = false, nil
+	}
+}
+
+// grants says whether credit comes in here: at the owner, and at a standby that stands
+// in for it.
+func (a *account) grants(now time.Time) bool {
+	return a.owned && !now.Before(a.yields) || a.acting
 }
 
 // depth is the most credit that the account holds.
@@ -126,8 +152,9 @@
 	if passed <= 0 {
 		return
 	}
+	grants := a.grants(a.at)
 	a.at = now
-	if a.owned {
+	if grants {
 		a.credit = min(a.depth(), a.credit+a.cap.Rate*passed.Seconds())
 	}
 }
@@ -158,8 +185,10 @@
 
 func (a *account) take(now time.Time, t Tolerance, started bool) Answer {
 	a.fill(now)
-	if !a.owned && !a.granted.IsZero() && now.Sub(a.granted) >= t.Window {
-		a.credit = max(a.credit, a.margin)
+	a.forgetWitnesses(now)
+	grants := a.grants(now)
+	if !grants && !a.granted.IsZero() && now.Sub(a.granted) >= t.Window {
+		a.credit = max(a.credit, a.margin*standbyOpening)
 	}
 	var answer Answer
 	switch {
@@ -167,17 +196,21 @@
 		a.credit = max(a.credit-1, -a.depth())
 		a.granted = now
 		answer.Verdict = Granted
-	case a.owned:
+	case grants:
 		missing := (1 - a.credit) / a.cap.Rate
 		answer.Verdict, answer.Wait = OverCap, time.Duration(missing*float64(time.Second))
 	default:
 		answer.Verdict, answer.Wait = Undecided, undecidedWait
 	}
-	answer.Low = !a.owned || a.low()
-	if answer.Low && a.owned && now.Sub(a.told) >= tellInterval {
+	answer.Low = !grants || a.low()
+	if answer.Low && grants && now.Sub(a.told) >= tellInterval {
 		a.told = now
 		answer.TellAll = true
 	}
+	if a.acting && now.Sub(a.toldOwner) >= actingInterval {
+		a.toldOwner = now
+		answer.TellOwner = true
+	}
 	return answer
 }
 
@@ -188,6 +221,42 @@
 	}
 }
 
+const (
+	// witnessTime is how long the word of a gate counts that found the owner silent.
+	witnessTime = time.Second
+	// actingInterval is how often the owner is told that its standby acts for it, in
+	// case it runs after all; it yields for yieldTime each time.
+	actingInterval = 100 * time.Millisecond
+	yieldTime      = time.Second
+)
+
+// hearOf notes that the owner is silent to a gate.
+func (a *account) hearOf(now time.Time, gate string, needed int) {
+	a.witnesses = slices.DeleteFunc(a.witnesses, func(w witness) bool { return w.gate == gate })
+	a.witnesses = append(a.witnesses, witness{gate: gate, at: now})
+	if !a.owned && len(a.witnesses) >= needed && !a.acting {
+		a.fill(now)
+		a.acting = true
+	}
+}
+
+// forgetWitnesses ends the acting when gates have not found the owner silent lately.
+func (a *account) forgetWitnesses(now time.Time) {
+	a.witnesses = slices.DeleteFunc(a.witnesses, func(w witness) bool { return now.Sub(w.at) > witnessTime })
+	if len(a.witnesses) == 0 {
+		a.acting = false
+	}
+}
+
+// Yield leaves a team that this gate owns to its standby for a while: to others this
+// gate seems silent.
+func (l *Ledger) Yield(now time.Time, team string) {
+	if a := l.accounts[team]; a != nil {
+		a.fill(now)
+		a.yields = now.Add(yieldTime)
+	}
+}
+
 // idleLifetime is how long an account is kept that nobody asks for.
 const idleLifetime = 10 * time.Minute
 
