Waiting requests start by the priority of their team

Cause: a team's priority, which goes before the route's, was known nowhere, and the route's own was not used among waiting requests. Change: within those that can still be of full use, and within the late ones, a lower priority number starts first; a late request keeps its turn, so that nobody waits for good. Sites whose routes of one service share a priority are served as before.

--- a/internal/gate/routed.go
+++ b/internal/gate/routed.go
@@ -148,6 +148,14 @@
 	return r.Arrived.Add(found.TargetLatency - waited)
 }
 
+// priorityOf gives the priority of a team's requests; its own goes before the route's.
+func priorityOf(found Found, team *routes.Team) int {
+	if team.Name != "" {
+		return team.Priority
+	}
+	return found.Priority
+}
+
 // Serve answers a request to a route that is not for jobs.
 func (f *Routed) Serve(ctx context.Context, caller proxy.Caller, found Found, r *RoutedRequest) {
 	taken := &credit.Request{
@@ -174,6 +182,7 @@
 		Deadline:    r.Arrived.Add(limit),
 		Fingerprint: r.Fingerprint,
 		Prefix:      r.Prefix,
+		Priority:    priorityOf(found, &r.Team),
 		Repeatable:  found.Repeatable(),
 		Resumable:   found.Kind == routes.Streaming && found.Resumable,
 		Movable:     found.Kind == routes.Streaming && found.moves(service),
--- a/internal/gate/routed_test.go
+++ b/internal/gate/routed_test.go
@@ -40,6 +40,7 @@
 	}
 	return s.unconfirmed
 }
+
 func (s *source) Await(ctx context.Context) {
 	select {
 	case <-s.came:
--- a/internal/route/messages.go
+++ b/internal/route/messages.go
@@ -41,7 +41,8 @@
 	Repeatable  bool                 `json:"repeatable"`
 	Resumable   bool                 `json:"resumable"` // its stream can go on at a token on another replica
 	Limits      Limits               `json:"limits,omitempty"`
-	Policy      Policy               `json:"policy,omitempty"` // of batch items
+	Priority    int                  `json:"priority,omitempty"` // among waiting online requests; 0 goes first
+	Policy      Policy               `json:"policy,omitempty"`   // of batch items
 	// Movable: its run can be stopped at an engine and go on there or at another one
 	// as the same run, although the request may not run again.
 	Movable bool `json:"movable,omitempty"`
--- a/internal/route/queue.go
+++ b/internal/route/queue.go
@@ -1,13 +1,15 @@
 package route
 
 import (
+	"cmp"
 	"slices"
 	"time"
 )
 
 // waitQueue holds requests without an attempt in the order in which they are to
 // start: first those that go on with an answer that their caller has part of,
-// then those whose answer can still be of full use, then the late ones.
+// then those whose answer can still be of full use, then the late ones; each of them
+// by priority, and by the time at which they are due.
 //
 // In a queue by deadline alone, an outage of a second makes the callers of the
 // next seconds late too: they wait behind those whose answer has lost its use.
@@ -57,6 +59,9 @@
 	if order := a.urgency() - b.urgency(); order != 0 {
 		return order
 	}
+	if order := cmp.Compare(a.Priority, b.Priority); order != 0 {
+		return order
+	}
 	if order := a.due().Compare(b.due()); order != 0 {
 		return order
 	}
--- a/internal/route/queue_test.go
+++ b/internal/route/queue_test.go
@@ -195,3 +195,36 @@
 		t.Error("the answer that has begun waits behind others")
 	}
 }
+
+// Guards against a customer of high priority that waits behind the others' step, and the others waiting for good.
+func TestAStepIsServedByPriorityAndNobodyIsLeftOut(t *testing.T) {
+	l := newLoad(t, 4)
+	const each = 16
+	for i := range each {
+		for priority := range 2 {
+			id := fmt.Sprintf("p%d-%d", priority, i)
+			l.arrived[id] = l.now
+			l.step(route.Arrive{Request: route.Request{
+				ID: id, Team: "t", Class: route.Online, Repeatable: true, Fingerprint: upstream.FingerprintOf(id, nil),
+				Deadline: l.now.Add(6 * time.Second), UsefulUntil: l.now.Add(3 * time.Second), Priority: priority,
+			}})
+		}
+	}
+	l.pass(5 * time.Second)
+	wait := func(priority int) (mean, longest time.Duration) {
+		for i := range each {
+			waited, started := l.started[fmt.Sprintf("p%d-%d", priority, i)]
+			if !started {
+				t.Fatalf("a request of priority %d was not served", priority)
+			}
+			mean += waited / each
+			longest = max(longest, waited)
+		}
+		return mean, longest
+	}
+	first, longestFirst := wait(0)
+	second, _ := wait(1)
+	if first*2 > second || longestFirst > 2*time.Second {
+		t.Errorf("priority 0 waits %s, %s at most; priority 1 %s", first, longestFirst, second)
+	}
+}
