Callers over their team's cap come back one after the other

Change: the owner counts the credits that it has told callers to come back for; each further one is told the next. The count goes down with the rate. Test: TestCallersComeBackOneAfterTheOther, red before.

--- a/internal/limit/ledger.go
+++ b/internal/limit/ledger.go
@@ -31,6 +31,8 @@
 	granted time.Time // when the last credit was taken
 	told    time.Time // when all gates were last to be told that credit runs low
 	asked   time.Time // when one was last asked for
+	// promised is the credit for whose time callers were told to come back.
+	promised float64
 
 	witnesses []witness // gates to which the owner is silent
 	acting    bool      // this gate is the standby, and stands in for the owner
@@ -155,6 +157,7 @@
 	grants := a.grants(a.at)
 	a.at = now
 	if grants {
+		a.promised = max(0, a.promised-a.cap.Rate*passed.Seconds())
 		a.credit = min(a.depth(), a.credit+a.cap.Rate*passed.Seconds())
 	}
 }
@@ -177,6 +180,22 @@
 // gates know it, the rest and a margin of its own cover the requests that start.
 const lowShare = 2
 
+// longestWait bounds the time after which callers are told to come back.
+const longestWait = 10 * time.Second
+
+// promise gives the time until there is a credit that no other caller was told to come
+// back for. Told the same time, the callers of a step or after an outage would come
+// back together, and all but one be refused again.
+func (a *account) promise() time.Duration {
+	missing := 1 - a.credit + a.promised
+	wait := time.Duration(math.Ceil(missing/a.cap.Rate*1000)) * time.Millisecond
+	if wait >= longestWait {
+		return longestWait
+	}
+	a.promised++
+	return wait
+}
+
 func (a *account) low() bool { return a.credit < a.margin/lowShare }
 
 // tellInterval is the least time between two times that all gates are told that a
@@ -197,8 +216,7 @@
 		a.granted = now
 		answer.Verdict = Granted
 	case grants:
-		missing := (1 - a.credit) / a.cap.Rate
-		answer.Verdict, answer.Wait = OverCap, time.Duration(missing*float64(time.Second))
+		answer.Verdict, answer.Wait = OverCap, a.promise()
 	default:
 		answer.Verdict, answer.Wait = Undecided, undecidedWait
 	}
--- a/internal/limit/ledger_test.go
+++ b/internal/limit/ledger_test.go
@@ -56,7 +56,8 @@
 func TestARefusalSaysWhenThereIsCredit(t *testing.T) {
 	l := limit.NewLedger(limit.Tolerance{Window: 5 * time.Second}, rand.New(rand.NewPCG(1, 2)))
 	c := limit.Cap{Rate: 4, Burst: 1}
-	granted(l, start, c, 10)
+	l.Take(start.Add(-time.Hour), askFor(c), owner)
+	granted(l, start, c, 1)
 	answer := l.Take(start, askFor(c), owner)
 	if answer.Verdict != limit.OverCap || answer.Wait != 250*time.Millisecond {
 		t.Fatalf("%+v", answer)
@@ -66,6 +67,27 @@
 	}
 }
 
+// Guards against callers of a step who are all told the same time, come back together and are refused again.
+func TestCallersComeBackOneAfterTheOther(t *testing.T) {
+	l := newLedger()
+	c := limit.Cap{Rate: 20, Burst: 10}
+	var back []time.Duration
+	for range 50 {
+		if answer := l.Take(start, askFor(c), owner); answer.Verdict == limit.OverCap {
+			back = append(back, answer.Wait)
+		}
+	}
+	served := 0
+	for _, wait := range back {
+		if l.Take(start.Add(wait), askFor(c), owner).Verdict == limit.Granted {
+			served++
+		}
+	}
+	if len(back) < 40 || served != len(back) {
+		t.Errorf("%d of %d were served when they came back", served, len(back))
+	}
+}
+
 // Guards against an ask that is sent again and takes a second credit.
 func TestARepeatedAskTakesOneCredit(t *testing.T) {
 	l := newLedger()
