Gates that ask no more are left out after half a second

A control VM that held its last question and hears of no other within 0.5 s leaves it out and tells the others; a gate that turns to another control VM is told on at once. Ruled out: shorter lifetimes (a gate whose control VM dies is silent for 1.1 s).

--- a/internal/control/follow.go
+++ b/internal/control/follow.go
@@ -37,6 +37,7 @@
 		return nil, err
 	}
 	s.hear(ctx, &request.Gate)
+	defer s.attend(ctx, &request.Gate)()
 	s.followers.Add(1)
 	defer s.followers.Add(-1)
 	timer := time.NewTimer(min(request.Wait, maxFollowWait))
@@ -210,19 +211,23 @@
 }
 
 // hear takes in a gate's report; what callers and other gates must know goes to
-// the other control VMs at once.
+// the other control VMs at once, and also that the gate asks here now: the one that it
+// asked before must not take it for silent.
 func (s *Service) hear(ctx context.Context, gate *roster.Gate) {
 	s.mu.Lock()
 	news := s.table.Hear(time.Now(), *gate, 0)
+	turnedHere := s.turnsHere(gate.VM, time.Now())
 	s.heardGates[gate.VM] = struct{}{}
 	if news {
 		s.notify()
 	}
 	s.mu.Unlock()
-	if !news {
+	if news {
+		s.options.Log.Info("gate changed", zap.String("gate", gate.VM), zap.String("callers", gate.Callers),
+			zap.Bool("ready", gate.Ready), zap.Bool("draining", gate.Draining), zap.Uint64("sequence", gate.Sequence))
+	}
+	if !news && !turnedHere {
 		return
 	}
-	s.options.Log.Info("gate changed", zap.String("gate", gate.VM), zap.String("callers", gate.Callers),
-		zap.Bool("ready", gate.Ready), zap.Bool("draining", gate.Draining), zap.Uint64("sequence", gate.Sequence))
 	s.spread(ctx, &controlapi.ShareRequest{Gates: []roster.HeardGate{{Gate: *gate}}})
 }
--- a/internal/control/service.go
+++ b/internal/control/service.go
@@ -103,6 +103,8 @@
 	heardReplicas map[upstream.ReplicaID]struct{}
 	sharedAt      map[upstream.ReplicaID]time.Time
 	heardGates    map[string]struct{}
+	held          map[string]int       // questions of a gate that wait for their answer here
+	asked         map[string]time.Time // when a gate last asked here
 	contacts      map[string]time.Time // control VMs that shared something, and when
 	inContact     bool                 // as last logged
 	seeds         []string
@@ -125,6 +127,8 @@
 		heardReplicas: make(map[upstream.ReplicaID]struct{}),
 		sharedAt:      make(map[upstream.ReplicaID]time.Time),
 		heardGates:    make(map[string]struct{}),
+		held:          make(map[string]int),
+		asked:         make(map[string]time.Time),
 
 		seeds:    options.Seeds,
 		journal:  newJournal(options.Folder, options.Log),
--- a/internal/control/share.go
+++ b/internal/control/share.go
@@ -70,7 +70,9 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	before := s.table.Version()
-	s.table.Tick(time.Now())
+	now := time.Now()
+	s.table.Tick(now)
+	maps.DeleteFunc(s.asked, func(_ string, at time.Time) bool { return now.Sub(at) > time.Minute })
 	if s.table.Version() != before {
 		s.notify()
 	}
@@ -250,6 +252,10 @@
 	}
 	news := changed
 	for _, heard := range gates {
+		if heard.Silent {
+			news = s.table.Silence(&heard.Gate) || news
+			continue
+		}
 		news = s.table.Hear(now, heard.Gate, heard.Age) || news
 	}
 	if news {
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -245,6 +245,18 @@
 	return true
 }
 
+// Silence leaves a gate out that has said nothing since a report, until it is heard
+// again. It says whether others must know.
+func (t *Table) Silence(g *Gate) bool {
+	row := t.gates[g.VM]
+	if row == nil || row.expired || row.gate.newer(g) {
+		return false
+	}
+	row.expired = true
+	t.changeGate(row)
+	return true
+}
+
 func (t *Table) changeGate(row *gateRow) {
 	t.version++
 	row.version = t.version
@@ -384,6 +396,8 @@
 type HeardGate struct {
 	Gate Gate          `cbor:"1,keyasint"`
 	Age  time.Duration `cbor:"2,keyasint"`
+	// Silent: the gate has asked nobody since this report.
+	Silent bool `cbor:"3,keyasint,omitempty"`
 }
 
 // Replicas gives the replicas that live with the age of their last heartbeat.
