Late requests wait for a credit that is near

What the team's bucket held was lost with its owner, and all callers come in the same second. Change: a request whose target latency has passed since its caller first tried waits at the gate for up to a third of the time that is left, and asks again when there may be credit. Others are refused at once as before. Test: TestALateRequestWaitsForACreditThatIsNear.

--- a/internal/gate/credit/credit_test.go
+++ b/internal/gate/credit/credit_test.go
@@ -214,6 +214,28 @@
 	}
 }
 
+// Guards against callers who are refused twice after an outage, though there is credit a moment later.
+func TestALateRequestWaitsForACreditThatIsNear(t *testing.T) {
+	g := start(t, 2, 0)
+	c := limit.Cap{Rate: 10, Burst: 1}
+	request := func(hold time.Duration) *credit.Request {
+		return &credit.Request{ID: "r", Team: "council", Cap: c, Version: 1, HoldUntil: time.Now().Add(hold)}
+	}
+	for range 3 {
+		_ = g.services[0].Take(t.Context(), request(0))
+	}
+	began := time.Now()
+	if refusal := g.services[0].Take(t.Context(), request(0)); refusal == nil || time.Since(began) > 100*time.Millisecond {
+		t.Errorf("%v after %s, though it may not wait", refusal, time.Since(began))
+	}
+	if refusal := g.services[0].Take(t.Context(), request(3*time.Second)); refusal != nil {
+		t.Errorf("refused after %s: %v", time.Since(began), refusal)
+	}
+	if took := time.Since(began); took > 2*time.Second {
+		t.Errorf("waited %s for a credit at 10 a second", took)
+	}
+}
+
 // Guards against datagrams of others that end the gate's part.
 func TestUnreadableDatagramsAreCounted(t *testing.T) {
 	g := start(t, 1, 20)
--- a/internal/gate/credit/take.go
+++ b/internal/gate/credit/take.go
@@ -28,6 +28,9 @@
 	Team    string
 	Cap     limit.Cap
 	Version uint64 // of the routes that have the cap
+	// HoldUntil is how long it may wait for a credit, if its answer has lost most of
+	// its use already; zero: not at all.
+	HoldUntil time.Time
 }
 
 // Take takes a credit for a request; its error says why there is none. While the team
@@ -36,22 +39,44 @@
 	if r.Cap.Unlimited() {
 		return nil
 	}
+	began := time.Now()
+	answer, from := s.decide(ctx, r)
+	for answer.Verdict == limit.OverCap && time.Now().Add(answer.Wait).Before(r.HoldUntil) && pause(ctx, answer.Wait) {
+		s.options.Metrics.Count("team_cap.held")
+		answer, from = s.decide(ctx, r)
+	}
+	return s.outcome(r, answer, from, time.Since(began))
+}
+
+// pause waits; false if ctx ends first.
+func pause(ctx context.Context, d time.Duration) bool {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+// decide gives the answer for a request and the gate that gave it.
+func (s *Service) decide(ctx context.Context, r *Request) (limit.Answer, string) {
 	ask := limit.Ask{
 		ID:   limit.AskID{Gate: s.process, Number: s.numbers.Add(1)},
 		Team: r.Team, Cap: r.Cap, Version: r.Version,
 	}
 	choice, plenty := s.choose(r.Team)
-	if choice.Owner == s.options.VM || choice.Owner == "" {
-		return s.outcome(r, s.grant(ask), s.options.VM, 0)
-	}
-	if plenty {
+	switch {
+	case choice.Owner == s.options.VM || choice.Owner == "":
+		return s.grant(ask), s.options.VM
+	case plenty:
 		ask.Started = true
 		go s.charge(ask, choice.Owner)
-		return nil
+		return limit.Answer{Verdict: limit.Granted}, s.options.VM
+	default:
+		return s.ask(ctx, ask, choice)
 	}
-	began := time.Now()
-	answer, from := s.ask(ctx, ask, choice)
-	return s.outcome(r, answer, from, time.Since(began))
 }
 
 // choose gives the gates that hold a team's credit, and whether a request of the team
--- a/internal/gate/routed.go
+++ b/internal/gate/routed.go
@@ -156,30 +156,38 @@
 	return found.Priority
 }
 
+// lateHold: a request whose answer has lost most of its use waits for a credit of its
+// team for a third of the time that its caller still gives it. Others are refused at
+// once: their callers know better what to do with the time that is left.
+const lateHold = 3
+
 // Serve answers a request to a route that is not for jobs.
 func (f *Routed) Serve(ctx context.Context, caller proxy.Caller, found Found, r *RoutedRequest) {
+	longest := found.Timeout
+	if r.Patience > 0 {
+		longest = min(longest, r.Patience)
+	}
+	waited := f.patience.waited(found.Name, r.Patience, found.Timeout)
 	taken := &credit.Request{
 		ID: r.ID, Team: r.Team.Name, Cap: limit.Cap{Rate: r.Team.Rate, Burst: r.Team.Burst}, Version: found.Matcher.Version(),
 	}
+	if found.TargetLatency > 0 && waited >= found.TargetLatency {
+		taken.HoldUntil = r.Arrived.Add(longest / lateHold)
+	}
 	if refusal := f.credit.Take(ctx, taken); refusal != nil {
 		caller.Refuse(refusal)
 		return
 	}
 	caller = &creditedCaller{Caller: caller, credit: f.credit, taken: taken}
 	service := found.Pick(rand.Float64(), f.router.Knows)
-	limit := found.Timeout
-	if r.Patience > 0 {
-		limit = min(limit, r.Patience)
-	}
-	waited := f.patience.waited(found.Name, r.Patience, found.Timeout)
 	f.log.Info("request routed", telemetry.RequestID(r.ID), telemetry.Team(r.Team.Name), zap.String("route", found.Name), zap.String("service", service),
-		zap.Uint64("routes", found.Matcher.Version()), zap.Duration("routes_age", f.source.Age()), zap.Duration("limit", limit),
+		zap.Uint64("routes", found.Matcher.Version()), zap.Duration("routes_age", f.source.Age()), zap.Duration("limit", longest),
 		zap.Duration("patience", r.Patience), zap.Duration("waited", waited),
 		zap.Duration("target", found.TargetLatency), zap.Duration("pause", found.LongestPause))
 	f.router.Serve(ctx, caller, service, r.Protocol, route.Request{
 		ID:          r.ID,
 		Team:        found.Name,
-		Deadline:    r.Arrived.Add(limit),
+		Deadline:    r.Arrived.Add(longest),
 		Fingerprint: r.Fingerprint,
 		Prefix:      r.Prefix,
 		Priority:    priorityOf(found, &r.Team),
