--- a/internal/route/place.go
+++ b/internal/route/place.go
@@ -42,7 +42,7 @@
 
 // mustConfirm says whether the request waits for the word of the replica's feeder.
 func (s *Shard) mustConfirm(req *request, r *replica) bool {
-	if s.config.PlaceWait <= 0 || s.feeds(r) || req.places >= maxPlaces || s.at.Before(r.muteUntil) {
+	if s.config.PlaceWait <= 0 || s.feeds(r) || req.places >= maxPlaces || s.at.Before(r.unresponsiveUntil) {
 		return false
 	}
 	fresh := !r.fedAt.IsZero() && s.at.Sub(r.fedAt) < freshWord
@@ -144,15 +144,15 @@
 		case s.feeds(p.on): // since a moment ago
 			s.sendPlaced(p)
 		case waited >= s.config.PlaceWait:
-			p.on.muteUntil = s.at.Add(muteTime)
+			p.on.unresponsiveUntil = s.at.Add(unresponsiveTime)
 			s.count(ReasonPlaceUnconfirmed)
 			s.sendPlaced(p)
 		}
 	}
 }
 
-// muteTime is how long a feeder that did not answer is not waited for.
-const muteTime = time.Second
+// unresponsiveTime is how long a feeder that did not answer is not waited for.
+const unresponsiveTime = time.Second
 
 // expectedOnline estimates the online requests of other gates on a replica of which
 // there is no recent word: as many for each slot as on those with one.
--- a/internal/route/stranded.go
+++ b/internal/route/rebalance.go
@@ -8,26 +8,26 @@
 )
 
 const (
-	// strandedAfter is how long a batch item waits in a gate before the gate looks
+	// rebalanceAfter is how long a batch item waits in a gate before the gate looks
 	// for slots that others feed. Slots taken back by single online requests are free
 	// again within an answer's time; giving the item back and leasing it elsewhere
 	// costs its body and text once more between VMs.
-	strandedAfter = time.Second
-	// strandedWord is how old the other gate's word on its replica may be. On a site of
+	rebalanceAfter = time.Second
+	// rebalanceReportAge is how old the other gate's word on its replica may be. On a site of
 	// control VMs it comes only with the answer to this gate's own word, at each start
 	// and end of its requests there, so that replicas which this gate has not used for
 	// so long are passed over.
-	strandedWord = 2 * time.Second
+	rebalanceReportAge = 2 * time.Second
 )
 
-// checkStranded gives waiting batch items back while replicas that other gates feed
+// checkRebalance gives waiting batch items back while replicas that other gates feed
 // have free slots.
 //
 // Failure guarded against: a gate leases items for the slots that it has, online
 // work takes these back, or the replicas leave, and the items wait in this gate
 // while others have idle slots and nothing to run, and are late for it. The keepers
 // lease them to whoever has room.
-func (s *Shard) checkStranded() {
+func (s *Shard) checkRebalance() {
 	if s.draining || s.batch.len() == 0 {
 		return
 	}
@@ -36,7 +36,7 @@
 		if free <= 0 {
 			return
 		}
-		if !s.isStranded(req) {
+		if !s.mayMoveElsewhere(req) {
 			continue
 		}
 		free--
@@ -45,9 +45,9 @@
 	}
 }
 
-func (s *Shard) isStranded(req *request) bool {
+func (s *Shard) mayMoveElsewhere(req *request) bool {
 	mayMove := req.Patient && (req.Repeatable || !req.maybeRan) && req.awaiting == nil && !s.isSuspect(req)
-	return mayMove && s.at.Sub(req.queuedAt) >= strandedAfter
+	return mayMove && s.at.Sub(req.queuedAt) >= rebalanceAfter
 }
 
 // freeElsewhere counts the slots that other gates could fill with batch now.
@@ -56,7 +56,7 @@
 	free := 0
 	for _, list := range [...][]*replica{s.local, s.remote} {
 		for _, r := range list {
-			if !s.feeds(r) && !r.fedAt.IsZero() && s.at.Sub(r.fedAt) < strandedWord {
+			if !s.feeds(r) && !r.fedAt.IsZero() && s.at.Sub(r.fedAt) < rebalanceReportAge {
 				free += max(0, s.slots(r)-s.totalLoad(r))
 			}
 		}
--- a/internal/route/stranded_test.go
+++ b/internal/route/rebalance_test.go
@@ -12,9 +12,9 @@
 	"slateway.example/slateway/internal/upstream"
 )
 
-// strandedItem is a gate with one batch item that waits: online work has filled the
+// waitingItem is a gate with one batch item that waits: online work has filled the
 // replicas that the gate feeds. What the other gate says of each of its own is load.
-func strandedItem(t *testing.T, load upstream.Feeding, patient bool) *rig {
+func waitingItem(t *testing.T, load upstream.Feeding, patient bool) *rig {
 	const replicas = 6 // of two slots
 	r := newRig(t, route.Config{HedgeMin: -1, ProbeAfter: time.Hour}, replicas)
 	r.step(route.GatesChanged{Gates: []route.Gate{{ID: "gate-1", Place: "glas-a"}, {ID: "gate-2", Place: "glas-a"}}})
@@ -61,7 +61,7 @@
 // wait there for seconds, and their owners see them late, while the replicas that
 // another gate feeds stand idle.
 func TestAnItemDoesNotWaitWhileOtherGatesHaveSlots(t *testing.T) {
-	r := strandedItem(t, upstream.Feeding{Online: 0, Batch: 0}, true)
+	r := waitingItem(t, upstream.Feeding{Online: 0, Batch: 0}, true)
 	refusal := r.refused["item"]
 	if refusal == nil || refusal.Reason != route.ReasonFreeElsewhere || refusal.Ran != apierr.RanNo {
 		t.Errorf("the item: %v", refusal)
@@ -69,10 +69,10 @@
 }
 
 func TestAnItemWaitsWhereNobodyHasSlots(t *testing.T) {
-	if refusal := strandedItem(t, upstream.Feeding{Online: 1, Batch: 1}, true).refused["item"]; refusal != nil {
+	if refusal := waitingItem(t, upstream.Feeding{Online: 1, Batch: 1}, true).refused["item"]; refusal != nil {
 		t.Errorf("given back though all replicas are full: %v", refusal)
 	}
-	if refusal := strandedItem(t, upstream.Feeding{}, false).refused["item"]; refusal != nil {
+	if refusal := waitingItem(t, upstream.Feeding{}, false).refused["item"]; refusal != nil {
 		t.Errorf("given back though giving back counts as an attempt: %v", refusal)
 	}
 }
--- a/internal/route/stall.go
+++ b/internal/route/stall.go
@@ -32,7 +32,7 @@
 		switch {
 		case !s.hasStalled(a, after):
 		case a.req.Resumable:
-			s.takeUp(a)
+			s.resumeStalled(a)
 		default:
 			s.handOver(a)
 		}
@@ -76,9 +76,9 @@
 	return others == 0
 }
 
-// takeUp goes on with a stalled answer on the same replica. It is no further
+// resumeStalled goes on with a stalled answer on the same replica. It is no further
 // replica, so that it does not count against those that may run the request.
-func (s *Shard) takeUp(a *attempt) {
+func (s *Shard) resumeStalled(a *attempt) {
 	if !s.budget.take(hedgeReserve * s.config.RetryReserve * startShare) {
 		return
 	}
--- a/internal/route/tick.go
+++ b/internal/route/tick.go
@@ -24,7 +24,7 @@
 	s.checkWaiting()
 	s.refuseHopeless()
 	s.checkUnfed()
-	s.checkStranded()
+	s.checkRebalance()
 	s.checkHedges()
 	s.strikes.Expire(s.at)
 	s.expireCopies()
