--- a/internal/route/replica.go
+++ b/internal/route/replica.go
@@ -42,7 +42,7 @@
 	// By the word of the gate that feeds the replica, for the other gates.
 	othersOnline, othersBatch int
 	fedAt                     time.Time
-	unresponsiveUntil                 time.Time // its feeder did not answer; until then no request waits for it
+	unresponsiveUntil         time.Time // its feeder did not answer; until then no request waits for it
 
 	told      int       // online requests that the feeding gate was last told of
 	toldBatch int       // the same for batch
