Jobs keep time by the keepers' steady clock

The leader of the jobs stamped commands with its time of day, so that everything was overdue; gates computed when items are given up, and what is left of it, by their own. Change: a keeper's clock goes on with the steady time of its process. A job says how long after its acceptance items are given up, a lease by which clock its times count. A process that starts while its clock is wrong is not covered.

--- a/internal/gate/jobs.go
+++ b/internal/gate/jobs.go
@@ -10,7 +10,6 @@
 	"slateway.example/slateway/internal/apierr"
 	"slateway.example/slateway/internal/codec"
 	"slateway.example/slateway/internal/gate/proxy"
-	"slateway.example/slateway/internal/instant"
 	"slateway.example/slateway/internal/job"
 	"slateway.example/slateway/internal/keeper/keeperapi"
 	"slateway.example/slateway/internal/keeper/keeperclient"
@@ -84,7 +83,7 @@
 	ctx, cancel := context.WithTimeout(ctx, found.Timeout)
 	defer cancel()
 	began := time.Now()
-	submission := j.submission(found, JobName{Host: found.Host, Team: team, ID: id}, items, began)
+	submission := j.submission(found, JobName{Host: found.Host, Team: team, ID: id}, items)
 	status, err := j.options.Keepers.SubmitJob(ctx, submission)
 	if err != nil {
 		return j.refused("job refused", id, err)
@@ -95,7 +94,7 @@
 	return nil
 }
 
-func (j *Jobs) submission(found Found, named JobName, items []SubmittedItem, now time.Time) *job.Submission {
+func (j *Jobs) submission(found Found, named JobName, items []SubmittedItem) *job.Submission {
 	stored := make([]job.Item, len(items))
 	tokens := make([]uint32, len(items))
 	for i, item := range items {
@@ -112,10 +111,9 @@
 		Retention:        j.options.Retention,
 		OnlyAnswersCount: true,
 	}
-	if found.GiveUpAfter > 0 {
-		spec.GiveUp = instant.Of(now.Add(found.GiveUpAfter))
+	return &job.Submission{
+		Spec: spec, Tokens: tokens, Items: codec.MustMarshal(stored), Quota: found.QuotaTokens, GiveUpAfter: found.GiveUpAfter,
 	}
-	return &job.Submission{Spec: spec, Tokens: tokens, Items: codec.MustMarshal(stored), Quota: found.QuotaTokens}
 }
 
 func (j *Jobs) refused(what, id string, err error) error {
@@ -166,6 +164,7 @@
 // Route says how a leased item is run: by the route that its path has now.
 func (j *Jobs) Route(leased *keeperapi.LeasedItem) (proxy.BatchItem, error) {
 	lease, item := &leased.Lease, &leased.Item
+	now := time.Now()
 	matcher := j.options.Source.Routes()
 	found := matcher.Match(lease.Team, item.Endpoint)
 	if found == nil || found.Kind != routes.Batch {
@@ -177,9 +176,9 @@
 		Team:       found.Name,
 		Service:    j.service(found, lease.Queue.Service),
 		Body:       item.Body,
-		Due:        lease.Deadline.Time(),
+		Due:        lease.ByClock(lease.Deadline, now),
 		Takes:      lease.Takes,
-		Deadline:   lease.GiveUp.Time(),
+		Deadline:   lease.ByClock(lease.GiveUp, now),
 		Repeatable: true,
 		Patient:    lease.OnlyAnswersCount,
 		Policy:     route.ThroughputPolicy(),
--- a/internal/job/lease.go
+++ b/internal/job/lease.go
@@ -48,6 +48,17 @@
 	// not known.
 	Takes time.Duration `cbor:"15,keyasint,omitempty"`
 	Owner string        `cbor:"17,keyasint,omitempty"` // of the job's Spec
+	// At is when the item was leased, by the clock that Deadline and GiveUp count by;
+	// zero from keepers that do not say it.
+	At instant.Micros `cbor:"18,keyasint,omitempty"`
+}
+
+// ByClock gives an instant of the lease by the clock of who has just got it.
+func (l *Leased) ByClock(m instant.Micros, now time.Time) time.Time {
+	if m == 0 || l.At == 0 {
+		return m.Time()
+	}
+	return now.Add(m.Sub(l.At))
 }
 
 // loseItem ends the lease of an item whose gate is lost.
@@ -167,7 +178,7 @@
 			attempt := job.tries[item].Leases + 1
 			job.leases[item] = lease{Session: id, Attempt: attempt, At: now, From: job.partials[item].Reached}
 			holder.leases[itemKey{Job: job.id, Item: item}] = struct{}{}
-			items = append(items, job.leased(item, attempt, t.taken[job.spec.Queue]))
+			items = append(items, job.leased(item, attempt, t.taken[job.spec.Queue], now))
 		}
 		if len(items) >= want.Max {
 			break
@@ -196,7 +207,7 @@
 	return 0, false
 }
 
-func (j *entry) leased(item uint32, attempt int, takes time.Duration) Leased {
+func (j *entry) leased(item uint32, attempt int, takes time.Duration, now instant.Micros) Leased {
 	owner := j.partOf(item)
 	var pieces []Ref
 	if known, found := j.partials[item]; found {
@@ -220,6 +231,7 @@
 		Partial:          pieces,
 		Takes:            takes,
 		Owner:            j.spec.Owner,
+		At:               now,
 	}
 }
 
--- a/internal/job/submit.go
+++ b/internal/job/submit.go
@@ -1,6 +1,8 @@
 package job
 
 import (
+	"time"
+
 	"slateway.example/slateway/internal/apierr"
 	"slateway.example/slateway/internal/instant"
 )
@@ -13,6 +15,9 @@
 	// Quota is how many tokens of the job's owner may wait in the queue with those of
 	// this job; zero sets no bound.
 	Quota uint64 `cbor:"4,keyasint,omitempty"`
+	// GiveUpAfter is the time from the acceptance after which items that have no result
+	// end without one, by the keepers' clock; zero: as the Spec says.
+	GiveUpAfter time.Duration `cbor:"5,keyasint,omitempty"`
 }
 
 // Submit accepts a whole job at once, or nothing of it. A job that was accepted
@@ -29,7 +34,11 @@
 	if refusal := t.checkQuota(s); refusal != nil {
 		return Status{}, refusal
 	}
-	status, refusal := t.Create(s.Spec, now)
+	spec := s.Spec
+	if s.GiveUpAfter > 0 {
+		spec.GiveUp = now.Add(s.GiveUpAfter)
+	}
+	status, refusal := t.Create(spec, now)
 	if refusal != nil {
 		return Status{}, refusal
 	}
--- a/internal/job/submit_test.go
+++ b/internal/job/submit_test.go
@@ -296,3 +296,34 @@
 		t.Fatalf("status %+v", status)
 	}
 }
+
+// Guards against items that are given up because the clock of the gate that took their job, or of the one that runs them, is an hour off.
+func TestWhenItemsAreGivenUpDoesNotDependOnTheClocksOfGates(t *testing.T) {
+	const accepted, giveUpAfter = instant.Micros(50_000_000), 20 * time.Second
+	table := job.NewTable(&memory{})
+	status, refusal := table.Submit(&job.Submission{
+		Spec: job.Spec{
+			Team: "news.example", Key: "a", Queue: queue, Within: 9 * time.Second, MaxAttempts: 1, OnlyAnswersCount: true,
+		},
+		Tokens: []uint32{30}, Items: codec.MustMarshal([]job.Item{{CustomID: "i"}}), GiveUpAfter: giveUpAfter,
+	}, accepted)
+	if refusal != nil {
+		t.Fatal(refusal)
+	}
+	if want := accepted.Add(giveUpAfter); status.Spec.GiveUp != want {
+		t.Fatalf("given up at %d, accepted at %d", status.Spec.GiveUp, accepted)
+	}
+	table.OpenSession("s", job.Run{VM: "vm"})
+	leasedAt := accepted.Add(5 * time.Second)
+	items, _, refusal := table.Lease("s", 1, []job.Want{{Queue: queue, Max: 1}}, leasedAt)
+	if refusal != nil || len(items) != 1 {
+		t.Fatalf("%v, %v", items, refusal)
+	}
+	gatesNow := leasedAt.Time().Add(time.Hour)
+	if left := items[0].ByClock(items[0].GiveUp, gatesNow).Sub(gatesNow); left != 15*time.Second {
+		t.Errorf("%s left at a gate whose clock is an hour ahead", left)
+	}
+	if left := items[0].ByClock(items[0].Deadline, gatesNow).Sub(gatesNow); left != 4*time.Second {
+		t.Errorf("due in %s at a gate whose clock is an hour ahead", left)
+	}
+}
--- a/internal/keeper/jobmachine.go
+++ b/internal/keeper/jobmachine.go
@@ -2,7 +2,6 @@
 
 import (
 	"sync"
-	"time"
 
 	"slateway.example/slateway/internal/apierr"
 	"slateway.example/slateway/internal/blob"
@@ -204,9 +203,9 @@
 }
 
 // expired reports whether the retention of a job or claim is over.
-func (m *JobMachine) expired(now time.Time) (expired bool) {
+func (m *JobMachine) expired(now instant.Micros) (expired bool) {
 	m.read(func(jobs *job.Table, claims *claim.Table) {
-		expired = jobs.Expired(instant.Of(now)) || claims.Expired(instant.Of(now))
+		expired = jobs.Expired(now) || claims.Expired(now)
 	})
 	return expired
 }
--- a/internal/keeper/leadership.go
+++ b/internal/keeper/leadership.go
@@ -232,7 +232,7 @@
 		current.lastExpire = now
 	}
 	s.mu.Unlock()
-	if wait || !machine.expired(now) {
+	if wait || !machine.expired(s.clock.Now()) {
 		return
 	}
 	go func() {
--- a/internal/keeper/service.go
+++ b/internal/keeper/service.go
@@ -51,6 +51,7 @@
 // beside it.
 type Service struct {
 	options Options
+	clock   instant.Clock
 	gates   *gateLeases
 	parts   *partCache
 	offers  *offers
@@ -79,6 +80,7 @@
 	}
 	return &Service{
 		options: options,
+		clock:   instant.NewClock(),
 		gates:   newGateLeases(),
 		parts:   newPartCache(),
 		offers:  newOffers(),
@@ -183,9 +185,9 @@
 	return s.options.Jobs[group-1], nil
 }
 
-// propose commits a command in a job group, stamped with this VM's time.
+// propose commits a command in a job group, stamped with this VM's clock.
 func (s *Service) propose(ctx context.Context, group uint32, cmd command) (result, error) {
-	cmd.At = instant.Of(time.Now())
+	cmd.At = s.clock.Now()
 	data, err := s.options.Proposer.Propose(ctx, group, codec.MustMarshal(cmd))
 	if err != nil {
 		return result{}, err
