--- a/internal/gate/routed.go
+++ b/internal/gate/routed.go
@@ -8,9 +8,7 @@
 	"go.uber.org/zap"
 
 	"slateway.example/slateway/internal/apierr"
-	"slateway.example/slateway/internal/gate/credit"
 	"slateway.example/slateway/internal/gate/proxy"
-	"slateway.example/slateway/internal/limit"
 	"slateway.example/slateway/internal/route"
 	"slateway.example/slateway/internal/routes"
 	"slateway.example/slateway/internal/telemetry"
@@ -45,14 +43,6 @@
 	patience *patience
 }
 
-// Credit holds all gates together to what teams may send.
-type Credit interface {
-	// Take takes a credit for a request; its error says why there is none.
-	Take(ctx context.Context, r *credit.Request) *apierr.Error
-	// Return gives back the credit of a request that has not run.
-	Return(r *credit.Request)
-}
-
 // NewRouted makes a Routed.
 func NewRouted(source RouteSource, router *proxy.Router, credit Credit, metrics Metrics, log *zap.Logger) *Routed {
 	return &Routed{source: source, router: router, credit: credit, metrics: metrics, log: log, patience: newPatience()}
@@ -156,11 +146,6 @@
 	return found.Priority
 }
 
-// lateHold: a request whose answer has lost most of its use waits for a credit of its
-// team for a third of the time that its caller still gives it. Others are refused at
-// once: their callers know better what to do with the time that is left.
-const lateHold = 3
-
 // Serve answers a request to a route that is not for jobs.
 func (f *Routed) Serve(ctx context.Context, caller proxy.Caller, found Found, r *RoutedRequest) {
 	longest := found.Timeout
@@ -168,12 +153,7 @@
 		longest = min(longest, r.Patience)
 	}
 	waited := f.patience.waited(found.Name, r.Patience, found.Timeout)
-	taken := &credit.Request{
-		ID: r.ID, Team: r.Team.Name, Cap: limit.Cap{Rate: r.Team.Rate, Burst: r.Team.Burst}, Version: found.Matcher.Version(),
-	}
-	if found.TargetLatency > 0 && waited >= found.TargetLatency {
-		taken.HoldUntil = r.Arrived.Add(longest / lateHold)
-	}
+	taken := creditFor(found, r, longest, waited)
 	if refusal := f.credit.Take(ctx, taken); refusal != nil {
 		caller.Refuse(refusal)
 		return
@@ -198,18 +178,3 @@
 		UsefulUntil: usefulUntil(found, r, waited),
 	})
 }
-
-// creditedCaller gives the credit of a request back that ends without having run.
-type creditedCaller struct {
-	proxy.Caller
-	credit Credit
-	taken  *credit.Request
-}
-
-// Refuse gives the final answer of a request that has no other.
-func (c *creditedCaller) Refuse(err *apierr.Error) {
-	if err.Ran == apierr.RanNo {
-		c.credit.Return(c.taken)
-	}
-	c.Caller.Refuse(err)
-}
