A key is refused only after the leader has confirmed the routes

The control VM that the gate asked had not applied the change yet; it is in contact within half a second, which is not enough for an answer that is final. Change: the question for a confirmation goes on to the leader (a read barrier; the version alone is sent back), and the control VM answers once it has applied it.

--- a/internal/control/controlapi/api.go
+++ b/internal/control/controlapi/api.go
@@ -53,6 +53,9 @@
 	// TakesGateChanges: the gates may come as changes, not as a whole list, and all
 	// changes may come packed.
 	TakesGateChanges bool `cbor:"8,keyasint,omitempty"`
+	// Confirm asks for the routes in force when the question came: the control VM
+	// first asks the leader whether it lacks any.
+	Confirm bool `cbor:"9,keyasint,omitempty"`
 }
 
 // FollowResponse brings the gate forward.
--- a/internal/control/follow.go
+++ b/internal/control/follow.go
@@ -36,6 +36,11 @@
 	if err := s.requireContact(); err != nil {
 		return nil, err
 	}
+	if request.Confirm {
+		if err := s.catchUp(ctx); err != nil {
+			return nil, err
+		}
+	}
 	s.hear(ctx, &request.Gate)
 	defer s.attend(ctx, &request.Gate)()
 	s.followers.Add(1)
@@ -63,6 +68,25 @@
 	}
 }
 
+// catchUp returns once this VM has all routes that were acknowledged before the call.
+func (s *Service) catchUp(ctx context.Context) error {
+	version, err := s.options.Keepers.RoutesVersion(ctx, s.options.Config.Routes().Version())
+	if err != nil {
+		return err
+	}
+	for {
+		changed := s.options.Config.Changed()
+		if s.options.Config.Routes().Version() >= version {
+			return nil
+		}
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+	}
+}
+
 // startTime is how long a VM counts as just started: as long as an election may
 // take that begins when all control VMs are back, several times over.
 const startTime = 3 * time.Second
--- a/internal/gate/follow/confirm.go
+++ b/internal/gate/follow/confirm.go
@@ -65,13 +65,13 @@
 }
 
 // Confirm returns nil once the routes are those that were in force when it was
-// called, or newer ones, as far as a control VM in contact with the leader knows.
+// called, or newer ones.
 func (f *Follower) Confirm(ctx context.Context) error { return f.confirms.wait(ctx, f.confirm) }
 
 func (f *Follower) confirm() error {
 	f.options.Metrics.Count("follow.confirms")
 	request := f.request()
-	request.Wait = 0
+	request.Wait, request.Confirm = 0, true
 	address := f.target()
 	response, err := f.call(context.Background(), address, request)
 	if err != nil {
--- a/internal/keeper/keeperapi/api.go
+++ b/internal/keeper/keeperapi/api.go
@@ -118,7 +118,11 @@
 type RetireResponse struct{}
 
 // ReadRoutesRequest asks for the routes in force.
-type ReadRoutesRequest struct{}
+type ReadRoutesRequest struct {
+	// Known is a version that the caller has; if it is in force, its number alone is
+	// the answer. Zero: none.
+	Known uint64 `cbor:"1,keyasint,omitempty"`
+}
 
 // ReadRoutesResponse gives them, as new as any that was acknowledged before the
 // call.
--- a/internal/keeper/keeperclient/config.go
+++ b/internal/keeper/keeperclient/config.go
@@ -72,6 +72,16 @@
 	return &response.Document, nil
 }
 
+// RoutesVersion reads the version of the routes in force; known is one that the caller
+// has, so that it need not be sent.
+func (c *Client) RoutesVersion(ctx context.Context, known uint64) (uint64, error) {
+	response, err := call(ctx, c, keeperapi.ConfigGroup, 0, keeperapi.ReadRoutes, &keeperapi.ReadRoutesRequest{Known: known})
+	if err != nil {
+		return 0, err
+	}
+	return response.Document.Version, nil
+}
+
 // ListTemplates lists the templates with the base revisions of their next
 // changes.
 func (c *Client) ListTemplates(ctx context.Context) ([]team.VersionedTemplate, error) {
--- a/internal/keeper/submitcalls.go
+++ b/internal/keeper/submitcalls.go
@@ -31,11 +31,15 @@
 	return &outcome, nil
 }
 
-func (s *Service) readRoutes(ctx context.Context, _ *keeperapi.ReadRoutesRequest) (*keeperapi.ReadRoutesResponse, error) {
+func (s *Service) readRoutes(ctx context.Context, request *keeperapi.ReadRoutesRequest) (*keeperapi.ReadRoutesResponse, error) {
 	if err := s.options.Proposer.ReadBarrier(ctx, keeperapi.ConfigGroup); err != nil {
 		return nil, err
 	}
-	return &keeperapi.ReadRoutesResponse{Document: *s.options.Config.Routes().Document()}, nil
+	document := s.options.Config.Routes().Document()
+	if request.Known > 0 && document.Version == request.Known {
+		document = &routes.Document{Version: document.Version}
+	}
+	return &keeperapi.ReadRoutesResponse{Document: *document}, nil
 }
 
 func (s *Service) retireVM(ctx context.Context, request *keeperapi.RetireRequest) (*keeperapi.RetireResponse, error) {
