After a stop of all the credit of the standstill is there

Change: when all gates have just started, nobody granted anything for 0.3 s at least; an owner's account begins with that time's rate beside its margin. This is what the bucket would have got, so that no tolerance is used up by it.

--- a/internal/limit/holders.go
+++ b/internal/limit/holders.go
@@ -28,6 +28,8 @@
 	// know few others each choose owners of their own.
 	Complete bool
 	opening  float64 // with how many margins an owner's new account begins
+	// standstill is how long no gate can have granted anything before these started.
+	standstill time.Duration
 	// SettledAt is when the view changes though no gate does: when a gate has run for
 	// SettleTime. Zero: not by itself.
 	SettledAt time.Time
@@ -42,6 +44,9 @@
 func NewHolders(gates []Gate, expected int, now time.Time) *Holders {
 	h := &Holders{chosen: make(map[string]Choice), Complete: expected <= len(gates), opening: 1}
 	oldest := oldestOf(gates)
+	if oldest > 0 && now.Before(time.UnixMilli(oldest).Add(SettleTime)) {
+		h.standstill = leastStandstill
+	}
 	if !h.Complete {
 		h.opening = float64(len(gates)) / float64(expected)
 	}
@@ -61,6 +66,10 @@
 	return h
 }
 
+// leastStandstill is the least time without any grant when all gates have just started:
+// from the end of the processes before them until a gate is ready.
+const leastStandstill = 300 * time.Millisecond
+
 // oldestOf gives the start of the process that has run for longest; 0 if none runs.
 func oldestOf(gates []Gate) int64 {
 	oldest := int64(0)
@@ -87,6 +96,8 @@
 type Stance struct {
 	Owned   bool    // the gate owns it
 	Opening float64 // with how many margins a new account begins
+	// Standstill is the time before whose credit is there too: nobody granted it.
+	Standstill time.Duration
 	// Witnesses is the number of gates that must find the owner silent before the
 	// gate, its standby, acts for it.
 	Witnesses int
@@ -105,6 +116,8 @@
 	stance := Stance{Owned: h.Of(team).Owner == vm, Opening: h.opening, Witnesses: max(1, min(len(h.names)/2, maxWitnesses))}
 	if !stance.Owned {
 		stance.Opening = min(stance.Opening, standbyOpening)
+	} else if h.Complete {
+		stance.Standstill = h.standstill
 	}
 	return stance
 }
--- a/internal/limit/holders_test.go
+++ b/internal/limit/holders_test.go
@@ -73,6 +73,31 @@
 	}
 }
 
+// Guards against callers who are refused right after a stop of all for credit that nobody used meanwhile.
+func TestAfterAStopOfAllTheCreditOfTheStandstillIsThere(t *testing.T) {
+	gates := gatesStarted(0, 0, 0)
+	owner := limit.NewHolders(gates, 3, start).Of("council").Owner
+	if got := limit.NewHolders(gates, 3, start).Stance("council", owner).Standstill; got <= 0 {
+		t.Errorf("%s at the owner while all gates have just started", got)
+	}
+	if got := limit.NewHolders(gates, 3, start.Add(time.Minute)).Stance("council", owner).Standstill; got != 0 {
+		t.Errorf("%s at an owner among gates that run for a minute", got)
+	}
+	c := limit.Cap{Rate: 50, Burst: 50}
+	count := func(stance limit.Stance) int {
+		l, granted := newLedger(), 0
+		for range 100 {
+			if l.Take(start, askFor(c), stance).Verdict == limit.Granted {
+				granted++
+			}
+		}
+		return granted
+	}
+	if before, after := count(limit.Stance{Owned: true, Opening: 1}), count(limit.Stance{Owned: true, Opening: 1, Standstill: 300 * time.Millisecond}); after != before+15 {
+		t.Errorf("%d granted at once, %d without the standstill", after, before)
+	}
+}
+
 // Guards against a gate that leaves and is still asked.
 func TestADrainingGateOwnsNoTeam(t *testing.T) {
 	gates := gatesStarted(0, 0)
--- a/internal/limit/ledger.go
+++ b/internal/limit/ledger.go
@@ -87,7 +87,7 @@
 	if answer, known := l.answered.find(now, ask.ID); known {
 		return answer
 	}
-	a := l.account(now, &ask, stance.Opening)
+	a := l.account(now, &ask, &stance)
 	a.setOwned(now, stance.Owned)
 	a.setCap(now, ask.Cap, ask.Version, l.tolerance)
 	a.asked = now
@@ -101,11 +101,11 @@
 
 // account gives the team's account. A new one begins with margins only: another gate
 // may have granted all else a moment ago.
-func (l *Ledger) account(now time.Time, ask *Ask, opening float64) *account {
+func (l *Ledger) account(now time.Time, ask *Ask, stance *Stance) *account {
 	a := l.accounts[ask.Team]
 	if a == nil {
 		a = &account{cap: ask.Cap, version: ask.Version, margin: l.tolerance.margin(ask.Cap), at: now}
-		a.credit = min(a.depth(), l.whole(a.margin*opening))
+		a.credit = min(a.depth(), l.whole(a.margin*stance.Opening+a.cap.Rate*stance.Standstill.Seconds()))
 		l.accounts[ask.Team] = a
 	}
 	return a
