The test of dropped log lines counts those that the log has told of

If the last line of the loop was one that the rate allowed, the count was 0 although 3,000 lines had been dropped and were told of. The test takes that line for what it says; it wants the same.

--- a/internal/telemetry/writer_test.go
+++ b/internal/telemetry/writer_test.go
@@ -46,8 +46,9 @@
 	}
 	w.mu.Lock()
 	waiting, dropped := len(w.waiting), w.dropped
+	told := bytes.Contains(w.waiting, []byte("log lines dropped")) // the count begins anew with it
 	w.mu.Unlock()
-	if waiting > maxWaitingBytes || dropped == 0 {
+	if waiting > maxWaitingBytes || dropped == 0 && !told {
 		t.Fatalf("%d bytes wait, %d lines dropped", waiting, dropped)
 	}
 	close(reader.release)
