control: run the test of gates that start together on its own clock

TestGatesThatStartTogetherAreAnsweredTogether counted responses over two seconds of real time. On a busy machine 120 gates did not get all responses within that time, so that the test saw 594 to 9844 of the 14400 entries that it wants. The control VM was ruled out: it sent what it had time for, and nothing was missing once the machine was idle.

The test runs in a synctest bubble and calls the handlers of the control VM without a socket, so that the two seconds pass only while all gates wait. Its bounds are unchanged.

--- a/internal/control/concurrency_test.go
+++ b/internal/control/concurrency_test.go
@@ -10,6 +10,7 @@
 	"sync"
 	"sync/atomic"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"go.uber.org/zap"
@@ -24,11 +25,16 @@
 )
 
 // Without batching, the responses grow with the square of the number of gates when all
-// gates start together.
+// gates start together. The test runs on a clock of its own: on a busy machine, some
+// gates did not get all responses in two seconds of real time.
 func TestGatesThatStartTogetherAreAnsweredTogether(t *testing.T) {
+	synctest.Test(t, testGatesThatStartTogether)
+}
+
+func testGatesThatStartTogether(t *testing.T) {
 	const gates = 120
-	address, calls := startControl(t, &member{})
-	ctx, cancel := context.WithTimeout(context.Background(), 2*time.Second)
+	calls := localCalls(newControl(t, &member{}, rpc.NewClient(&http.Client{})))
+	ctx, cancel := context.WithTimeout(t.Context(), 2*time.Second)
 	defer cancel()
 	var answers, entries atomic.Int64
 	var following sync.WaitGroup
@@ -41,7 +47,7 @@
 			time.Sleep(time.Duration(i) * 5 * time.Millisecond)
 			for ctx.Err() == nil {
 				request.Gate.Sequence++
-				response, err := rpc.Call(ctx, calls, address, controlapi.Follow, request)
+				response, err := rpc.Call(ctx, calls, "control-1", controlapi.Follow, request)
 				if err != nil {
 					return
 				}
--- a/internal/control/follow_test.go
+++ b/internal/control/follow_test.go
@@ -59,9 +59,9 @@
 
 func candidate(vm string) []quorum.Member { return []quorum.Member{{VM: vm}} }
 
-// startControl starts a control VM that has applied routes of version 5. The other
-// control VMs are at the given addresses.
-func startControl(t *testing.T, m *member, others ...string) (address string, calls *rpc.Client) {
+// newControl creates a control VM that has applied routes of version 5. The other control
+// VMs are at the given addresses.
+func newControl(t *testing.T, m *member, calls *rpc.Client, others ...string) *control.Service {
 	t.Helper()
 	config := keeper.NewConfigMachine()
 	packed, err := routes.Pack(&routes.Document{
@@ -76,19 +76,41 @@
 		t.Fatal(err)
 	}
 	config.Apply(replica.Entry{Index: 1, Data: codec.MustMarshal(map[int]any{6: packed})})
-	calls = rpc.NewClient(&http.Client{})
-	service := control.New(control.Options{
+	return control.New(control.Options{
 		VM: "control-1", Folder: t.TempDir(), Seeds: others, Group: m, Config: config, Calls: calls,
 		Keepers: keeperclient.New(calls, nil), Log: zap.NewNop(), Metrics: telemetry.NewMetrics(),
 		Roster: roster.Config{ReplicaLifetime: time.Minute, GateLifetime: time.Minute}, AnswerLifetime: time.Second, MaxEntries: 8,
 	})
+}
+
+// startControl serves a control VM of newControl over HTTP.
+func startControl(t *testing.T, m *member, others ...string) (address string, calls *rpc.Client) {
+	t.Helper()
+	calls = rpc.NewClient(&http.Client{})
 	mux := http.NewServeMux()
-	service.Mount(mux)
+	newControl(t, m, calls, others...).Mount(mux)
 	server := httptest.NewServer(mux)
 	t.Cleanup(server.Close)
 	return strings.TrimPrefix(server.URL, "http://"), calls
 }
 
+// localTransport serves requests with a handler in the same process. A goroutine that
+// waits for a socket would stop the clock of a synctest bubble.
+type localTransport struct{ handler http.Handler }
+
+func (l localTransport) RoundTrip(request *http.Request) (*http.Response, error) {
+	recorder := httptest.NewRecorder()
+	l.handler.ServeHTTP(recorder, request)
+	return recorder.Result(), nil
+}
+
+// localCalls returns a client whose calls the service itself serves, for any address.
+func localCalls(service *control.Service) *rpc.Client {
+	mux := http.NewServeMux()
+	service.Mount(mux)
+	return rpc.NewClient(&http.Client{Transport: localTransport{mux}})
+}
+
 // A control VM that receives the leader's heartbeats but no entries would keep its gates
 // on the routes before an acknowledged change. It must send them to another control VM.
 func TestAControlVMThatLagsSendsItsGatesElsewhere(t *testing.T) {
