replica: count only the transfers to the member that catches up

The test now waits until all members follow the leader before it stops one, and wants exactly one transfer to that member after its restart, sent without an error. It waits for the log entry of the transfer, which comes after the member's first acknowledgement, and ends its proposers when a condition fails, where they made the whole binary panic.

--- a/internal/replica/host_test.go
+++ b/internal/replica/host_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"os"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -256,6 +257,11 @@
 		config.TransferRate = 4 << 20
 		config.ElectionTicks = 3 * defaultElectionTicks // prevents an election during the test
 	})
+	// An initial member that the leader contacts before it has adopted the initial
+	// membership gets it by a transfer as well, which must not be in progress below.
+	c.eventually("all members follow the leader", func() bool {
+		return !slices.ContainsFunc(c.leader().host.Status()[0].Members, func(m MemberStatus) bool { return !m.Reachable })
+	})
 	away := c.others(c.leader())[0]
 	away.kill()
 	c.eventually("the leader has lost contact with the member", func() bool {
@@ -264,6 +270,7 @@
 	for i := range 100 {
 		c.propose(fmt.Sprintf("%0*d", size, i))
 	}
+	logged.TakeAll()
 	c.restart(away)
 	reached := c.leader().host.Status()[0].Commit
 	stop := make(chan struct{})
@@ -280,15 +287,23 @@
 			}
 		})
 	}
+	stopWorkers := sync.OnceFunc(func() {
+		close(stop)
+		wait.Wait()
+	})
+	defer stopWorkers()
 	c.eventually("the member receives log entries", func() bool {
 		m := c.memberStatus(away)
 		return m.Reachable && m.Match > reached
 	})
-	close(stop)
-	wait.Wait()
-	if sent := c.leader().host.config.Metrics.Value(metricTransfers); sent != 1 {
-		t.Errorf("the leader sent %d snapshots until member %s had caught up, want 1", sent, away.host.self.ID)
-		for _, entry := range logged.FilterMessageSnippet("snapshot").All() {
+	stopWorkers()
+	transfers := func() *observer.ObservedLogs {
+		return logged.FilterMessageSnippet("snapshot").FilterField(zap.String("to", away.address))
+	}
+	c.eventually("the leader has logged a transfer to the member", func() bool { return transfers().Len() > 0 })
+	if sent := transfers().FilterMessage("snapshot sent").Len(); sent != 1 || transfers().Len() != 1 {
+		t.Errorf("%d snapshots sent in %d transfers until member %s had caught up, want 1", sent, transfers().Len(), away.host.self.ID)
+		for _, entry := range logged.All() {
 			t.Log(entry.Time, entry.Message, entry.ContextMap())
 		}
 	}
