--- a/internal/quorum/quorum_test.go
+++ b/internal/quorum/quorum_test.go
@@ -228,6 +228,47 @@
 	}
 }
 
+// A member dies while a snapshot is sent to it. If the leader started the next transfer
+// at once, it would read its snapshot from disk twice a second until the member is back.
+func TestAFailedTransferIsRepeatedOnceTheMemberAnswers(t *testing.T) {
+	b := newTestGroup(t, 1, 2, 3)
+	lost := b.follower(t)
+	leader := b.leader(t)
+	b.partitioned[lost] = true
+	for range 20 {
+		b.propose(t, "x")
+	}
+	if _, err := leader.Compact(leader.Applied(), 0); err != nil {
+		t.Fatal(err)
+	}
+	leader.AppendLost(lost) // as the transport reports it
+	transfers := 0
+	b.intercept = func(m Message) bool {
+		if m.Type == MsgSnapshot {
+			transfers++
+		}
+		return m.Type == MsgSnapshot && transfers == 1
+	}
+	b.partitioned[lost] = false
+	for ticks := 0; transfers == 0; ticks++ {
+		if ticks > 100 {
+			t.Fatal("no snapshot was sent to a member that lacks compacted entries")
+		}
+		b.tick(1)
+	}
+	b.partitioned[lost] = true
+	leader.ReportSnapshot(lost, 0)
+	b.tick(testConfig(lost).ElectionTicks / 2)
+	if transfers != 1 {
+		t.Errorf("%d transfers to a member that does not answer, want only the one that failed", transfers)
+	}
+	b.partitioned[lost] = false
+	b.tick(2 * testConfig(lost).ElectionTicks)
+	if got, want := b.nodes[lost].Applied(), leader.Applied(); got != want || transfers < 2 {
+		t.Errorf("the member has applied up to %d of %d after %d transfers", got, want, transfers)
+	}
+}
+
 func TestSingleMemberLeads(t *testing.T) {
 	b := newTestGroup(t, 1)
 	b.propose(t, "a")
--- a/internal/quorum/replication.go
+++ b/internal/quorum/replication.go
@@ -229,13 +229,18 @@
 func (n *Node) InstallingSnapshot() bool { return n.installed != nil }
 
 // ReportSnapshot ends a snapshot transfer requested by Outbox.Snapshots: the snapshot at
-// index has arrived, or the transfer failed if index is zero.
+// index has arrived, or the transfer failed if index is zero. A failed transfer is repeated
+// once the member answers a heartbeat: each attempt reads the snapshot from disk.
 func (n *Node) ReportSnapshot(to ID, index uint64) {
 	p := n.progress[to]
 	if n.role != Leader || p == nil || p.state != Snapshotting {
 		return
 	}
 	p.startProbing()
+	if index == 0 {
+		p.paused = true
+		return
+	}
 	p.next = max(p.next, index+1)
 	n.sendAppend(to)
 }
