sockets: order the connections of the hedging test by events

TestDialHedgedClosesOtherConnections wanted the second attempt to finish before the first, which slept for 80 ms; the second one starts after 20 ms. If the goroutine that starts it is held for 60 ms, the slow connection comes first and is rightly returned.

The first attempt now finishes once DialHedged has returned, and the test also checks that the returned connection stays open. A third attempt gets its own connection: closing the shared one twice would panic.

Without the Close in tryDial it fails (the slow connection is still open).

--- a/internal/sockets/again_test.go
+++ b/internal/sockets/again_test.go
@@ -75,15 +75,18 @@
 func TestDialHedgedClosesOtherConnections(t *testing.T) {
 	var tries atomic.Int32
 	slow := &closable{closed: make(chan struct{})}
-	won := &closable{closed: make(chan struct{})}
-	got, err := sockets.DialHedged(context.Background(), delay, func(context.Context) (net.Conn, error) {
+	returned := make(chan struct{}) // closed when DialHedged has returned
+	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+	defer cancel()
+	got, err := sockets.DialHedged(ctx, delay, func(context.Context) (net.Conn, error) {
 		if tries.Add(1) == 1 {
-			time.Sleep(4 * delay)
+			<-returned
 			return slow, nil
 		}
-		return won, nil
+		return &closable{closed: make(chan struct{})}, nil
 	})
-	if err != nil || got != won {
+	close(returned)
+	if err != nil || got == slow {
 		t.Fatalf("got %v, %v", got, err)
 	}
 	select {
@@ -91,4 +94,9 @@
 	case <-time.After(5 * time.Second):
 		t.Error("the slow connection is still open")
 	}
+	select {
+	case <-got.(*closable).closed:
+		t.Error("the connection that was returned is closed")
+	default:
+	}
 }
