route: a change of the gates touches only the replicas that it concerns

Each list of gates, repeated every second by exchange.RunGates, hashed each gate with each replica, with a new string for each pair, and looked up each load report's gate in the list. At 245 gates and 3,000 replicas this took 14 to 18 ms, 8% of a gate with 0.2 cores when nothing changes and more while gates come and go.

Scores are computed in one buffer. A replica keeps the score of its owner: a gate that is added is compared with it, and only replicas whose owner is gone are compared with all gates of their place. An equal list changes nothing. Load reports that may be obsolete are looked for only where there are any.

The score stays xxhash of gate ID, zero byte and replica ID, and the highest wins, since gates of older builds run beside this one.

--- a/internal/route/active.go
+++ b/internal/route/active.go
@@ -48,4 +48,7 @@
 	s.replicas = removeReplica(s.replicas, r)
 	s.active = removeReplica(s.active, r)
 	s.expired = removeReplica(s.expired, r)
+	s.reported = removeReplica(s.reported, r)
+	s.byPlace[r.ownerPlace] = removeReplica(s.byPlace[r.ownerPlace], r)
+	s.moved = slices.DeleteFunc(s.moved, func(other *replica) bool { return other == r })
 }
--- a/internal/route/batch.go
+++ b/internal/route/batch.go
@@ -19,7 +19,7 @@
 			}
 		}
 	}
-	s.assignOwners()
+	s.assignOwners(s.gates)
 }
 
 func drainingError(req *request) *apierr.Error {
--- a/internal/route/export_test.go
+++ b/internal/route/export_test.go
@@ -3,6 +3,8 @@
 import (
 	"fmt"
 	"slices"
+
+	"github.com/cespare/xxhash/v2"
 )
 
 // CheckBookkeeping compares the lists and sums of the shard with a scan of all replicas.
@@ -18,6 +20,15 @@
 		if r.candidate != s.acceptsWork(r) && !r.stale {
 			return fmt.Errorf("%s accepts work: %t, and is not stale", r.entry.Replica, !r.candidate)
 		}
+		if want := s.ownerByScan(r); r.owner != want && !slices.Contains(s.moved, r) {
+			return fmt.Errorf("%s is owned by %s, by a scan %s", r.entry.Replica, r.owner, want)
+		}
+		if len(r.loadReports) > 0 && !slices.Contains(s.reported, r) {
+			return fmt.Errorf("%s has load reports and is not listed", r.entry.Replica)
+		}
+		if !slices.Contains(s.byPlace[r.ownerPlace], r) {
+			return fmt.Errorf("%s is not listed under %s", r.entry.Replica, r.ownerPlace)
+		}
 		if r.stale {
 			continue
 		}
@@ -39,7 +50,7 @@
 	if !slices.Equal(notStale(s.local), local) || !slices.Equal(notStale(s.remote), remote) || !slices.Equal(notStale(s.owned), owned) {
 		return fmt.Errorf("the lists of replicas that accept work differ from a scan")
 	}
-	for _, list := range [][]*replica{s.active, s.expired} {
+	for _, list := range [][]*replica{s.active, s.expired, s.reported} {
 		for _, r := range list {
 			if s.replica(r.entry.Replica) != r {
 				return fmt.Errorf("%s is listed and unknown", r.entry.Replica)
@@ -51,3 +62,23 @@
 	}
 	return nil
 }
+
+// ownerByScan returns the replica's owner by the score of each gate.
+func (s *Shard) ownerByScan(r *replica) string {
+	for _, place := range []string{r.ownerPlace, ""} {
+		best := ""
+		var bestScore uint64
+		for _, g := range s.gates {
+			if place != "" && g.Place != place {
+				continue
+			}
+			if score := xxhash.Sum64String(g.ID + "\x00" + string(r.entry.Replica)); best == "" || score > bestScore {
+				best, bestScore = g.ID, score
+			}
+		}
+		if best != "" {
+			return best
+		}
+	}
+	return s.config.Self
+}
--- a/internal/route/poison.go
+++ b/internal/route/poison.go
@@ -45,8 +45,8 @@
 	able := func(gate string) bool { return s.isLiveGate(gate) && s.mayStartAt(gate, req) }
 	retryGate := s.crashes.RetryGate(s.now, req.Fingerprint, able)
 	if retryGate == "" {
-		gates := slices.DeleteFunc(slices.Clone(s.gates), func(g Gate) bool { return !able(g.ID) })
-		retryGate = bestGate(gates, "", fmt.Sprint(uint64(req.Fingerprint)))
+		gates := slices.DeleteFunc(slices.Clone(s.ownerGates.all), func(gate string) bool { return !able(gate) })
+		retryGate, _ = s.scores.best(gates, fmt.Sprint(uint64(req.Fingerprint)))
 	}
 	if retryGate == "" || retryGate == s.config.Self {
 		return nil
@@ -72,7 +72,8 @@
 }
 
 func (s *Shard) isLiveGate(gate string) bool {
-	return gate == s.config.Self || slices.ContainsFunc(s.gates, func(g Gate) bool { return g.ID == gate })
+	_, live := s.ownerGates.ids[gate]
+	return live || gate == s.config.Self
 }
 
 // mayRunNow reports whether a request may start now. A suspect request may not while
--- a/internal/route/replica.go
+++ b/internal/route/replica.go
@@ -52,6 +52,8 @@
 
 	loadVersion uint64 // table version of the last change of its load
 	owner       string // ID of the gate that owns it
+	ownerScore  uint64 // rendezvous score of the owner
+	ownerPlace  string // its place when the owner was chosen
 	holdUntil   time.Time
 	preemptedAt time.Time // when batch work of this gate was last preempted on it
 
@@ -194,6 +196,9 @@
 	}
 	r := s.replica(id)
 	s.updateUnaccounted(r)
+	if r.entry.Place != r.ownerPlace && !slices.Contains(s.moved, r) {
+		s.moved = append(s.moved, r)
+	}
 	if change != upstream.ChangeLoad || r.candidate != s.acceptsWork(r) {
 		s.markStale(r)
 	}
@@ -214,7 +219,7 @@
 	r := &replica{entry: s.table.Get(id), hash: xxhash.Sum64String(string(id))}
 	r.incarnation = r.entry.Incarnation
 	s.replicas = insertReplica(s.replicas, r)
-	r.owner = s.ownerOf(r)
+	s.chooseOwner(r)
 }
 
 // handleRestart handles a new incarnation: the requests on the old process are lost,
--- a/internal/route/shard.go
+++ b/internal/route/shard.go
@@ -19,8 +19,10 @@
 	table   *upstream.Table
 	crashes *upstream.CrashRecords
 	hints   *upstream.CacheHints
-	gates   []Gate
 
+	gates         []Gate
+	ownerGates    ownerGates // of gates
+	scores        ownerScores
 	expectedGates int // number of gates in the fleet, including unknown ones
 
 	// The lists of replicas are in order of their IDs.
@@ -30,6 +32,9 @@
 	local    []*replica // in the gate's own place, accepting work
 	remote   []*replica // in other places, accepting work
 	owned    []*replica // owned by this gate, accepting work
+	byPlace  map[string][]*replica
+	moved    []*replica // their place has changed since their owner was chosen; in any order
+	reported []*replica // with load reports of other gates
 	stale    []*replica // those to be added to or removed from local, remote and owned; in any order
 
 	requests       map[string]*request
@@ -115,6 +120,7 @@
 		attempts: make(map[AttemptID]*attempt),
 		copies:   make(map[upstream.Fingerprint]*copyState),
 		teams:    make(map[string]*teamState),
+		byPlace:  make(map[string][]*replica),
 		budget:   newRetryBudget(config.RetryShare, config.RetryReserve),
 	}
 }
--- a/internal/route/usage.go
+++ b/internal/route/usage.go
@@ -32,6 +32,14 @@
 	return !s.isLiveGate(report.gate) && s.now.Sub(report.at) >= departedReportLifetime
 }
 
+// dropObsoleteReports removes the reports of gates that are gone.
+func (s *Shard) dropObsoleteReports() {
+	for _, r := range s.reported {
+		r.loadReports = slices.DeleteFunc(r.loadReports, s.isObsolete)
+	}
+	s.reported = slices.DeleteFunc(s.reported, func(r *replica) bool { return len(r.loadReports) == 0 })
+}
+
 // reportLoad sends this gate's load on a replica to the owner. The owner then preempts
 // batch work if the slots do not suffice: an online request must not wait for a batch
 // item to end.
@@ -63,6 +71,7 @@
 	i := slices.IndexFunc(r.loadReports, func(report loadReport) bool { return report.gate == in.Gate })
 	if i < 0 {
 		r.loadReports = append(r.loadReports, report)
+		s.reported = insertReplica(s.reported, r)
 	} else {
 		r.loadReports[i] = report
 	}
