route: sums over replicas are kept up to date

An online request at a site with reservations summed the owners' reports over all replicas for each input, and each overdue request that waits counted the running ones and summed the slots of all replicas.

The shard keeps the replicas that it owns and those whose owner has reported in the last second, the slots of the ready replicas, those in a slow start, and the number of overdue requests that run. The sum of the load reports on a replica is computed again when one changes or expires.

The field SlowStart of the output StateChanged, which is only logged, now says whether the slow start is under way; before, it depended on whether some scan had noticed the end of an earlier one.

--- a/internal/route/attempt.go
+++ b/internal/route/attempt.go
@@ -18,6 +18,7 @@
 	a := &attempt{id: s.nextAttempt, req: req, replica: r, started: s.now, lastProgress: s.now}
 	a.queued = !s.hasSlot(r)
 	s.attempts[a.id] = a
+	s.addOverdue(req, 1)
 	s.recordCopyStart(req.Fingerprint, r)
 	req.liveAttempts = append(req.liveAttempts, a)
 	req.tried++
@@ -61,6 +62,7 @@
 // endAttempt removes an attempt from its replica's load.
 func (s *Shard) endAttempt(a *attempt) {
 	delete(s.attempts, a.id)
+	s.addOverdue(a.req, -1)
 	a.req.runTime += s.now.Sub(a.started)
 	s.recordCopyEnd(a.req.Fingerprint)
 	a.req.liveAttempts = removeAttempt(a.req.liveAttempts, a)
--- a/internal/route/belief.go
+++ b/internal/route/belief.go
@@ -28,7 +28,7 @@
 func (s *Shard) emitState(r *replica, state ReplicaState, evidence Evidence) {
 	change := StateChanged{
 		Replica: r.entry.Replica, State: state, Evidence: evidence, Failures: r.failures,
-		Attempts: len(r.attempts), SlowStart: state == StateReturned && !r.slowStartFrom.IsZero(),
+		Attempts: len(r.attempts), SlowStart: state == StateReturned && s.isSlowStarting(r),
 	}
 	if !r.lastContact.IsZero() {
 		change.Idle = s.now.Sub(r.lastContact)
--- a/internal/route/export_test.go
+++ b/internal/route/export_test.go
@@ -44,13 +44,16 @@
 			owned = append(owned, r)
 		}
 	}
+	if err := s.checkSums(); err != nil {
+		return err
+	}
 	notStale := func(list []*replica) []*replica {
 		return slices.DeleteFunc(slices.Clone(list), func(r *replica) bool { return r.stale })
 	}
 	if !slices.Equal(notStale(s.local), local) || !slices.Equal(notStale(s.remote), remote) || !slices.Equal(notStale(s.owned), owned) {
 		return fmt.Errorf("the lists of replicas that accept work differ from a scan")
 	}
-	for _, list := range [][]*replica{s.active, s.expired, s.reported} {
+	for _, list := range [][]*replica{s.active, s.expired, s.reported, s.mine, s.heardOf, s.slowStarting} {
 		for _, r := range list {
 			if s.replica(r.entry.Replica) != r {
 				return fmt.Errorf("%s is listed and unknown", r.entry.Replica)
@@ -82,3 +85,53 @@
 	}
 	return s.config.Self
 }
+
+func (s *Shard) checkSums() error {
+	overdue, slots := 0, 0
+	for _, a := range s.attempts {
+		if a.req.overdue && a.req.Class == Online {
+			overdue++
+		}
+	}
+	for _, res := range s.reservations {
+		if res.req.overdue {
+			overdue++
+		}
+	}
+	if overdue != s.overdueRunning {
+		return fmt.Errorf("%d overdue requests run, by a scan %d", s.overdueRunning, overdue)
+	}
+	reported := reportedLoad{at: s.now}
+	for _, r := range s.replicas {
+		if r.entry.Ready && !r.entry.Leaving {
+			slots += s.slots(r)
+		}
+		online, batch := 0, 0
+		for _, report := range r.loadReports {
+			if s.now.Sub(report.at) < reportLifetime {
+				online += report.online
+				batch += report.batch
+			}
+		}
+		if gotOnline, gotBatch := s.sumLoadReports(r); gotOnline != online || gotBatch != batch {
+			return fmt.Errorf("the load reports on %s sum up to %d and %d, by a scan %d and %d", r.entry.Replica, gotOnline, gotBatch, online, batch)
+		}
+		if r.candidate && s.hasRecentReport(r) {
+			others, _ := s.othersLoad(r)
+			reported.online += others
+			reported.slots += s.slots(r)
+		}
+	}
+	if want := max(1, slots/overdueShare/max(1, len(s.gates), s.expectedGates)); s.maxOverdueRunning() != want {
+		return fmt.Errorf("%d overdue requests may run, by a scan %d", s.maxOverdueRunning(), want)
+	}
+	cached := s.othersReported
+	s.othersReported = reportedLoad{}
+	s.sumOthersReported()
+	sum := s.othersReported
+	s.othersReported = cached
+	if sum != reported {
+		return fmt.Errorf("the owners' reports sum up to %+v, by a scan %+v", sum, reported)
+	}
+	return nil
+}
--- a/internal/route/feeder.go
+++ b/internal/route/feeder.go
@@ -89,6 +89,12 @@
 	r.ownerReportAt = time.Time{} // the previous owner's report is obsolete
 	r.reportedAt = time.Time{}    // the new owner has no report of this gate's requests yet
 	s.markStale(r)
+	if s.ownsReplica(r) {
+		s.mine = insertReplica(s.mine, r)
+		s.heardOf = removeReplica(s.heardOf, r)
+	} else {
+		s.mine = removeReplica(s.mine, r)
+	}
 }
 
 func (s *Shard) ownsReplica(r *replica) bool {
--- a/internal/route/late.go
+++ b/internal/route/late.go
@@ -1,5 +1,7 @@
 package route
 
+import "slices"
+
 // overdueShare limits overdue requests to one in this many slots.
 const overdueShare = 2
 
@@ -9,32 +11,46 @@
 // the slots, because they would fill all slots ahead of new callers, who can still be
 // answered in time. An overdue answer loses little by waiting longer.
 func (s *Shard) mayStartOverdue() bool {
-	return s.config.Disabled.LateShare || s.countOverdueRunning() < s.maxOverdueRunning()
+	return s.config.Disabled.LateShare || s.overdueRunning < s.maxOverdueRunning()
 }
 
-func (s *Shard) countOverdueRunning() int {
-	count := 0
-	for _, a := range s.attempts {
-		if a.req.overdue && a.req.Class == Online {
-			count++
-		}
-	}
-	for _, res := range s.reservations {
-		if res.req.overdue {
-			count++
-		}
+// takesOverdueShare reports whether the request counts towards overdueRunning while it has
+// an attempt or a reservation. It does not become overdue meanwhile: only waiting requests
+// do.
+func (r *request) takesOverdueShare() bool { return r.overdue && r.Class == Online }
+
+// addOverdue updates the number of overdue requests that run.
+func (s *Shard) addOverdue(req *request, by int) {
+	if req.takesOverdueShare() {
+		s.overdueRunning += by
 	}
-	return count
 }
 
 // maxOverdueRunning returns how many overdue requests may run at this gate at a time.
 func (s *Shard) maxOverdueRunning() int {
-	slots := 0
-	for _, r := range s.replicas {
-		if r.entry.Ready && !r.entry.Leaving {
-			slots += s.slots(r)
+	slots := s.readySlots
+	s.slowStarting = slices.DeleteFunc(s.slowStarting, func(r *replica) bool {
+		usable := s.slots(r)
+		if r.readySlots > 0 {
+			slots -= r.readySlots - usable
 		}
-	}
+		return r.slowStartFrom.IsZero()
+	})
 	gates := max(1, len(s.gates), s.expectedGates)
 	return max(1, slots/overdueShare/gates)
 }
+
+// updateReadySlots updates the sum of the slots of ready replicas. It must be called after
+// each change of the replica's entry.
+func (s *Shard) updateReadySlots(r *replica) {
+	slots := 0
+	if r.entry.Ready && !r.entry.Leaving {
+		slots = r.entry.Slots
+	}
+	s.setReadySlots(r, slots)
+}
+
+func (s *Shard) setReadySlots(r *replica, slots int) {
+	s.readySlots += slots - r.readySlots
+	r.readySlots = slots
+}
--- a/internal/route/place.go
+++ b/internal/route/place.go
@@ -71,6 +71,7 @@
 func (s *Shard) reserve(req *request, r *replica) {
 	req.reservationTries++
 	s.addLoad(r, Online, 1)
+	s.addOverdue(req, 1)
 	s.markActive(r)
 	s.reservations = append(s.reservations, reservation{req: req, replica: r, since: s.now, reportNumber: r.reportNumber})
 }
@@ -90,6 +91,7 @@
 // usually sent to the replica in the same step.
 func (s *Shard) release(res reservation) {
 	s.reservations = slices.DeleteFunc(s.reservations, func(other reservation) bool { return other.req == res.req })
+	s.addOverdue(res.req, -1)
 	res.replica.online--
 	s.onlineRunning--
 }
@@ -184,11 +186,14 @@
 		return
 	}
 	s.othersReported = reportedLoad{at: s.now}
-	for _, r := range s.replicas {
-		if r.candidate && s.hasRecentReport(r) {
-			online, _ := s.othersLoad(r)
-			s.othersReported.online += online
-			s.othersReported.slots += s.slots(r)
+	s.heardOf = slices.DeleteFunc(s.heardOf, func(r *replica) bool { return !s.hasRecentReport(r) })
+	for _, list := range [...][]*replica{s.mine, s.heardOf} {
+		for _, r := range list {
+			if r.candidate {
+				online, _ := s.othersLoad(r)
+				s.othersReported.online += online
+				s.othersReported.slots += s.slots(r)
+			}
 		}
 	}
 }
--- a/internal/route/probe.go
+++ b/internal/route/probe.go
@@ -113,6 +113,7 @@
 	s.markStale(r)
 	if slowly {
 		r.slowStartFrom = s.now
+		s.slowStarting = insertReplica(s.slowStarting, r)
 	}
 	s.emitState(r, StateReturned, evidence)
 }
--- a/internal/route/replica.go
+++ b/internal/route/replica.go
@@ -38,6 +38,8 @@
 	batch    int        // live batch attempts
 
 	loadReports []loadReport // of other gates, if this gate is the owner
+	reportSum   reportSum    // of loadReports
+	readySlots  int          // its part of the shard's readySlots
 	knownPeak   highWater    // highest known count while the last announcement was on its way
 	unaccounted int          // requests in the last announcement that no gate has reported
 	// Load of the other gates according to the owner, if that is another gate.
@@ -80,7 +82,7 @@
 		return r.entry.Slots
 	}
 	elapsed := s.now.Sub(r.slowStartFrom)
-	if elapsed >= s.config.SlowStart {
+	if !s.isSlowStarting(r) {
 		r.slowStartFrom = time.Time{}
 		return r.entry.Slots
 	}
@@ -88,6 +90,10 @@
 	return max(1, int(share*float64(r.entry.Slots)))
 }
 
+func (s *Shard) isSlowStarting(r *replica) bool {
+	return !r.slowStartFrom.IsZero() && s.now.Sub(r.slowStartFrom) < s.config.SlowStart
+}
+
 // othersLoad estimates the requests that other gates have on the replica. Each gate reports
 // its load there to the owner at each change, and the owner reports the sum to the others.
 // The replica's announcements lag and reveal only work that no gate has reported: by them
@@ -109,13 +115,33 @@
 
 // sumLoadReports returns the sum of the other gates' load reports on the replica.
 func (s *Shard) sumLoadReports(r *replica) (online, batch int) {
+	sum := &r.reportSum
+	if sum.valid && s.now.Before(sum.until) {
+		return sum.online, sum.batch
+	}
+	*sum = reportSum{valid: true, until: s.now.Add(reportLifetime)}
 	for _, report := range r.loadReports {
 		if s.now.Sub(report.at) < reportLifetime {
-			online += report.online
-			batch += report.batch
+			sum.online += report.online
+			sum.batch += report.batch
+			sum.until = earlier(sum.until, report.at.Add(reportLifetime))
 		}
 	}
-	return online, batch
+	return sum.online, sum.batch
+}
+
+// reportSum is the sum of the load reports on a replica until one of them expires.
+type reportSum struct {
+	valid         bool
+	until         time.Time
+	online, batch int
+}
+
+func earlier(a, b time.Time) time.Time {
+	if a.Before(b) {
+		return a
+	}
+	return b
 }
 
 // onlineLoad estimates the online requests on the replica.
@@ -192,9 +218,11 @@
 	case upstream.ChangeJoin:
 		s.join(id)
 	case upstream.ChangeRestart:
+		s.updateReadySlots(s.replica(id))
 		s.handleRestart(s.replica(id))
 	}
 	r := s.replica(id)
+	s.updateReadySlots(r)
 	s.updateUnaccounted(r)
 	if r.entry.Place != r.ownerPlace && !slices.Contains(s.moved, r) {
 		s.moved = append(s.moved, r)
@@ -211,6 +239,7 @@
 		r.entry = s.table.Get(id)
 		r.expired = false
 		s.expired = removeReplica(s.expired, r)
+		s.updateReadySlots(r)
 		if r.entry.Incarnation > r.incarnation {
 			s.handleRestart(r)
 		}
--- a/internal/route/shard.go
+++ b/internal/route/shard.go
@@ -35,7 +35,11 @@
 	byPlace  map[string][]*replica
 	moved    []*replica // their place has changed since their owner was chosen; in any order
 	reported []*replica // with load reports of other gates
-	stale    []*replica // those to be added to or removed from local, remote and owned; in any order
+	mine     []*replica // owned by this gate
+	heardOf  []*replica // with a recent report of their owner, and some with an older one
+	// slowStarting are the replicas whose slow start has not been seen to end.
+	slowStarting []*replica
+	stale        []*replica // those to be added to or removed from local, remote and owned; in any order
 
 	requests       map[string]*request
 	attempts       map[AttemptID]*attempt
@@ -53,6 +57,8 @@
 	tokenGap       delayMeter // between two events of a stream
 	itemRunTime    delayMeter // time on replicas from the start to the end of a batch item
 	onlineRunning  int        // live online attempts and reservations
+	overdueRunning int        // those of overdue requests
+	readySlots     int        // of all replicas that are ready and not leaving
 	nextAttempt    AttemptID
 	draining       bool
 
--- a/internal/route/usage.go
+++ b/internal/route/usage.go
@@ -36,6 +36,7 @@
 func (s *Shard) dropObsoleteReports() {
 	for _, r := range s.reported {
 		r.loadReports = slices.DeleteFunc(r.loadReports, s.isObsolete)
+		r.reportSum.valid = false
 	}
 	s.reported = slices.DeleteFunc(s.reported, func(r *replica) bool { return len(r.loadReports) == 0 })
 }
@@ -75,6 +76,7 @@
 	} else {
 		r.loadReports[i] = report
 	}
+	r.reportSum.valid = false
 	r.loadVersion = s.table.NextVersion()
 	s.updateKnownPeak(r)
 	s.freeSlots(r, in.Gate)
@@ -91,6 +93,7 @@
 		reported = in.ReportedOnline
 	}
 	r.ownerReportAt = s.now
+	s.heardOf = insertReplica(s.heardOf, r)
 	r.othersBatch = max(0, in.Load.Batch-r.batch)
 	r.othersOnline = max(0, in.Load.Online-reported)
 	if in.Acknowledges > 0 {
