route, batch: no scan for announcements without news nor for services

An announcement that repeated the load of a replica still tried to start all waiting requests, and most announcements do: each replica sends them to show that it is alive. Such an announcement now ends after its replica's bookkeeping, unless the requests that no gate reports have changed or the replica accepts work again.

The batch runner copied all replicas five times a second to find new services. It now asks for the services. The existing fake router of its tests has no such method, so the option Services is separate and may be nil.

--- a/internal/daemon/gate.go
+++ b/internal/daemon/gate.go
@@ -80,6 +80,7 @@
 	g.runner = batch.New(batch.Options{
 		Session:     session,
 		Router:      g.router,
+		Services:    g.router.Services,
 		Policies:    g.watcher,
 		Log:         d.log,
 		LeaseItems:  s.Batch.LeaseItems,
--- a/internal/daemon/ready.go
+++ b/internal/daemon/ready.go
@@ -32,7 +32,7 @@
 				continue
 			}
 			leasedAt = timeOr(leasedAt, now)
-			if len(g.router.Upstreams()) > 0 {
+			if len(g.router.Services()) > 0 {
 				knownAt = timeOr(knownAt, now)
 			}
 			settled := !knownAt.IsZero() && now.Sub(knownAt) >= upstreamSettleTime
--- a/internal/daemon/sitegate.go
+++ b/internal/daemon/sitegate.go
@@ -141,6 +141,7 @@
 	g.runner = batch.New(batch.Options{
 		Session:     keepers.NewSession(job.GateRun{VM: s.VM.Name, Started: started}),
 		Router:      g.router,
+		Services:    g.router.Services,
 		Log:         site.log.Logger,
 		Route:       g.jobs.Route,
 		LeaseItems:  s.Batch.LeaseItems,
@@ -182,7 +183,7 @@
 				continue
 			}
 			routesAt = timeOr(routesAt, now)
-			if len(g.router.Upstreams()) > 0 || now.Sub(routesAt) >= upstreamSettleTime {
+			if len(g.router.Services()) > 0 || now.Sub(routesAt) >= upstreamSettleTime {
 				g.isReady.Store(true)
 				g.follower.SetReady()
 				g.log.Info("ready", zap.Uint64("routes", g.follower.Routes().Version()))
--- a/internal/gate/batch/runner.go
+++ b/internal/gate/batch/runner.go
@@ -50,6 +50,9 @@
 	// Route returns the batch item to run for a leased item; nil: the policy of its
 	// team decides.
 	Route func(leased *keeperapi.LeasedItem) (proxy.BatchItem, error)
+	// Services lists the services that have replicas. nil: they are taken from the
+	// router's replicas, which are copied for it.
+	Services func() []string
 
 	LeaseItems  int           // maximum of items in one lease call
 	ResultFlush time.Duration // longest delay of a result
@@ -145,8 +148,7 @@
 	var loops sync.WaitGroup
 	defer loops.Wait()
 	for ctx.Err() == nil {
-		for _, replica := range r.options.Router.Upstreams() {
-			service := replica.Service
+		for _, service := range r.announcedServices() {
 			if _, known := r.services[service]; known {
 				continue
 			}
@@ -160,6 +162,18 @@
 	}
 }
 
+// announcedServices lists the services of the known replicas, perhaps repeatedly.
+func (r *Runner) announcedServices() []string {
+	if r.options.Services != nil {
+		return r.options.Services()
+	}
+	var services []string
+	for _, replica := range r.options.Router.Upstreams() {
+		services = append(services, replica.Service)
+	}
+	return services
+}
+
 func (r *Runner) leaseLoop(ctx, background context.Context, service string) {
 	for ctx.Err() == nil {
 		demands := r.demands(service)
--- a/internal/gate/proxy/router.go
+++ b/internal/gate/proxy/router.go
@@ -221,6 +221,17 @@
 	return list
 }
 
+// Services lists the services with a known replica, in order of their names.
+func (r *Router) Services() []string {
+	var services []string
+	for _, s := range r.sortedShards() {
+		if s.hasReplicas() {
+			services = append(services, s.service)
+		}
+	}
+	return services
+}
+
 // BatchCapacity returns the number of batch items of the service that could
 // start now under the policy.
 func (r *Router) BatchCapacity(service string, policy route.Policy) int {
--- a/internal/gate/proxy/shard.go
+++ b/internal/gate/proxy/shard.go
@@ -256,3 +256,9 @@
 	}
 	return list
 }
+
+func (s *shard) hasReplicas() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.routing.HasReplicas()
+}
--- a/internal/route/replica.go
+++ b/internal/route/replica.go
@@ -42,6 +42,8 @@
 	readySlots  int          // its part of the shard's readySlots
 	knownPeak   highWater    // highest known count while the last announcement was on its way
 	unaccounted int          // requests in the last announcement that no gate has reported
+
+	announcedLoad upstream.Load // the load in the last announcement
 	// Load of the other gates according to the owner, if that is another gate.
 	othersOnline, othersBatch int
 	ownerReportAt             time.Time
@@ -223,7 +225,15 @@
 	}
 	r := s.replica(id)
 	s.updateReadySlots(r)
+	unaccounted, load := r.unaccounted, r.announcedLoad
+	r.announcedLoad = r.entry.Load
 	s.updateUnaccounted(r)
+	isNew := change != upstream.ChangeLoad || r.entry.Load != load || r.unaccounted != unaccounted
+	if !isNew && r.candidate == s.acceptsWork(r) {
+		// Most announcements only show that the replica is alive. Waiting requests that
+		// may start because time has passed are started by the next tick.
+		return
+	}
 	if r.entry.Place != r.ownerPlace && !slices.Contains(s.moved, r) {
 		s.moved = append(s.moved, r)
 	}
--- a/internal/route/shard.go
+++ b/internal/route/shard.go
@@ -205,6 +205,9 @@
 	Owner         string
 }
 
+// HasReplicas reports whether any replica is known.
+func (s *Shard) HasReplicas() bool { return len(s.replicas) > len(s.expired) }
+
 // Replicas returns all replicas in order of their IDs.
 func (s *Shard) Replicas() []ReplicaView {
 	views := make([]ReplicaView, 0, len(s.replicas))
