--- a/internal/route/shard.go
+++ b/internal/route/shard.go
@@ -19,15 +19,27 @@
 	table   *upstream.Table
 	crashes *upstream.CrashRecords
 	hints   *upstream.CacheHints
-	gates   []Gate
 
+	gates         []Gate
+	ownerGates    ownerGates // of gates
+	scores        ownerScores
 	expectedGates int // number of gates in the fleet, including unknown ones
 
-	replicas []*replica // in order of their IDs
+	// The lists of replicas are in order of their IDs.
+	replicas []*replica
+	active   []*replica // those that a tick visits, and some that no longer need it
+	expired  []*replica // no longer announced, to be removed when their attempts have ended
 	local    []*replica // in the gate's own place, accepting work
 	remote   []*replica // in other places, accepting work
 	owned    []*replica // owned by this gate, accepting work
-	stale    bool       // local, remote and owned must be rebuilt
+	byPlace  map[string][]*replica
+	moved    []*replica // their place has changed since their owner was chosen; in any order
+	reported []*replica // with load reports of other gates
+	mine     []*replica // owned by this gate
+	heardOf  []*replica // with a recent report of their owner, and some with an older one
+	// slowStarting are the replicas whose slow start has not been seen to end.
+	slowStarting []*replica
+	stale        []*replica // those to be added to or removed from local, remote and owned; in any order
 
 	requests       map[string]*request
 	attempts       map[AttemptID]*attempt
@@ -45,6 +57,8 @@
 	tokenGap       delayMeter // between two events of a stream
 	itemRunTime    delayMeter // time on replicas from the start to the end of a batch item
 	onlineRunning  int        // live online attempts and reservations
+	overdueRunning int        // those of overdue requests
+	readySlots     int        // of all replicas that are ready and not leaving
 	nextAttempt    AttemptID
 	draining       bool
 
@@ -112,6 +126,7 @@
 		attempts: make(map[AttemptID]*attempt),
 		copies:   make(map[upstream.Fingerprint]*copyState),
 		teams:    make(map[string]*teamState),
+		byPlace:  make(map[string][]*replica),
 		budget:   newRetryBudget(config.RetryShare, config.RetryReserve),
 	}
 }
@@ -190,6 +205,9 @@
 	Owner         string
 }
 
+// HasReplicas reports whether any replica is known.
+func (s *Shard) HasReplicas() bool { return len(s.replicas) > len(s.expired) }
+
 // Replicas returns all replicas in order of their IDs.
 func (s *Shard) Replicas() []ReplicaView {
 	views := make([]ReplicaView, 0, len(s.replicas))
--- a/internal/route/usage.go
+++ b/internal/route/usage.go
@@ -32,6 +32,15 @@
 	return !s.isLiveGate(report.gate) && s.now.Sub(report.at) >= departedReportLifetime
 }
 
+// dropObsoleteReports removes the reports of gates that are gone.
+func (s *Shard) dropObsoleteReports() {
+	for _, r := range s.reported {
+		r.loadReports = slices.DeleteFunc(r.loadReports, s.isObsolete)
+		r.reportSum.valid = false
+	}
+	s.reported = slices.DeleteFunc(s.reported, func(r *replica) bool { return len(r.loadReports) == 0 })
+}
+
 // reportLoad sends this gate's load on a replica to the owner. The owner then preempts
 // batch work if the slots do not suffice: an online request must not wait for a batch
 // item to end.
@@ -63,9 +72,11 @@
 	i := slices.IndexFunc(r.loadReports, func(report loadReport) bool { return report.gate == in.Gate })
 	if i < 0 {
 		r.loadReports = append(r.loadReports, report)
+		s.reported = insertReplica(s.reported, r)
 	} else {
 		r.loadReports[i] = report
 	}
+	r.reportSum.valid = false
 	r.loadVersion = s.table.NextVersion()
 	s.updateKnownPeak(r)
 	s.freeSlots(r, in.Gate)
@@ -82,6 +93,7 @@
 		reported = in.ReportedOnline
 	}
 	r.ownerReportAt = s.now
+	s.heardOf = insertReplica(s.heardOf, r)
 	r.othersBatch = max(0, in.Load.Batch-r.batch)
 	r.othersOnline = max(0, in.Load.Online-reported)
 	if in.Acknowledges > 0 {
