Gates verify their roster by a digest instead of fetching it

Cause: each gate fetched the whole roster every 10 s and at each change of its control VM, and a full response was packed anew, with the roster locked, at each version. A gate sends the digest of what it holds every 10 s and after a change of control VM; if it is equal at the gate's version, nothing is sent, else everything. Changes after a version are found without a scan, packed without the lock of the roster, and sent to all followers at the end of a shared batch. Fields that identify a replica and did not count as changes (VM, capabilities) do so now, as the digest covers them. An older gate and an older control VM fetch everything as before.

--- a/internal/control/controlapi/api.go
+++ b/internal/control/controlapi/api.go
@@ -56,6 +56,12 @@
 	// Confirm requests routes that are at least as new as those in force when the
 	// request arrived: the control VM first asks the leader for their version.
 	Confirm bool `cbor:"9,keyasint,omitempty"`
+	// Digest asks the control VM to compare the gate's listing with its own roster. If the
+	// two are equal, the control VM sends only what has changed since Since, otherwise a
+	// full response. It is sent only to a control VM with a matching AcceptsDigest.
+	Digest *uint64 `cbor:"10,keyasint,omitempty"`
+	// AcceptsLater reports whether the gate applies FollowResponse.Later.
+	AcceptsLater bool `cbor:"11,keyasint,omitempty"`
 }
 
 // FollowResponse carries the changes since the gate's last response.
@@ -77,6 +83,23 @@
 	// MissingGates lists the gates that were known before this VM restarted and have
 	// not reported since. It is sent only with a full response.
 	MissingGates []roster.Gate `cbor:"10,keyasint,omitempty"`
+	// AcceptsDigest is the roster.DigestForm in which the control VM compares digests; 0 if
+	// it does not.
+	AcceptsDigest int `cbor:"11,keyasint,omitempty"`
+	// Verified reports that the digest of the request is equal to that of this control VM,
+	// so that the response is not a full one even if the epoch has changed.
+	Verified bool `cbor:"12,keyasint,omitempty"`
+	// Later holds the changes after those in Changes. A full response is built about once a
+	// second for all gates and completed with what has changed since.
+	Later *roster.Changes `cbor:"13,keyasint,omitempty"`
+}
+
+// Version returns the roster version that a follower has after it has applied the response.
+func (r *FollowResponse) Version() uint64 {
+	if r.Later != nil {
+		return r.Later.Version
+	}
+	return r.Changes.Version
 }
 
 // Unpack decodes PackedChanges, if present, into Changes.
@@ -108,10 +131,23 @@
 	// Candidates are the VMs that wait to hold replicated state. The leader of the
 	// configuration group shares them because candidates contact leaders only.
 	Candidates []quorum.Member `cbor:"6,keyasint,omitempty"`
+	// Digests are the digests of the sender's buckets, in the form DigestForm. The receiver
+	// responds with its reports of the buckets that differ.
+	Digests []uint64 `cbor:"7,keyasint,omitempty"`
+	// Renewals and GateRenewals take the place of reports that have not changed since they
+	// were last sent. They are sent only to a control VM with the same DigestForm.
+	Renewals     []roster.Renewal     `cbor:"8,keyasint,omitempty"`
+	GateRenewals []roster.GateRenewal `cbor:"9,keyasint,omitempty"`
+	DigestForm   int                  `cbor:"10,keyasint,omitempty"`
 }
 
-// ShareResponse carries all reports if the request asked for them.
+// ShareResponse carries the reports that the request asked for.
 type ShareResponse struct {
 	Replicas []roster.ReplicaReport `cbor:"1,keyasint,omitempty"`
 	Gates    []roster.GateReport    `cbor:"2,keyasint,omitempty"`
+	// DigestForm is the roster.DigestForm that the responder uses; 0 if it is of a build
+	// without digests.
+	DigestForm int `cbor:"3,keyasint,omitempty"`
+	// Differing lists the buckets whose digests differ, in response to Digests.
+	Differing []int `cbor:"4,keyasint,omitempty"`
 }
--- a/internal/control/follow.go
+++ b/internal/control/follow.go
@@ -22,10 +22,7 @@
 // follow records a gate's report and responds when there are changes, or when the long
 // poll times out.
 func (s *Service) follow(ctx context.Context, request *controlapi.FollowRequest) (*controlapi.FollowResponse, error) {
-	since := request.Since
-	if request.Epoch != s.epoch {
-		since = 0
-	}
+	since, verified := s.compare(request)
 	if request.Routes == 0 && s.hasJustStarted() && !s.InContact() {
 		if response, changed, _ := s.buildResponse(request, since); changed && response.HasRoutes() {
 			s.options.Log.Info("no leader yet after a restart: sending the routes on disk to a gate without routes", zap.String("gate", request.Gate.VM),
@@ -48,9 +45,13 @@
 	defer s.followers.Add(-1)
 	timer := time.NewTimer(min(request.Wait, maxFollowWait))
 	defer timer.Stop()
+	if s.answeredRecently(request, since) {
+		s.batchChanges(ctx, s.options.Config.Changed())
+	}
 	for {
 		routesChanged := s.options.Config.Changed()
 		response, changed, rosterChanged := s.buildResponse(request, since)
+		response.Verified = verified
 		if changed {
 			return response, nil
 		}
@@ -69,6 +70,34 @@
 	}
 }
 
+// compare returns the version after which the gate needs the changes; 0 means everything.
+// It reports whether the gate's digest is equal to that of this VM at the gate's version or,
+// if the gate comes from another control VM, at the current version.
+func (s *Service) compare(request *controlapi.FollowRequest) (since uint64, verified bool) {
+	sameEpoch := request.Epoch == s.epoch
+	switch {
+	case request.Digest == nil && sameEpoch:
+		return request.Since, false
+	case request.Digest == nil:
+		return 0, false
+	}
+	s.mu.Lock()
+	since = request.Since
+	digest, known := s.table.DigestAt(since)
+	if !sameEpoch {
+		since, digest, known = s.table.Version(), s.table.Digest(), true
+	}
+	s.mu.Unlock()
+	if known && digest == *request.Digest {
+		s.options.Metrics.Count("roster.verified")
+		return since, true
+	}
+	s.options.Metrics.Count("roster.digest_mismatches")
+	s.options.Log.Info("the roster of a gate differs, sending it everything", zap.String("gate", request.Gate.VM),
+		zap.Bool("same_epoch", sameEpoch), zap.Bool("version_known", known), zap.Uint64("since", request.Since))
+	return 0, false
+}
+
 // catchUp waits until this VM has applied all routes that were acknowledged before the
 // call.
 func (s *Service) catchUp(ctx context.Context) error {
@@ -110,13 +139,59 @@
 // being notified soon after its acknowledgement.
 const maxBatchDelay = 250 * time.Millisecond
 
+// changeBatch is the current batch of roster changes. All followers get the responses of a batch at
+// its end, so that most of them need the changes after the same version, which are then
+// packed once.
+type changeBatch struct {
+	mu      sync.Mutex
+	end     chan struct{} // closed at the end of the batch; nil if none is open
+	endedAt time.Time     // end of the last batch
+	delay   time.Duration // of the last batch
+}
+
+// wait returns a channel that closes at the end of the current batch. It opens one that ends
+// after delay if there is none.
+func (b *changeBatch) wait(delay time.Duration) <-chan struct{} {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.end == nil {
+		end := make(chan struct{})
+		b.end, b.delay = end, delay
+		time.AfterFunc(delay, func() {
+			b.mu.Lock()
+			defer b.mu.Unlock()
+			b.end, b.endedAt = nil, time.Now()
+			close(end)
+		})
+	}
+	return b.end
+}
+
+// endedRecently reports whether the last batch ended less than its own delay ago.
+func (b *changeBatch) endedRecently(now time.Time) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return now.Sub(b.endedAt) < b.delay
+}
+
+// answeredRecently reports whether a gate that lacks only changes of the roster has probably
+// just been sent the ones before. While changes go on it waits for the next batch, otherwise
+// each batch would be followed by one response more per gate with the changes of a few
+// milliseconds.
+func (s *Service) answeredRecently(request *controlapi.FollowRequest, since uint64) bool {
+	if since == 0 || request.Wait == 0 || s.options.Config.Routes().Version() > request.Routes || !s.batch.endedRecently(time.Now()) {
+		return false
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.table.Version() > since
+}
+
 // batchChanges waits for further roster changes before followers get a response. It
 // returns at once when the routes change.
 func (s *Service) batchChanges(ctx context.Context, routesChanged <-chan struct{}) {
-	timer := time.NewTimer(min(maxBatchDelay, time.Duration(s.followers.Load())*batchDelayPerFollower))
-	defer timer.Stop()
 	select {
-	case <-timer.C:
+	case <-s.batch.wait(min(maxBatchDelay, time.Duration(s.followers.Load())*batchDelayPerFollower)):
 	case <-routesChanged:
 	case <-ctx.Done():
 	}
@@ -125,35 +200,48 @@
 // buildResponse builds the response to a gate. It reports whether the response contains changes
 // and returns a channel that closes at the next roster change.
 func (s *Service) buildResponse(request *controlapi.FollowRequest, since uint64) (*controlapi.FollowResponse, bool, <-chan struct{}) {
-	response := &controlapi.FollowResponse{Epoch: s.epoch}
+	response := &controlapi.FollowResponse{Epoch: s.epoch, AcceptsDigest: roster.DigestForm}
 	s.addPeers(response, request.PeersHash)
 	matcher := s.options.Config.Routes()
 	if matcher.Version() > request.Routes {
 		s.addRoutes(response, matcher.Document(), request.AcceptsPacked)
 	}
 	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.addChanges(response, since, request.AcceptsGateChanges)
+	rosterChanged := s.changed
+	version := s.table.Version()
 	response.ExpectedGates = s.expectedGates()
 	if since == 0 {
 		response.MissingGates = s.missingGates(response.ExpectedGates)
 	}
-	changed := response.HasRoutes() || s.table.Version() > since
-	return response, changed, s.changed
+	s.mu.Unlock()
+	if version == since && since > 0 {
+		response.Changes.Version = version
+		return response, response.HasRoutes(), rosterChanged
+	}
+	if since == 0 {
+		s.options.Metrics.Count("roster.full_answers")
+	}
+	s.addChanges(response, request, since)
+	return response, response.HasRoutes() || version > since, rosterChanged
 }
 
-// addChanges adds the roster changes after version since. The caller holds the mutex.
-func (s *Service) addChanges(response *controlapi.FollowResponse, since uint64, acceptsGateChanges bool) {
-	if !acceptsGateChanges {
+// addChanges adds the roster changes after version since.
+func (s *Service) addChanges(response *controlapi.FollowResponse, request *controlapi.FollowRequest, since uint64) {
+	if !request.AcceptsGateChanges {
+		s.mu.Lock()
+		defer s.mu.Unlock()
 		response.Changes = s.table.Since(since)
 		s.table.IncludeAllGates(&response.Changes)
 		return
 	}
-	found, err := s.packedChanges.get(s.table, since)
-	if err != nil {
-		s.options.Log.Warn("cannot compress roster changes, sending them uncompressed", zap.Uint64("since", since), zap.Error(err))
-		response.Changes = s.table.Since(since)
-		return
+	var found changesSince
+	if since == 0 && request.AcceptsLater {
+		found, response.Later = s.packedRoster.get(s.rosterSince)
+	} else {
+		found = s.packedChanges.get(since, s.rosterSince)
+	}
+	if found.err != nil {
+		s.options.Log.Warn("cannot compress roster changes, sending them uncompressed", zap.Uint64("since", since), zap.Error(found.err))
 	}
 	if len(found.packed) > 0 {
 		response.PackedChanges = found.packed
@@ -162,6 +250,17 @@
 	response.Changes = found.changes
 }
 
+// rosterSince returns the roster changes after a version, unless the roster still has the
+// version unless.
+func (s *Service) rosterSince(since, unless uint64) (changes roster.Changes, changed bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.table.Version() == unless {
+		return roster.Changes{}, false
+	}
+	return s.table.Since(since), true
+}
+
 // addRoutes adds a route document, packed if the gate accepts that.
 func (s *Service) addRoutes(response *controlapi.FollowResponse, document *routes.Document, packed bool) {
 	if !packed {
--- a/internal/control/service.go
+++ b/internal/control/service.go
@@ -88,6 +88,8 @@
 	broadcaster   *broadcaster
 	packed        packedRoutes
 	packedChanges packedChanges
+	packedRoster  packedRoster
+	batch         changeBatch
 	peers         peerCache
 	contact       contactWatch
 	// followers is the number of open long polls of gates.
--- a/internal/gate/follow/follower.go
+++ b/internal/gate/follow/follower.go
@@ -44,8 +44,9 @@
 	// callTimeout is the time for an answer in addition to pollWait. It is the only sign of
 	// a frozen control VM or a connection that was cut without notice.
 	callTimeout = 600 * time.Millisecond
-	// fullRefreshInterval is how often the whole state is requested. It repairs changes that
-	// were missed while switching between control VMs.
+	// fullRefreshInterval is how often the control VM compares a digest of this gate's state
+	// with its own, or sends the whole state if it is of a build without digests. It repairs
+	// changes that were missed while switching between control VMs.
 	fullRefreshInterval = 10 * time.Second
 	// unlistedLifetime is how long a replica is kept that no control VM lists. A control VM
 	// that has just started does not know all replicas.
@@ -80,16 +81,23 @@
 	consecutiveFailures int    // requests in a row without an answer
 	epoch               string
 	since               uint64
-	fullRefreshAt       time.Time
-	listed              map[upstream.ReplicaID]listing
+	digest              uint64    // of listing, as of the last response
+	answeredBy          string    // control VM of the last response
+	acceptsDigest       bool      // that control VM compares digests
+	fullRefreshAt       time.Time // last full or verified response
 	gates               []roster.Gate
 	expected            int           // number of gates of the site, as last reported by a control VM
 	missing             []roster.Gate // expected gates that have not returned since all gates were down
 	onGates             []func()
+
+	// listed and listing are used by applyResponse only. listed also contains replicas that
+	// an earlier control VM listed, listing what the current one lists.
+	listed  map[upstream.ReplicaID]lastListing
+	listing *roster.Listing
 }
 
-// listing records when a control VM last listed a replica.
-type listing struct {
+// lastListing records when a control VM last listed a replica.
+type lastListing struct {
 	service     string
 	incarnation uint64
 	at          time.Time
@@ -99,8 +107,9 @@
 func New(options Options) *Follower {
 	f := &Follower{
 		options: options, gate: options.Gate, controls: slices.Clone(options.Seeds),
-		wake: make(chan struct{}, 1), listed: make(map[upstream.ReplicaID]listing), start: time.Now(),
-		first: make(chan struct{}), invites: make(chan string, maxInvites), choice: newChooser(options.Gate.VM),
+		wake: make(chan struct{}, 1), listed: make(map[upstream.ReplicaID]lastListing), start: time.Now(),
+		listing: roster.NewListing(),
+		first:   make(chan struct{}), invites: make(chan string, maxInvites), choice: newChooser(options.Gate.VM),
 	}
 	f.matcher.Store(routes.NewMatcher(&routes.Document{}))
 	return f
@@ -301,9 +310,14 @@
 	f.gate.Sequence++
 	request := &controlapi.FollowRequest{
 		Gate: f.gate, Routes: f.Routes().Version(), Epoch: f.epoch, Since: f.since, Wait: pollWait, PeersHash: f.peers,
-		AcceptsPacked: true, AcceptsGateChanges: true,
+		AcceptsPacked: true, AcceptsGateChanges: true, AcceptsLater: true,
 	}
-	if time.Since(f.fullRefreshAt) >= fullRefreshInterval {
+	refresh := time.Since(f.fullRefreshAt) >= fullRefreshInterval
+	switch {
+	case f.acceptsDigest && (refresh || f.current != f.answeredBy):
+		digest := f.digest
+		request.Digest = &digest
+	case refresh:
 		request.Epoch, request.Since = "", 0
 	}
 	return request
--- a/internal/gate/follow/take.go
+++ b/internal/gate/follow/take.go
@@ -18,8 +18,20 @@
 	if document := f.unpackRoutes(address, response); document != nil {
 		f.installRoutes(address, document)
 	}
-	full := request.Since == 0 || response.Epoch != request.Epoch
+	full := isFull(request, response)
+	if full {
+		f.listing.Clear()
+	}
 	f.applyReplicas(address, &response.Changes, full)
+	f.listing.ApplyGates(&response.Changes)
+	if response.Later != nil {
+		f.applyReplicas(address, response.Later, false)
+		f.listing.ApplyGates(response.Later)
+	}
+	if full || response.Verified {
+		f.withdrawUnlisted()
+	}
+	f.countRefresh(address, request, response, full)
 	f.mu.Lock()
 	if response.Epoch != f.epoch || f.consecutiveFailures > 0 {
 		f.options.Log.Info("following", zap.String("control", address), zap.String("epoch", response.Epoch),
@@ -27,13 +39,14 @@
 	}
 	f.consecutiveFailures = 0
 	f.choice.recordAnswer(address)
-	f.epoch, f.since = response.Epoch, response.Changes.Version
+	f.epoch, f.since, f.digest = response.Epoch, response.Version(), f.listing.Digest()
+	f.answeredBy, f.acceptsDigest = address, response.AcceptsDigest == roster.DigestForm
 	if len(response.Controls) > 0 {
 		f.setControls(response.Controls)
 		f.keepers = response.Keepers
 		f.peers = response.PeersHash
 	}
-	if full {
+	if full || response.Verified {
 		f.fullRefreshAt = time.Now()
 	}
 	callbacks := f.applyGates(response, full)
@@ -46,6 +59,28 @@
 	}
 }
 
+// isFull reports whether a response lists everything instead of changes.
+func isFull(request *controlapi.FollowRequest, response *controlapi.FollowResponse) bool {
+	if response.Verified {
+		return false
+	}
+	return request.Since == 0 || response.Epoch != request.Epoch || (request.Digest != nil && response.Changes.HasGates)
+}
+
+// countRefresh counts whether a comparison of digests spared a full response.
+func (f *Follower) countRefresh(address string, request *controlapi.FollowRequest, response *controlapi.FollowResponse, full bool) {
+	switch {
+	case response.Verified:
+		f.options.Metrics.Count("roster.verified")
+	case full:
+		f.options.Metrics.Count("roster.full_answers")
+		if request.Digest != nil {
+			f.options.Log.Info("the digest of the roster differed, received everything", zap.String("control", address),
+				zap.Bool("same_epoch", response.Epoch == request.Epoch), zap.Int("replicas", len(response.Changes.Replicas)))
+		}
+	}
+}
+
 // setControls updates the known control VMs. The first answer comes from one of the few
 // control VMs in all gates' settings, so this gate then switches to its own choice among all
 // of them. The caller holds f.mu.
@@ -94,7 +129,8 @@
 			f.options.Log.Warn("cannot apply the announcement of a replica", telemetry.Upstream(string(a.Replica)), zap.Error(err))
 			continue
 		}
-		f.listed[a.Replica] = listing{service: a.Service, incarnation: a.Incarnation, at: now}
+		f.listing.AddReplica(a)
+		f.listed[a.Replica] = lastListing{service: a.Service, incarnation: a.Incarnation, at: now}
 		if !full {
 			f.options.Log.Info("replica added or changed", telemetry.Upstream(string(a.Replica)), zap.String("service", a.Service),
 				zap.String("address", a.Address), zap.Uint64("incarnation", a.Incarnation), zap.Bool("leaving", a.Leaving),
@@ -102,13 +138,21 @@
 		}
 	}
 	for _, gone := range changes.Gone {
+		f.listing.RemoveReplica(gone.Replica)
 		f.withdraw(gone, "forgotten by the control VMs")
 	}
-	if !full {
-		return
-	}
+}
+
+// withdrawUnlisted withdraws the replicas that the control VM has not listed for
+// unlistedLifetime. It is called when the listing is known to be complete.
+func (f *Follower) withdrawUnlisted() {
+	now := time.Now()
 	for id, known := range f.listed {
-		if now.Sub(known.at) > unlistedLifetime {
+		switch {
+		case f.listing.Contains(id):
+			known.at = now
+			f.listed[id] = known
+		case now.Sub(known.at) > unlistedLifetime:
 			f.withdraw(roster.Gone{Replica: id, Incarnation: known.incarnation, Service: known.service}, "not listed any more")
 		}
 	}
@@ -124,12 +168,17 @@
 // applyGates updates the list of gates and returns the functions to call if it changed. The
 // caller holds f.mu.
 func (f *Follower) applyGates(response *controlapi.FollowResponse, full bool) []func() {
-	changes, expected := &response.Changes, response.ExpectedGates
-	if !changes.HasGates && len(changes.Gates)+len(changes.GatesGone) == 0 && f.expected == expected {
+	expected, changed := response.ExpectedGates, f.expected != response.ExpectedGates
+	for _, changes := range []*roster.Changes{&response.Changes, response.Later} {
+		if changes != nil && (changes.HasGates || len(changes.Gates)+len(changes.GatesGone) > 0) {
+			f.gates = roster.ApplyGates(f.gates, changes)
+			changed = true
+		}
+	}
+	if !changed {
 		return nil
 	}
 	f.expected = expected
-	f.gates = roster.ApplyGates(f.gates, changes)
 	if full {
 		f.missing = response.MissingGates
 	}
--- a/internal/roster/gates.go
+++ b/internal/roster/gates.go
@@ -57,8 +57,8 @@
 type gateRow struct {
 	gate       Gate
 	lastReport time.Time
-	version    uint64 // version of the last change that followers must receive
 	expired    bool
+	change
 }
 
 // RecordReport applies a gate's report that was made age ago. It reports whether followers
@@ -93,8 +93,27 @@
 }
 
 func (t *Table) recordGateChange(row *gateRow) {
-	t.version++
-	row.version = t.version
+	hash, wasCounted := row.hash, row.counted
+	if !row.expired {
+		hash = hashGate(&row.gate)
+	}
+	t.recordVersion(row, &row.change, GateBucket, hash, !row.expired)
+	if row.counted != wasCounted {
+		if row.counted {
+			t.liveGates++
+		} else {
+			t.liveGates--
+		}
+	}
+}
+
+func (r *gateRow) addTo(changes *Changes, since uint64) {
+	switch {
+	case !r.expired:
+		changes.Gates = append(changes.Gates, r.gate)
+	case since > 0:
+		changes.GatesGone = append(changes.GatesGone, r.gate.VM)
+	}
 }
 
 func compareVM(a, b Gate) int { return cmp.Compare(a.VM, b.VM) }
@@ -139,15 +158,7 @@
 }
 
 // CountGates returns the number of live gates.
-func (t *Table) CountGates() int {
-	count := 0
-	for _, row := range t.gates {
-		if !row.expired {
-			count++
-		}
-	}
-	return count
-}
+func (t *Table) CountGates() int { return t.liveGates }
 
 // IsAlive reports whether a gate has reported within its lifetime.
 func (t *Table) IsAlive(vm string) bool {
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -7,6 +7,7 @@
 
 import (
 	"cmp"
+	"container/list"
 	"maps"
 	"slices"
 	"time"
@@ -35,8 +36,28 @@
 type replicaRow struct {
 	announcement  upstream.Announcement
 	lastHeartbeat time.Time
-	version       uint64 // version of the last change that gates must receive
-	removed       bool   // tombstone, kept so that followers receive the removal
+	removed       bool // tombstone, kept so that followers receive the removal
+	change
+	bucket int
+}
+
+// changedRow is a *replicaRow or a *gateRow.
+type changedRow interface {
+	lastVersion() uint64
+	// addTo adds the row to the changes after a version.
+	addTo(changes *Changes, since uint64)
+}
+
+func (c *change) lastVersion() uint64 { return c.version }
+
+// change is the last change of a row that gates must receive.
+type change struct {
+	version  uint64
+	position *list.Element // in Table.changes
+	// hash is the hash of the row's record as of the last change. counted reports whether
+	// the digests contain it.
+	hash    uint64
+	counted bool
 }
 
 // Table is the roster of one control VM. It is not safe for concurrent use.
@@ -48,6 +69,11 @@
 	// the replicas whose rows are not removed.
 	byAddress map[string]upstream.ReplicaID
 	gates     map[string]*gateRow
+	liveGates int // gates that are not expired
+	// changes lists all rows as changedRow by ascending version of their last
+	// change, so that the changes after a version are found without a scan of all rows.
+	changes list.List
+	digests digests
 }
 
 // New creates an empty roster.
@@ -82,7 +108,7 @@
 	row := t.replicas[a.Replica]
 	switch {
 	case row == nil:
-		row = &replicaRow{}
+		row = &replicaRow{bucket: bucketOf(a.Replica)}
 		t.replicas[a.Replica] = row
 	case !isNewer(&a, &row.announcement):
 		return t.applyLateLeave(row, &a)
@@ -101,9 +127,31 @@
 	return Changed
 }
 
+// recordChange gives a row whose record has changed the next version.
 func (t *Table) recordChange(row *replicaRow) {
+	hash := row.hash
+	if !row.removed {
+		hash = hashReplica(&row.announcement)
+	}
+	t.recordVersion(row, &row.change, row.bucket, hash, !row.removed)
+}
+
+func (t *Table) recordVersion(row changedRow, c *change, bucket int, hash uint64, listed bool) {
+	if c.counted {
+		t.digests.remove(bucket, c.hash)
+	}
+	c.hash, c.counted = hash, listed
+	if listed {
+		t.digests.add(bucket, hash)
+	}
 	t.version++
-	row.version = t.version
+	c.version = t.version
+	t.digests.history[t.version%digestHistory] = t.digests.total
+	if c.position == nil {
+		c.position = t.changes.PushBack(row)
+	} else {
+		t.changes.MoveToBack(c.position)
+	}
 }
 
 // heldByLaterProcess reports whether a later process holds the address. If an earlier one
@@ -154,9 +202,12 @@
 }
 
 // sameForGates reports whether two announcements are equal except for sequence and load.
+// hashReplica covers the same fields: a field that only one of them had would never reach
+// the gates or would make digests differ forever.
 func sameForGates(a, b *upstream.Announcement) bool {
 	return a.Replica == b.Replica && a.Incarnation == b.Incarnation && a.Service == b.Service && a.Kind == b.Kind &&
-		a.Address == b.Address && a.Place == b.Place && a.Slots == b.Slots && a.Ready == b.Ready && a.Leaving == b.Leaving &&
+		a.Address == b.Address && a.Place == b.Place && a.VM == b.VM && a.Slots == b.Slots && a.Ready == b.Ready && a.Leaving == b.Leaving &&
+		a.ChecksFencing == b.ChecksFencing && a.CanResume == b.CanResume && a.CanCancel == b.CanCancel && a.KVExport == b.KVExport &&
 		slices.Equal(a.Models, b.Models)
 }
 
@@ -182,21 +233,22 @@
 	for id, row := range t.replicas {
 		idle := now.Sub(row.lastHeartbeat)
 		switch {
-		case idle > tombstoneLifetimes*t.config.ReplicaLifetime:
-			t.releaseAddress(row)
-			delete(t.replicas, id)
 		case idle > t.config.ReplicaLifetime && !row.removed:
 			t.markRemoved(row)
+		case idle > tombstoneLifetimes*t.config.ReplicaLifetime:
+			t.changes.Remove(row.position)
+			delete(t.replicas, id)
 		}
 	}
 	for vm, row := range t.gates {
 		idle := now.Sub(row.lastReport)
 		switch {
-		case idle > tombstoneLifetimes*t.config.ReplicaLifetime:
-			delete(t.gates, vm)
 		case idle > t.config.GateLifetime && !row.expired:
 			row.expired = true
 			t.recordGateChange(row)
+		case idle > tombstoneLifetimes*t.config.ReplicaLifetime:
+			t.changes.Remove(row.position)
+			delete(t.gates, vm)
 		}
 	}
 }
@@ -215,30 +267,28 @@
 // Since returns the changes after a version; 0 returns everything that is alive.
 func (t *Table) Since(version uint64) Changes {
 	changes := Changes{Version: t.version, HasGates: version == 0}
-	for _, row := range t.replicas {
-		switch {
-		case row.version <= version || (row.removed && version == 0):
-		case row.removed:
-			a := &row.announcement
-			changes.Gone = append(changes.Gone, Gone{Replica: a.Replica, Incarnation: a.Incarnation, Service: a.Service})
-		default:
-			changes.Replicas = append(changes.Replicas, row.announcement)
-		}
-	}
-	for vm, row := range t.gates {
-		switch {
-		case row.version <= version || (row.expired && version == 0):
-		case row.expired:
-			changes.GatesGone = append(changes.GatesGone, vm)
-		default:
-			changes.Gates = append(changes.Gates, row.gate)
+	for position := t.changes.Back(); position != nil; position = position.Prev() {
+		row := position.Value.(changedRow)
+		if row.lastVersion() <= version {
+			break
 		}
+		row.addTo(&changes, version)
 	}
 	slices.SortFunc(changes.Replicas, func(a, b upstream.Announcement) int { return cmp.Compare(a.Replica, b.Replica) })
 	slices.SortFunc(changes.Gates, compareVM)
 	return changes
 }
 
+func (r *replicaRow) addTo(changes *Changes, since uint64) {
+	a := &r.announcement
+	switch {
+	case !r.removed:
+		changes.Replicas = append(changes.Replicas, *a)
+	case since > 0:
+		changes.Gone = append(changes.Gone, Gone{Replica: a.Replica, Incarnation: a.Incarnation, Service: a.Service})
+	}
+}
+
 // ReplicaReport is a replica's announcement with its age, as shared between control VMs.
 type ReplicaReport struct {
 	Replica upstream.Announcement `cbor:"1,keyasint"`
@@ -257,7 +307,7 @@
 	var reports []ReplicaReport
 	for _, id := range ids {
 		if row := t.replicas[id]; row != nil && !row.removed {
-			reports = append(reports, ReplicaReport{Replica: row.announcement, Age: max(0, now.Sub(row.lastHeartbeat))})
+			reports = append(reports, row.report(now))
 		}
 	}
 	slices.SortFunc(reports, func(a, b ReplicaReport) int { return cmp.Compare(a.Replica.Replica, b.Replica.Replica) })
