Control VMs verify their rosters by digests and share small renewals

Cause: every 2 s a control VM fetched the full state of another one, and each replica was passed on every 4 s and each gate twice a second as a whole report. Change: a control VM sends digests of 64 buckets of replicas and one of the gates, gets the reports of the buckets that differ and sends its own of these back. A replica or gate that has not changed is passed on as a renewal: its ID, incarnation, sequence, age and a hash of its state, so that a receiver that missed a change ignores it instead of taking over its sequence. A change that did not reach all control VMs within the push is sent again as a whole. A control VM that has not answered with the same form of digests gets whole reports and is asked for its full state. A change is sent while it is written to the disk, and acknowledged after both.

--- a/internal/control/broadcast.go
+++ b/internal/control/broadcast.go
@@ -29,6 +29,9 @@
 	peers map[string]*peerQueue // by peers address
 	// unreachable contains the addresses whose last call failed.
 	unreachable map[string]bool
+	// forms is the roster.DigestForm of the control VMs that have answered; 0 for those of
+	// a build without digests and renewals.
+	forms map[string]int
 }
 
 // peerQueue holds what is to be sent to one control VM.
@@ -39,23 +42,39 @@
 
 // batch is the content of one call: the newest report of each replica and gate.
 type batch struct {
-	replicas   map[upstream.ReplicaID]roster.ReplicaReport
-	gates      map[string]roster.GateReport
+	replicas   map[upstream.ReplicaID]pending[roster.ReplicaReport]
+	gates      map[string]pending[roster.GateReport]
 	departures map[upstream.ReplicaID]controlapi.Departure
 	candidates []quorum.Member
 	done       chan struct{} // closed when the call ends
+	err        error         // of the call; set before done is closed
+}
+
+// pending is a report to be sent. A report that has not changed since it was last sent is
+// sent as a renewal to the control VMs that know renewals.
+type pending[R any] struct {
+	report  R
+	renewal bool
+}
+
+// message is what is sent to the other control VMs: a request, and the reports that have not
+// changed since they were last sent.
+type message struct {
+	*controlapi.ShareRequest
+	renewedReplicas []roster.ReplicaReport
+	renewedGates    []roster.GateReport
 }
 
 func newBroadcaster(self string, calls *rpc.Client, log *zap.Logger) *broadcaster {
-	return &broadcaster{self: self, calls: calls, log: log, peers: make(map[string]*peerQueue), unreachable: make(map[string]bool)}
+	return &broadcaster{self: self, calls: calls, log: log, peers: make(map[string]*peerQueue), unreachable: make(map[string]bool), forms: make(map[string]int)}
 }
 
-// broadcast queues a message for the control VMs at the addresses. It returns a channel
-// for each, which closes when the call that carries the message ends.
-func (b *broadcaster) broadcast(ctx context.Context, addresses []string, message *controlapi.ShareRequest) []<-chan struct{} {
+// broadcast queues a message for the control VMs at the addresses. It returns the batch that
+// carries the message for each of them.
+func (b *broadcaster) broadcast(ctx context.Context, addresses []string, message *message) []*batch {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	var ends []<-chan struct{}
+	var batches []*batch
 	for _, address := range addresses {
 		if address == b.self {
 			continue
@@ -69,13 +88,13 @@
 			peer.next = newBatch()
 		}
 		peer.next.add(message)
-		ends = append(ends, peer.next.done)
+		batches = append(batches, peer.next)
 		if !peer.sending {
 			peer.sending = true
 			go b.run(ctx, address)
 		}
 	}
-	return ends
+	return batches
 }
 
 // run sends batches to one control VM until none is left.
@@ -85,7 +104,7 @@
 		if next == nil {
 			return
 		}
-		b.send(ctx, address, next)
+		next.err = b.send(ctx, address, next)
 		close(next.done)
 	}
 }
@@ -102,10 +121,13 @@
 	return next
 }
 
-func (b *broadcaster) send(ctx context.Context, address string, content *batch) {
+func (b *broadcaster) send(ctx context.Context, address string, content *batch) error {
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), shareTimeout)
 	defer cancel()
-	_, err := rpc.Call(ctx, b.calls, address, controlapi.Share, content.request(b.self))
+	response, err := rpc.Call(ctx, b.calls, address, controlapi.Share, content.request(b.self, b.form(address)))
+	if err == nil {
+		b.recordForm(address, response.DigestForm)
+	}
 	b.mu.Lock()
 	before := b.unreachable[address]
 	if err != nil {
@@ -117,6 +139,20 @@
 	if before != (err != nil) {
 		b.log.Info("reachability of a control VM changed", zap.String("address", address), zap.Bool("reachable", err == nil), zap.Error(err))
 	}
+	return err
+}
+
+// form returns the roster.DigestForm of a control VM; 0 if it is unknown.
+func (b *broadcaster) form(address string) int {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.forms[address]
+}
+
+func (b *broadcaster) recordForm(address string, form int) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.forms[address] = form
 }
 
 // isUnreachable reports whether the last call to a control VM failed.
@@ -128,17 +164,23 @@
 
 func newBatch() *batch {
 	return &batch{
-		replicas: make(map[upstream.ReplicaID]roster.ReplicaReport), gates: make(map[string]roster.GateReport),
+		replicas: make(map[upstream.ReplicaID]pending[roster.ReplicaReport]), gates: make(map[string]pending[roster.GateReport]),
 		departures: make(map[upstream.ReplicaID]controlapi.Departure), done: make(chan struct{}),
 	}
 }
 
-func (b *batch) add(message *controlapi.ShareRequest) {
+func (b *batch) add(message *message) {
 	for _, report := range message.Replicas {
-		b.replicas[report.Replica.Replica] = report
+		b.replicas[report.Replica.Replica] = pending[roster.ReplicaReport]{report: report}
 	}
 	for _, report := range message.Gates {
-		b.gates[report.Gate.VM] = report
+		b.gates[report.Gate.VM] = pending[roster.GateReport]{report: report}
+	}
+	for _, report := range message.renewedReplicas {
+		addRenewal(b.replicas, report.Replica.Replica, report)
+	}
+	for _, report := range message.renewedGates {
+		addRenewal(b.gates, report.Gate.VM, report)
 	}
 	for _, departure := range message.Departures {
 		b.departures[departure.Replica] = departure
@@ -148,24 +190,49 @@
 	}
 }
 
-func (b *batch) request(from string) *controlapi.ShareRequest {
-	return &controlapi.ShareRequest{
-		From: from, Candidates: b.candidates,
-		Replicas:   slices.Collect(maps.Values(b.replicas)),
-		Gates:      slices.Collect(maps.Values(b.gates)),
+// addRenewal adds a report that has not changed. If the change before it still waits to be
+// sent, the whole report is sent.
+func addRenewal[K comparable, R any](reports map[K]pending[R], key K, report R) {
+	before, waiting := reports[key]
+	reports[key] = pending[R]{report: report, renewal: !waiting || before.renewal}
+}
+
+// request returns the content as a request to a control VM with the given roster.DigestForm.
+func (b *batch) request(from string, form int) *controlapi.ShareRequest {
+	request := &controlapi.ShareRequest{
+		From: from, Candidates: b.candidates, DigestForm: roster.DigestForm,
 		Departures: slices.Collect(maps.Values(b.departures)),
 	}
+	for _, p := range b.replicas {
+		if p.renewal && form == roster.DigestForm {
+			request.Renewals = append(request.Renewals, roster.RenewalOf(&p.report))
+			continue
+		}
+		request.Replicas = append(request.Replicas, p.report)
+	}
+	for _, p := range b.gates {
+		if p.renewal && form == roster.DigestForm {
+			request.GateRenewals = append(request.GateRenewals, roster.GateRenewalOf(&p.report))
+			continue
+		}
+		request.Gates = append(request.Gates, p.report)
+	}
+	return request
 }
 
-// awaitAll returns when all channels are closed, or after timeout.
-func awaitAll(ends []<-chan struct{}, timeout time.Duration) {
+// awaitAll returns when the calls of all batches have ended, or after timeout. It reports
+// whether all of them have succeeded.
+func awaitAll(batches []*batch, timeout time.Duration) (sent bool) {
 	timer := time.NewTimer(timeout)
 	defer timer.Stop()
-	for _, end := range ends {
+	sent = true
+	for _, b := range batches {
 		select {
-		case <-end:
+		case <-b.done:
+			sent = sent && b.err == nil
 		case <-timer.C:
-			return
+			return false
 		}
 	}
+	return sent
 }
--- a/internal/control/follow.go
+++ b/internal/control/follow.go
@@ -337,7 +337,7 @@
 	s.mu.Lock()
 	changed := s.table.RecordReport(time.Now(), *gate, 0)
 	switched := s.recordFollow(gate.VM, time.Now())
-	s.unsharedGates[gate.VM] = struct{}{}
+	s.unsharedGates[gate.VM] = s.unsharedGates[gate.VM] || changed || switched
 	if changed {
 		s.notify()
 	}
--- a/internal/control/service.go
+++ b/internal/control/service.go
@@ -100,11 +100,12 @@
 	table     *roster.Table
 	directory *directory.Directory
 	changed   chan struct{} // closed at the next roster change
-	// unsharedReplicas and unsharedGates have reported here since the last share.
+	// unsharedReplicas and unsharedGates have reported here since the last share. The value
+	// is whether the whole report is to be shared, because it has changed.
 	// sharedAt is when a replica's report was last shared.
-	unsharedReplicas map[upstream.ReplicaID]struct{}
+	unsharedReplicas map[upstream.ReplicaID]bool
 	sharedAt         map[upstream.ReplicaID]time.Time
-	unsharedGates    map[string]struct{}
+	unsharedGates    map[string]bool
 	longPolls        map[string]int       // open long polls by gate
 	lastFollow       map[string]time.Time // when a gate last polled this VM
 	contacts         map[string]time.Time // when a control VM last shared reports
@@ -126,9 +127,9 @@
 		changed:   make(chan struct{}),
 		contacts:  make(map[string]time.Time),
 
-		unsharedReplicas: make(map[upstream.ReplicaID]struct{}),
+		unsharedReplicas: make(map[upstream.ReplicaID]bool),
 		sharedAt:         make(map[upstream.ReplicaID]time.Time),
-		unsharedGates:    make(map[string]struct{}),
+		unsharedGates:    make(map[string]bool),
 		longPolls:        make(map[string]int),
 		lastFollow:       make(map[string]time.Time),
 
@@ -198,7 +199,8 @@
 }
 
 // pushTimeout bounds how long an acknowledgement waits until the other control VMs have
-// received a change. A control VM that missed it is notified again about once a second.
+// received a change, after it is on the disk. A control VM that missed it is sent the report
+// with the next share, and detects by the digests what it has missed for longer.
 const pushTimeout = 250 * time.Millisecond
 
 // Announce records a replica's announcement. It returns once a change has been sent to
@@ -211,13 +213,16 @@
 	if err := s.requireContact(); err != nil {
 		return err
 	}
+	now := time.Now()
 	s.mu.Lock()
-	result := s.table.Announce(time.Now(), a, 0)
-	if result != roster.Stale {
-		s.unsharedReplicas[a.Replica] = struct{}{}
-	}
-	if result == roster.Changed {
-		delete(s.sharedAt, a.Replica) // share it again, since the push below may not reach all
+	result := s.table.Announce(now, a, 0)
+	switch result {
+	case roster.Refreshed:
+		if _, waiting := s.unsharedReplicas[a.Replica]; !waiting {
+			s.unsharedReplicas[a.Replica] = false
+		}
+	case roster.Changed:
+		s.sharedAt[a.Replica] = now // by the push below
 		s.notify()
 	}
 	s.mu.Unlock()
@@ -227,12 +232,24 @@
 		s.logReplica("stale announcement ignored", &a)
 	case roster.Changed:
 		s.logReplica("replica changed", &a)
-		s.persist()
-		s.push(ctx, &controlapi.ShareRequest{Replicas: []roster.ReplicaReport{{Replica: a}}})
+		s.commit(ctx, a.Replica, &controlapi.ShareRequest{Replicas: []roster.ReplicaReport{{Replica: a}}})
 	}
 	return nil
 }
 
+// commit returns once a change of a replica is on this VM's disk and has been sent to all
+// other control VMs, or after journalWait and pushTimeout. The calls continue when ctx ends.
+func (s *Service) commit(ctx context.Context, id upstream.ReplicaID, request *controlapi.ShareRequest) {
+	sent := s.broadcast(ctx, request)
+	s.persist()
+	if awaitAll(sent, pushTimeout) {
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.unsharedReplicas[id] = true // a control VM may have missed it: share the report again
+}
+
 // persist writes the known replicas and gates to this VM's disk.
 func (s *Service) persist() { s.journal.save(s.snapshot) }
 
@@ -292,13 +309,12 @@
 		s.notify()
 	}
 	s.mu.Unlock()
-	s.persist()
 	s.options.Log.Info("replica leaves", telemetry.Upstream(string(id)), zap.Uint64("incarnation", incarnation), zap.Bool("news", changed))
 	request := &controlapi.ShareRequest{Departures: []controlapi.Departure{{Replica: id, Incarnation: incarnation}}}
 	if changed {
 		request.Departures[0].Incarnation = a.Incarnation
 	}
-	s.push(ctx, request)
+	s.commit(ctx, id, request)
 	return nil
 }
 
--- a/internal/control/share.go
+++ b/internal/control/share.go
@@ -4,7 +4,6 @@
 	"context"
 	"maps"
 	"slices"
-	"sync"
 	"time"
 
 	"go.uber.org/zap"
@@ -23,11 +22,15 @@
 	// ticksPerShare is the number of ticks between two shares of received reports. Gates
 	// renew their reports twice a second, replicas about once.
 	ticksPerShare = 5
-	// sharesPerFullSync is the number of shares between two requests for the full state
-	// of another control VM, each in turn. A full sync repairs what was lost in transit
-	// or while a VM was cut off. Requested from all VMs at once, it was most of the
-	// traffic between nine control VMs.
-	sharesPerFullSync = 4
+	// sharesPerSync is the number of shares between two comparisons with the state of
+	// another control VM, each in turn. They repair what was lost in transit or while a VM
+	// was cut off. The full state of all VMs at once was most of the traffic between nine
+	// control VMs.
+	sharesPerSync = 4
+	// firstSyncStep is how long the first comparison with one control VM may take until
+	// that with the next one begins: if they run in parallel, a VM that knows nothing
+	// receives the full state from each of them.
+	firstSyncStep = 100 * time.Millisecond
 	// shareTimeout bounds one call, so that an unresponsive connection is detected.
 	shareTimeout = 700 * time.Millisecond
 	// contactLifetime is how long a control VM that is not a member of the groups is
@@ -54,14 +57,14 @@
 	}
 }
 
-// exchange shares new reports with the other control VMs and periodically requests the
-// full state of one of them.
+// exchange shares new reports with the other control VMs and periodically compares the state
+// with that of one of them.
 func (s *Service) exchange(ctx context.Context, round int) {
 	s.shareReports(ctx)
 	s.locate(ctx)
 	s.journal.request(s.snapshot) // writes changes of the gates; those of replicas are on disk already
-	if round%sharesPerFullSync == 0 {
-		s.requestFullSync(ctx, round/sharesPerFullSync)
+	if round%sharesPerSync == 0 {
+		s.syncWithOthers(ctx, round/sharesPerSync)
 		s.shareCandidates(ctx)
 	}
 }
@@ -82,11 +85,11 @@
 // shareReports sends the other control VMs the reports that replicas and gates have sent
 // to this one since the last call.
 func (s *Service) shareReports(ctx context.Context) {
-	request := s.takeReports()
-	if len(request.Replicas)+len(request.Gates) == 0 {
+	news := s.takeReports()
+	if len(news.Replicas)+len(news.Gates)+len(news.renewedReplicas)+len(news.renewedGates) == 0 {
 		return
 	}
-	s.broadcast(ctx, request)
+	s.broadcaster.broadcast(ctx, s.controls(), news)
 }
 
 // shareCandidates sends the other control VMs the list of VMs that wait to hold state, if
@@ -112,88 +115,125 @@
 	}()
 }
 
-// requestFullSync requests the full state of one of the other control VMs. The first
-// time it requests that of all of them, since a VM that has just started knows nothing.
-func (s *Service) requestFullSync(ctx context.Context, turn int) {
+// syncWithOthers compares the state with that of one of the other control VMs. The first time
+// it does so with all of them, since a VM that has just started knows nothing.
+func (s *Service) syncWithOthers(ctx context.Context, turn int) {
 	others := slices.DeleteFunc(s.controls(), func(address string) bool { return address == s.options.Address })
 	if turn > 0 && len(others) > 0 {
 		others = others[turn%len(others):][:1]
 	}
 	go func() {
-		for _, answer := range s.sendTo(ctx, others, &controlapi.ShareRequest{Full: true}, shareTimeout) {
-			s.merge(answer.Replicas, answer.Gates)
+		for _, address := range others {
+			done := make(chan struct{})
+			go func() {
+				defer close(done)
+				s.syncWith(ctx, address)
+			}()
+			select {
+			case <-done:
+			case <-time.After(firstSyncStep):
+			}
 		}
 	}()
 }
 
-func (s *Service) takeReports() *controlapi.ShareRequest {
+// syncWith compares digests with another control VM and exchanges the reports of the buckets
+// that differ. A control VM of a build without digests is asked for its full state.
+func (s *Service) syncWith(ctx context.Context, address string) {
+	s.mu.Lock()
+	digests := s.table.BucketDigests()
+	s.mu.Unlock()
+	request := &controlapi.ShareRequest{Digests: digests, DigestForm: roster.DigestForm}
+	answer, err := s.call(ctx, address, request)
+	if err == nil && answer.DigestForm != roster.DigestForm {
+		answer, err = s.call(ctx, address, &controlapi.ShareRequest{Full: true})
+	}
+	if err != nil {
+		s.options.Log.Debug("cannot compare the state with that of a control VM", zap.String("address", address), zap.Error(err))
+		return
+	}
+	s.merge(answer.Replicas, answer.Gates)
+	if len(answer.Differing) == 0 {
+		return
+	}
+	s.options.Metrics.Add("roster.bucket_repairs", int64(len(answer.Differing)))
+	s.mu.Lock()
+	replicas, gates := s.table.BucketReports(time.Now(), answer.Differing)
+	s.mu.Unlock()
+	back := &controlapi.ShareRequest{
+		Replicas: roster.ReplicasNotIn(replicas, answer.Replicas), Gates: roster.GatesNotIn(gates, answer.Gates),
+	}
+	s.options.Log.Info("the roster differed from that of a control VM", zap.String("address", address), zap.Int("buckets", len(answer.Differing)),
+		zap.Int("replicas_received", len(answer.Replicas)), zap.Int("gates_received", len(answer.Gates)),
+		zap.Int("replicas_sent", len(back.Replicas)), zap.Int("gates_sent", len(back.Gates)))
+	if len(back.Replicas)+len(back.Gates) > 0 {
+		s.broadcaster.broadcast(ctx, []string{address}, &message{ShareRequest: back})
+	}
+}
+
+func (s *Service) call(ctx context.Context, address string, request *controlapi.ShareRequest) (*controlapi.ShareResponse, error) {
+	request.From = s.options.Address
+	ctx, cancel := context.WithTimeout(ctx, shareTimeout)
+	defer cancel()
+	answer, err := rpc.Call(ctx, s.options.Calls, address, controlapi.Share, request)
+	if err == nil {
+		s.broadcaster.recordForm(address, answer.DigestForm)
+	}
+	return answer, err
+}
+
+func (s *Service) takeReports() *message {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := time.Now()
-	request := &controlapi.ShareRequest{
-		Replicas: s.table.ReplicaReports(now, s.renewalsDue(now)),
-		Gates:    s.table.GateReports(now, slices.Collect(maps.Keys(s.unsharedGates))),
+	replicas, renewedReplicas := s.replicasDue(now)
+	var gates, renewedGates []string
+	for vm, whole := range s.unsharedGates {
+		if whole {
+			gates = append(gates, vm)
+		} else {
+			renewedGates = append(renewedGates, vm)
+		}
+	}
+	news := &message{
+		ShareRequest: &controlapi.ShareRequest{
+			Replicas: s.table.ReplicaReports(now, replicas), Gates: s.table.GateReports(now, gates),
+		},
+		renewedReplicas: s.table.ReplicaReports(now, renewedReplicas), renewedGates: s.table.GateReports(now, renewedGates),
 	}
 	clear(s.unsharedReplicas)
 	clear(s.unsharedGates)
-	return request
+	return news
 }
 
 // renewalsPerLifetime is how often per replica lifetime a replica's heartbeat is shared
 // with the other control VMs. Changes of a replica are shared at once.
 const renewalsPerLifetime = 5
 
-// renewalsDue returns the replicas that have reported since the last share and whose
-// heartbeat is due to be shared again. The caller holds the mutex.
-func (s *Service) renewalsDue(now time.Time) []upstream.ReplicaID {
+// replicasDue returns the replicas that have reported since the last share: those of which a
+// change has not reached all control VMs, and those whose heartbeat is due to be shared again.
+// The caller holds the mutex.
+func (s *Service) replicasDue(now time.Time) (changed, renewed []upstream.ReplicaID) {
 	interval := s.options.Roster.ReplicaLifetime / renewalsPerLifetime
 	maps.DeleteFunc(s.sharedAt, func(_ upstream.ReplicaID, at time.Time) bool { return now.Sub(at) >= interval })
-	var due []upstream.ReplicaID
-	for id := range s.unsharedReplicas {
-		if _, recent := s.sharedAt[id]; !recent {
-			due = append(due, id)
-			s.sharedAt[id] = now
+	for id, whole := range s.unsharedReplicas {
+		_, recent := s.sharedAt[id]
+		switch {
+		case whole:
+			changed = append(changed, id)
+		case !recent:
+			renewed = append(renewed, id)
+		default:
+			continue
 		}
+		s.sharedAt[id] = now
 	}
-	return due
-}
-
-// push sends a change to all other control VMs and waits for them, for pushTimeout at
-// most. The calls continue when ctx ends.
-func (s *Service) push(ctx context.Context, request *controlapi.ShareRequest) {
-	awaitAll(s.broadcast(ctx, request), pushTimeout)
+	return changed, renewed
 }
 
 // broadcast sends a message to all other control VMs without waiting for them.
-func (s *Service) broadcast(ctx context.Context, request *controlapi.ShareRequest) []<-chan struct{} {
-	return s.broadcaster.broadcast(ctx, s.controls(), request)
-}
-
-// sendTo calls control VMs concurrently and returns the responses of those that succeed.
-func (s *Service) sendTo(ctx context.Context, addresses []string, request *controlapi.ShareRequest, timeout time.Duration) []*controlapi.ShareResponse {
-	request.From = s.options.Address
-	ctx, cancel := context.WithTimeout(ctx, timeout)
-	defer cancel()
-	var mu sync.Mutex
-	var answers []*controlapi.ShareResponse
-	var calls sync.WaitGroup
-	for _, address := range addresses {
-		if address == s.options.Address {
-			continue
-		}
-		calls.Go(func() {
-			answer, err := rpc.Call(ctx, s.options.Calls, address, controlapi.Share, request)
-			if err != nil {
-				s.options.Log.Debug("cannot request the state of a control VM", zap.String("address", address), zap.Error(err))
-				return
-			}
-			mu.Lock()
-			defer mu.Unlock()
-			answers = append(answers, answer)
-		})
-	}
-	calls.Wait()
-	return answers
+func (s *Service) broadcast(ctx context.Context, request *controlapi.ShareRequest) []*batch {
+	return s.broadcaster.broadcast(ctx, s.controls(), &message{ShareRequest: request})
 }
 
 // controls returns the peers addresses of the control VMs, including this one.
@@ -225,20 +265,61 @@
 	s.mu.Unlock()
 	s.options.Group.RecordCandidates(request.Candidates)
 	changed := s.merge(request.Replicas, request.Gates)
+	sameForm := request.DigestForm == roster.DigestForm
+	if sameForm {
+		changed = s.mergeRenewals(request.Renewals, request.GateRenewals) || changed
+	}
 	if s.mergeDepartures(request.Departures) || changed {
 		s.persist()
 	}
-	response := &controlapi.ShareResponse{}
+	response := &controlapi.ShareResponse{DigestForm: roster.DigestForm}
+	if !request.Full && (!sameForm || len(request.Digests) == 0) {
+		return response, nil
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := time.Now()
 	if request.Full {
-		s.mu.Lock()
-		defer s.mu.Unlock()
-		now := time.Now()
 		response.Replicas = s.table.AllReplicaReports(now)
 		response.Gates = s.table.AllGateReports(now)
+		return response, nil
 	}
+	response.Differing = s.table.DifferingBuckets(request.Digests)
+	response.Replicas, response.Gates = s.table.BucketReports(now, response.Differing)
 	return response, nil
 }
 
+// mergeRenewals records renewals that another control VM has received. It reports whether any
+// replica changed.
+func (s *Service) mergeRenewals(replicas []roster.Renewal, gates []roster.GateRenewal) (changed bool) {
+	if len(replicas)+len(gates) == 0 {
+		return false
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := time.Now()
+	unknown := int64(0)
+	for i := range replicas {
+		switch s.table.Renew(now, &replicas[i]) {
+		case roster.Changed:
+			changed = true
+		case roster.Stale:
+			unknown++
+		}
+	}
+	rosterChanged := changed
+	for i := range gates {
+		rosterChanged = s.table.RenewGate(now, &gates[i]) || rosterChanged
+	}
+	if rosterChanged {
+		s.notify()
+	}
+	if unknown > 0 {
+		s.options.Metrics.Add("roster.renewals_ignored", unknown)
+	}
+	return changed
+}
+
 // merge records reports that other control VMs have received. It reports whether any
 // replica changed.
 func (s *Service) merge(replicas []roster.ReplicaReport, gates []roster.GateReport) (changed bool) {
--- a/internal/roster/renewal.go
+++ b/internal/roster/renewal.go
@@ -111,3 +111,29 @@
 func (r *replicaRow) report(now time.Time) ReplicaReport {
 	return ReplicaReport{Replica: r.announcement, Age: max(0, now.Sub(r.lastHeartbeat))}
 }
+
+// ReplicasNotIn returns the reports that others lack or have with another state. Both must be
+// sorted by ID.
+func ReplicasNotIn(reports, others []ReplicaReport) (missing []ReplicaReport) {
+	for i := range reports {
+		a := &reports[i].Replica
+		at, found := slices.BinarySearchFunc(others, a.Replica, func(r ReplicaReport, id upstream.ReplicaID) int { return cmp.Compare(r.Replica.Replica, id) })
+		if !found || !sameForGates(a, &others[at].Replica) {
+			missing = append(missing, reports[i])
+		}
+	}
+	return missing
+}
+
+// GatesNotIn returns the reports that others lack or have with another state. Both must be
+// sorted by VM.
+func GatesNotIn(reports, others []GateReport) (missing []GateReport) {
+	for i := range reports {
+		g := &reports[i].Gate
+		at, found := slices.BinarySearchFunc(others, g.VM, func(r GateReport, vm string) int { return cmp.Compare(r.Gate.VM, vm) })
+		if !found || !g.sameState(others[at].Gate) {
+			missing = append(missing, reports[i])
+		}
+	}
+	return missing
+}
