--- a/internal/codec/codec.go
+++ b/internal/codec/codec.go
@@ -74,3 +74,12 @@
 	}
 	return nil
 }
+
+// UnmarshalFirst decodes the first record of data into v and returns the bytes after it.
+func UnmarshalFirst(data []byte, v any) (rest []byte, err error) {
+	rest, err = decMode.UnmarshalFirst(data, v)
+	if err != nil {
+		return nil, fmt.Errorf("decode %T: %w", v, err)
+	}
+	return rest, nil
+}
--- a/internal/control/service.go
+++ b/internal/control/service.go
@@ -113,6 +113,9 @@
 	seeds            []string
 
 	previousGates []roster.Gate // gates known before the restart
+	// keepsPrevious reports whether the journal keeps previousGates, which have not all
+	// reported yet.
+	keepsPrevious bool
 }
 
 // New creates a Service from the state on disk.
@@ -137,6 +140,7 @@
 		journal:     newJournal(options.Folder, options.Log),
 		broadcaster: newBroadcaster(options.Address, options.Calls, options.Log),
 	}
+	s.journal.changes, s.journal.count = s.journalChanges, options.Metrics.Count
 	content := s.journal.load()
 	s.merge(content.Replicas, nil)
 	s.previousGates = content.Gates
@@ -250,20 +254,44 @@
 	s.unsharedReplicas[id] = true // a control VM may have missed it: share the report again
 }
 
-// persist writes the known replicas and gates to this VM's disk.
+// persist writes the changes of replicas and gates to this VM's disk.
 func (s *Service) persist() { s.journal.save(s.snapshot) }
 
 func (s *Service) snapshot() (version uint64, content journalContent) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.keepsPrevious = s.awaitsPreviousGates()
 	return s.table.Version(), journalContent{Replicas: s.table.AllReplicaReports(time.Now()), Gates: s.gatesToPersist()}
 }
 
+// journalChanges returns the changes after a version for the journal.
+func (s *Service) journalChanges(since uint64) (version uint64, changes journalChanges, ok bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.keepsPrevious && !s.awaitsPreviousGates() {
+		return s.table.Version(), journalChanges{}, false // drops the gates that have not come back
+	}
+	found := s.table.Since(since)
+	ids := make([]upstream.ReplicaID, len(found.Replicas))
+	for i := range found.Replicas {
+		ids[i] = found.Replicas[i].Replica
+	}
+	changes = journalChanges{Replicas: s.table.ReplicaReports(time.Now(), ids), Gates: found.Gates, Gone: found.Gone}
+	if !s.keepsPrevious {
+		changes.GatesGone = found.GatesGone
+	}
+	return found.Version, changes, true
+}
+
+// awaitsPreviousGates reports whether this VM has restarted shortly ago and fewer gates are
+// live than before. The caller holds the mutex.
+func (s *Service) awaitsPreviousGates() bool { return s.expectedGates() > s.table.CountGates() }
+
 // gatesToPersist returns the live gates. Shortly after a restart, while fewer gates are
 // live than before it, it returns the previous gates, so that a second restart does not
 // lose those that have yet to report. The caller holds the mutex.
 func (s *Service) gatesToPersist() []roster.Gate {
-	if s.expectedGates() > s.table.CountGates() {
+	if s.awaitsPreviousGates() {
 		return s.previousGates
 	}
 	return s.table.Gates()
