Gates that change or find their control VM receive less

Cause: while all join on a busy machine, long polls time out, each change of control VM brought a full response, and a gate that started received and decoded the whole roster from each control VM in its settings. That took the time that the next long polls needed. Change: a gate that comes from another control VM sends the digests of its buckets and gets the buckets that differ, if they are a quarter of all at most. A gate that starts asks its first choice, and one further control VM each 60 ms until one has answered, and decodes only the first answer.

--- a/internal/control/controlapi/api.go
+++ b/internal/control/controlapi/api.go
@@ -62,6 +62,9 @@
 	Digest *uint64 `cbor:"10,keyasint,omitempty"`
 	// AcceptsLater reports whether the gate applies FollowResponse.Later.
 	AcceptsLater bool `cbor:"11,keyasint,omitempty"`
+	// Digests are the digests of the gate's buckets. A gate that comes from another control
+	// VM sends them with Digest and accepts a response with Buckets.
+	Digests []uint64 `cbor:"12,keyasint,omitempty"`
 }
 
 // FollowResponse carries the changes since the gate's last response.
@@ -92,6 +95,9 @@
 	// Later holds the changes after those in Changes. A full response is built about once a
 	// second for all gates and completed with what has changed since.
 	Later *roster.Changes `cbor:"13,keyasint,omitempty"`
+	// Buckets are the buckets whose digests differ from those in the request. Changes then
+	// lists all that these buckets contain, and the other buckets are equal.
+	Buckets []int `cbor:"14,keyasint,omitempty"`
 }
 
 // Version returns the roster version that a follower has after it has applied the response.
--- a/internal/control/digest_test.go
+++ b/internal/control/digest_test.go
@@ -128,3 +128,40 @@
 		t.Errorf("a gate of this release gets %d replicas and %+v later", len(again.Changes.Replicas), again.Later)
 	}
 }
+
+// A gate that comes from another control VM and differs from this one by a little must get
+// that, and not the whole roster: gates change control VMs when these are busy.
+func TestAGateFromAnotherControlVMGetsWhatDiffers(t *testing.T) {
+	first, calls := startControl(t, &member{})
+	second, _ := startControl(t, &member{})
+	f := newFollower(t, calls, "gate-1")
+	listing := roster.NewListing()
+	reports := replicaReports(400)
+	shareReplicas(t, f, first, reports[:399]) // the second control VM has one more, and one that has changed
+	reports[7].Replica.Leaving, reports[7].Replica.Sequence = true, 2
+	shareReplicas(t, f, second, reports)
+	f.pollAll(first, listing)
+	digests := listing.BucketDigests()
+	f.request.Digests = digests[:]
+	response, err := rpc.Call(t.Context(), calls, second, controlapi.Follow, f.request)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := response.Unpack(); err != nil {
+		t.Fatal(err)
+	}
+	sent := len(response.Changes.Replicas)
+	if len(response.Buckets) == 0 || len(response.Buckets) > 2 || sent < 2 || sent > 60 {
+		t.Fatalf("buckets %v with %d replicas, want those of two replicas", response.Buckets, sent)
+	}
+	listing.ClearBuckets(response.Buckets)
+	for i := range response.Changes.Replicas {
+		listing.AddReplica(&response.Changes.Replicas[i])
+	}
+	listing.ApplyGates(&response.Changes)
+	digest := listing.Digest()
+	f.request.Epoch, f.request.Since, f.request.Digest, f.request.Digests = response.Epoch, response.Version(), &digest, nil
+	if again := f.pollAll(second, listing); !again.Verified || len(again.Changes.Replicas) != 0 {
+		t.Errorf("verified %t, %d replicas after the buckets were applied", again.Verified, len(again.Changes.Replicas))
+	}
+}
--- a/internal/control/follow.go
+++ b/internal/control/follow.go
@@ -45,6 +45,11 @@
 	defer s.followers.Add(-1)
 	timer := time.NewTimer(min(request.Wait, maxFollowWait))
 	defer timer.Stop()
+	if since == 0 && len(request.Digests) == roster.Buckets {
+		if response := s.buildBuckets(request); response != nil {
+			return response, nil
+		}
+	}
 	if s.answeredRecently(request, since) {
 		s.batchChanges(ctx, s.options.Config.Changed())
 	}
@@ -93,7 +98,7 @@
 		return since, true
 	}
 	s.options.Metrics.Count("roster.digest_mismatches")
-	s.options.Log.Info("the roster of a gate differs, sending it everything", zap.String("gate", request.Gate.VM),
+	s.options.Log.Info("the roster of a gate differs, sending it what differs or everything", zap.String("gate", request.Gate.VM),
 		zap.Bool("same_epoch", sameEpoch), zap.Bool("version_known", known), zap.Uint64("since", request.Since))
 	return 0, false
 }
@@ -225,6 +230,38 @@
 	return response, response.HasRoutes() || version > since, rosterChanged
 }
 
+// maxBuckets is the number of differing buckets up to which a gate from another control VM
+// gets only these. The full roster is packed once for all gates, buckets for each gate.
+const maxBuckets = roster.Buckets / 4
+
+// buildBuckets builds the response to a gate that comes from another control VM, with the
+// buckets of the roster that differ. It returns nil if too many do.
+func (s *Service) buildBuckets(request *controlapi.FollowRequest) *controlapi.FollowResponse {
+	s.mu.Lock()
+	differing := s.table.DifferingBuckets(request.Digests)
+	if len(differing) > maxBuckets {
+		s.mu.Unlock()
+		return nil
+	}
+	changes := s.table.BucketChanges(differing)
+	expected := s.expectedGates()
+	s.mu.Unlock()
+	response := &controlapi.FollowResponse{
+		Epoch: s.epoch, AcceptsDigest: roster.DigestForm, ExpectedGates: expected, Buckets: differing, Verified: len(differing) == 0,
+	}
+	s.addPeers(response, request.PeersHash)
+	if matcher := s.options.Config.Routes(); matcher.Version() > request.Routes {
+		s.addRoutes(response, matcher.Document(), request.AcceptsPacked)
+	}
+	s.options.Metrics.Add("roster.gate_bucket_repairs", int64(len(differing)))
+	if found := packChanges(changes); len(found.packed) > 0 {
+		response.PackedChanges = found.packed
+	} else {
+		response.Changes = changes
+	}
+	return response
+}
+
 // addChanges adds the roster changes after version since.
 func (s *Service) addChanges(response *controlapi.FollowResponse, request *controlapi.FollowRequest, since uint64) {
 	if !request.AcceptsGateChanges {
--- a/internal/gate/follow/confirm.go
+++ b/internal/gate/follow/confirm.go
@@ -71,7 +71,7 @@
 	f.options.Metrics.Count("follow.confirms")
 	request := f.request()
 	request.Wait, request.Confirm = 0, true
-	request.Digest = nil // changes of the roster in the response are ignored
+	request.Digest, request.Digests = nil, nil // changes of the roster in the response are ignored
 	address := f.target()
 	response, err := f.call(context.Background(), address, request)
 	if err != nil {
--- a/internal/gate/follow/digest_test.go
+++ b/internal/gate/follow/digest_test.go
@@ -119,3 +119,37 @@
 		t.Errorf("got digest %v, confirm %t", request.Digest, request.Confirm)
 	}
 }
+
+// A response with some buckets must replace these and keep the others; a replica that it does
+// not list any more is kept for a while, as with a full response.
+func TestAResponseWithBucketsReplacesThese(t *testing.T) {
+	held := heldReplicas{}
+	f := newTestFollower(held)
+	f.current = "c1"
+	table := roster.New(roster.Config{ReplicaLifetime: time.Minute, GateLifetime: time.Minute})
+	announce := func(sequence uint64, ids ...string) {
+		for _, a := range listed(ids...) {
+			a.Address, a.Place, a.Kind, a.Slots, a.Sequence = string(a.Replica), "a", upstream.KindService, 1, sequence
+			a.Ready = sequence == 1
+			table.Announce(time.Now(), a, 0)
+		}
+	}
+	announce(1, "a", "b", "c", "d")
+	f.applyResponse("c1", f.request(), &controlapi.FollowResponse{Epoch: "e", Changes: table.Since(0), AcceptsDigest: roster.DigestForm})
+	announce(2, "b")
+	f.current = "c2"
+	request := f.request()
+	if len(request.Digests) != roster.Buckets || request.Digest == nil {
+		t.Fatalf("%d digests are sent to the next control VM", len(request.Digests))
+	}
+	differing := table.DifferingBuckets(request.Digests)
+	f.applyResponse("c2", request, &controlapi.FollowResponse{
+		Epoch: "e2", Changes: table.BucketChanges(differing), Buckets: differing, AcceptsDigest: roster.DigestForm,
+	})
+	if len(differing) != 1 || f.digest != table.Digest() || len(held) != 4 || f.since != table.Version() {
+		t.Errorf("buckets %v, digest equal %t, %d replicas held", differing, f.digest == table.Digest(), len(held))
+	}
+	if request := f.request(); request.Digest != nil || request.Digests != nil {
+		t.Error("the digest is sent again at once")
+	}
+}
--- a/internal/gate/follow/first.go
+++ b/internal/gate/follow/first.go
@@ -2,9 +2,11 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"net/http"
 	"slices"
 	"sync"
+	"time"
 
 	"slateway.example/slateway/internal/control/controlapi"
 	"slateway.example/slateway/internal/rpc"
@@ -17,10 +19,16 @@
 	response *controlapi.FollowResponse
 }
 
-// findFirstControl asks all known control VMs in parallel and follows the first to answer.
-// After a power loss of a site its VMs return one by one. Asked in sequence, every control
-// VM that is still down would cost the whole call timeout, while callers wait for routes
-// that another control VM could already provide.
+// firstAskStep is how long a control VM may take for the first answer until the next one is
+// asked as well. Each control VM that is asked answers with the whole roster: hundreds of
+// gates that asked all of them at once would receive and decode it several times, at the
+// moment at which the control VMs have most to do.
+const firstAskStep = 60 * time.Millisecond
+
+// findFirstControl asks the known control VMs, one after firstAskStep after the other, and
+// follows the first to answer. After a power loss of a site its VMs return one by one. Asked
+// in sequence, every control VM that is still down would cost the whole call timeout, while
+// callers wait for routes that another control VM could already provide.
 func (f *Follower) findFirstControl(ctx context.Context) {
 	ctx, stop := context.WithCancel(ctx)
 	answers := make(chan firstAnswer)
@@ -32,18 +40,31 @@
 			asking.Go(func() { f.askUntilAnswered(ctx, control, answers) })
 		}
 	}
-	for _, control := range f.knownControls() {
-		ask(control)
+	remaining := f.inAskOrder(f.knownControls())
+	ticker := time.NewTicker(firstAskStep)
+	defer ticker.Stop()
+	askNext := func() {
+		if len(remaining) > 0 {
+			ask(remaining[0])
+			remaining = remaining[1:]
+		}
 	}
+	askNext()
 	defer asking.Wait()
 	defer stop()
 	for {
 		select {
 		case <-ctx.Done():
 			return
+		case <-ticker.C:
+			askNext()
 		case control := <-f.invites:
 			ask(control)
 		case first := <-answers:
+			if err := unpack(first.control, first.response); err != nil {
+				f.switchControl(first.control, err)
+				return
+			}
 			f.mu.Lock()
 			f.current = first.control
 			f.mu.Unlock()
@@ -82,11 +103,23 @@
 	return slices.Clone(f.controls)
 }
 
+// inAskOrder returns the control VMs in random order after the one that this gate would
+// choose.
+func (f *Follower) inAskOrder(controls []string) []string {
+	rand.Shuffle(len(controls), func(i, j int) { controls[i], controls[j] = controls[j], controls[i] })
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if chosen := slices.Index(controls, f.choice.choose(time.Now(), controls)); chosen > 0 {
+		controls[0], controls[chosen] = controls[chosen], controls[0]
+	}
+	return controls
+}
+
 func (f *Follower) askUntilAnswered(ctx context.Context, control string, answers chan<- firstAnswer) {
 	var retry backoff
 	for ctx.Err() == nil {
 		request := f.request()
-		response, err := f.call(ctx, control, request)
+		response, err := f.callPacked(ctx, control, request) // unpacked only if it is the first
 		if err == nil {
 			select {
 			case answers <- firstAnswer{control: control, request: request, response: response}:
--- a/internal/gate/follow/follower.go
+++ b/internal/gate/follow/follower.go
@@ -81,7 +81,8 @@
 	consecutiveFailures int    // requests in a row without an answer
 	epoch               string
 	since               uint64
-	digest              uint64    // of listing, as of the last response
+	digest              uint64 // of listing, as of the last response
+	bucketDigests       [roster.Buckets]uint64
 	answeredBy          string    // control VM of the last response
 	acceptsDigest       bool      // that control VM compares digests
 	fullRefreshAt       time.Time // last full or verified response
@@ -291,16 +292,25 @@
 }
 
 func (f *Follower) call(ctx context.Context, address string, request *controlapi.FollowRequest) (*controlapi.FollowResponse, error) {
-	ctx, cancel := context.WithTimeout(ctx, pollWait+callTimeout)
-	defer cancel()
-	response, err := rpc.Call(ctx, f.options.Calls, address, controlapi.Follow, request)
+	response, err := f.callPacked(ctx, address, request)
 	if err != nil {
 		return nil, err
 	}
+	return response, unpack(address, response)
+}
+
+// callPacked is like call but leaves the roster changes in the response packed.
+func (f *Follower) callPacked(ctx context.Context, address string, request *controlapi.FollowRequest) (*controlapi.FollowResponse, error) {
+	ctx, cancel := context.WithTimeout(ctx, pollWait+callTimeout)
+	defer cancel()
+	return rpc.Call(ctx, f.options.Calls, address, controlapi.Follow, request)
+}
+
+func unpack(address string, response *controlapi.FollowResponse) error {
 	if err := response.Unpack(); err != nil {
-		return nil, fmt.Errorf("unpack the answer of control VM %s: %w", address, err)
+		return fmt.Errorf("unpack the answer of control VM %s: %w", address, err)
 	}
-	return response, nil
+	return nil
 }
 
 // request returns the next request: this gate's report and the versions that it has.
@@ -317,6 +327,10 @@
 	case f.acceptsDigest && (refresh || f.current != f.answeredBy):
 		digest := f.digest
 		request.Digest = &digest
+		if f.current != f.answeredBy {
+			digests := f.bucketDigests
+			request.Digests = digests[:]
+		}
 	case refresh:
 		request.Epoch, request.Since = "", 0
 	}
--- a/internal/gate/follow/take.go
+++ b/internal/gate/follow/take.go
@@ -22,13 +22,15 @@
 	if full {
 		f.listing.Clear()
 	}
-	f.applyReplicas(address, &response.Changes, full)
+	f.listing.ClearBuckets(response.Buckets)
+	f.applyReplicas(address, &response.Changes, full || len(response.Buckets) > 0)
 	f.listing.ApplyGates(&response.Changes)
 	if response.Later != nil {
 		f.applyReplicas(address, response.Later, false)
 		f.listing.ApplyGates(response.Later)
 	}
-	if full || response.Verified {
+	complete := full || response.Verified || len(response.Buckets) > 0
+	if complete {
 		f.withdrawUnlisted()
 	}
 	f.countRefresh(address, request, response, full)
@@ -40,13 +42,14 @@
 	f.consecutiveFailures = 0
 	f.choice.recordAnswer(address)
 	f.epoch, f.since, f.digest = response.Epoch, response.Version(), f.listing.Digest()
+	f.bucketDigests = f.listing.BucketDigests()
 	f.answeredBy, f.acceptsDigest = address, response.AcceptsDigest == roster.DigestForm
 	if len(response.Controls) > 0 {
 		f.setControls(response.Controls)
 		f.keepers = response.Keepers
 		f.peers = response.PeersHash
 	}
-	if full || response.Verified {
+	if complete {
 		f.fullRefreshAt = time.Now()
 	}
 	callbacks := f.applyGates(response, full)
@@ -61,7 +64,7 @@
 
 // isFull reports whether a response lists everything instead of changes.
 func isFull(request *controlapi.FollowRequest, response *controlapi.FollowResponse) bool {
-	if response.Verified {
+	if response.Verified || len(response.Buckets) > 0 {
 		return false
 	}
 	return request.Since == 0 || response.Epoch != request.Epoch || (request.Digest != nil && response.Changes.HasGates)
@@ -72,6 +75,10 @@
 	switch {
 	case response.Verified:
 		f.options.Metrics.Count("roster.verified")
+	case len(response.Buckets) > 0:
+		f.options.Metrics.Add("roster.gate_bucket_repairs", int64(len(response.Buckets)))
+		f.options.Log.Info("a part of the roster differed from that of the control VM", zap.String("control", address),
+			zap.Int("buckets", len(response.Buckets)), zap.Int("replicas", len(response.Changes.Replicas)))
 	case full:
 		f.options.Metrics.Count("roster.full_answers")
 		if request.Digest != nil {
--- a/internal/roster/digest.go
+++ b/internal/roster/digest.go
@@ -133,12 +133,32 @@
 	return differing
 }
 
+// BucketChanges returns what a follower that lists the given buckets differently must have
+// instead: all live replicas in them and, if they include GateBucket, all live gates.
+func (t *Table) BucketChanges(buckets []int) Changes {
+	changes := Changes{Version: t.version}
+	var wanted [Buckets]bool
+	for _, bucket := range buckets {
+		wanted[bucket] = true
+	}
+	for _, row := range t.replicas {
+		if wanted[row.bucket] && !row.removed {
+			changes.Replicas = append(changes.Replicas, row.announcement)
+		}
+	}
+	if wanted[GateBucket] {
+		changes.Gates, changes.HasGates = t.Gates(), true
+	}
+	return changes
+}
+
 // Listing is a follower's record of what the control VM that it follows has listed, so that
 // both can compare digests. It is not safe for concurrent use.
 type Listing struct {
 	replicas map[upstream.ReplicaID]uint64 // hash of each listed replica
 	gates    map[string]uint64             // hash of each listed gate
 	digest   uint64
+	buckets  [Buckets]uint64
 }
 
 // NewListing returns an empty Listing.
@@ -149,48 +169,73 @@
 // Digest returns the digest of what is listed.
 func (l *Listing) Digest() uint64 { return l.digest }
 
+// BucketDigests returns the digest of each bucket of what is listed.
+func (l *Listing) BucketDigests() [Buckets]uint64 { return l.buckets }
+
 // Contains reports whether a replica is listed.
 func (l *Listing) Contains(id upstream.ReplicaID) bool {
 	_, listed := l.replicas[id]
 	return listed
 }
 
+func (l *Listing) add(bucket int, hash uint64) {
+	l.digest += hash
+	l.buckets[bucket] += hash
+}
+
 // Clear removes everything, before a full response is applied.
 func (l *Listing) Clear() {
 	clear(l.replicas)
 	clear(l.gates)
-	l.digest = 0
+	l.digest, l.buckets = 0, [Buckets]uint64{}
+}
+
+// ClearBuckets removes the replicas in the given buckets, before a response that lists those
+// buckets is applied. Its list of gates is applied by ApplyGates.
+func (l *Listing) ClearBuckets(buckets []int) {
+	if len(buckets) == 0 {
+		return
+	}
+	var cleared [Buckets]bool
+	for _, bucket := range buckets {
+		if bucket >= 0 && bucket < Buckets {
+			cleared[bucket] = true
+		}
+	}
+	for id := range l.replicas {
+		if cleared[bucketOf(id)] {
+			l.RemoveReplica(id)
+		}
+	}
 }
 
 // AddReplica records that a replica is listed as announced.
 func (l *Listing) AddReplica(a *upstream.Announcement) {
 	hash := hashReplica(a)
-	l.digest += hash - l.replicas[a.Replica]
+	l.add(bucketOf(a.Replica), hash-l.replicas[a.Replica])
 	l.replicas[a.Replica] = hash
 }
 
 // RemoveReplica records that a replica is no longer listed.
 func (l *Listing) RemoveReplica(id upstream.ReplicaID) {
-	l.digest -= l.replicas[id]
+	l.add(bucketOf(id), -l.replicas[id])
 	delete(l.replicas, id)
 }
 
 // ApplyGates records the changes of the listed gates.
 func (l *Listing) ApplyGates(changes *Changes) {
 	if changes.HasGates {
-		for _, hash := range l.gates {
-			l.digest -= hash
-		}
+		l.add(GateBucket, -l.buckets[GateBucket])
 		clear(l.gates)
 	}
 	for _, vm := range changes.GatesGone {
-		l.digest -= l.gates[vm]
+		l.add(GateBucket, -l.gates[vm])
 		delete(l.gates, vm)
 	}
 	for i := range changes.Gates {
 		gate := &changes.Gates[i]
 		hash := hashGate(gate)
-		l.digest += hash - l.gates[gate.VM]
+		l.add(GateBucket, hash-l.gates[gate.VM])
 		l.gates[gate.VM] = hash
 	}
 }
--- a/internal/roster/digest_test.go
+++ b/internal/roster/digest_test.go
@@ -56,6 +56,24 @@
 		if fresh.Digest() != r.Digest() {
 			t.Fatalf("seed %d: a full response gives another digest", seed)
 		}
+		behind := roster.NewListing()
+		apply(behind, &full)
+		for range 30 {
+			randomChange(r, rng, now, 1000+seed)
+		}
+		digests := behind.BucketDigests()
+		differing := r.DifferingBuckets(digests[:])
+		parts := r.BucketChanges(differing)
+		behind.ClearBuckets(differing)
+		for i := range parts.Replicas {
+			behind.AddReplica(&parts.Replicas[i])
+		}
+		behind.ApplyGates(&parts)
+		if behind.Digest() != r.Digest() || parts.Version != r.Version() {
+			t.Fatalf("seed %d: the differing buckets do not make the listing equal", seed)
+		}
+		full, fresh = r.Since(0), roster.NewListing()
+		apply(fresh, &full)
 		r.Announce(now, announcement("missed", 1, 1, "10.1.0.1:80"), 0)
 		if missed := r.Since(0); len(missed.Replicas) != len(full.Replicas)+1 || fresh.Digest() == r.Digest() {
 			t.Fatalf("seed %d: a missed replica does not change the digest", seed)
