Announcements cost less and stay at a control VM that answers late

Cause: each announcement cloned the list of control VMs and hashed all of them, and locked the roster to log a change of contact. One failed call within 0.7 s marked a control VM as unreachable, which sent its replicas elsewhere and back with the next call: hundreds of new connections at a moment at which the control VMs are busy. Change: the control VM of a replica is cached until the list or the reachability changes. A control VM is unreachable after three failed calls in a row or one refused connection. If more than half of the control VMs are unreachable, replicas stay where they are: this VM is in contact with a leader, so that its own calls must be slow. Tests guard against: replicas that move after late answers, that are sent to a control VM without a process, and that all move to a control VM whose own calls are slow.

At 280 heartbeats a second the handler is not where the CPU time of a control VM goes; no figure was taken of the sockets below it.

--- a/internal/control/assign_test.go
+++ b/internal/control/assign_test.go
@@ -1,10 +1,16 @@
 package control
 
 import (
+	"context"
 	"fmt"
+	"net"
+	"os"
+	"syscall"
 	"testing"
 	"time"
 
+	"go.uber.org/zap"
+
 	"slateway.example/slateway/internal/upstream"
 )
 
@@ -42,3 +48,49 @@
 		}
 	}
 }
+
+// One slow call of a busy control VM must not send its replicas elsewhere, a refused
+// connection must, and a control VM whose own calls are slow must not draw all replicas to
+// itself.
+func TestReplicasStayAtAControlVMThatAnswersLate(t *testing.T) {
+	controls := []string{"10.0.0.1:7660", "10.0.0.2:7660", "10.0.0.3:7660", "10.0.0.4:7660"}
+	s := newAssigner("10.0.0.1", controls)
+	s.broadcaster.log = zap.NewNop()
+	moved := func() (count int) {
+		fresh := newAssigner("10.0.0.1", controls)
+		for i := range 300 {
+			id := upstream.ReplicaID(fmt.Sprint("replica-", i))
+			if s.AnnounceAt(id) != fresh.AnnounceAt(id) {
+				count++
+			}
+		}
+		return count
+	}
+	late := fmt.Errorf("call: %w", context.DeadlineExceeded)
+	for range unreachableAfter - 1 {
+		s.broadcaster.recordResult(controls[1], late)
+	}
+	if got := moved(); got != 0 {
+		t.Errorf("%d replicas move after %d late answers", got, unreachableAfter-1)
+	}
+	s.broadcaster.recordResult(controls[1], late)
+	if got := moved(); got < 30 || got > 150 {
+		t.Errorf("%d of 300 replicas move from a control VM that does not answer, want about 75", got)
+	}
+	s.broadcaster.recordResult(controls[1], nil)
+	if got := moved(); got != 0 {
+		t.Errorf("%d replicas stay away from a control VM that answers", got)
+	}
+	s.broadcaster.recordResult(controls[2], &net.OpError{Op: "dial", Err: os.NewSyscallError("connect", syscall.ECONNREFUSED)})
+	if got := moved(); got < 30 || got > 150 {
+		t.Errorf("%d of 300 replicas move from a control VM without a process, want about 75", got)
+	}
+	for range unreachableAfter {
+		for _, address := range controls[1:] {
+			s.broadcaster.recordResult(address, late)
+		}
+	}
+	if got := moved(); got != 0 {
+		t.Errorf("%d replicas are sent to the one control VM whose calls to all others are late", got)
+	}
+}
--- a/internal/control/broadcast.go
+++ b/internal/control/broadcast.go
@@ -2,9 +2,11 @@
 
 import (
 	"context"
+	"errors"
 	"maps"
 	"slices"
 	"sync"
+	"syscall"
 	"time"
 
 	"go.uber.org/zap"
@@ -27,7 +29,9 @@
 
 	mu    sync.Mutex
 	peers map[string]*peerQueue // by peers address
-	// unreachable contains the addresses whose last call failed.
+	// failures is the number of calls in a row that failed, by address. unreachable
+	// contains the addresses to which no replicas are sent.
+	failures    map[string]int
 	unreachable map[string]bool
 	// forms is the roster.DigestForm of the control VMs that have answered; 0 for those of
 	// a build without digests and renewals.
@@ -66,7 +70,7 @@
 }
 
 func newBroadcaster(self string, calls *rpc.Client, log *zap.Logger) *broadcaster {
-	return &broadcaster{self: self, calls: calls, log: log, peers: make(map[string]*peerQueue), unreachable: make(map[string]bool), forms: make(map[string]int)}
+	return &broadcaster{self: self, calls: calls, log: log, peers: make(map[string]*peerQueue), failures: make(map[string]int), unreachable: make(map[string]bool), forms: make(map[string]int)}
 }
 
 // broadcast queues a message for the control VMs at the addresses. It returns the batch that
@@ -128,18 +132,34 @@
 	if err == nil {
 		b.recordForm(address, response.DigestForm)
 	}
+	b.recordResult(address, err)
+	return err
+}
+
+// unreachableAfter is the number of failed calls in a row after which replicas are sent to
+// other control VMs. One slow call of a busy control VM made hundreds of replicas change their
+// control VM at once, and come back with the next call.
+const unreachableAfter = 3
+
+// recordResult updates the reachability of a control VM. A refused connection shows at once
+// that no process serves there.
+func (b *broadcaster) recordResult(address string, err error) {
 	b.mu.Lock()
 	before := b.unreachable[address]
-	if err != nil {
-		b.unreachable[address] = true
-	} else {
+	if err == nil {
+		delete(b.failures, address)
 		delete(b.unreachable, address)
+	} else {
+		b.failures[address]++
+		if b.failures[address] >= unreachableAfter || errors.Is(err, syscall.ECONNREFUSED) {
+			b.unreachable[address] = true
+		}
 	}
+	after := b.unreachable[address]
 	b.mu.Unlock()
-	if before != (err != nil) {
-		b.log.Info("reachability of a control VM changed", zap.String("address", address), zap.Bool("reachable", err == nil), zap.Error(err))
+	if before != after {
+		b.log.Info("reachability of a control VM changed", zap.String("address", address), zap.Bool("reachable", !after), zap.Error(err))
 	}
-	return err
 }
 
 // form returns the roster.DigestForm of a control VM; 0 if it is unknown.
@@ -155,11 +175,26 @@
 	b.forms[address] = form
 }
 
-// isUnreachable reports whether the last call to a control VM failed.
-func (b *broadcaster) isUnreachable(address string) bool {
+// unreachableAmong returns the positions of the unreachable control VMs in a list as bits. It
+// returns none if more than half are unreachable: this VM is in contact with the leader of a
+// majority, so that its own calls must be slow, and replicas are better off where they are.
+func (b *broadcaster) unreachableAmong(controls []string) (positions uint64) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	return b.unreachable[address]
+	if len(b.unreachable) == 0 {
+		return 0
+	}
+	count := 0
+	for i, address := range controls {
+		if b.unreachable[address] {
+			positions |= positionBit(i)
+			count++
+		}
+	}
+	if 2*count > len(controls) {
+		return 0
+	}
+	return positions
 }
 
 func newBatch() *batch {
--- a/internal/control/service.go
+++ b/internal/control/service.go
@@ -90,11 +90,13 @@
 	packedChanges packedChanges
 	packedRoster  packedRoster
 	batch         changeBatch
+	assignments   assignments
 	peers         peerCache
 	contact       contactWatch
 	// followers is the number of open long polls of gates.
 	followers atomic.Int64
 	locating  atomic.Bool // a search for leaders is in progress
+	inContact atomic.Bool // as last logged
 
 	mu        sync.Mutex // guards the fields below
 	table     *roster.Table
@@ -109,7 +111,6 @@
 	longPolls        map[string]int       // open long polls by gate
 	lastFollow       map[string]time.Time // when a gate last polled this VM
 	contacts         map[string]time.Time // when a control VM last shared reports
-	inContact        bool                 // as last logged
 	seeds            []string
 
 	previousGates []roster.Gate // gates known before the restart
@@ -173,11 +174,7 @@
 	_, known := s.options.Group.Leader(keeperapi.ConfigGroup)
 	lag := s.options.Group.Lag(keeperapi.ConfigGroup)
 	inContact := known && lag < maxLag
-	s.mu.Lock()
-	changed := inContact != s.inContact
-	s.inContact = inContact
-	s.mu.Unlock()
-	if changed {
+	if s.inContact.Swap(inContact) != inContact {
 		s.options.Log.Info("contact with the leader of the configuration", zap.Bool("in_contact", inContact),
 			zap.Bool("leader_known", known), zap.Duration("lag", lag))
 	}
--- a/internal/control/share_test.go
+++ b/internal/control/share_test.go
@@ -237,3 +237,16 @@
 		t.Errorf("whole reports of %v, %d renewals", ids, len(news.renewedReplicas))
 	}
 }
+
+// A control VM whose process is gone refuses connections: replicas must not be sent there for
+// as long as it takes to rule out a slow answer.
+func TestARefusedConnectionIsNotTakenForALateAnswer(t *testing.T) {
+	gone := httptest.NewServer(http.NotFoundHandler())
+	address := strings.TrimPrefix(gone.URL, "http://")
+	gone.Close()
+	s := startService(t)
+	awaitAll(s.broadcaster.broadcast(t.Context(), []string{address}, &message{ShareRequest: &controlapi.ShareRequest{}}), 5*time.Second)
+	if s.broadcaster.unreachableAmong([]string{s.options.Address, address}) != 2 {
+		t.Error("the control VM is not unreachable after a refused connection")
+	}
+}
