--- a/internal/control/broadcast.go
+++ b/internal/control/broadcast.go
@@ -2,9 +2,11 @@
 
 import (
 	"context"
+	"errors"
 	"maps"
 	"slices"
 	"sync"
+	"syscall"
 	"time"
 
 	"go.uber.org/zap"
@@ -27,8 +29,13 @@
 
 	mu    sync.Mutex
 	peers map[string]*peerQueue // by peers address
-	// unreachable contains the addresses whose last call failed.
+	// failures is the number of calls in a row that failed, by address. unreachable
+	// contains the addresses to which no replicas are sent.
+	failures    map[string]int
 	unreachable map[string]bool
+	// forms is the roster.DigestForm of the control VMs that have answered; 0 for those of
+	// a build without digests and renewals.
+	forms map[string]int
 }
 
 // peerQueue holds what is to be sent to one control VM.
@@ -39,23 +46,39 @@
 
 // batch is the content of one call: the newest report of each replica and gate.
 type batch struct {
-	replicas   map[upstream.ReplicaID]roster.ReplicaReport
-	gates      map[string]roster.GateReport
+	replicas   map[upstream.ReplicaID]pending[roster.ReplicaReport]
+	gates      map[string]pending[roster.GateReport]
 	departures map[upstream.ReplicaID]controlapi.Departure
 	candidates []quorum.Member
 	done       chan struct{} // closed when the call ends
+	err        error         // of the call; set before done is closed
+}
+
+// pending is a report to be sent. A report that has not changed since it was last sent is
+// sent as a renewal to the control VMs that know renewals.
+type pending[R any] struct {
+	report  R
+	renewal bool
+}
+
+// message is what is sent to the other control VMs: a request, and the reports that have not
+// changed since they were last sent.
+type message struct {
+	*controlapi.ShareRequest
+	renewedReplicas []roster.ReplicaReport
+	renewedGates    []roster.GateReport
 }
 
 func newBroadcaster(self string, calls *rpc.Client, log *zap.Logger) *broadcaster {
-	return &broadcaster{self: self, calls: calls, log: log, peers: make(map[string]*peerQueue), unreachable: make(map[string]bool)}
+	return &broadcaster{self: self, calls: calls, log: log, peers: make(map[string]*peerQueue), failures: make(map[string]int), unreachable: make(map[string]bool), forms: make(map[string]int)}
 }
 
-// broadcast queues a message for the control VMs at the addresses. It returns a channel
-// for each, which closes when the call that carries the message ends.
-func (b *broadcaster) broadcast(ctx context.Context, addresses []string, message *controlapi.ShareRequest) []<-chan struct{} {
+// broadcast queues a message for the control VMs at the addresses. It returns the batch that
+// carries the message for each of them.
+func (b *broadcaster) broadcast(ctx context.Context, addresses []string, message *message) []*batch {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	var ends []<-chan struct{}
+	var batches []*batch
 	for _, address := range addresses {
 		if address == b.self {
 			continue
@@ -69,13 +92,13 @@
 			peer.next = newBatch()
 		}
 		peer.next.add(message)
-		ends = append(ends, peer.next.done)
+		batches = append(batches, peer.next)
 		if !peer.sending {
 			peer.sending = true
 			go b.run(ctx, address)
 		}
 	}
-	return ends
+	return batches
 }
 
 // run sends batches to one control VM until none is left.
@@ -85,7 +108,7 @@
 		if next == nil {
 			return
 		}
-		b.send(ctx, address, next)
+		next.err = b.send(ctx, address, next)
 		close(next.done)
 	}
 }
@@ -102,43 +125,97 @@
 	return next
 }
 
-func (b *broadcaster) send(ctx context.Context, address string, content *batch) {
+func (b *broadcaster) send(ctx context.Context, address string, content *batch) error {
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), shareTimeout)
 	defer cancel()
-	_, err := rpc.Call(ctx, b.calls, address, controlapi.Share, content.request(b.self))
+	response, err := rpc.Call(ctx, b.calls, address, controlapi.Share, content.request(b.self, b.form(address)))
+	if err == nil {
+		b.recordForm(address, response.DigestForm)
+	}
+	b.recordResult(address, err)
+	return err
+}
+
+// unreachableAfter is the number of failed calls in a row after which replicas are sent to
+// other control VMs. One slow call of a busy control VM made hundreds of replicas change their
+// control VM at once, and come back with the next call.
+const unreachableAfter = 3
+
+// recordResult updates the reachability of a control VM. A refused connection shows at once
+// that no process serves there.
+func (b *broadcaster) recordResult(address string, err error) {
 	b.mu.Lock()
 	before := b.unreachable[address]
-	if err != nil {
-		b.unreachable[address] = true
-	} else {
+	if err == nil {
+		delete(b.failures, address)
 		delete(b.unreachable, address)
+	} else {
+		b.failures[address]++
+		if b.failures[address] >= unreachableAfter || errors.Is(err, syscall.ECONNREFUSED) {
+			b.unreachable[address] = true
+		}
 	}
+	after := b.unreachable[address]
 	b.mu.Unlock()
-	if before != (err != nil) {
-		b.log.Info("reachability of a control VM changed", zap.String("address", address), zap.Bool("reachable", err == nil), zap.Error(err))
+	if before != after {
+		b.log.Info("reachability of a control VM changed", zap.String("address", address), zap.Bool("reachable", !after), zap.Error(err))
 	}
 }
 
-// isUnreachable reports whether the last call to a control VM failed.
-func (b *broadcaster) isUnreachable(address string) bool {
+// form returns the roster.DigestForm of a control VM; 0 if it is unknown.
+func (b *broadcaster) form(address string) int {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.forms[address]
+}
+
+func (b *broadcaster) recordForm(address string, form int) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.forms[address] = form
+}
+
+// unreachableAmong returns the positions of the unreachable control VMs in a list as bits. It
+// returns none if more than half are unreachable: this VM is in contact with the leader of a
+// majority, so that its own calls must be slow, and replicas are better off where they are.
+func (b *broadcaster) unreachableAmong(controls []string) (positions uint64) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	return b.unreachable[address]
+	if len(b.unreachable) == 0 {
+		return 0
+	}
+	count := 0
+	for i, address := range controls {
+		if b.unreachable[address] {
+			positions |= positionBit(i)
+			count++
+		}
+	}
+	if 2*count > len(controls) {
+		return 0
+	}
+	return positions
 }
 
 func newBatch() *batch {
 	return &batch{
-		replicas: make(map[upstream.ReplicaID]roster.ReplicaReport), gates: make(map[string]roster.GateReport),
+		replicas: make(map[upstream.ReplicaID]pending[roster.ReplicaReport]), gates: make(map[string]pending[roster.GateReport]),
 		departures: make(map[upstream.ReplicaID]controlapi.Departure), done: make(chan struct{}),
 	}
 }
 
-func (b *batch) add(message *controlapi.ShareRequest) {
+func (b *batch) add(message *message) {
 	for _, report := range message.Replicas {
-		b.replicas[report.Replica.Replica] = report
+		b.replicas[report.Replica.Replica] = pending[roster.ReplicaReport]{report: report}
 	}
 	for _, report := range message.Gates {
-		b.gates[report.Gate.VM] = report
+		b.gates[report.Gate.VM] = pending[roster.GateReport]{report: report}
+	}
+	for _, report := range message.renewedReplicas {
+		addRenewal(b.replicas, report.Replica.Replica, report)
+	}
+	for _, report := range message.renewedGates {
+		addRenewal(b.gates, report.Gate.VM, report)
 	}
 	for _, departure := range message.Departures {
 		b.departures[departure.Replica] = departure
@@ -148,24 +225,49 @@
 	}
 }
 
-func (b *batch) request(from string) *controlapi.ShareRequest {
-	return &controlapi.ShareRequest{
-		From: from, Candidates: b.candidates,
-		Replicas:   slices.Collect(maps.Values(b.replicas)),
-		Gates:      slices.Collect(maps.Values(b.gates)),
+// addRenewal adds a report that has not changed. If the change before it still waits to be
+// sent, the whole report is sent.
+func addRenewal[K comparable, R any](reports map[K]pending[R], key K, report R) {
+	before, waiting := reports[key]
+	reports[key] = pending[R]{report: report, renewal: !waiting || before.renewal}
+}
+
+// request returns the content as a request to a control VM with the given roster.DigestForm.
+func (b *batch) request(from string, form int) *controlapi.ShareRequest {
+	request := &controlapi.ShareRequest{
+		From: from, Candidates: b.candidates, DigestForm: roster.DigestForm,
 		Departures: slices.Collect(maps.Values(b.departures)),
 	}
+	for _, p := range b.replicas {
+		if p.renewal && form == roster.DigestForm {
+			request.Renewals = append(request.Renewals, roster.RenewalOf(&p.report))
+			continue
+		}
+		request.Replicas = append(request.Replicas, p.report)
+	}
+	for _, p := range b.gates {
+		if p.renewal && form == roster.DigestForm {
+			request.GateRenewals = append(request.GateRenewals, roster.GateRenewalOf(&p.report))
+			continue
+		}
+		request.Gates = append(request.Gates, p.report)
+	}
+	return request
 }
 
-// awaitAll returns when all channels are closed, or after timeout.
-func awaitAll(ends []<-chan struct{}, timeout time.Duration) {
+// awaitAll returns when the calls of all batches have ended, or after timeout. It reports
+// whether all of them have succeeded.
+func awaitAll(batches []*batch, timeout time.Duration) (sent bool) {
 	timer := time.NewTimer(timeout)
 	defer timer.Stop()
-	for _, end := range ends {
+	sent = true
+	for _, b := range batches {
 		select {
-		case <-end:
+		case <-b.done:
+			sent = sent && b.err == nil
 		case <-timer.C:
-			return
+			return false
 		}
 	}
+	return sent
 }
--- a/internal/control/service.go
+++ b/internal/control/service.go
@@ -88,28 +88,35 @@
 	broadcaster   *broadcaster
 	packed        packedRoutes
 	packedChanges packedChanges
+	packedRoster  packedRoster
+	batch         changeBatch
+	assignments   assignments
 	peers         peerCache
 	contact       contactWatch
 	// followers is the number of open long polls of gates.
 	followers atomic.Int64
 	locating  atomic.Bool // a search for leaders is in progress
+	inContact atomic.Bool // as last logged
 
 	mu        sync.Mutex // guards the fields below
 	table     *roster.Table
 	directory *directory.Directory
 	changed   chan struct{} // closed at the next roster change
-	// unsharedReplicas and unsharedGates have reported here since the last share.
+	// unsharedReplicas and unsharedGates have reported here since the last share. The value
+	// is whether the whole report is to be shared, because it has changed.
 	// sharedAt is when a replica's report was last shared.
-	unsharedReplicas map[upstream.ReplicaID]struct{}
+	unsharedReplicas map[upstream.ReplicaID]bool
 	sharedAt         map[upstream.ReplicaID]time.Time
-	unsharedGates    map[string]struct{}
+	unsharedGates    map[string]bool
 	longPolls        map[string]int       // open long polls by gate
 	lastFollow       map[string]time.Time // when a gate last polled this VM
 	contacts         map[string]time.Time // when a control VM last shared reports
-	inContact        bool                 // as last logged
 	seeds            []string
 
 	previousGates []roster.Gate // gates known before the restart
+	// keepsPrevious reports whether the journal keeps previousGates, which have not all
+	// reported yet.
+	keepsPrevious bool
 }
 
 // New creates a Service from the state on disk.
@@ -124,9 +131,9 @@
 		changed:   make(chan struct{}),
 		contacts:  make(map[string]time.Time),
 
-		unsharedReplicas: make(map[upstream.ReplicaID]struct{}),
+		unsharedReplicas: make(map[upstream.ReplicaID]bool),
 		sharedAt:         make(map[upstream.ReplicaID]time.Time),
-		unsharedGates:    make(map[string]struct{}),
+		unsharedGates:    make(map[string]bool),
 		longPolls:        make(map[string]int),
 		lastFollow:       make(map[string]time.Time),
 
@@ -134,6 +141,7 @@
 		journal:     newJournal(options.Folder, options.Log),
 		broadcaster: newBroadcaster(options.Address, options.Calls, options.Log),
 	}
+	s.journal.changes, s.journal.count = s.journalChanges, options.Metrics.Count
 	content := s.journal.load()
 	s.merge(content.Replicas, nil)
 	s.previousGates = content.Gates
@@ -166,11 +174,7 @@
 	_, known := s.options.Group.Leader(keeperapi.ConfigGroup)
 	lag := s.options.Group.Lag(keeperapi.ConfigGroup)
 	inContact := known && lag < maxLag
-	s.mu.Lock()
-	changed := inContact != s.inContact
-	s.inContact = inContact
-	s.mu.Unlock()
-	if changed {
+	if s.inContact.Swap(inContact) != inContact {
 		s.options.Log.Info("contact with the leader of the configuration", zap.Bool("in_contact", inContact),
 			zap.Bool("leader_known", known), zap.Duration("lag", lag))
 	}
@@ -196,7 +200,8 @@
 }
 
 // pushTimeout bounds how long an acknowledgement waits until the other control VMs have
-// received a change. A control VM that missed it is notified again about once a second.
+// received a change, after it is on the disk. A control VM that missed it is sent the report
+// with the next share, and detects by the digests what it has missed for longer.
 const pushTimeout = 250 * time.Millisecond
 
 // Announce records a replica's announcement. It returns once a change has been sent to
@@ -209,13 +214,16 @@
 	if err := s.requireContact(); err != nil {
 		return err
 	}
+	now := time.Now()
 	s.mu.Lock()
-	result := s.table.Announce(time.Now(), a, 0)
-	if result != roster.Stale {
-		s.unsharedReplicas[a.Replica] = struct{}{}
-	}
-	if result == roster.Changed {
-		delete(s.sharedAt, a.Replica) // share it again, since the push below may not reach all
+	result := s.table.Announce(now, a, 0)
+	switch result {
+	case roster.Refreshed:
+		if _, waiting := s.unsharedReplicas[a.Replica]; !waiting {
+			s.unsharedReplicas[a.Replica] = false
+		}
+	case roster.Changed:
+		s.sharedAt[a.Replica] = now // by the push below
 		s.notify()
 	}
 	s.mu.Unlock()
@@ -225,26 +233,62 @@
 		s.logReplica("stale announcement ignored", &a)
 	case roster.Changed:
 		s.logReplica("replica changed", &a)
-		s.persist()
-		s.push(ctx, &controlapi.ShareRequest{Replicas: []roster.ReplicaReport{{Replica: a}}})
+		s.commit(ctx, a.Replica, &controlapi.ShareRequest{Replicas: []roster.ReplicaReport{{Replica: a}}})
 	}
 	return nil
 }
 
-// persist writes the known replicas and gates to this VM's disk.
+// commit returns once a change of a replica is on this VM's disk and has been sent to all
+// other control VMs, or after journalWait and pushTimeout. The calls continue when ctx ends.
+func (s *Service) commit(ctx context.Context, id upstream.ReplicaID, request *controlapi.ShareRequest) {
+	sent := s.broadcast(ctx, request)
+	s.persist()
+	if awaitAll(sent, pushTimeout) {
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.unsharedReplicas[id] = true // a control VM may have missed it: share the report again
+}
+
+// persist writes the changes of replicas and gates to this VM's disk.
 func (s *Service) persist() { s.journal.save(s.snapshot) }
 
 func (s *Service) snapshot() (version uint64, content journalContent) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.keepsPrevious = s.awaitsPreviousGates()
 	return s.table.Version(), journalContent{Replicas: s.table.AllReplicaReports(time.Now()), Gates: s.gatesToPersist()}
 }
 
+// journalChanges returns the changes after a version for the journal.
+func (s *Service) journalChanges(since uint64) (version uint64, changes journalChanges, ok bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.keepsPrevious && !s.awaitsPreviousGates() {
+		return s.table.Version(), journalChanges{}, false // drops the gates that have not come back
+	}
+	found := s.table.Since(since)
+	ids := make([]upstream.ReplicaID, len(found.Replicas))
+	for i := range found.Replicas {
+		ids[i] = found.Replicas[i].Replica
+	}
+	changes = journalChanges{Replicas: s.table.ReplicaReports(time.Now(), ids), Gates: found.Gates, Gone: found.Gone}
+	if !s.keepsPrevious {
+		changes.GatesGone = found.GatesGone
+	}
+	return found.Version, changes, true
+}
+
+// awaitsPreviousGates reports whether this VM has restarted shortly ago and fewer gates are
+// live than before. The caller holds the mutex.
+func (s *Service) awaitsPreviousGates() bool { return s.expectedGates() > s.table.CountGates() }
+
 // gatesToPersist returns the live gates. Shortly after a restart, while fewer gates are
 // live than before it, it returns the previous gates, so that a second restart does not
 // lose those that have yet to report. The caller holds the mutex.
 func (s *Service) gatesToPersist() []roster.Gate {
-	if s.expectedGates() > s.table.CountGates() {
+	if s.awaitsPreviousGates() {
 		return s.previousGates
 	}
 	return s.table.Gates()
@@ -290,13 +334,12 @@
 		s.notify()
 	}
 	s.mu.Unlock()
-	s.persist()
 	s.options.Log.Info("replica leaves", telemetry.Upstream(string(id)), zap.Uint64("incarnation", incarnation), zap.Bool("news", changed))
 	request := &controlapi.ShareRequest{Departures: []controlapi.Departure{{Replica: id, Incarnation: incarnation}}}
 	if changed {
 		request.Departures[0].Incarnation = a.Incarnation
 	}
-	s.push(ctx, request)
+	s.commit(ctx, id, request)
 	return nil
 }
 
--- a/internal/gate/follow/follower.go
+++ b/internal/gate/follow/follower.go
@@ -44,8 +44,9 @@
 	// callTimeout is the time for an answer in addition to pollWait. It is the only sign of
 	// a frozen control VM or a connection that was cut without notice.
 	callTimeout = 600 * time.Millisecond
-	// fullRefreshInterval is how often the whole state is requested. It repairs changes that
-	// were missed while switching between control VMs.
+	// fullRefreshInterval is how often the control VM compares a digest of this gate's state
+	// with its own, or sends the whole state if it is of a build without digests. It repairs
+	// changes that were missed while switching between control VMs.
 	fullRefreshInterval = 10 * time.Second
 	// unlistedLifetime is how long a replica is kept that no control VM lists. A control VM
 	// that has just started does not know all replicas.
@@ -80,16 +81,24 @@
 	consecutiveFailures int    // requests in a row without an answer
 	epoch               string
 	since               uint64
-	fullRefreshAt       time.Time
-	listed              map[upstream.ReplicaID]listing
+	digest              uint64 // of listing, as of the last response
+	bucketDigests       [roster.Buckets]uint64
+	answeredBy          string    // control VM of the last response
+	acceptsDigest       bool      // that control VM compares digests
+	fullRefreshAt       time.Time // last full or verified response
 	gates               []roster.Gate
 	expected            int           // number of gates of the site, as last reported by a control VM
 	missing             []roster.Gate // expected gates that have not returned since all gates were down
 	onGates             []func()
+
+	// listed and listing are used by applyResponse only. listed also contains replicas that
+	// an earlier control VM listed, listing what the current one lists.
+	listed  map[upstream.ReplicaID]lastListing
+	listing *roster.Listing
 }
 
-// listing records when a control VM last listed a replica.
-type listing struct {
+// lastListing records when a control VM last listed a replica.
+type lastListing struct {
 	service     string
 	incarnation uint64
 	at          time.Time
@@ -99,8 +108,9 @@
 func New(options Options) *Follower {
 	f := &Follower{
 		options: options, gate: options.Gate, controls: slices.Clone(options.Seeds),
-		wake: make(chan struct{}, 1), listed: make(map[upstream.ReplicaID]listing), start: time.Now(),
-		first: make(chan struct{}), invites: make(chan string, maxInvites), choice: newChooser(options.Gate.VM),
+		wake: make(chan struct{}, 1), listed: make(map[upstream.ReplicaID]lastListing), start: time.Now(),
+		listing: roster.NewListing(),
+		first:   make(chan struct{}), invites: make(chan string, maxInvites), choice: newChooser(options.Gate.VM),
 	}
 	f.matcher.Store(routes.NewMatcher(&routes.Document{}))
 	return f
@@ -282,16 +292,25 @@
 }
 
 func (f *Follower) call(ctx context.Context, address string, request *controlapi.FollowRequest) (*controlapi.FollowResponse, error) {
-	ctx, cancel := context.WithTimeout(ctx, pollWait+callTimeout)
-	defer cancel()
-	response, err := rpc.Call(ctx, f.options.Calls, address, controlapi.Follow, request)
+	response, err := f.callPacked(ctx, address, request)
 	if err != nil {
 		return nil, err
 	}
+	return response, unpack(address, response)
+}
+
+// callPacked is like call but leaves the roster changes in the response packed.
+func (f *Follower) callPacked(ctx context.Context, address string, request *controlapi.FollowRequest) (*controlapi.FollowResponse, error) {
+	ctx, cancel := context.WithTimeout(ctx, pollWait+callTimeout)
+	defer cancel()
+	return rpc.Call(ctx, f.options.Calls, address, controlapi.Follow, request)
+}
+
+func unpack(address string, response *controlapi.FollowResponse) error {
 	if err := response.Unpack(); err != nil {
-		return nil, fmt.Errorf("unpack the answer of control VM %s: %w", address, err)
+		return fmt.Errorf("unpack the answer of control VM %s: %w", address, err)
 	}
-	return response, nil
+	return nil
 }
 
 // request returns the next request: this gate's report and the versions that it has.
@@ -301,9 +320,18 @@
 	f.gate.Sequence++
 	request := &controlapi.FollowRequest{
 		Gate: f.gate, Routes: f.Routes().Version(), Epoch: f.epoch, Since: f.since, Wait: pollWait, PeersHash: f.peers,
-		AcceptsPacked: true, AcceptsGateChanges: true,
+		AcceptsPacked: true, AcceptsGateChanges: true, AcceptsLater: true,
 	}
-	if time.Since(f.fullRefreshAt) >= fullRefreshInterval {
+	refresh := time.Since(f.fullRefreshAt) >= fullRefreshInterval
+	switch {
+	case f.acceptsDigest && (refresh || f.current != f.answeredBy):
+		digest := f.digest
+		request.Digest = &digest
+		if f.current != f.answeredBy {
+			digests := f.bucketDigests
+			request.Digests = digests[:]
+		}
+	case refresh:
 		request.Epoch, request.Since = "", 0
 	}
 	return request
