route: prefer replicas by the pace that they tell

Replicas that share their machines report with each answer how long work takes at the moment; 15% of them are 2.5 times as slow for 0.6 s at a time. Nothing read the figure. Gates now compare candidates by load times pace, reserve elsewhere when the owner's acknowledgement shows a slow replica, and pass the newest figure on with load reports. Replicas that tell no pace are chosen as before.

route: keep batch items out of an online backlog

After an outage gates limit overdue callers, and batch items filled the slots that this left and were preempted again. Gates report the requests that wait with their load reports; while any wait, no batch item starts on replicas of a service that tells its pace.

--- a/internal/gate/proxy/attempt.go
+++ b/internal/gate/proxy/attempt.go
@@ -90,6 +90,9 @@
 	}
 	defer response.Body.Close()
 	verdict := a.flight.protocol.InspectHead(response, &a.info)
+	if verdict.Pace > 0 {
+		a.step(route.PaceObserved{Attempt: a.id, Percent: verdict.Pace})
+	}
 	if verdict.Cause != "" {
 		a.reportFailure(verdict.Cause, fmt.Errorf("status %d", response.StatusCode))
 		return
--- a/internal/gate/proxy/protocol.go
+++ b/internal/gate/proxy/protocol.go
@@ -80,6 +80,9 @@
 	Cause route.FailureCause
 	// Queued reports whether the request waited for a slot at the upstream.
 	Queued bool
+	// Pace is how long work takes on the upstream now, in percent of the usual; 0: the
+	// answer does not tell.
+	Pace int
 }
 
 // EventSource reads the events of a stream. The last event has Done set; a stream
--- a/internal/gate/proxy/router.go
+++ b/internal/gate/proxy/router.go
@@ -205,11 +205,13 @@
 // Replica is what this gate knows of a replica, as listed by Upstreams.
 type Replica struct {
 	upstream.Announcement
-	Seen      time.Time `json:"seen"`
-	Suspect   bool      `json:"suspect"` // not used until it answers a probe
-	Online    int       `json:"online"`  // this gate's online requests on it
-	Batch     int       `json:"batch"`   // this gate's batch items on it
-	OwnerGate string    `json:"feeder"`  // the gate that owns its free slots
+	Seen       time.Time     `json:"seen"`
+	Suspect    bool          `json:"suspect"` // not used until it answers a probe
+	Online     int           `json:"online"`  // this gate's online requests on it
+	Batch      int           `json:"batch"`   // this gate's batch items on it
+	OwnerGate  string        `json:"feeder"`  // the gate that owns its free slots
+	Pace       upstream.Pace `json:"pace,omitzero"`
+	Distrusted bool          `json:"pace_distrusted,omitempty"` // its pace is ignored: its answers do not show it
 }
 
 // Upstreams lists all known replicas, ordered by service and ID.
--- a/internal/gate/proxy/shard.go
+++ b/internal/gate/proxy/shard.go
@@ -117,6 +117,7 @@
 		case route.ReportLoad:
 			s.router.reports.enqueue(o.Gate, LoadReport{
 				Service: s.service, Gate: s.router.options.Self, Replica: o.Replica, Online: o.Online, Batch: o.Batch, Number: o.ReportNumber,
+				Pace: o.Pace, Waiting: o.Waiting,
 			})
 		case route.ReportCrashes:
 			ready = s.broadcastCrashes(o.Crashes)
@@ -179,7 +180,7 @@
 		telemetry.Upstream(string(o.Target.Replica)), zap.String("address", o.Target.Address), zap.Bool("resume", o.Resume),
 		zap.Int("slots", view.Slots), zap.Int("online", view.Online), zap.Int("batch", view.Batch),
 		zap.Int("others_online", view.OthersOnline), zap.Int("others_batch", view.OthersBatch), zap.Duration("others_age", view.OthersAge),
-		zap.Int("waiting", view.Waiting), zap.Duration("queued", o.Queued), zap.Int("behind", o.AheadInQueue), zap.Int("places", o.ReservationTries))
+		zap.Float64("pace", view.Pace), zap.Int("waiting", view.Waiting), zap.Duration("queued", o.Queued), zap.Int("behind", o.AheadInQueue), zap.Int("places", o.ReservationTries))
 }
 
 // logHealth logs a change of a replica's health state and the evidence for it.
@@ -252,6 +253,8 @@
 			Online:       v.Online,
 			Batch:        v.Batch,
 			OwnerGate:    v.Owner,
+			Pace:         v.Pace,
+			Distrusted:   v.Distrusted,
 		})
 	}
 	return list
--- a/internal/gate/proxy/usage.go
+++ b/internal/gate/proxy/usage.go
@@ -17,6 +17,8 @@
 	Replica upstream.ReplicaID `json:"replica"`
 	Online  int                `json:"online"`
 	Batch   int                `json:"batch"`
+	Pace    upstream.Pace      `json:"pace,omitzero"`
+	Waiting int                `json:"waiting,omitempty"` // online requests that wait for capacity at the gate
 	// Number numbers this gate's reports on the replica. It is not sent.
 	Number uint64 `json:"-"`
 }
@@ -37,7 +39,10 @@
 	if s == nil {
 		return upstream.OwnerLoad{Replica: report.Replica}
 	}
-	s.step(route.LoadReported{Gate: report.Gate, Replica: report.Replica, Online: report.Online, Batch: report.Batch})
+	s.step(route.LoadReported{
+		Gate: report.Gate, Replica: report.Replica, Online: report.Online, Batch: report.Batch,
+		Pace: report.Pace, Waiting: report.Waiting,
+	})
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	return s.routing.OwnerLoad(report.Replica)
--- a/internal/route/attempt.go
+++ b/internal/route/attempt.go
@@ -135,6 +135,7 @@
 	a.replica.lastContact = s.now
 	if in.Tokens > 0 && a.tokens == 0 {
 		s.firstTokenTime.observe(s.now.Sub(a.started))
+		a.firstAt = s.now
 		s.cancelOthers(a)
 	}
 	a.tokens = max(a.tokens, in.Tokens)
@@ -164,6 +165,7 @@
 	req := a.req
 	a.replica.failures = 0
 	a.replica.lastContact = s.now
+	s.checkPace(a)
 	s.endAttempt(a)
 	s.removeRequest(req, CancelHedgeLost)
 	switch {
--- /dev/null
+++ b/internal/route/backlog.go
@@ -0,0 +1,76 @@
+package route
+
+import (
+	"time"
+
+	"slateway.example/slateway/internal/apierr"
+)
+
+// Backlog: while online requests wait for capacity anywhere in the fleet, batch items do
+// not start. After an outage the callers of its whole duration return together, and each
+// gate limits those that are overdue. The slots that this leaves, and those that become
+// free for a moment at one gate, would be filled with batch items, which slow down the
+// online answers on their replica and are preempted again by the next request.
+//
+// The rule applies to services whose replicas tell their pace: they share their machines,
+// so that a free slot does not show free capacity.
+
+// backlogLifetime is how long a report of waiting requests counts. Gates report to each
+// other with each change of their load, which is far more often during a backlog.
+const backlogLifetime = 300 * time.Millisecond
+
+// ReasonBatchPaused counts the backlogs during which batch items did not start.
+const ReasonBatchPaused apierr.Reason = "batch_paused_by_backlog"
+
+// backlogState is what a gate knows of the online requests that wait at other gates.
+type backlogState struct {
+	reported   int       // waiting requests in the last report with any, of a gate to this one as owner
+	reportedAt time.Time // when that report arrived
+	until      time.Time // end of the backlog at other gates, as far as known
+	paused     bool      // batch items are held, as last counted
+}
+
+// onlineWaiting returns the number of online requests that wait in this gate's queue.
+func (s *Shard) onlineWaiting() int { return s.onlineQueue.len() }
+
+// learnBacklog records how many requests wait at another gate.
+func (s *Shard) learnBacklog(waiting int) {
+	if waiting > 0 {
+		s.backlog.until = s.now.Add(backlogLifetime)
+	}
+}
+
+// learnReportedBacklog records the waiting requests in a load report to this gate. Only
+// these and its own are passed on in acknowledgements: what it learns from acknowledgements
+// would otherwise circulate between gates after the backlog has ended.
+func (s *Shard) learnReportedBacklog(waiting int) {
+	if waiting > 0 {
+		s.backlog.reported, s.backlog.reportedAt = waiting, s.now
+	}
+	s.learnBacklog(waiting)
+}
+
+// backlogToAcknowledge returns the number of waiting requests for an acknowledgement.
+func (s *Shard) backlogToAcknowledge() int {
+	waiting := s.onlineWaiting()
+	if s.now.Sub(s.backlog.reportedAt) < backlogLifetime {
+		waiting = max(waiting, s.backlog.reported)
+	}
+	return waiting
+}
+
+// hasBacklog reports whether online requests wait for capacity here or, by recent reports,
+// at other gates.
+func (s *Shard) hasBacklog() bool {
+	return s.tellsPace && !s.config.Disabled.Backlog && (s.onlineWaiting() > 0 || s.now.Before(s.backlog.until))
+}
+
+// mayStartBatch reports whether batch items may start, and counts each pause once.
+func (s *Shard) mayStartBatch() bool {
+	paused := s.hasBacklog()
+	if paused && !s.backlog.paused {
+		s.count(ReasonBatchPaused)
+	}
+	s.backlog.paused = paused
+	return !paused
+}
--- a/internal/route/batch.go
+++ b/internal/route/batch.go
@@ -75,7 +75,7 @@
 
 // BatchCapacity returns the number of batch items that could start now under the policy.
 func (s *Shard) BatchCapacity(policy Policy) int {
-	if s.draining {
+	if s.draining || s.hasBacklog() {
 		return 0
 	}
 	s.rebuild()
@@ -101,8 +101,12 @@
 		return 0
 	}
 	items := 0
+	paused := s.hasBacklog()
 	for _, r := range s.owned {
-		items += r.batch + max(0, s.freeBatchSlots(r, policy)-s.reservedForNext(r))
+		items += r.batch
+		if !paused {
+			items += max(0, s.freeBatchSlots(r, policy)-s.reservedForNext(r))
+		}
 	}
 	return items + items/prefetchShare + 1
 }
@@ -159,6 +163,9 @@
 	bestFree := 0
 	for _, r := range s.owned {
 		free := s.freeBatchSlots(r, req.Policy) - s.reservedSlots(req, r)
+		if s.isSlow(r) {
+			free = min(free, 1) // chosen after the others
+		}
 		if free <= 0 || !s.mayServe(req, r) || (s.isSuspect(req) && s.hasTrial(r)) {
 			continue
 		}
--- a/internal/route/config.go
+++ b/internal/route/config.go
@@ -47,7 +47,7 @@
 // Guards disables individual protections in tests. The cases in testdata refer to the
 // fields by name.
 type Guards struct {
-	Leaving, Probe, Silence, Poison, Holder, Trial, Copies, Preempt, Yield, Feeder, Budget, Retry, Settle, Unfed, LateShare bool
+	Leaving, Probe, Silence, Poison, Holder, Trial, Copies, Preempt, Yield, Feeder, Budget, Retry, Settle, Unfed, LateShare, Backlog bool
 }
 
 // Defaults of Config.
--- a/internal/route/messages.go
+++ b/internal/route/messages.go
@@ -178,6 +178,8 @@
 		Gate          string
 		Replica       upstream.ReplicaID
 		Online, Batch int
+		Pace          upstream.Pace // newest that the gate knows of the replica
+		Waiting       int           // online requests that wait for capacity at the gate
 	}
 	// GatesChanged lists the live gates, including this one.
 	GatesChanged struct {
@@ -289,6 +291,8 @@
 		Replica       upstream.ReplicaID
 		Online, Batch int
 		ReportNumber  uint64 // number of this gate's load report on the replica
+		Pace          upstream.Pace
+		Waiting       int // online requests that wait for capacity at this gate
 	}
 	// ReportCrashes sends these crash records to all gates before the outputs that
 	// follow.
--- a/internal/route/pick.go
+++ b/internal/route/pick.go
@@ -16,7 +16,7 @@
 	if preferred := s.affinityReplica(req, chosen); preferred != nil {
 		return preferred
 	}
-	if chosen != nil && s.loadRatio(chosen) < s.config.SpillAt {
+	if chosen != nil && s.loadRatio(chosen) < s.config.SpillAt && !s.isSlow(chosen) {
 		return chosen
 	}
 	chosen = s.chooseSpill(chosen, s.sampleTwo(req, s.remote))
@@ -32,7 +32,7 @@
 func (s *Shard) leastLoaded(req *request, chosen *replica) *replica {
 	for _, list := range [...][]*replica{s.local, s.remote} {
 		for _, r := range list {
-			if s.loadRatio(r) < s.loadRatio(chosen) && s.fits(req, r) {
+			if s.expectedCost(r) < s.expectedCost(chosen) && s.fits(req, r) {
 				chosen = r
 			}
 		}
@@ -46,7 +46,7 @@
 		return near
 	case near == nil:
 		return far
-	case s.loadRatio(far)+s.config.SpillPenalty < s.loadRatio(near):
+	case s.expectedCost(far)+s.config.SpillPenalty < s.expectedCost(near):
 		return far
 	default:
 		return near
@@ -60,7 +60,7 @@
 		return nil
 	}
 	second := s.sample(req, from, first)
-	if second != nil && s.loadRatio(second) < s.loadRatio(first) {
+	if second != nil && s.expectedCost(second) < s.expectedCost(first) {
 		return second
 	}
 	return first
@@ -153,7 +153,7 @@
 		}
 	}
 	for i, r := range [...]*replica{best, second} {
-		if r != nil && i < s.config.AffinityTries && s.hasSlot(r) && s.loadRatio(r) <= bound && s.fits(req, r) {
+		if r != nil && i < s.config.AffinityTries && s.hasSlot(r) && !s.isSlow(r) && s.loadRatio(r) <= bound && s.fits(req, r) {
 			return r
 		}
 	}
--- a/internal/route/place.go
+++ b/internal/route/place.go
@@ -103,6 +103,9 @@
 		case s.onlineLoad(r) > s.slots(r):
 			s.count(ReasonSlotTaken)
 			s.reserveElsewhere(res)
+		case s.isSlow(r) && res.req.reservationTries < maxReservations:
+			s.count(ReasonSlowReplica)
+			s.reserveElsewhere(res)
 		default:
 			s.sendReserved(res)
 		}
--- a/internal/route/place_test.go
+++ b/internal/route/place_test.go
@@ -22,6 +22,11 @@
 	waits       []time.Duration
 	starts      []simStart
 	reportCount int // load reports sent
+	// paceOf returns how long work takes on an engine, and what the engine tells of it,
+	// in percent of the usual; nil: the engines do not tell.
+	paceOf func(e *simEngine, at time.Time) (actual, told int)
+	// batchStarts counts the batch items that were sent to engines.
+	batchStarts int
 }
 
 type simGate struct {
@@ -41,11 +46,17 @@
 	gate    *simGate
 	attempt route.AttemptID
 	arrived time.Time // arrival at its gate
+	firstAt time.Time // first event; zero: it was sent
+	batch   bool
 	ends    time.Time
 }
 
 // simStart records when a request arrived and when it got its slot.
-type simStart struct{ arrived, started time.Time }
+type simStart struct {
+	arrived, started time.Time
+	first            time.Time // first event, where engines tell their pace
+	engine           *simEngine
+}
 
 // message is delivered at a given time.
 type message struct {
@@ -117,7 +128,13 @@
 		case route.Dispatch:
 			e := c.engines[slices.IndexFunc(c.engines, func(e *simEngine) bool { return e.id == o.Target.Replica })]
 			g.dispatched[o.Attempt] = e
-			e.waiting = append(e.waiting, &simRun{gate: g, attempt: o.Attempt, arrived: arrivedAt(o.ID)})
+			run := &simRun{gate: g, attempt: o.Attempt, arrived: arrivedAt(o.ID), batch: isItem(o.ID)}
+			if run.batch {
+				c.batchStarts++
+			}
+			e.waiting = append(e.waiting, run)
+		case route.Cancel:
+			c.stop(g, o.Attempt)
 		case route.ReportLoad:
 			c.sendReport(g, o)
 		}
@@ -129,7 +146,9 @@
 	c.reportCount++
 	c.send(func() {
 		to := c.gate(report.Gate)
-		c.step(to, route.LoadReported{Gate: from.id, Replica: report.Replica, Online: report.Online})
+		c.step(to, route.LoadReported{
+			Gate: from.id, Replica: report.Replica, Online: report.Online, Pace: report.Pace, Waiting: report.Waiting,
+		})
 		load := to.shard.OwnerLoad(report.Replica)
 		c.send(func() {
 			c.step(from, route.OwnerReported{Load: load, Acknowledges: report.ReportNumber, ReportedOnline: report.Online})
@@ -180,6 +199,7 @@
 }
 
 func (c *gateSim) runEngine(e *simEngine) {
+	c.sendFirstEvents(e)
 	e.running = slices.DeleteFunc(e.running, func(r *simRun) bool {
 		if c.now.Before(r.ends) {
 			return false
@@ -190,6 +210,10 @@
 	for len(e.waiting) > 0 && len(e.running) < simSlots {
 		first := e.waiting[0]
 		e.waiting = e.waiting[1:]
+		if c.paceOf != nil {
+			c.startAtPace(e, first)
+			continue
+		}
 		c.waits = append(c.waits, c.now.Sub(first.arrived))
 		c.starts = append(c.starts, simStart{arrived: first.arrived, started: c.now})
 		first.ends = c.now.Add(shortAnswer + time.Duration(c.random.Int64N(int64(longAnswer-shortAnswer))))
--- a/internal/route/rebalance.go
+++ b/internal/route/rebalance.go
@@ -25,7 +25,7 @@
 // for which a gate leased items, or the replicas leave, the items would otherwise wait here
 // and miss their targets while other gates have idle slots and nothing to run.
 func (s *Shard) returnForRebalance() {
-	if s.draining || s.batchQueue.len() == 0 {
+	if s.draining || s.batchQueue.len() == 0 || s.hasBacklog() {
 		return
 	}
 	free := s.freeElsewhere()
--- a/internal/route/replica.go
+++ b/internal/route/replica.go
@@ -54,6 +54,8 @@
 	holdUntil   time.Time
 	preemptedAt time.Time // when batch work of this gate was last preempted on it
 
+	pace paceState
+
 	health          health
 	probing         bool // a probe is under way; nothing new is sent there until it ends
 	probeAt         time.Time
--- a/internal/route/shard.go
+++ b/internal/route/shard.go
@@ -36,6 +36,8 @@
 	onlineQueue    waitQueue // online requests without an attempt
 	batchQueue     waitQueue // batch items without an attempt
 	othersReported reportedLoad
+	backlog        backlogState
+	tellsPace      bool          // some replica of the service has told its pace
 	lastBatchItem  *request      // the batch item that was dispatched last
 	reservations   []reservation // online requests that wait for an owner's acknowledgement, in order of their start
 
@@ -44,6 +46,8 @@
 	firstTokenTime delayMeter
 	tokenGap       delayMeter // between two events of a stream
 	itemRunTime    delayMeter // time on replicas from the start to the end of a batch item
+	eventTime      delayMeter // mean time for each event of a stream, of replicas that tell their pace
+	serviceTime    delayMeter // time of a whole answer without events, of replicas that tell their pace
 	onlineRunning  int        // live online attempts and reservations
 	nextAttempt    AttemptID
 	draining       bool
@@ -91,7 +95,9 @@
 	replica        *replica
 	started        time.Time
 	lastProgress   time.Time // when anything last arrived
+	firstAt        time.Time // when the first token arrived
 	tokens         int
+	toldPace       float64    // the replica's pace as told with the answer; 0: it told none
 	queued         bool       // may have to wait for a slot of the replica
 	handoverTarget *replica   // replica that is asked to take over the run; nil: none
 	disconnected   bool       // its connection ended during the handover
@@ -159,6 +165,7 @@
 	OthersOnline, OthersBatch int
 	OthersAge                 time.Duration // age of the owner's report; 0 if there is none or this gate is the owner
 	Waiting                   int           // requests queued in this gate
+	Pace                      float64       // expected time of work there, relative to the usual
 }
 
 // Load returns the current estimate of a replica's load.
@@ -169,6 +176,7 @@
 		return view
 	}
 	view.Slots, view.Online, view.Batch = s.slots(r), r.online, r.batch
+	view.Pace = s.paceOf(r)
 	view.OthersOnline, view.OthersBatch = s.othersLoad(r)
 	if !s.ownsReplica(r) && !r.ownerReportAt.IsZero() {
 		view.OthersAge = s.now.Sub(r.ownerReportAt)
@@ -188,6 +196,8 @@
 	Suspect       bool
 	Online, Batch int // this gate's requests on it
 	Owner         string
+	Pace          upstream.Pace // newest that the gate knows
+	Distrusted    bool          // its pace is ignored: its answers do not show it
 }
 
 // Replicas returns all replicas in order of their IDs.
@@ -198,6 +208,7 @@
 			views = append(views, ReplicaView{
 				Entry: r.entry, Suspect: r.health == suspect,
 				Online: r.online, Batch: r.batch, Owner: r.owner,
+				Pace: s.knownPace(r), Distrusted: s.now.Before(r.pace.distrustedUntil),
 			})
 		}
 	}
--- a/internal/route/stall.go
+++ b/internal/route/stall.go
@@ -27,7 +27,7 @@
 	after := s.stallThreshold()
 	for _, a := range slices.Clone(r.attempts) {
 		switch {
-		case !s.isResumableStall(a, after):
+		case !s.isResumableStall(a, after), s.hasBacklog() && s.totalLoad(r) >= s.slots(r):
 		case a.req.Resumable:
 			s.resumeStalled(a)
 		default:
--- a/internal/route/usage.go
+++ b/internal/route/usage.go
@@ -45,7 +45,10 @@
 	r.reportedAt = s.now
 	r.reportedOnline, r.reportedBatch = r.online, r.batch
 	r.reportNumber++
-	s.emit(ReportLoad{Gate: r.owner, Replica: r.entry.Replica, Online: r.online, Batch: r.batch, ReportNumber: r.reportNumber})
+	s.emit(ReportLoad{
+		Gate: r.owner, Replica: r.entry.Replica, Online: r.online, Batch: r.batch, ReportNumber: r.reportNumber,
+		Pace: s.knownPace(r), Waiting: s.onlineWaiting(),
+	})
 }
 
 func (s *Shard) refreshReport(r *replica) {
@@ -67,6 +70,8 @@
 		r.loadReports[i] = report
 	}
 	r.loadVersion = s.table.NextVersion()
+	s.learnPace(r, in.Pace)
+	s.learnReportedBacklog(in.Waiting)
 	s.updateKnownPeak(r)
 	s.freeSlots(r, in.Gate)
 	s.startWaiting()
@@ -84,6 +89,8 @@
 	r.ownerReportAt = s.now
 	r.othersBatch = max(0, in.Load.Batch-r.batch)
 	r.othersOnline = max(0, in.Load.Online-reported)
+	s.learnPace(r, in.Load.Pace)
+	s.learnBacklog(in.Load.Waiting)
 	if in.Acknowledges > 0 {
 		s.handleAcknowledgement(r, in.Acknowledges)
 	}
@@ -104,6 +111,8 @@
 		Replica: r.entry.Replica,
 		Batch:   r.batch + batch,
 		Online:  r.online + online + r.unaccounted,
+		Pace:    s.knownPace(r),
+		Waiting: s.backlogToAcknowledge(),
 	}
 }
 
--- a/internal/upstream/digest.go
+++ b/internal/upstream/digest.go
@@ -61,4 +61,6 @@
 	Replica ReplicaID `json:"r"`
 	Batch   int       `json:"b"` // batch requests
 	Online  int       `json:"o"` // online requests of all gates
+	Pace    Pace      `json:"pace,omitzero"`
+	Waiting int       `json:"waiting,omitempty"` // online requests that wait for capacity at a gate
 }
