--- a/internal/route/batch.go
+++ b/internal/route/batch.go
@@ -70,7 +70,7 @@
 		return 0
 	}
 	slots := s.slots(r)
-	return slots - policy.headroomSlots(slots) - s.totalLoad(r)
+	return slots - max(policy.headroomSlots(slots), s.backlogHeadroom(slots)) - s.totalLoad(r)
 }
 
 // BatchCapacity returns the number of batch items that could start now under the policy.
@@ -159,6 +159,9 @@
 	bestFree := 0
 	for _, r := range s.owned {
 		free := s.freeBatchSlots(r, req.Policy) - s.reservedSlots(req, r)
+		if s.isSlow(r) {
+			free = min(free, 1) // chosen after the others
+		}
 		if free <= 0 || !s.mayServe(req, r) || (s.isSuspect(req) && s.hasTrial(r)) {
 			continue
 		}
--- a/internal/route/tick.go
+++ b/internal/route/tick.go
@@ -20,6 +20,7 @@
 			s.probe(r)
 		}
 	}
+	s.countBacklog()
 	s.checkAwaitedProbes()
 	s.checkReservations()
 	s.checkWaiting()
