Order waiting requests of different teams by shares

Waiting requests were ordered by urgency, priority and due time only, so that one team that sends several times its usual load took all slots and all of a gate's queue.

Within one urgency and priority, the team with the least virtual time now goes first (start-time fair queueing, internal/share); its virtual time advances by cost / weight with each start. The wait of a new request is estimated from what goes before it in this order, and a request that meets a full queue displaces the last one of the team that uses most of it. The virtual time at which a team becomes busy again is the least one of the waiting teams and not that of the last start: an overdue turn of a team that is ahead would otherwise set it back.

Teams come from keys or policies, the weight from the template's online.share_weight, the cost from the platform's token header.

--- a/internal/ctl/caps.go
+++ b/internal/ctl/caps.go
@@ -44,7 +44,7 @@
 	if command.Args().Len() > 1 {
 		return &UsageError{Message: command.FullName() + " takes one team at most"}
 	}
-	rows, err := a.queryCaps(ctx, command)
+	rows, err := queryEach[capStatus](ctx, command, capsPath)
 	if len(rows) == 0 && err != nil {
 		return err
 	}
@@ -83,18 +83,18 @@
 	}
 }
 
-// queryCaps queries each server once. It returns the answers, and an error that joins
-// the errors of the servers without one.
-func (a *app) queryCaps(ctx context.Context, command *cli.Command) ([]capStatus, error) {
-	var rows []capStatus
+// queryEach queries each server once for a list. It returns the elements of all answers, and
+// an error that joins the errors of the servers without one.
+func queryEach[T any](ctx context.Context, command *cli.Command, path string) ([]T, error) {
+	var rows []T
 	var failed []error
 	for _, server := range command.StringSlice("server") {
-		var caps []capStatus
-		if _, err := NewClient([]string{server}, "", 0).get(ctx, capsPath, nil, &caps); err != nil {
+		var list []T
+		if _, err := NewClient([]string{server}, "", 0).get(ctx, path, nil, &list); err != nil {
 			failed = append(failed, err)
 			continue
 		}
-		rows = append(rows, caps...)
+		rows = append(rows, list...)
 	}
 	return rows, errors.Join(failed...)
 }
--- a/internal/daemon/listen.go
+++ b/internal/daemon/listen.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"slateway.example/slateway/internal/api"
+	"slateway.example/slateway/internal/gate/proxy"
 	"slateway.example/slateway/internal/sockets"
 )
 
@@ -112,6 +113,9 @@
 	server := d.newServer()
 	server.MountOperators()
 	server.Handle(http.MethodGet, "/metrics", d.metrics.Handler().ServeHTTP)
+	if d.gate != nil {
+		server.Handle(http.MethodGet, proxy.PathShares, d.gate.router.ServeShares)
+	}
 	return server.Handler()
 }
 
--- a/internal/daemon/site.go
+++ b/internal/daemon/site.go
@@ -195,6 +195,7 @@
 		s.gate.exchange.Mount(peers)
 		s.gate.follower.Mount(peers)
 		metrics.HandleFunc("GET "+credit.PathCaps, s.gate.credit.ServeCaps)
+		metrics.HandleFunc("GET "+proxy.PathShares, s.gate.router.ServeShares)
 		list = append(list,
 			endpoint{"callers", addresses.Callers, s.gate.handler(s.edge)},
 			endpoint{"readiness", addresses.Readiness, s.edge.Readiness(s.gate.ready)},
--- a/internal/gate/online.go
+++ b/internal/gate/online.go
@@ -96,6 +96,7 @@
 			Repeatable: !c.nonIdempotent,
 			Deadline:   c.deadline,
 			Limits:     routeLimits(&c.policy.Online),
+			Share:      route.Share{Team: c.policy.Team, Weight: c.policy.Online.ShareWeight},
 		})
 	}, f.refuse)
 }
@@ -128,6 +129,7 @@
 			Repeatable: !c.nonIdempotent && repeatable(r),
 			Deadline:   c.deadline,
 			Limits:     routeLimits(&c.policy.Online),
+			Share:      route.Share{Team: c.policy.Team, Weight: c.policy.Online.ShareWeight},
 		})
 	}, f.refuse)
 }
--- a/internal/gate/proxy/online.go
+++ b/internal/gate/proxy/online.go
@@ -29,6 +29,7 @@
 	Repeatable bool // running it twice is harmless
 	Deadline   time.Time
 	Limits     route.Limits
+	Share      route.Share
 }
 
 // ServeOnline serves a request to a model engine.
@@ -46,6 +47,7 @@
 		Repeatable:  o.Repeatable,
 		Resumable:   form.Resumable(),
 		Limits:      o.Limits,
+		Share:       o.Share,
 	})
 }
 
@@ -61,6 +63,7 @@
 	Repeatable bool
 	Deadline   time.Time
 	Limits     route.Limits
+	Share      route.Share
 }
 
 // ServeService serves a request to a plain service.
@@ -72,6 +75,7 @@
 		Fingerprint: upstream.FingerprintOf(o.Service, append([]byte(o.Method+" "+o.Path+"\n"), o.Body...)),
 		Repeatable:  o.Repeatable,
 		Limits:      o.Limits,
+		Share:       o.Share,
 	})
 }
 
--- a/internal/gate/proxy/options.go
+++ b/internal/gate/proxy/options.go
@@ -46,6 +46,7 @@
 	MetricAnswer     = "online_answer"      // arrival of the request to its last byte
 	MetricBatchItem  = "batch_item"         // start of a batch item to its result
 	MetricCancel     = "batch_yield"        // request to cancel an attempt to the engine's confirmation
+	MetricShareWait  = "share.wait"         // wait of an online request in the gate's queue before its first attempt
 )
 
 // Names of counters, in addition to the reasons of package route.
--- a/internal/gate/proxy/shard.go
+++ b/internal/gate/proxy/shard.go
@@ -152,6 +152,9 @@
 	a := f.newAttempt(o)
 	s.attempts[o.Attempt] = a
 	s.logDispatch(&o)
+	if f.request.Class == route.Online && o.Kind == route.First {
+		s.router.options.Metrics.Observe(MetricShareWait, o.Queued)
+	}
 	go func() {
 		defer f.attempts.Done()
 		<-ready
@@ -179,7 +182,8 @@
 		telemetry.Upstream(string(o.Target.Replica)), zap.String("address", o.Target.Address), zap.Bool("resume", o.Resume),
 		zap.Int("slots", view.Slots), zap.Int("online", view.Online), zap.Int("batch", view.Batch),
 		zap.Int("others_online", view.OthersOnline), zap.Int("others_batch", view.OthersBatch), zap.Duration("others_age", view.OthersAge),
-		zap.Int("waiting", view.Waiting), zap.Duration("queued", o.Queued), zap.Int("behind", o.AheadInQueue), zap.Int("places", o.ReservationTries))
+		zap.Int("waiting", view.Waiting), zap.Duration("queued", o.Queued), zap.Int("behind", o.AheadInQueue), zap.Int("places", o.ReservationTries),
+		telemetry.Team(o.Share.Team), zap.Float64("share_lead", o.Share.Lead), zap.Int("teams_waiting", o.Share.TeamsWaiting))
 }
 
 // logHealth logs a change of a replica's health state and the evidence for it.
--- a/internal/gate/routed.go
+++ b/internal/gate/routed.go
@@ -123,6 +123,7 @@
 	CallerTimeout time.Duration
 	Arrived       time.Time
 	Team          routes.Team // the sender; empty if the routes require no keys
+	Cost          float64     // tokens of the prompt and the longest output; 0: the request has none
 	Protocol      proxy.Protocol
 }
 
@@ -174,5 +175,6 @@
 		Movable:     found.Kind == routes.Streaming && found.canMove(service),
 		MaxAttempts: found.MaxAttempts,
 		UsefulUntil: usefulUntil(found, r, waited),
+		Share:       route.Share{Team: r.Team.Name, Cost: r.Cost},
 	})
 }
--- a/internal/route/admission.go
+++ b/internal/route/admission.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"slateway.example/slateway/internal/apierr"
+	"slateway.example/slateway/internal/share"
 )
 
 // teamState holds a team's requests in flight and its rate limit in this shard.
@@ -98,11 +99,13 @@
 }
 
 func (s *Shard) checkQueue(req *request) *apierr.Error {
-	waiting := s.onlineQueue.len()
-	if waiting >= s.config.MaxQueue {
-		return apierr.New(apierr.Overloaded, ReasonQueueFull,
-			"retry after the given delay", "%d requests wait at this gate, its limit", waiting).
-			WithRetryAfter(s.retryAfter(waiting))
+	team := s.shareTeamOf(req)
+	waiting := s.onlineQueue.fair.countAhead(req, team)
+	var displaced *request
+	if s.onlineQueue.len() >= s.config.MaxQueue {
+		if displaced = s.onlineQueue.displaced(team); displaced == nil {
+			return s.queueFullError(req)
+		}
 	}
 	wait := s.estimateWait(waiting)
 	if waiting > 0 && s.now.Add(wait).After(req.Deadline) {
@@ -111,9 +114,24 @@
 			"the queue of %d requests takes about %s, longer than the deadline allows", waiting, wait.Round(time.Millisecond)).
 			WithRetryAfter(s.retryAfter(waiting))
 	}
+	if displaced != nil {
+		s.refuse(displaced, s.queueFullError(displaced))
+	}
 	return nil
 }
 
+func (s *Shard) queueFullError(req *request) *apierr.Error {
+	waiting := s.onlineQueue.len()
+	return apierr.New(apierr.Overloaded, ReasonQueueFull,
+		"retry after the given delay", "%d requests wait at this gate, its limit", waiting).
+		WithRan(req.ran()).WithRetryAfter(s.retryAfter(waiting))
+}
+
+// shareTeamOf returns the team whose share an online request uses.
+func (s *Shard) shareTeamOf(req *request) *share.Team {
+	return s.onlineQueue.fair.scheduler.Team(s.now, req.Share.Team, req.Share.Weight)
+}
+
 // estimateWait estimates how long the nth request of the queue waits: running requests
 // end at a rate of their number over the mean answer time. The measured rate of answers
 // would mislead after an idle period.
@@ -148,12 +166,18 @@
 		req.queuedAt = s.now
 	}
 	req.reservationTries = 0
-	queue := &s.onlineQueue
 	if req.Class == Batch {
-		queue = &s.batchQueue
+		s.batchQueue.push(req)
+		req.aheadInQueue = slices.Index(s.batchQueue.list, req)
+		return
+	}
+	req.shareTeam = s.shareTeamOf(req)
+	ahead := s.onlineQueue.fair.countAhead(req, req.shareTeam)
+	s.onlineQueue.push(req)
+	if s.onlineQueue.fair.scheduler.WaitingTeams() <= 1 {
+		ahead = slices.Index(s.onlineQueue.list, req)
 	}
-	queue.push(req)
-	req.aheadInQueue = slices.Index(queue.list, req)
+	req.aheadInQueue = ahead
 }
 
 // maxStartMisses bounds the waiting requests for which one pass finds no replica.
--- a/internal/route/attempt.go
+++ b/internal/route/attempt.go
@@ -27,6 +27,7 @@
 	s.emit(Dispatch{
 		ID: req.ID, Attempt: a.id, Kind: kind, Target: &r.entry.Announcement, Resume: resume, Memory: memory,
 		Queued: s.queueWait(req), AheadInQueue: req.aheadInQueue, ReservationTries: req.reservationTries,
+		Share: s.dispatchShare(req),
 	})
 	req.queuedAt, req.aheadInQueue, req.reservationTries = time.Time{}, 0, 0
 	if req.Class == Batch {
--- a/internal/route/bench_test.go
+++ b/internal/route/bench_test.go
@@ -157,3 +157,44 @@
 		})
 	}
 }
+
+// BenchmarkQueue ends a request and lets another one arrive while 1,000 of 86 teams wait.
+func BenchmarkQueue(b *testing.B) {
+	for _, teams := range []int{1, 86} {
+		b.Run(fmt.Sprintf("teams=%d", teams), func(b *testing.B) {
+			s := benchShard(10)
+			var running []route.AttemptID
+			now, n := epoch, 0
+			step := func(in route.Input) {
+				for _, o := range s.Step(now, in) {
+					if d, ok := o.(route.Dispatch); ok {
+						running = append(running, d.Attempt)
+					}
+				}
+			}
+			arrive := func() {
+				n++
+				step(route.Arrive{Request: route.Request{
+					ID: fmt.Sprint("q", n), Class: route.Online, Repeatable: true, Fingerprint: upstream.Fingerprint(n),
+					Deadline: now.Add(time.Hour), UsefulUntil: now.Add(time.Minute), Share: route.Share{Team: fmt.Sprint("team-", n*n%teams)},
+				}})
+			}
+			for range 1000 + 10*benchSlots*5/4 {
+				arrive()
+			}
+			b.ReportAllocs()
+			b.ResetTimer()
+			for range b.N {
+				now = now.Add(time.Microsecond)
+				first := running[0]
+				running = running[1:]
+				step(route.Finished{Attempt: first})
+				arrive()
+			}
+			b.StopTimer()
+			if waiting := s.Load("r00000").Waiting; waiting < 900 || waiting > 1000 {
+				b.Fatalf("%d requests wait", waiting)
+			}
+		})
+	}
+}
--- a/internal/route/messages.go
+++ b/internal/route/messages.go
@@ -60,6 +60,8 @@
 	// ExpectedRunTime is how long similar batch items take from start to end, including
 	// the time during which online work has their slots; 0: unknown.
 	ExpectedRunTime time.Duration `json:"takes,omitzero"`
+	// Share orders waiting online requests of different teams.
+	Share Share `json:"share,omitzero"`
 }
 
 // Gate identifies a live gate for the choice of replica owners.
@@ -222,6 +224,13 @@
 	CancelDraining  CancelCause = "draining"
 )
 
+// DispatchShare is the state of a team's share when one of its requests starts.
+type DispatchShare struct {
+	Team         string
+	Lead         float64 // of its virtual time to the least one of the teams that wait
+	TeamsWaiting int
+}
+
 // Outputs of a shard.
 type (
 	// Dispatch sends the request to the replica.
@@ -241,6 +250,8 @@
 		// Memory is the name of the kept memory that the engine resumes from; empty:
 		// run the request as received.
 		Memory string
+		// Share is the state of the team's share; zero for batch items.
+		Share DispatchShare
 	}
 	// HandOver asks the replica of a running attempt to stop the run, keep its memory
 	// and copy it to another replica. The result is a HandedOver input.
--- a/internal/route/queue.go
+++ b/internal/route/queue.go
@@ -11,8 +11,12 @@
 // group by priority, then due time. In order of deadline alone, callers after an outage of
 // one second would miss their targets behind requests that already have. Those lose little
 // by waiting longer, and overdueTurn keeps them from starving under sustained load.
+//
+// Within one urgency and priority, the queue of online requests serves teams by their
+// shares; with one team, the order is that of the list.
 type waitQueue struct {
 	list []*request // in order of compareUrgency
+	fair *fairOrder // of online requests; nil: shares do not count
 	// startsSinceOverdue counts the starts since the last one of an overdue request.
 	startsSinceOverdue int
 }
@@ -24,22 +28,45 @@
 func (q *waitQueue) len() int { return len(q.list) }
 
 func (q *waitQueue) push(r *request) {
-	i, _ := slices.BinarySearchFunc(q.list, r, compareUrgency)
-	for i < len(q.list) && compareUrgency(q.list[i], r) == 0 {
+	if q.fair != nil {
+		q.fair.scheduler.Enter(r.shareTeam)
+	}
+	q.insert(r)
+}
+
+func (q *waitQueue) insert(r *request) {
+	q.list = insertByUrgency(q.list, r)
+	if q.fair != nil {
+		q.fair.push(r)
+	}
+}
+
+// insertByUrgency inserts a request into a list in order of compareUrgency, after its
+// equals.
+func insertByUrgency(list []*request, r *request) []*request {
+	i, _ := slices.BinarySearchFunc(list, r, compareUrgency)
+	for i < len(list) && compareUrgency(list[i], r) == 0 {
 		i++
 	}
-	q.list = slices.Insert(q.list, i, r)
+	return slices.Insert(list, i, r)
 }
 
-// urgency returns the rank of a waiting request's group; the lowest starts first.
+// Urgencies of waiting requests; the lowest starts first.
+const (
+	urgencyDelivered = iota
+	urgencyInTime
+	urgencyOverdue
+)
+
+// urgency returns the rank of a waiting request's group.
 func (r *request) urgency() int {
 	switch {
 	case r.delivered:
-		return 0
+		return urgencyDelivered
 	case !r.overdue:
-		return 1
+		return urgencyInTime
 	default:
-		return 2
+		return urgencyOverdue
 	}
 }
 
@@ -65,9 +92,22 @@
 }
 
 func (q *waitQueue) remove(r *request) {
-	if i := slices.Index(q.list, r); i >= 0 {
-		q.list = slices.Delete(q.list, i, i+1)
+	if q.take(r) && q.fair != nil {
+		q.fair.scheduler.Leave(r.shareTeam)
+	}
+}
+
+// take removes a request that stays counted as waiting, and reports whether it was there.
+func (q *waitQueue) take(r *request) bool {
+	i := slices.Index(q.list, r)
+	if i < 0 {
+		return false
 	}
+	q.list = slices.Delete(q.list, i, i+1)
+	if q.fair != nil {
+		q.fair.remove(r)
+	}
+	return true
 }
 
 // markOverdue moves the requests behind the others that can no longer meet their target
@@ -80,9 +120,9 @@
 		}
 	}
 	for _, r := range overdue {
-		q.remove(r)
+		q.take(r)
 		r.overdue = true
-		q.push(r)
+		q.insert(r)
 	}
 }
 
@@ -95,6 +135,14 @@
 	return i
 }
 
+// overdueInOrder returns the overdue requests in order of start.
+func (q *waitQueue) overdueInOrder() []*request {
+	if q.fair != nil {
+		return q.fair.overdueInOrder()
+	}
+	return slices.Clone(q.list[q.firstOverdue():])
+}
+
 // startResult is the outcome of an attempt to start a waiting request.
 type startResult int
 
@@ -109,6 +157,10 @@
 // no room: if there is no replica for the most urgent ones, there is rarely one for
 // those behind them.
 func (q *waitQueue) startReady(now time.Time, maxMisses int, start func(*request) startResult) {
+	if q.fair != nil {
+		q.startFair(now, maxMisses, start)
+		return
+	}
 	ahead, overdue := 0, q.firstOverdue()
 	end := overdue
 	for misses := 0; misses < maxMisses && (ahead < end || overdue < len(q.list)); {
@@ -142,3 +194,47 @@
 		}
 	}
 }
+
+// startFair is startReady in the order of shares.
+func (q *waitQueue) startFair(now time.Time, maxMisses int, start func(*request) startResult) {
+	ahead, overdue := q.fair.newPass(false), q.fair.newPass(true)
+	for misses := 0; misses < maxMisses; {
+		from, r := &ahead, ahead.next()
+		turn := overdue.next()
+		overdueNow := turn != nil && (r == nil || q.startsSinceOverdue >= overdueTurn-1)
+		if overdueNow {
+			from, r = &overdue, turn
+		}
+		if r == nil {
+			return
+		}
+		result := held
+		if r.awaitedReplica == nil && !now.Before(r.notBefore) {
+			result = start(r)
+		}
+		if result == noRoom {
+			misses++
+		}
+		if result != started {
+			from.skip()
+			continue
+		}
+		q.charge(now, r)
+		q.remove(r)
+		from.started()
+		if overdueNow {
+			q.startsSinceOverdue = 0
+		} else if turn != nil {
+			q.startsSinceOverdue++
+		}
+	}
+}
+
+// charge charges the request's team for its first start. A later attempt makes good a
+// failure, for which the team is not charged.
+func (q *waitQueue) charge(now time.Time, r *request) {
+	if !r.shareCharged {
+		r.shareCharged = true
+		q.fair.scheduler.Start(now, r.shareTeam, r.Share.Cost)
+	}
+}
--- a/internal/route/shard.go
+++ b/internal/route/shard.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"slateway.example/slateway/internal/apierr"
+	"slateway.example/slateway/internal/share"
 	"slateway.example/slateway/internal/upstream"
 )
 
@@ -75,6 +76,9 @@
 	awaitingSince    time.Time     // when that wait began
 	reservationTries int           // owners that were asked for a slot
 	heldError        *apierr.Error // final error, held until the probe ends; nil: the request is retried
+	shareTeam        *share.Team   // its team among the waiting online requests
+	teamQueue        *teamQueue    // where it waits; nil: it does not wait as an online request
+	shareCharged     bool          // its team has been charged for its start
 	unassignedSince  time.Time     // since when this gate owns no replica for this waiting batch item
 }
 
@@ -103,16 +107,17 @@
 	config = config.WithDefaults()
 	table := upstream.NewTable(config.EntryLifetime)
 	return &Shard{
-		config:   config,
-		rng:      rng,
-		table:    table,
-		crashes:  upstream.NewCrashRecords(config.CrashLifetime, table.NextVersion),
-		hints:    upstream.NewCacheHints(),
-		requests: make(map[string]*request),
-		attempts: make(map[AttemptID]*attempt),
-		copies:   make(map[upstream.Fingerprint]*copyState),
-		teams:    make(map[string]*teamState),
-		budget:   newRetryBudget(config.RetryShare, config.RetryReserve),
+		config:      config,
+		rng:         rng,
+		table:       table,
+		crashes:     upstream.NewCrashRecords(config.CrashLifetime, table.NextVersion),
+		hints:       upstream.NewCacheHints(),
+		requests:    make(map[string]*request),
+		attempts:    make(map[AttemptID]*attempt),
+		copies:      make(map[upstream.Fingerprint]*copyState),
+		teams:       make(map[string]*teamState),
+		budget:      newRetryBudget(config.RetryShare, config.RetryReserve),
+		onlineQueue: waitQueue{fair: &fairOrder{scheduler: share.NewScheduler()}},
 	}
 }
 
--- a/internal/route/tick.go
+++ b/internal/route/tick.go
@@ -161,10 +161,10 @@
 // before their deadline. The remaining ones are checked again at the next tick, when
 // the queue is shorter.
 func (s *Shard) refuseLongWaits() {
-	ahead := s.onlineQueue.firstOverdue()
-	for i := s.onlineQueue.len() - 1; i >= ahead; i-- {
-		req := s.onlineQueue.list[i]
-		turns := i - ahead + 1
+	overdue := s.onlineQueue.overdueInOrder()
+	ahead := s.onlineQueue.len() - len(overdue)
+	for turns := len(overdue); turns > 0; turns-- {
+		req := overdue[turns-1]
 		before := turns + min(ahead, (overdueTurn-1)*turns)
 		wait := s.estimateWait(before)
 		if left := req.Deadline.Sub(s.now); req.awaitedReplica != nil || wait <= waitMargin*left {
--- a/internal/team/policy.go
+++ b/internal/team/policy.go
@@ -42,6 +42,7 @@
 	Priority          int // higher values are served first
 	Deadline          time.Duration
 	MaxDeadline       time.Duration
+	ShareWeight       float64 // share of scarce capacity, relative to other teams
 }
 
 // BatchPolicy limits a team's batch work.
@@ -62,6 +63,7 @@
 	defaultQueue             = 256
 	defaultDeadline          = 30 * time.Second
 	defaultMaxDeadline       = 10 * time.Minute
+	defaultShareWeight       = 1
 	defaultHeadroom          = 0.1
 	defaultMaxShare          = 1.0
 	defaultMaxAttempts       = 3
@@ -76,6 +78,8 @@
 	maxCount             = 1_000_000
 	maxAttempts          = 100
 	maxDuration          = 90 * 24 * time.Hour
+	// maxShareWeight bounds how much longer a team of weight 1 waits than one of more weight.
+	maxShareWeight = 100
 )
 
 // Model returns the model with the name that the team's callers send.
@@ -249,6 +253,7 @@
 		Priority:          r.count("online.priority", rule.Priority, 0, -maxCount, maxCount),
 		Deadline:          r.duration("online.deadline", rule.Deadline, defaultDeadline),
 		MaxDeadline:       r.duration("online.max_deadline", rule.MaxDeadline, defaultMaxDeadline),
+		ShareWeight:       r.shareWeight(rule.ShareWeight),
 	}
 	if limits.Deadline > limits.MaxDeadline {
 		r.fail("online.deadline", "%s is above online.max_deadline %s", limits.Deadline, limits.MaxDeadline)
@@ -256,6 +261,21 @@
 	return limits
 }
 
+func (r *resolver) shareWeight(setting Setting) float64 {
+	const key = "online.share_weight"
+	text := r.text(key, setting, "")
+	if text == "" {
+		return defaultShareWeight
+	}
+	value, err := parseNumber(text)
+	if err != nil {
+		r.fail(key, "%w; set a number above 0 and at most %d, or leave it out for %d", err, maxShareWeight, defaultShareWeight)
+	} else if !(value > 0) || value > maxShareWeight {
+		r.fail(key, "%s is not above 0 and at most %d; set such a number, or leave it out for %d", text, maxShareWeight, defaultShareWeight)
+	}
+	return value
+}
+
 func (r *resolver) batch(rule *BatchRule) BatchPolicy {
 	mode := BatchMode(r.text("batch.policy", rule.Policy, string(BatchThroughput)))
 	if mode != BatchThroughput && mode != BatchTail {
--- a/internal/team/template.go
+++ b/internal/team/template.go
@@ -74,6 +74,9 @@
 	Priority          Setting `toml:"priority"`
 	Deadline          Setting `toml:"deadline"`
 	MaxDeadline       Setting `toml:"max_deadline"`
+	// ShareWeight is left out of the stored form if it is not set, so that keepers of an
+	// older build store the same bytes.
+	ShareWeight Setting `toml:"share_weight" cbor:",omitempty"`
 }
 
 // BatchRule holds the settings of BatchPolicy.
@@ -157,7 +160,7 @@
 		all = append(all, model.Name, model.Service, model.Version)
 	}
 	o, b := &t.Online, &t.Batch
-	all = append(all, o.RequestsPerSecond, o.Burst, o.Concurrent, o.Queue, o.Priority, o.Deadline, o.MaxDeadline)
+	all = append(all, o.RequestsPerSecond, o.Burst, o.Concurrent, o.Queue, o.Priority, o.Deadline, o.MaxDeadline, o.ShareWeight)
 	return append(all, b.Policy, b.Headroom, b.MaxShare, b.MaxAttempts, b.Deadline, b.Retention)
 }
 
