Charge teams at each gate for what the other gates started

A large team may be seen a little at each of 70 gates, while another one has all its callers at one gate; a gate's own counts then give the large team 70 shares.

Older gates ignore the new kinds.

--- a/internal/daemon/sitegate.go
+++ b/internal/daemon/sitegate.go
@@ -123,6 +123,7 @@
 	teamCredit, err := credit.New(credit.Options{
 		VM: s.VM.Name, Listen: s.Listen.Peers, Fleet: g.follower, Metrics: site.metrics, Log: site.log.Logger,
 		Tolerance: limit.Tolerance{Window: s.Limits.TeamWindow, Overshoot: s.Limits.TeamOvershoot, Slack: s.Limits.TeamSlack},
+		Shares:    g.router,
 	})
 	if err != nil {
 		return nil, err
--- a/internal/gate/credit/credit.go
+++ b/internal/gate/credit/credit.go
@@ -24,6 +24,7 @@
 	"slateway.example/slateway/internal/apierr"
 	"slateway.example/slateway/internal/limit"
 	"slateway.example/slateway/internal/roster"
+	"slateway.example/slateway/internal/share"
 	"slateway.example/slateway/internal/telemetry"
 )
 
@@ -42,7 +43,7 @@
 	OnGates(fn func())
 }
 
-// Options configures a Service. All fields are required.
+// Options configures a Service. All fields but Shares are required.
 type Options struct {
 	VM        string
 	Listen    string // UDP address
@@ -50,6 +51,7 @@
 	Tolerance limit.Tolerance
 	Metrics   *telemetry.Metrics
 	Log       *zap.Logger
+	Shares    Shares // nil: this gate reports no usage
 }
 
 // Service takes and grants credit at one gate. Run must run as long as it is used.
@@ -64,6 +66,10 @@
 	viewChanged chan struct{}
 	expiredAt   time.Time // last run of expireIdle; used by Run only
 
+	sharesMu  sync.Mutex // guards the two fields below; acquired before mu
+	reporter  *share.Reporter
+	collector *share.Collector
+
 	mu           sync.Mutex // guards the fields below
 	holders      *limit.Holders
 	peers        map[string]netip.AddrPort // by VM
@@ -92,6 +98,8 @@
 		options: options, socket: socket, seed: maphash.MakeSeed(),
 		process:     options.VM + "/" + strconv.FormatInt(now.UnixNano(), 36),
 		holders:     limit.NewHolders(nil, 0, now),
+		reporter:    share.NewReporter(),
+		collector:   share.NewCollector(),
 		viewChanged: make(chan struct{}, 1),
 		peers:       make(map[string]netip.AddrPort), unresponsive: make(map[string]time.Time), admission: limit.NewAdmissionChecks(now),
 		pending: make(map[uint64]chan limit.Answer),
@@ -115,6 +123,13 @@
 		s.receive()
 		close(received)
 	}()
+	reporting := make(chan struct{})
+	go func() {
+		if s.options.Shares != nil {
+			s.runShares(ctx)
+		}
+		close(reporting)
+	}()
 	timer := time.NewTimer(0)
 	defer timer.Stop()
 	for ctx.Err() == nil {
@@ -125,6 +140,7 @@
 		}
 		timer.Reset(s.runDueTasks(time.Now()))
 	}
+	<-reporting
 	_ = s.socket.Close() // ends receive; the socket buffers nothing to flush
 	<-received
 }
--- a/internal/gate/credit/credit_test.go
+++ b/internal/gate/credit/credit_test.go
@@ -56,6 +56,11 @@
 }
 
 func start(t *testing.T, count int, slack float64) *gates {
+	return startWith(t, count, slack, func(int) credit.Shares { return nil })
+}
+
+// startWith starts gates whose usage of shares comes from the given sources.
+func startWith(t *testing.T, count int, slack float64, shares func(gate int) credit.Shares) *gates {
 	g := &gates{fleet: &fleet{}}
 	var known []roster.Gate
 	for i := range count {
@@ -63,7 +68,7 @@
 		metrics := telemetry.NewMetrics()
 		s, err := credit.New(credit.Options{
 			VM: fmt.Sprint("gate-", i), Listen: address, Fleet: g.fleet, Metrics: metrics, Log: zap.NewNop(),
-			Tolerance: limit.Tolerance{Window: 5 * time.Second, Overshoot: 0.1, Slack: slack},
+			Tolerance: limit.Tolerance{Window: 5 * time.Second, Overshoot: 0.1, Slack: slack}, Shares: shares(i),
 		})
 		if err != nil {
 			t.Fatal(err)
--- a/internal/gate/credit/packets.go
+++ b/internal/gate/credit/packets.go
@@ -22,6 +22,9 @@
 	kindReturn
 	kindLow    // the team's credit runs low
 	kindActing // the sender is the team's standby and acts for its owner
+	// An older gate ignores the kinds below.
+	kindShareReport // what the sender has started for teams that the receiver owns
+	kindShareAnswer // what the other gates have started for them
 )
 
 // packet is a datagram between gates.
@@ -42,6 +45,8 @@
 	Overdue      bool          `cbor:"13,keyasint,omitempty"`
 	InTimeFor    time.Duration `cbor:"14,keyasint,omitempty"`
 	OverdueTurns bool          `cbor:"15,keyasint,omitempty"`
+
+	Shares []shareCounter `cbor:"16,keyasint,omitempty"`
 }
 
 // maxPacketBytes bounds a datagram, which carries a team name and numbers.
@@ -149,5 +154,9 @@
 		s.markLow(p.Team)
 	case kindActing:
 		s.yield(p.Team)
+	case kindShareReport:
+		s.answerShares(from, p)
+	case kindShareAnswer:
+		s.applyShares(vmOf(p.Gate), p.Gate, p.shareCounters())
 	}
 }
--- a/internal/gate/proxy/shares.go
+++ b/internal/gate/proxy/shares.go
@@ -8,6 +8,9 @@
 	"time"
 
 	"go.uber.org/zap"
+
+	"slateway.example/slateway/internal/route"
+	"slateway.example/slateway/internal/share"
 )
 
 // PathShares is the path where operators list the shares of teams at a gate.
@@ -45,6 +48,32 @@
 	return list
 }
 
+// ShareUsage returns what was started since the last call for the teams that compete for a
+// service's capacity at this gate.
+func (r *Router) ShareUsage(now time.Time) []share.Usage {
+	var list []share.Usage
+	for _, s := range r.sortedShards() {
+		s.mu.Lock()
+		list = append(list, s.routing.ShareUsage(now, s.service)...)
+		s.mu.Unlock()
+	}
+	return list
+}
+
+// ChargeShare charges a team for what other gates have started. It returns false if the team
+// has not used the service here lately.
+func (r *Router) ChargeShare(charge share.Charge) bool {
+	s := r.findShard(charge.Service)
+	if s == nil {
+		return false
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	known := s.routing.SharesWith(charge.Team)
+	s.execute(s.routing.Step(time.Now(), route.ShareCharged{Team: charge.Team, Cost: charge.Cost}))
+	return known
+}
+
 // ServeShares serves Shares as JSON.
 func (r *Router) ServeShares(w http.ResponseWriter, _ *http.Request) {
 	w.Header().Set("Content-Type", "application/json")
--- a/internal/route/fair.go
+++ b/internal/route/fair.go
@@ -287,6 +287,17 @@
 	return DispatchShare{Team: req.Share.Team, Lead: lead, TeamsWaiting: teams}
 }
 
+func (in ShareCharged) apply(s *Shard) { s.onlineQueue.fair.scheduler.Charge(in.Team, in.Cost) }
+
+// SharesWith reports whether a team has used this shard lately.
+func (s *Shard) SharesWith(team string) bool { return s.onlineQueue.fair.scheduler.Known(team) }
+
+// ShareUsage returns what was started since the last call for the teams of this shard, while
+// requests wait.
+func (s *Shard) ShareUsage(now time.Time, service string) []share.Usage {
+	return s.onlineQueue.fair.scheduler.Usage(now, service)
+}
+
 // ShareStatuses lists the shares of teams in this shard.
 func (s *Shard) ShareStatuses(now time.Time) []share.Status {
 	return s.onlineQueue.fair.scheduler.Statuses(now)
--- a/internal/route/messages.go
+++ b/internal/route/messages.go
@@ -188,6 +188,11 @@
 		// returned after a stop of all gates.
 		Expected int
 	}
+	// ShareCharged reports the cost of requests that other gates have started for a team.
+	ShareCharged struct {
+		Team string
+		Cost float64
+	}
 	// Draining reports that the gate stops accepting batch work.
 	Draining struct{}
 	// Tick reports that time has passed; it must arrive every 20 to 50 ms.
--- a/internal/route/queue.go
+++ b/internal/route/queue.go
@@ -197,6 +197,11 @@
 
 // startFair is startReady in the order of shares.
 func (q *waitQueue) startFair(now time.Time, maxMisses int, start func(*request) startResult) {
+	defer func() {
+		if len(q.list) > 0 {
+			q.fair.scheduler.Contended(now)
+		}
+	}()
 	ahead, overdue := q.fair.newPass(false), q.fair.newPass(true)
 	for misses := 0; misses < maxMisses; {
 		from, r := &ahead, ahead.next()
--- a/internal/share/scheduler.go
+++ b/internal/share/scheduler.go
@@ -17,8 +17,9 @@
 	// team that becomes busy again starts there, so that idle time earns nothing. The
 	// virtual time of the request that starts would be too late: an overdue one gets its
 	// turn although its team is ahead of others.
-	virtual   float64
-	expiredAt time.Time
+	virtual     float64
+	contendedAt time.Time // when requests last waited after a pass over the queue
+	expiredAt   time.Time
 }
 
 // Team is a team's state in a Scheduler.
@@ -30,6 +31,7 @@
 	position int // among the waiting teams
 	lastUsed time.Time
 	started  recentCount
+	unread   float64 // cost of the starts since the last Usage
 }
 
 // NewScheduler returns a Scheduler without teams.
@@ -97,6 +99,40 @@
 	t.started.add(now)
 	s.virtual = max(s.virtual, s.least(t))
 	t.virtual += t.step(cost)
+	t.unread += Cost(cost)
+}
+
+// Charge charges a team for requests that other gates have started. A team that has not been
+// used here lately is not charged: it starts anew when it becomes busy.
+func (s *Scheduler) Charge(name string, cost float64) {
+	if t := s.teams[name]; t != nil && cost > 0 {
+		t.virtual += cost / t.weight
+	}
+}
+
+// Known reports whether the team has been used lately.
+func (s *Scheduler) Known(name string) bool { return s.teams[name] != nil }
+
+// Contended records that requests wait although a pass over the queue has started what it
+// could.
+func (s *Scheduler) Contended(now time.Time) { s.contendedAt = now }
+
+// contentionMemory is how long after requests have waited a gate reports its usage.
+const contentionMemory = time.Second
+
+// Usage returns what was started for each team since the last call, and which teams wait.
+// While no requests wait, there is nothing to share, and the starts are not reported.
+func (s *Scheduler) Usage(now time.Time, service string) []Usage {
+	contended := len(s.waiting) > 0 || now.Sub(s.contendedAt) < contentionMemory
+	var list []Usage
+	for _, t := range s.teams {
+		if contended && (t.unread > 0 || t.waiting > 0) {
+			list = append(list, Usage{Key: Key{Service: service, Team: t.name}, Started: t.unread, Waiting: t.waiting > 0})
+		}
+		t.unread = 0
+	}
+	slices.SortFunc(list, func(a, b Usage) int { return cmp.Compare(a.Team, b.Team) })
+	return list
 }
 
 // step returns by how much a start of the given cost advances the virtual time.
