--- a/internal/route/admission.go
+++ b/internal/route/admission.go
@@ -196,9 +196,12 @@
 }
 
 func (s *Shard) startOnline(req *request) startResult {
-	if !s.mayRunNow(req) || req.overdue && !req.delivered && !s.mayStartOverdue() {
+	if !s.mayRunNow(req) {
 		return held
 	}
+	if req.overdue && !req.delivered && !s.mayStartOverdue() {
+		return overdueHeld
+	}
 	if r := s.replicaOfCopy(req); r != nil {
 		if !s.fits(req, r) {
 			return held
--- a/internal/route/bench_test.go
+++ b/internal/route/bench_test.go
@@ -198,3 +198,24 @@
 		})
 	}
 }
+
+// BenchmarkTickWithQueue ticks while 1,000 overdue requests of 86 teams wait.
+func BenchmarkTickWithQueue(b *testing.B) {
+	for _, teams := range []int{1, 86} {
+		b.Run(fmt.Sprintf("teams=%d", teams), func(b *testing.B) {
+			s := benchShard(10)
+			for n := range 1000 + 10*benchSlots*5/4 {
+				s.Step(epoch, route.Arrive{Request: route.Request{
+					ID: fmt.Sprint("q", n), Class: route.Online, Repeatable: true, Fingerprint: upstream.Fingerprint(n),
+					Deadline: epoch.Add(time.Hour), UsefulUntil: epoch.Add(time.Millisecond), Share: route.Share{Team: fmt.Sprint("team-", n*n%teams)},
+				}})
+			}
+			now := epoch.Add(time.Second)
+			b.ReportAllocs()
+			for range b.N {
+				now = now.Add(time.Microsecond)
+				s.Step(now, route.Tick{})
+			}
+		})
+	}
+}
--- a/internal/route/fair.go
+++ b/internal/route/fair.go
@@ -164,6 +164,9 @@
 	p.settle()
 }
 
+// end ends the pass.
+func (p *pass) end() { p.groups, p.heap, p.opened = nil, nil, false }
+
 // started goes on after next's request has started and has been removed from the order.
 func (p *pass) started() {
 	c := &p.heap[0]
@@ -205,6 +208,22 @@
 	return list
 }
 
+// summarizeOverdue returns the number of overdue requests and the earliest of their deadlines.
+func (f *fairOrder) summarizeOverdue() (count int, earliest time.Time) {
+	for _, g := range f.groups {
+		if g.urgency != urgencyOverdue {
+			continue
+		}
+		count += g.requests
+		for _, t := range g.teams {
+			if first := t.requests[0].Deadline; earliest.IsZero() || first.Before(earliest) {
+				earliest = first
+			}
+		}
+	}
+	return count, earliest
+}
+
 // countAhead estimates how many waiting requests start before a new request of the team.
 // All requests of the team count. Of other teams' requests, those of groups that start
 // earlier count, those of the request's own group whose virtual time comes first, and the
--- a/internal/route/order_test.go
+++ b/internal/route/order_test.go
@@ -70,20 +70,24 @@
 	})
 }
 
-// startSome lets both queues start what the same random outcomes allow.
+// startSome lets both queues start what the same random outcomes allow. If no overdue request
+// may start, the queue with shares learns it from the first one.
 func (s *queueSim) startSome(t *rapid.T) {
-	seed := rapid.Uint64().Draw(t, "outcomes")
+	seed, noOverdue := rapid.Uint64().Draw(t, "outcomes"), rapid.IntRange(0, 3).Draw(t, "overdue may start") == 0
 	var tried [2][]string
 	for i, q := range []*waitQueue{&s.fair, &s.plain} {
 		random := rand.New(rand.NewPCG(seed, 1))
 		q.startReady(s.now, maxStartMisses, func(r *request) startResult {
+			if noOverdue && r.urgency() == urgencyOverdue {
+				return overdueHeld
+			}
 			result := startResult(random.IntN(3))
 			tried[i] = append(tried[i], fmt.Sprint(r.ID, result))
 			return result
 		})
 	}
-	if !slices.Equal(tried[0], tried[1]) {
-		t.Fatalf("tried %v, want %v", tried[0], tried[1])
+	if !slices.Equal(tried[0], tried[1]) || s.fair.startsSinceOverdue != s.plain.startsSinceOverdue {
+		t.Fatalf("tried %v, want %v; starts since an overdue one %d, want %d", tried[0], tried[1], s.fair.startsSinceOverdue, s.plain.startsSinceOverdue)
 	}
 }
 
--- a/internal/route/queue.go
+++ b/internal/route/queue.go
@@ -147,9 +147,10 @@
 type startResult int
 
 const (
-	started startResult = iota
-	noRoom              // no replica has room
-	held                // the request must wait for a reason of its own
+	started     startResult = iota
+	noRoom                  // no replica has room
+	held                    // the request must wait for a reason of its own
+	overdueHeld             // no overdue request may start in this pass
 )
 
 // startReady tries to start the waiting requests, in order except for the turns of
@@ -220,6 +221,10 @@
 		if result == noRoom {
 			misses++
 		}
+		if result == overdueHeld {
+			overdue.end()
+			continue
+		}
 		if result != started {
 			from.skip()
 			continue
--- a/internal/route/tick.go
+++ b/internal/route/tick.go
@@ -161,11 +161,16 @@
 // before their deadline. The remaining ones are checked again at the next tick, when
 // the queue is shorter.
 func (s *Shard) refuseLongWaits() {
+	count, earliest := s.onlineQueue.fair.summarizeOverdue()
+	ahead := s.onlineQueue.len() - count
+	startsUntil := func(turns int) int { return turns + min(ahead, (overdueTurn-1)*turns) }
+	if count == 0 || s.estimateWait(startsUntil(count)) <= waitMargin*earliest.Sub(s.now) {
+		return // the order need not be known
+	}
 	overdue := s.onlineQueue.overdueInOrder()
-	ahead := s.onlineQueue.len() - len(overdue)
-	for turns := len(overdue); turns > 0; turns-- {
+	for turns := count; turns > 0; turns-- {
 		req := overdue[turns-1]
-		before := turns + min(ahead, (overdueTurn-1)*turns)
+		before := startsUntil(turns)
 		wait := s.estimateWait(before)
 		if left := req.Deadline.Sub(s.now); req.awaitedReplica != nil || wait <= waitMargin*left {
 			continue
