--- a/internal/ctl/app.go
+++ b/internal/ctl/app.go
@@ -72,6 +72,7 @@
 			a.entriesCommand(),
 			a.capCommand(),
 			a.paceCommand(),
+			a.shareCommand(),
 			a.accountCommand(),
 		},
 		Reader:    streams.In,
