route: cheaper choices while all replicas are full

While all replicas are full, each look for a slot scanned all of them, for the least loaded one or for one that takes the request, at 50 to 150 ns each, and up to eight waiting requests looked in each step.

Most replicas of a large site are ones that this gate neither owns, uses nor has heard of in the last second; with equally many slots their estimated load is equal. The scans compare that estimate instead of computing the load of each. Requests with equal needs look once in a step, until the load or the lists of replicas change.

--- a/internal/route/attempt.go
+++ b/internal/route/attempt.go
@@ -54,6 +54,7 @@
 	} else {
 		r.batch += by
 	}
+	s.noRoom.found = false
 	r.loadVersion = s.table.NextVersion()
 	s.updateKnownPeak(r)
 	s.reportLoad(r)
--- a/internal/route/export_test.go
+++ b/internal/route/export_test.go
@@ -14,6 +14,12 @@
 		if r.needsVisit() && !slices.Contains(s.active, r) {
 			return fmt.Errorf("%s needs a visit and is not active", r.entry.Replica)
 		}
+		if r.announcedLoad != r.entry.Load || r.owned != (r.owner == s.config.Self) || r.heard != slices.Contains(s.heardOf, r) {
+			return fmt.Errorf("%s differs from its entry or from the lists that contain it", r.entry.Replica)
+		}
+		if s.sumOthersReported(); s.isTypical(r) && s.onlineLoad(r) != s.othersReported.estimate(r.entry.Slots) {
+			return fmt.Errorf("%s counts as typical and has another load", r.entry.Replica)
+		}
 		if r.expired != slices.Contains(s.expired, r) {
 			return fmt.Errorf("%s is expired: %t, listed as such: %t", r.entry.Replica, r.expired, !r.expired)
 		}
--- a/internal/route/pick.go
+++ b/internal/route/pick.go
@@ -1,6 +1,10 @@
 package route
 
-import "slices"
+import (
+	"slices"
+
+	"slateway.example/slateway/internal/upstream"
+)
 
 // sampleTries bounds the random draws for one candidate before the list is scanned; the
 // draws fail only when most replicas do not fit the request.
@@ -10,8 +14,23 @@
 // preference: the replica preferred by the prompt's prefix if its load is near that of the
 // sampled one, the less loaded of two samples from the gate's own place, and a replica of
 // another place if the own place is loaded and the other replica clearly less so.
+//
+// While all replicas are full, several waiting requests look for one in each step. Those
+// with equal needs look once, until something changes.
 func (s *Shard) pick(req *request) *replica {
 	s.rebuild()
+	need, comparable := s.needOf(req)
+	if comparable && s.noRoom.found && s.noRoom.need == need {
+		return nil
+	}
+	chosen := s.choose(req)
+	if chosen == nil && comparable {
+		s.noRoom.found, s.noRoom.need = true, need
+	}
+	return chosen
+}
+
+func (s *Shard) choose(req *request) *replica {
 	chosen := s.sampleTwo(req, s.local)
 	if preferred := s.affinityReplica(req, chosen); preferred != nil {
 		return preferred
@@ -28,12 +47,25 @@
 	return chosen
 }
 
-// leastLoaded scans all replicas for one with less load than chosen.
+// leastLoaded scans all replicas for one with less load than chosen. While all replicas
+// are full, each request that looks for a slot runs this scan. Most replicas are typical
+// ones, of which those with equally many slots have the same load.
 func (s *Shard) leastLoaded(req *request, chosen *replica) *replica {
+	s.sumOthersReported()
+	lowest := s.loadRatio(chosen)
+	typicalSlots, typicalRatio := 0, 0.0
 	for _, list := range [...][]*replica{s.local, s.remote} {
 		for _, r := range list {
-			if s.loadRatio(r) < s.loadRatio(chosen) && s.fits(req, r) {
-				chosen = r
+			if s.isTypical(r) {
+				if slots := r.announcedLoad.Slots; slots != typicalSlots {
+					typicalSlots, typicalRatio = slots, float64(s.othersReported.estimate(slots))/float64(slots)
+				}
+				if typicalRatio >= lowest {
+					continue
+				}
+			}
+			if ratio := s.loadRatio(r); ratio < lowest && s.fits(req, r) {
+				chosen, lowest = r, ratio
 			}
 		}
 	}
@@ -77,15 +109,46 @@
 			return r
 		}
 	}
+	if s.config.ReservationWait > 0 {
+		s.sumOthersReported() // for isTypicallyFull
+	}
 	start := s.rng.IntN(len(from))
 	for i := range from {
-		if r := from[(start+i)%len(from)]; r != not && s.fits(req, r) {
+		if r := from[(start+i)%len(from)]; r != not && !s.isTypicallyFull(r) && s.fits(req, r) {
 			return r
 		}
 	}
 	return nil
 }
 
+// isTypicallyFull reports whether the replica is a typical one that fits no request now:
+// it is full, and its owner was asked recently. Other replicas may be full as well. While
+// all replicas are full, most are rejected by this check, which is quicker than fits.
+func (s *Shard) isTypicallyFull(r *replica) bool {
+	if !s.isTypical(r) || s.now.Sub(r.reportedAt) >= staleReportAge {
+		return false
+	}
+	slots := r.announcedLoad.Slots
+	return s.othersReported.estimate(slots) >= slots+s.overcommit(slots)
+}
+
+// need is what the choice of a replica depends on for requests that avoid none and are not
+// suspect.
+type need struct {
+	kind               upstream.Kind
+	model, version     string
+	overdue, delivered bool
+	reservationTries   int
+}
+
+// needOf returns the need of a request, and false if its choice depends on more.
+func (s *Shard) needOf(req *request) (need, bool) {
+	if len(req.avoid) > 0 || s.isSuspect(req) {
+		return need{}, false
+	}
+	return need{req.Kind, req.Model, req.Version, req.overdue, req.delivered, req.reservationTries}, true
+}
+
 // fits reports whether the replica may run the request now.
 func (s *Shard) fits(req *request, r *replica) bool {
 	if !s.mayServe(req, r) {
--- a/internal/route/place.go
+++ b/internal/route/place.go
@@ -92,6 +92,7 @@
 func (s *Shard) release(res reservation) {
 	s.reservations = slices.DeleteFunc(s.reservations, func(other reservation) bool { return other.req == res.req })
 	s.addOverdue(res.req, -1)
+	s.noRoom.found = false
 	res.replica.online--
 	s.onlineRunning--
 }
@@ -170,7 +171,17 @@
 	if s.othersReported.slots == 0 {
 		return r.unaccounted
 	}
-	return (s.othersReported.online*s.slots(r) + s.othersReported.slots/2) / s.othersReported.slots
+	return s.othersReported.estimate(s.slots(r))
+}
+
+// estimate returns the number of requests on a replica with as many per slot as the sum,
+// which must not be empty.
+func (l *reportedLoad) estimate(slots int) int { return (l.online*slots + l.slots/2) / l.slots }
+
+// isTypical reports whether the load of the replica is estimated from its slots alone.
+func (s *Shard) isTypical(r *replica) bool {
+	return s.config.ReservationWait > 0 && !r.owned && !r.heard && r.online == 0 && r.slowStartFrom.IsZero() &&
+		s.othersReported.slots > 0 && !s.config.Disabled.Feeder
 }
 
 // reportedLoad is the sum of other gates' online requests over the replicas with a
@@ -186,7 +197,10 @@
 		return
 	}
 	s.othersReported = reportedLoad{at: s.now}
-	s.heardOf = slices.DeleteFunc(s.heardOf, func(r *replica) bool { return !s.hasRecentReport(r) })
+	s.heardOf = slices.DeleteFunc(s.heardOf, func(r *replica) bool {
+		r.heard = s.hasRecentReport(r)
+		return !r.heard
+	})
 	for _, list := range [...][]*replica{s.mine, s.heardOf} {
 		for _, r := range list {
 			if r.candidate {
@@ -201,5 +215,5 @@
 // hasRecentReport reports whether the information about other gates' requests on the
 // replica is recent.
 func (s *Shard) hasRecentReport(r *replica) bool {
-	return s.ownsReplica(r) || (!r.ownerReportAt.IsZero() && s.now.Sub(r.ownerReportAt) < ownerReportLifetime)
+	return s.ownsReplica(r) || (r.heard && !r.ownerReportAt.IsZero() && s.now.Sub(r.ownerReportAt) < ownerReportLifetime)
 }
--- a/internal/route/replica.go
+++ b/internal/route/replica.go
@@ -21,7 +21,14 @@
 
 // replica holds the state of a replica and the work of this gate on it.
 type replica struct {
-	entry       *upstream.Entry
+	entry *upstream.Entry
+	// Scans of all replicas read the next fields, which therefore lie together.
+	online        int           // live online attempts and reservations
+	owned         bool          // its owner is this gate
+	heard         bool          // it is in the shard's heardOf
+	slowStartFrom time.Time     // start of the slow start; zero when it is over
+	announcedLoad upstream.Load // the load in entry
+
 	lastContact time.Time // when an attempt of this gate last made progress there
 	hash        uint64    // of its ID, for rendezvous hashing
 	incarnation uint64    // of the process that runs the attempts
@@ -34,7 +41,6 @@
 	fullUntil   time.Time // it declined a request; until then it receives no other
 
 	attempts []*attempt // live, in order of their start
-	online   int        // live online attempts and reservations
 	batch    int        // live batch attempts
 
 	loadReports []loadReport // of other gates, if this gate is the owner
@@ -42,8 +48,6 @@
 	readySlots  int          // its part of the shard's readySlots
 	knownPeak   highWater    // highest known count while the last announcement was on its way
 	unaccounted int          // requests in the last announcement that no gate has reported
-
-	announcedLoad upstream.Load // the load in the last announcement
 	// Load of the other gates according to the owner, if that is another gate.
 	othersOnline, othersBatch int
 	ownerReportAt             time.Time
@@ -68,7 +72,6 @@
 	missedProbe     bool                   // a probe was not answered since it became suspect
 	penaltyUntil    time.Time              // until then an answered probe does not return it to use
 	abandonedPrints []upstream.Fingerprint // fingerprints of requests that were removed or moved before their probe ended
-	slowStartFrom   time.Time              // start of the slow start; zero when it is over
 }
 
 // acceptsWork reports whether new requests may be sent to the replica.
@@ -169,10 +172,12 @@
 		return false
 	}
 	slots := s.slots(r)
-	extra := int(s.config.Overcommit * float64(slots))
-	return s.onlineLoad(r) < slots+extra
+	return s.onlineLoad(r) < slots+s.overcommit(slots)
 }
 
+// overcommit returns the online requests beyond the slots that a replica may have.
+func (s *Shard) overcommit(slots int) int { return int(s.config.Overcommit * float64(slots)) }
+
 // hasSlot reports whether an online request finds a free slot or one that batch work
 // releases for it.
 func (s *Shard) hasSlot(r *replica) bool { return s.onlineLoad(r) < s.slots(r) }
@@ -324,6 +329,9 @@
 // rebuild updates the lists of replicas that accept work, by distance, and of those
 // that this gate owns.
 func (s *Shard) rebuild() {
+	if len(s.stale) > 0 {
+		s.noRoom.found = false
+	}
 	for i, r := range s.stale {
 		s.stale[i] = nil
 		r.stale = false
--- a/internal/route/shard.go
+++ b/internal/route/shard.go
@@ -62,6 +62,13 @@
 	nextAttempt    AttemptID
 	draining       bool
 
+	// noRoom is the need for which this step found no replica; it is forgotten when the
+	// load or the lists of replicas change.
+	noRoom struct {
+		found bool
+		need  need
+	}
+
 	outputs []Output
 }
 
@@ -136,6 +143,7 @@
 func (s *Shard) Step(now time.Time, in Input) []Output {
 	s.now = now
 	s.outputs = s.outputs[:0]
+	s.noRoom.found = false
 	in.apply(s)
 	return s.outputs
 }
--- a/internal/route/usage.go
+++ b/internal/route/usage.go
@@ -94,6 +94,7 @@
 	}
 	r.ownerReportAt = s.now
 	s.heardOf = insertReplica(s.heardOf, r)
+	r.heard = true
 	r.othersBatch = max(0, in.Load.Batch-r.batch)
 	r.othersOnline = max(0, in.Load.Online-reported)
 	if in.Acknowledges > 0 {
