route: affinity reads the hashes of the local replicas in one list

Each request with a prefix looked at the entry, the hash and the cache hints of each replica of the place, three places in memory for each of 750. The hashes now lie together, and hints are looked up only for prefixes that some replica holds, of which the hints keep a count. The choice is the same (200 sequences of random inputs, with and without hints, give the same outputs).

go test ./internal/route -run xxx -bench 'SiteOnline/running=10', before and after: 8.8 us, 7.2 us for a whole request with 750 local replicas. The caches of the benchmark are warm, so that it shows only a part of the gain.

--- a/internal/route/export_test.go
+++ b/internal/route/export_test.go
@@ -59,6 +59,14 @@
 	if !slices.Equal(notStale(s.local), local) || !slices.Equal(notStale(s.remote), remote) || !slices.Equal(notStale(s.owned), owned) {
 		return fmt.Errorf("the lists of replicas that accept work differ from a scan")
 	}
+	for i, r := range s.local {
+		if s.localHashes[i] != r.hash {
+			return fmt.Errorf("the hash of %s is not at its position", r.entry.Replica)
+		}
+	}
+	if len(s.localHashes) != len(s.local) {
+		return fmt.Errorf("%d hashes of %d local replicas", len(s.localHashes), len(s.local))
+	}
 	for _, list := range [][]*replica{s.active, s.expired, s.reported, s.mine, s.heardOf, s.slowStarting} {
 		for _, r := range list {
 			if s.replica(r.entry.Replica) != r {
--- a/internal/route/pick.go
+++ b/internal/route/pick.go
@@ -198,29 +198,39 @@
 		return nil
 	}
 	bound := s.loadRatio(sampled) + s.config.AffinityBound
-	var best, second *replica
+	for i, at := range s.affinityOrder(req.Prefix) {
+		if at < 0 {
+			break
+		}
+		r := s.local[at]
+		if i < s.config.AffinityTries && s.hasSlot(r) && s.loadRatio(r) <= bound && s.fits(req, r) {
+			return r
+		}
+	}
+	return nil
+}
+
+// affinityOrder returns the positions in the list of local replicas of the two that a prefix
+// prefers: first those that probably cache it, then by score; -1 if there are fewer.
+func (s *Shard) affinityOrder(prefix uint64) [2]int {
+	const cached = 1 << 63
+	anyCached := s.hints.AnyHolds(prefix)
+	best, second := -1, -1
 	var bestScore, secondScore uint64
-	for _, r := range s.local {
-		score := rendezvousScore(req.Prefix, r.hash)
-		if s.hints.Holds(r.entry.Replica, req.Prefix) {
-			score |= 1 << 63
-		} else {
-			score &^= 1 << 63
+	for i, hash := range s.localHashes {
+		score := rendezvousScore(prefix, hash) &^ cached
+		if anyCached && s.hints.Holds(s.local[i].entry.Replica, prefix) {
+			score |= cached
 		}
 		switch {
-		case best == nil || score > bestScore:
+		case best < 0 || score > bestScore:
 			second, secondScore = best, bestScore
-			best, bestScore = r, score
-		case second == nil || score > secondScore:
-			second, secondScore = r, score
+			best, bestScore = i, score
+		case second < 0 || score > secondScore:
+			second, secondScore = i, score
 		}
 	}
-	for i, r := range [...]*replica{best, second} {
-		if r != nil && i < s.config.AffinityTries && s.hasSlot(r) && s.loadRatio(r) <= bound && s.fits(req, r) {
-			return r
-		}
-	}
-	return nil
+	return [2]int{best, second}
 }
 
 // rendezvousScore returns a replica's score for a key; the highest score wins
--- a/internal/route/replica.go
+++ b/internal/route/replica.go
@@ -356,7 +356,7 @@
 	changed := in ^ r.listed
 	r.listed = in
 	if changed&listedLocal != 0 {
-		s.local = toggleReplica(s.local, r, in&listedLocal != 0)
+		s.toggleLocal(r, in&listedLocal != 0)
 	}
 	if changed&listedRemote != 0 {
 		s.remote = toggleReplica(s.remote, r, in&listedRemote != 0)
@@ -366,6 +366,21 @@
 	}
 }
 
+// toggleLocal adds a replica to the local ones and its hash to theirs, or removes both.
+func (s *Shard) toggleLocal(r *replica, add bool) {
+	i, _ := slices.BinarySearchFunc(s.local, r, compareIDs)
+	if add {
+		s.local = slices.Insert(s.local, i, r)
+		s.localHashes = slices.Insert(s.localHashes, i, r.hash)
+		return
+	}
+	if s.local[i] != r {
+		i = slices.Index(s.local, r) // beside a later replica with the same ID
+	}
+	s.local = slices.Delete(s.local, i, i+1)
+	s.localHashes = slices.Delete(s.localHashes, i, i+1)
+}
+
 // toggleReplica adds a replica to an ordered list or removes it.
 func toggleReplica(list []*replica, r *replica, add bool) []*replica {
 	if add {
--- a/internal/route/shard.go
+++ b/internal/route/shard.go
@@ -37,6 +37,9 @@
 	reported []*replica // with load reports of other gates
 	mine     []*replica // owned by this gate
 	heardOf  []*replica // with a recent report of their owner, and some with an older one
+	// localHashes are the hashes of the local replicas in the same order. Each request
+	// with a prefix reads all of them, which is quick because they lie together.
+	localHashes []uint64
 	// slowStarting are the replicas whose slow start has not been seen to end.
 	slowStarting []*replica
 	stale        []*replica // those to be added to or removed from local, remote and owned; in any order
--- a/internal/upstream/cache.go
+++ b/internal/upstream/cache.go
@@ -18,6 +18,7 @@
 // costs the recomputation of a prefix, never a wrong answer.
 type CacheHints struct {
 	replicas map[ReplicaID]*replicaHints
+	holders  map[uint64]int // by prefix: replicas that probably cache it
 }
 
 type replicaHints struct {
@@ -27,13 +28,16 @@
 }
 
 // NewCacheHints creates an empty set of hints.
-func NewCacheHints() *CacheHints { return &CacheHints{replicas: make(map[ReplicaID]*replicaHints)} }
+func NewCacheHints() *CacheHints {
+	return &CacheHints{replicas: make(map[ReplicaID]*replicaHints), holders: make(map[uint64]int)}
+}
 
 // Observe applies an event. A gap in the sequence discards all hints for the
 // replica, since the lost event may have evicted any prefix.
 func (h *CacheHints) Observe(e CacheEvent) {
 	known := h.replicas[e.Replica]
 	if known == nil || e.Incarnation > known.incarnation {
+		h.dropAll(known)
 		known = &replicaHints{incarnation: e.Incarnation, prefixes: make(map[uint64]struct{})}
 		h.replicas[e.Replica] = known
 	}
@@ -41,16 +45,40 @@
 		return
 	}
 	if e.Sequence != known.sequence+1 || len(known.prefixes) >= maxHintsPerReplica {
-		clear(known.prefixes)
+		h.dropAll(known)
 	}
 	known.sequence = e.Sequence
-	if e.Dropped {
+	_, held := known.prefixes[e.Prefix]
+	switch {
+	case e.Dropped && held:
 		delete(known.prefixes, e.Prefix)
+		h.dropHolder(e.Prefix)
+	case !e.Dropped && !held:
+		known.prefixes[e.Prefix] = struct{}{}
+		h.holders[e.Prefix]++
+	}
+}
+
+// dropAll drops all prefixes of a replica, of which nothing may be known.
+func (h *CacheHints) dropAll(known *replicaHints) {
+	if known == nil {
 		return
 	}
-	known.prefixes[e.Prefix] = struct{}{}
+	for prefix := range known.prefixes {
+		h.dropHolder(prefix)
+	}
+	clear(known.prefixes)
 }
 
+func (h *CacheHints) dropHolder(prefix uint64) {
+	if h.holders[prefix]--; h.holders[prefix] == 0 {
+		delete(h.holders, prefix)
+	}
+}
+
+// AnyHolds reports whether any replica probably caches the prefix.
+func (h *CacheHints) AnyHolds(prefix uint64) bool { return h.holders[prefix] > 0 }
+
 // Holds reports whether the replica probably caches the prefix.
 func (h *CacheHints) Holds(id ReplicaID, prefix uint64) bool {
 	known := h.replicas[id]
@@ -62,4 +90,7 @@
 }
 
 // Forget removes all hints for a replica.
-func (h *CacheHints) Forget(id ReplicaID) { delete(h.replicas, id) }
+func (h *CacheHints) Forget(id ReplicaID) {
+	h.dropAll(h.replicas[id])
+	delete(h.replicas, id)
+}
