route: the sum of the owners' reports is kept up to date

The estimate for replicas without a recent owner report needs the sum over those with one, and it was summed again for each input. While all replicas are full, gates ask the owners of thousands of replicas each second, and this sum was a third of the cost of a choice.

A replica's part of the sum is updated with its report, its slots and the lists, and leaves it when the report is a second old, in the order of the reports.

--- a/internal/route/active.go
+++ b/internal/route/active.go
@@ -49,7 +49,7 @@
 	s.active = removeReplica(s.active, r)
 	s.expired = removeReplica(s.expired, r)
 	s.mine = removeReplica(s.mine, r)
-	s.heardOf = removeReplica(s.heardOf, r)
+	s.setHeard(r, false)
 	s.slowStarting = removeReplica(s.slowStarting, r)
 	s.setReadySlots(r, 0)
 	s.reported = removeReplica(s.reported, r)
--- a/internal/route/export_test.go
+++ b/internal/route/export_test.go
@@ -14,7 +14,7 @@
 		if r.needsVisit() && !slices.Contains(s.active, r) {
 			return fmt.Errorf("%s needs a visit and is not active", r.entry.Replica)
 		}
-		if r.announcedLoad != r.entry.Load || r.owned != (r.owner == s.config.Self) || r.heard != slices.Contains(s.heardOf, r) {
+		if r.announcedLoad != r.entry.Load || r.owned != (r.owner == s.config.Self) || (r.heard && s.ownsReplica(r)) {
 			return fmt.Errorf("%s differs from its entry or from the lists that contain it", r.entry.Replica)
 		}
 		if s.sumOthersReported(); s.isTypical(r) && s.onlineLoad(r) != s.othersReported.estimate(r.entry.Slots) {
@@ -67,7 +67,7 @@
 	if len(s.localHashes) != len(s.local) {
 		return fmt.Errorf("%d hashes of %d local replicas", len(s.localHashes), len(s.local))
 	}
-	for _, list := range [][]*replica{s.active, s.expired, s.reported, s.mine, s.heardOf, s.slowStarting} {
+	for _, list := range [][]*replica{s.active, s.expired, s.reported, s.mine, s.slowStarting} {
 		for _, r := range list {
 			if s.replica(r.entry.Replica) != r {
 				return fmt.Errorf("%s is listed and unknown", r.entry.Replica)
@@ -130,8 +130,15 @@
 		if gotOnline, gotBatch := s.sumLoadReports(r); gotOnline != online || gotBatch != batch {
 			return fmt.Errorf("the load reports on %s sum up to %d and %d, by a scan %d and %d", r.entry.Replica, gotOnline, gotBatch, online, batch)
 		}
-		if r.candidate && s.hasRecentReport(r) {
-			others, _ := s.othersLoad(r)
+		isRecent := !r.ownerReportAt.IsZero() && s.now.Sub(r.ownerReportAt) < ownerReportLifetime
+		if isRecent && !s.ownsReplica(r) && !r.heard {
+			return fmt.Errorf("%s has a recent report and does not count as heard", r.entry.Replica)
+		}
+		if r.candidate && (isRecent || s.ownsReplica(r)) {
+			others := r.othersOnline
+			if s.ownsReplica(r) {
+				others = online + r.unaccounted
+			}
 			reported.online += others
 			reported.slots += s.slots(r)
 		}
--- a/internal/route/feeder.go
+++ b/internal/route/feeder.go
@@ -87,13 +87,12 @@
 	}
 	r.owner = owner
 	r.ownerReportAt = time.Time{} // the previous owner's report is obsolete
-	r.reportedAt = time.Time{}    // the new owner has no report of this gate's requests yet
+	s.setHeard(r, false)
+	r.reportedAt = time.Time{} // the new owner has no report of this gate's requests yet
 	s.markStale(r)
 	r.owned = owner == s.config.Self
 	if s.ownsReplica(r) {
 		s.mine = insertReplica(s.mine, r)
-		s.heardOf = removeReplica(s.heardOf, r)
-		r.heard = false
 	} else {
 		s.mine = removeReplica(s.mine, r)
 	}
--- a/internal/route/late.go
+++ b/internal/route/late.go
@@ -29,17 +29,21 @@
 // maxOverdueRunning returns how many overdue requests may run at this gate at a time.
 func (s *Shard) maxOverdueRunning() int {
 	slots := s.readySlots
-	s.slowStarting = slices.DeleteFunc(s.slowStarting, func(r *replica) bool {
-		usable := s.slots(r)
+	for _, r := range s.currentSlowStarts() {
 		if r.readySlots > 0 {
-			slots -= r.readySlots - usable
+			slots -= r.readySlots - s.slots(r)
 		}
-		return r.slowStartFrom.IsZero()
-	})
+	}
 	gates := max(1, len(s.gates), s.expectedGates)
 	return max(1, slots/overdueShare/gates)
 }
 
+// currentSlowStarts returns the replicas whose slow start is under way.
+func (s *Shard) currentSlowStarts() []*replica {
+	s.slowStarting = slices.DeleteFunc(s.slowStarting, func(r *replica) bool { return !s.isSlowStarting(r) })
+	return s.slowStarting
+}
+
 // updateReadySlots updates the sum of the slots of ready replicas. It must be called after
 // each change of the replica's entry.
 func (s *Shard) updateReadySlots(r *replica) {
--- a/internal/route/place.go
+++ b/internal/route/place.go
@@ -197,19 +197,66 @@
 		return
 	}
 	s.othersReported = reportedLoad{at: s.now}
-	s.heardOf = slices.DeleteFunc(s.heardOf, func(r *replica) bool {
-		r.heard = s.hasRecentReport(r)
-		return !r.heard
-	})
-	for _, list := range [...][]*replica{s.mine, s.heardOf} {
-		for _, r := range list {
-			if r.candidate {
-				online, _ := s.othersLoad(r)
-				s.othersReported.online += online
-				s.othersReported.slots += s.slots(r)
-			}
+	s.dropOldReports()
+	for _, r := range s.mine {
+		if r.candidate {
+			online, _ := s.othersLoad(r)
+			s.othersReported.online += online
+			s.othersReported.slots += s.slots(r)
 		}
 	}
+	s.othersReported.online += s.heard.online
+	s.othersReported.slots += s.heard.slots
+	for _, r := range s.currentSlowStarts() {
+		if r.heardSlots > 0 {
+			s.othersReported.slots -= r.heardSlots - s.slots(r)
+		}
+	}
+}
+
+// heardReplicas are the replicas of other gates with a recent owner report.
+type heardReplicas struct {
+	reports []ownerReport // in order of their time; older ones on the same replica count no more
+	// Sums over the replicas that accepted work at the last rebuild of the lists. While all
+	// replicas are full, reports on thousands of them are recent.
+	online int // requests of other gates
+	slots  int // without the reductions of slow starts
+}
+
+// ownerReport records when a replica's owner reported.
+type ownerReport struct {
+	replica *replica
+	at      time.Time
+}
+
+// dropOldReports removes the reports that are not recent any more.
+func (s *Shard) dropOldReports() {
+	reports := s.heard.reports
+	for len(reports) > 0 && s.now.Sub(reports[0].at) >= ownerReportLifetime {
+		if r := reports[0].replica; r.ownerReportAt.Equal(reports[0].at) {
+			s.setHeard(r, false)
+		}
+		reports[0] = ownerReport{}
+		reports = reports[1:]
+	}
+	s.heard.reports = reports
+}
+
+func (s *Shard) setHeard(r *replica, heard bool) {
+	r.heard = heard
+	s.updateHeard(r)
+}
+
+// updateHeard updates the replica's part of the sums of heardReplicas. It must be called
+// when the report, the slots or candidate have changed.
+func (s *Shard) updateHeard(r *replica) {
+	online, slots := 0, 0
+	if r.heard && r.candidate {
+		online, slots = r.othersOnline, r.entry.Slots
+	}
+	s.heard.online += online - r.heardOnline
+	s.heard.slots += slots - r.heardSlots
+	r.heardOnline, r.heardSlots = online, slots
 }
 
 // hasRecentReport reports whether the information about other gates' requests on the
--- a/internal/route/replica.go
+++ b/internal/route/replica.go
@@ -25,7 +25,7 @@
 	// Scans of all replicas read the next fields, which therefore lie together.
 	online        int           // live online attempts and reservations
 	owned         bool          // its owner is this gate
-	heard         bool          // it is in the shard's heardOf
+	heard         bool          // its owner has reported recently, or had at the last check
 	slowStartFrom time.Time     // start of the slow start; zero when it is over
 	announcedLoad upstream.Load // the load in entry
 
@@ -46,6 +46,8 @@
 	loadReports []loadReport // of other gates, if this gate is the owner
 	reportSum   reportSum    // of loadReports
 	readySlots  int          // its part of the shard's readySlots
+	heardOnline int          // its part of the shard's heard.online
+	heardSlots  int          // its part of the shard's heard.slots
 	knownPeak   highWater    // highest known count while the last announcement was on its way
 	unaccounted int          // requests in the last announcement that no gate has reported
 	// Load of the other gates according to the owner, if that is another gate.
@@ -230,6 +232,7 @@
 	}
 	r := s.replica(id)
 	s.updateReadySlots(r)
+	s.updateHeard(r)
 	unaccounted, load := r.unaccounted, r.announcedLoad
 	r.announcedLoad = r.entry.Load
 	s.updateUnaccounted(r)
@@ -342,6 +345,7 @@
 
 func (s *Shard) updateLists(r *replica) {
 	r.candidate = s.acceptsWork(r)
+	s.updateHeard(r)
 	var in listedIn
 	switch {
 	case !r.candidate:
--- a/internal/route/shard.go
+++ b/internal/route/shard.go
@@ -36,7 +36,6 @@
 	moved    []*replica // their place has changed since their owner was chosen; in any order
 	reported []*replica // with load reports of other gates
 	mine     []*replica // owned by this gate
-	heardOf  []*replica // with a recent report of their owner, and some with an older one
 	// localHashes are the hashes of the local replicas in the same order. Each request
 	// with a prefix reads all of them, which is quick because they lie together.
 	localHashes []uint64
@@ -51,6 +50,7 @@
 	onlineQueue    waitQueue // online requests without an attempt
 	batchQueue     waitQueue // batch items without an attempt
 	othersReported reportedLoad
+	heard          heardReplicas
 	lastBatchItem  *request      // the batch item that was dispatched last
 	reservations   []reservation // online requests that wait for an owner's acknowledgement, in order of their start
 
--- a/internal/route/usage.go
+++ b/internal/route/usage.go
@@ -93,10 +93,11 @@
 		reported = in.ReportedOnline
 	}
 	r.ownerReportAt = s.now
-	s.heardOf = insertReplica(s.heardOf, r)
-	r.heard = true
 	r.othersBatch = max(0, in.Load.Batch-r.batch)
 	r.othersOnline = max(0, in.Load.Online-reported)
+	s.dropOldReports()
+	s.heard.reports = append(s.heard.reports, ownerReport{r, s.now})
+	s.setHeard(r, true)
 	if in.Acknowledges > 0 {
 		s.handleAcknowledgement(r, in.Acknowledges)
 	}
