route: recent owner reports are known without a look at the time

Whether a replica's owner report is recent was computed from its time for each replica of a scan, several times. Each step now first drops the reports that have become old, so that a flag of the replica tells it.

--- a/internal/route/export_test.go
+++ b/internal/route/export_test.go
@@ -131,8 +131,8 @@
 			return fmt.Errorf("the load reports on %s sum up to %d and %d, by a scan %d and %d", r.entry.Replica, gotOnline, gotBatch, online, batch)
 		}
 		isRecent := !r.ownerReportAt.IsZero() && s.now.Sub(r.ownerReportAt) < ownerReportLifetime
-		if isRecent && !s.ownsReplica(r) && !r.heard {
-			return fmt.Errorf("%s has a recent report and does not count as heard", r.entry.Replica)
+		if r.heard != (isRecent && !s.ownsReplica(r)) {
+			return fmt.Errorf("%s counts as heard: %t, by its report's time %t", r.entry.Replica, r.heard, !r.heard)
 		}
 		if r.candidate && (isRecent || s.ownsReplica(r)) {
 			others := r.othersOnline
--- a/internal/route/place.go
+++ b/internal/route/place.go
@@ -197,7 +197,6 @@
 		return
 	}
 	s.othersReported = reportedLoad{at: s.now}
-	s.dropOldReports()
 	for _, r := range s.mine {
 		if r.candidate {
 			online, _ := s.othersLoad(r)
@@ -229,7 +228,8 @@
 	at      time.Time
 }
 
-// dropOldReports removes the reports that are not recent any more.
+// dropOldReports removes the reports that are not recent any more. Each step begins with
+// it, so that heard is exact.
 func (s *Shard) dropOldReports() {
 	reports := s.heard.reports
 	for len(reports) > 0 && s.now.Sub(reports[0].at) >= ownerReportLifetime {
@@ -262,5 +262,5 @@
 // hasRecentReport reports whether the information about other gates' requests on the
 // replica is recent.
 func (s *Shard) hasRecentReport(r *replica) bool {
-	return s.ownsReplica(r) || (r.heard && !r.ownerReportAt.IsZero() && s.now.Sub(r.ownerReportAt) < ownerReportLifetime)
+	return s.ownsReplica(r) || r.heard
 }
--- a/internal/route/replica.go
+++ b/internal/route/replica.go
@@ -25,7 +25,7 @@
 	// Scans of all replicas read the next fields, which therefore lie together.
 	online        int           // live online attempts and reservations
 	owned         bool          // its owner is this gate
-	heard         bool          // its owner has reported recently, or had at the last check
+	heard         bool          // another gate owns it and has reported recently
 	slowStartFrom time.Time     // start of the slow start; zero when it is over
 	announcedLoad upstream.Load // the load in entry
 
--- a/internal/route/shard.go
+++ b/internal/route/shard.go
@@ -147,6 +147,7 @@
 	s.now = now
 	s.outputs = s.outputs[:0]
 	s.noRoom.found = false
+	s.dropOldReports()
 	in.apply(s)
 	return s.outputs
 }
--- a/internal/route/usage.go
+++ b/internal/route/usage.go
@@ -95,7 +95,6 @@
 	r.ownerReportAt = s.now
 	r.othersBatch = max(0, in.Load.Batch-r.batch)
 	r.othersOnline = max(0, in.Load.Online-reported)
-	s.dropOldReports()
 	s.heard.reports = append(s.heard.reports, ownerReport{r, s.now})
 	s.setHeard(r, true)
 	if in.Acknowledges > 0 {
@@ -124,5 +123,5 @@
 // isOwnerReportFresh reports whether the owner's report is recent. Reports arrive as
 // acknowledgements of load reports and with the digests.
 func (s *Shard) isOwnerReportFresh(r *replica) bool {
-	return !r.ownerReportAt.IsZero() && s.now.Sub(r.ownerReportAt) < reportLifetime
+	return r.heard || !r.ownerReportAt.IsZero() && s.now.Sub(r.ownerReportAt) < reportLifetime
 }
