--- a/internal/gate/follow/follower.go
+++ b/internal/gate/follow/follower.go
@@ -14,6 +14,7 @@
 	"go.uber.org/zap"
 
 	"slateway.example/slateway/internal/control/controlapi"
+	"slateway.example/slateway/internal/member"
 	"slateway.example/slateway/internal/roster"
 	"slateway.example/slateway/internal/routes"
 	"slateway.example/slateway/internal/rpc"
@@ -87,8 +88,9 @@
 	acceptsDigest       bool      // that control VM compares digests
 	fullRefreshAt       time.Time // last full or verified response
 	gates               []roster.Gate
-	expected            int           // number of gates of the site, as last reported by a control VM
-	missing             []roster.Gate // expected gates that have not returned since all gates were down
+	members             []member.Member // gates as members; nil: not made yet
+	expected            int             // number of gates of the site, as last reported by a control VM
+	missing             []roster.Gate   // expected gates that have not returned since all gates were down
 	onGates             []func()
 
 	// listed and listing are used by applyResponse only. listed also contains replicas that
--- a/internal/gate/follow/take.go
+++ b/internal/gate/follow/take.go
@@ -186,6 +186,7 @@
 		return nil
 	}
 	f.expected = expected
+	f.members = nil
 	if full {
 		f.missing = response.MissingGates
 	}
--- a/internal/route/export_test.go
+++ b/internal/route/export_test.go
@@ -14,6 +14,12 @@
 		if r.needsVisit() && !slices.Contains(s.active, r) {
 			return fmt.Errorf("%s needs a visit and is not active", r.entry.Replica)
 		}
+		if r.announcedLoad != r.entry.Load || r.owned != (r.owner == s.config.Self) || (r.heard && s.ownsReplica(r)) {
+			return fmt.Errorf("%s differs from its entry or from the lists that contain it", r.entry.Replica)
+		}
+		if s.sumOthersReported(); s.isTypical(r) && s.onlineLoad(r) != s.othersReported.estimate(r.entry.Slots) {
+			return fmt.Errorf("%s counts as typical and has another load", r.entry.Replica)
+		}
 		if r.expired != slices.Contains(s.expired, r) {
 			return fmt.Errorf("%s is expired: %t, listed as such: %t", r.entry.Replica, r.expired, !r.expired)
 		}
@@ -53,7 +59,15 @@
 	if !slices.Equal(notStale(s.local), local) || !slices.Equal(notStale(s.remote), remote) || !slices.Equal(notStale(s.owned), owned) {
 		return fmt.Errorf("the lists of replicas that accept work differ from a scan")
 	}
-	for _, list := range [][]*replica{s.active, s.expired, s.reported, s.mine, s.heardOf, s.slowStarting} {
+	for i, r := range s.local {
+		if s.localHashes[i] != r.hash {
+			return fmt.Errorf("the hash of %s is not at its position", r.entry.Replica)
+		}
+	}
+	if len(s.localHashes) != len(s.local) {
+		return fmt.Errorf("%d hashes of %d local replicas", len(s.localHashes), len(s.local))
+	}
+	for _, list := range [][]*replica{s.active, s.expired, s.reported, s.mine, s.slowStarting} {
 		for _, r := range list {
 			if s.replica(r.entry.Replica) != r {
 				return fmt.Errorf("%s is listed and unknown", r.entry.Replica)
@@ -116,8 +130,15 @@
 		if gotOnline, gotBatch := s.sumLoadReports(r); gotOnline != online || gotBatch != batch {
 			return fmt.Errorf("the load reports on %s sum up to %d and %d, by a scan %d and %d", r.entry.Replica, gotOnline, gotBatch, online, batch)
 		}
-		if r.candidate && s.hasRecentReport(r) {
-			others, _ := s.othersLoad(r)
+		isRecent := !r.ownerReportAt.IsZero() && s.now.Sub(r.ownerReportAt) < ownerReportLifetime
+		if r.heard != (isRecent && !s.ownsReplica(r)) {
+			return fmt.Errorf("%s counts as heard: %t, by its report's time %t", r.entry.Replica, r.heard, !r.heard)
+		}
+		if r.candidate && (isRecent || s.ownsReplica(r)) {
+			others := r.othersOnline
+			if s.ownsReplica(r) {
+				others = online + r.unaccounted
+			}
 			reported.online += others
 			reported.slots += s.slots(r)
 		}
--- a/internal/route/pace.go
+++ b/internal/route/pace.go
@@ -143,6 +143,15 @@
 	return (s.loadRatio(r) + 1/float64(s.slots(r))) * s.paceOf(r)
 }
 
+// typicalCost returns the expected cost of a typical replica (isTypical) with the usual pace.
+func (s *Shard) typicalCost(slots int) float64 {
+	ratio := float64(s.othersReported.estimate(slots)) / float64(slots)
+	if !s.tellsPace {
+		return ratio
+	}
+	return ratio + 1/float64(slots)
+}
+
 // checkPace compares the pace that the attempt's replica told with the time that the
 // attempt took from its first event, or as a whole for a plain service.
 func (s *Shard) checkPace(a *attempt) {
--- a/internal/route/place.go
+++ b/internal/route/place.go
@@ -92,6 +92,7 @@
 func (s *Shard) release(res reservation) {
 	s.reservations = slices.DeleteFunc(s.reservations, func(other reservation) bool { return other.req == res.req })
 	s.addOverdue(res.req, -1)
+	s.noRoom.found = false
 	res.replica.online--
 	s.onlineRunning--
 }
@@ -173,7 +174,17 @@
 	if s.othersReported.slots == 0 {
 		return r.unaccounted
 	}
-	return (s.othersReported.online*s.slots(r) + s.othersReported.slots/2) / s.othersReported.slots
+	return s.othersReported.estimate(s.slots(r))
+}
+
+// estimate returns the number of requests on a replica with as many per slot as the sum,
+// which must not be empty.
+func (l *reportedLoad) estimate(slots int) int { return (l.online*slots + l.slots/2) / l.slots }
+
+// isTypical reports whether the load of the replica is estimated from its slots alone.
+func (s *Shard) isTypical(r *replica) bool {
+	return s.config.ReservationWait > 0 && !r.owned && !r.heard && r.online == 0 && r.slowStartFrom.IsZero() &&
+		s.othersReported.slots > 0 && !s.config.Disabled.Feeder
 }
 
 // reportedLoad is the sum of other gates' online requests over the replicas with a
@@ -189,20 +200,70 @@
 		return
 	}
 	s.othersReported = reportedLoad{at: s.now}
-	s.heardOf = slices.DeleteFunc(s.heardOf, func(r *replica) bool { return !s.hasRecentReport(r) })
-	for _, list := range [...][]*replica{s.mine, s.heardOf} {
-		for _, r := range list {
-			if r.candidate {
-				online, _ := s.othersLoad(r)
-				s.othersReported.online += online
-				s.othersReported.slots += s.slots(r)
-			}
+	for _, r := range s.mine {
+		if r.candidate {
+			online, _ := s.othersLoad(r)
+			s.othersReported.online += online
+			s.othersReported.slots += s.slots(r)
+		}
+	}
+	s.othersReported.online += s.heard.online
+	s.othersReported.slots += s.heard.slots
+	for _, r := range s.currentSlowStarts() {
+		if r.heardSlots > 0 {
+			s.othersReported.slots -= r.heardSlots - s.slots(r)
+		}
+	}
+}
+
+// heardReplicas are the replicas of other gates with a recent owner report.
+type heardReplicas struct {
+	reports []ownerReport // in order of their time; older ones on the same replica count no more
+	// Sums over the replicas that accepted work at the last rebuild of the lists. While all
+	// replicas are full, reports on thousands of them are recent.
+	online int // requests of other gates
+	slots  int // without the reductions of slow starts
+}
+
+// ownerReport records when a replica's owner reported.
+type ownerReport struct {
+	replica *replica
+	at      time.Time
+}
+
+// dropOldReports removes the reports that are not recent any more. Each step begins with
+// it, so that heard is exact.
+func (s *Shard) dropOldReports() {
+	reports := s.heard.reports
+	for len(reports) > 0 && s.now.Sub(reports[0].at) >= ownerReportLifetime {
+		if r := reports[0].replica; r.ownerReportAt.Equal(reports[0].at) {
+			s.setHeard(r, false)
 		}
+		reports[0] = ownerReport{}
+		reports = reports[1:]
+	}
+	s.heard.reports = reports
+}
+
+func (s *Shard) setHeard(r *replica, heard bool) {
+	r.heard = heard
+	s.updateHeard(r)
+}
+
+// updateHeard updates the replica's part of the sums of heardReplicas. It must be called
+// when the report, the slots or candidate have changed.
+func (s *Shard) updateHeard(r *replica) {
+	online, slots := 0, 0
+	if r.heard && r.candidate {
+		online, slots = r.othersOnline, r.entry.Slots
 	}
+	s.heard.online += online - r.heardOnline
+	s.heard.slots += slots - r.heardSlots
+	r.heardOnline, r.heardSlots = online, slots
 }
 
 // hasRecentReport reports whether the information about other gates' requests on the
 // replica is recent.
 func (s *Shard) hasRecentReport(r *replica) bool {
-	return s.ownsReplica(r) || (!r.ownerReportAt.IsZero() && s.now.Sub(r.ownerReportAt) < ownerReportLifetime)
+	return s.ownsReplica(r) || r.heard
 }
--- a/internal/route/replica.go
+++ b/internal/route/replica.go
@@ -21,7 +21,14 @@
 
 // replica holds the state of a replica and the work of this gate on it.
 type replica struct {
-	entry       *upstream.Entry
+	entry *upstream.Entry
+	// Scans of all replicas read the next fields, which therefore lie together.
+	online        int           // live online attempts and reservations
+	owned         bool          // its owner is this gate
+	heard         bool          // another gate owns it and has reported recently
+	slowStartFrom time.Time     // start of the slow start; zero when it is over
+	announcedLoad upstream.Load // the load in entry
+
 	lastContact time.Time // when an attempt of this gate last made progress there
 	hash        uint64    // of its ID, for rendezvous hashing
 	incarnation uint64    // of the process that runs the attempts
@@ -34,16 +41,15 @@
 	fullUntil   time.Time // it declined a request; until then it receives no other
 
 	attempts []*attempt // live, in order of their start
-	online   int        // live online attempts and reservations
 	batch    int        // live batch attempts
 
 	loadReports []loadReport // of other gates, if this gate is the owner
 	reportSum   reportSum    // of loadReports
 	readySlots  int          // its part of the shard's readySlots
+	heardOnline int          // its part of the shard's heard.online
+	heardSlots  int          // its part of the shard's heard.slots
 	knownPeak   highWater    // highest known count while the last announcement was on its way
 	unaccounted int          // requests in the last announcement that no gate has reported
-
-	announcedLoad upstream.Load // the load in the last announcement
 	// Load of the other gates according to the owner, if that is another gate.
 	othersOnline, othersBatch int
 	ownerReportAt             time.Time
@@ -70,7 +76,6 @@
 	missedProbe     bool                   // a probe was not answered since it became suspect
 	penaltyUntil    time.Time              // until then an answered probe does not return it to use
 	abandonedPrints []upstream.Fingerprint // fingerprints of requests that were removed or moved before their probe ended
-	slowStartFrom   time.Time              // start of the slow start; zero when it is over
 }
 
 // acceptsWork reports whether new requests may be sent to the replica.
@@ -171,10 +176,12 @@
 		return false
 	}
 	slots := s.slots(r)
-	extra := int(s.config.Overcommit * float64(slots))
-	return s.onlineLoad(r) < slots+extra
+	return s.onlineLoad(r) < slots+s.overcommit(slots)
 }
 
+// overcommit returns the online requests beyond the slots that a replica may have.
+func (s *Shard) overcommit(slots int) int { return int(s.config.Overcommit * float64(slots)) }
+
 // hasSlot reports whether an online request finds a free slot or one that batch work
 // releases for it.
 func (s *Shard) hasSlot(r *replica) bool { return s.onlineLoad(r) < s.slots(r) }
@@ -227,6 +234,7 @@
 	}
 	r := s.replica(id)
 	s.updateReadySlots(r)
+	s.updateHeard(r)
 	unaccounted, load := r.unaccounted, r.announcedLoad
 	r.announcedLoad = r.entry.Load
 	s.updateUnaccounted(r)
@@ -326,6 +334,9 @@
 // rebuild updates the lists of replicas that accept work, by distance, and of those
 // that this gate owns.
 func (s *Shard) rebuild() {
+	if len(s.stale) > 0 {
+		s.noRoom.found = false
+	}
 	for i, r := range s.stale {
 		s.stale[i] = nil
 		r.stale = false
@@ -336,6 +347,7 @@
 
 func (s *Shard) updateLists(r *replica) {
 	r.candidate = s.acceptsWork(r)
+	s.updateHeard(r)
 	var in listedIn
 	switch {
 	case !r.candidate:
@@ -350,7 +362,7 @@
 	changed := in ^ r.listed
 	r.listed = in
 	if changed&listedLocal != 0 {
-		s.local = toggleReplica(s.local, r, in&listedLocal != 0)
+		s.toggleLocal(r, in&listedLocal != 0)
 	}
 	if changed&listedRemote != 0 {
 		s.remote = toggleReplica(s.remote, r, in&listedRemote != 0)
@@ -360,6 +372,21 @@
 	}
 }
 
+// toggleLocal adds a replica to the local ones and its hash to theirs, or removes both.
+func (s *Shard) toggleLocal(r *replica, add bool) {
+	i, _ := slices.BinarySearchFunc(s.local, r, compareIDs)
+	if add {
+		s.local = slices.Insert(s.local, i, r)
+		s.localHashes = slices.Insert(s.localHashes, i, r.hash)
+		return
+	}
+	if s.local[i] != r {
+		i = slices.Index(s.local, r) // beside a later replica with the same ID
+	}
+	s.local = slices.Delete(s.local, i, i+1)
+	s.localHashes = slices.Delete(s.localHashes, i, i+1)
+}
+
 // toggleReplica adds a replica to an ordered list or removes it.
 func toggleReplica(list []*replica, r *replica, add bool) []*replica {
 	if add {
--- a/internal/route/shard.go
+++ b/internal/route/shard.go
@@ -37,7 +37,9 @@
 	moved    []*replica // their place has changed since their owner was chosen; in any order
 	reported []*replica // with load reports of other gates
 	mine     []*replica // owned by this gate
-	heardOf  []*replica // with a recent report of their owner, and some with an older one
+	// localHashes are the hashes of the local replicas in the same order. Each request
+	// with a prefix reads all of them, which is quick because they lie together.
+	localHashes []uint64
 	// slowStarting are the replicas whose slow start has not been seen to end.
 	slowStarting []*replica
 	stale        []*replica // those to be added to or removed from local, remote and owned; in any order
@@ -51,6 +53,7 @@
 	othersReported reportedLoad
 	backlog        backlogState
 	tellsPace      bool          // some replica of the service has told its pace
+	heard          heardReplicas
 	lastBatchItem  *request      // the batch item that was dispatched last
 	reservations   []reservation // online requests that wait for an owner's acknowledgement, in order of their start
 
@@ -67,6 +70,13 @@
 	nextAttempt    AttemptID
 	draining       bool
 
+	// noRoom is the need for which this step found no replica; it is forgotten when the
+	// load or the lists of replicas change.
+	noRoom struct {
+		found bool
+		need  need
+	}
+
 	outputs []Output
 }
 
@@ -147,6 +157,8 @@
 func (s *Shard) Step(now time.Time, in Input) []Output {
 	s.now = now
 	s.outputs = s.outputs[:0]
+	s.noRoom.found = false
+	s.dropOldReports()
 	in.apply(s)
 	return s.outputs
 }
--- a/internal/route/usage.go
+++ b/internal/route/usage.go
@@ -98,11 +98,12 @@
 		reported = in.ReportedOnline
 	}
 	r.ownerReportAt = s.now
-	s.heardOf = insertReplica(s.heardOf, r)
 	r.othersBatch = max(0, in.Load.Batch-r.batch)
 	r.othersOnline = max(0, in.Load.Online-reported)
 	s.learnPace(r, in.Load.Pace)
 	s.learnBacklog(in.Load.Waiting)
+	s.heard.reports = append(s.heard.reports, ownerReport{r, s.now})
+	s.setHeard(r, true)
 	if in.Acknowledges > 0 {
 		s.handleAcknowledgement(r, in.Acknowledges)
 	}
@@ -131,5 +132,5 @@
 // isOwnerReportFresh reports whether the owner's report is recent. Reports arrive as
 // acknowledgements of load reports and with the digests.
 func (s *Shard) isOwnerReportFresh(r *replica) bool {
-	return !r.ownerReportAt.IsZero() && s.now.Sub(r.ownerReportAt) < reportLifetime
+	return r.heard || !r.ownerReportAt.IsZero() && s.now.Sub(r.ownerReportAt) < reportLifetime
 }
