Gates that start or poll while replicas join share packed rosters

Cause: while replicas joined, the roster changed during each packing, so that each gate waited until its own changes or its own full roster were packed, one after the other. Their calls timed out and they started over. Change: a full roster is packed at most each 250 ms; a gate that would get too many further changes gets them with its next poll. Changes after a version are reused for 20 ms and packed in parallel for different versions.

--- a/internal/control/journal.go
+++ b/internal/control/journal.go
@@ -232,6 +232,9 @@
 	}
 	j.count("roster.journal_rewrites")
 	j.written, j.whole, j.appended = version, int64(len(data)), 0
+	if j.changes == nil {
+		return
+	}
 	file, err := os.OpenFile(j.path, os.O_WRONLY|os.O_APPEND, 0)
 	if err != nil {
 		j.log.Warn("cannot open the file of known replicas, the next change is written with all of them", zap.Error(err))
--- a/internal/control/packed.go
+++ b/internal/control/packed.go
@@ -46,33 +46,62 @@
 // minPackedBytes is the encoded size from which changes are compressed.
 const minPackedBytes = 4096
 
-// packedChanges caches the roster changes up to the newest version, keyed by the version
-// after which they start. Changes are packed without the lock of the roster.
+// packedChanges caches the roster changes after the versions that followers have. Changes are
+// packed without the lock of the roster, those after different versions in parallel.
 type packedChanges struct {
-	mu      sync.Mutex
-	version uint64
-	since   map[uint64]changesSince
+	mu    sync.Mutex
+	since map[uint64]*packedEntry
 }
 
-// get returns the changes after version since, from the cache if possible.
+// packedEntry holds the changes after one version.
+type packedEntry struct {
+	mu    sync.Mutex
+	found changesSince
+	at    time.Time // zero until the changes are packed
+}
+
+const (
+	// packedChangesLifetime is how long changes are reused after the roster has changed
+	// again. The followers that a batch wakes ask within this time; when thousands of
+	// replicas join, each of them would otherwise find another version and wait until its
+	// own changes are packed.
+	packedChangesLifetime = 20 * time.Millisecond
+	// maxPackedEntries is the number of entries from which those that are not in use are
+	// dropped: several times the number of versions that followers have at a time.
+	maxPackedEntries = 64
+)
+
+// get returns the changes after version since, from the cache if possible. They are those up
+// to the newest version or, unless since is 0, up to one of packedChangesLifetime ago.
 func (p *packedChanges) get(since uint64, read readChanges) changesSince {
-	p.mu.Lock()
-	defer p.mu.Unlock()
+	entry := p.entry(since)
+	entry.mu.Lock()
+	defer entry.mu.Unlock()
 	unless := uint64(noVersion)
-	cached, ok := p.since[since]
-	if ok {
-		unless = p.version
+	if !entry.at.IsZero() {
+		if since > 0 && time.Since(entry.at) < packedChangesLifetime {
+			return entry.found
+		}
+		unless = entry.found.changes.Version
 	}
-	changes, changed := read(since, unless)
-	if !changed {
-		return cached
+	if changes, changed := read(since, unless); changed {
+		entry.found, entry.at = packChanges(changes), time.Now()
 	}
-	if p.since == nil || p.version != changes.Version {
-		p.version, p.since = changes.Version, make(map[uint64]changesSince)
+	return entry.found
+}
+
+func (p *packedChanges) entry(since uint64) *packedEntry {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	entry := p.since[since]
+	if entry == nil {
+		if p.since == nil || len(p.since) >= maxPackedEntries {
+			p.since = make(map[uint64]*packedEntry)
+		}
+		entry = &packedEntry{}
+		p.since[since] = entry
 	}
-	found := packChanges(changes)
-	p.since[since] = found
-	return found
+	return entry
 }
 
 // noVersion is a version that no roster reaches.
@@ -106,13 +135,18 @@
 	// of its size.
 	minLaterChanges = 32
 	laterFraction   = 32
+	// packedRosterInterval is the least time between two packings. While thousands of
+	// replicas join, more changes come during a packing than may be sent in addition. If each
+	// gate that starts then waited for a packing of its own, their calls would time out.
+	packedRosterInterval = 250 * time.Millisecond
 )
 
-// get returns a full roster and the changes since, nil if there are none.
+// get returns a full roster and the changes since. The latter are nil if there are none, or if
+// there are too many and the gate is to ask for them with its next poll.
 func (p *packedRoster) get(read readChanges) (full changesSince, later *roster.Changes) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if time.Since(p.at) < packedRosterLifetime {
+	if age := time.Since(p.at); age < packedRosterLifetime {
 		changes, changed := read(p.full.changes.Version, p.full.changes.Version)
 		if !changed {
 			return p.full, nil
@@ -120,6 +154,9 @@
 		if countChanges(&changes) <= max(minLaterChanges, countChanges(&p.full.changes)/laterFraction) {
 			return p.full, &changes
 		}
+		if age < packedRosterInterval {
+			return p.full, nil
+		}
 	}
 	changes, _ := read(0, noVersion)
 	p.full, p.at = packChanges(changes), time.Now()
--- a/internal/gate/follow/first.go
+++ b/internal/gate/follow/first.go
@@ -19,13 +19,13 @@
 	response *controlapi.FollowResponse
 }
 
-// firstAskStep is how long a control VM may take for the first answer until the next one is
-// asked as well. Each control VM that is asked answers with the whole roster: hundreds of
-// gates that asked all of them at once would receive and decode it several times, at the
+// firstAskDelay is how long the first control VM that is asked may take until the next one is
+// asked as well; the delay doubles with each further one. Each control VM that is asked answers
+// with the whole roster: hundreds of gates that asked all of them at once would do so at the
 // moment at which the control VMs have most to do.
-const firstAskStep = 60 * time.Millisecond
+const firstAskDelay = 20 * time.Millisecond
 
-// findFirstControl asks the known control VMs, one after firstAskStep after the other, and
+// findFirstControl asks the known control VMs, one after the other with a growing delay, and
 // follows the first to answer. After a power loss of a site its VMs return one by one. Asked
 // in sequence, every control VM that is still down would cost the whole call timeout, while
 // callers wait for routes that another control VM could already provide.
@@ -41,8 +41,9 @@
 		}
 	}
 	remaining := f.inAskOrder(f.knownControls())
-	ticker := time.NewTicker(firstAskStep)
-	defer ticker.Stop()
+	delay := firstAskDelay
+	timer := time.NewTimer(delay)
+	defer timer.Stop()
 	askNext := func() {
 		if len(remaining) > 0 {
 			ask(remaining[0])
@@ -56,8 +57,10 @@
 		select {
 		case <-ctx.Done():
 			return
-		case <-ticker.C:
+		case <-timer.C:
 			askNext()
+			delay *= 2
+			timer.Reset(delay)
 		case control := <-f.invites:
 			ask(control)
 		case first := <-answers:
