--- a/internal/control/journal_append_test.go
+++ b/internal/control/journal_append_test.go
@@ -1,6 +1,7 @@
 package control
 
 import (
+	"bytes"
 	"fmt"
 	"os"
 	"path/filepath"
@@ -112,8 +113,8 @@
 	for size := before.Size(); size < int64(len(data)); size++ {
 		torn[fmt.Sprint(size, " of ", len(data), " bytes")] = data[:size]
 	}
-	damaged := append([]byte(nil), data...)
-	damaged[len(damaged)-3] ^= 1
+	damaged := bytes.Clone(data)
+	damaged[bytes.LastIndex(damaged, []byte("wordroom"))] = 'W' // only the checksum shows it
 	torn["a damaged frame"] = damaged
 	for name, content := range torn {
 		folder := t.TempDir()
@@ -245,6 +246,14 @@
 		t.Errorf("gates on disk: %+v, want the one that is back and the one that is awaited", gates)
 	}
 	s.mu.Lock()
+	s.table.MarkUnresponsive(&roster.Gate{VM: "back", Started: 2, Sequence: 1})
+	s.mu.Unlock()
+	announceReplica(t, s, 4, 1, true)
+	if gates := newJournal(folder, zap.NewNop()).load().Gates; len(gates) != 2 {
+		t.Errorf("gates on disk: %+v, want also the one that is lost again while gates are awaited", gates)
+	}
+	s.mu.Lock()
+	s.table.RecordReport(time.Now(), roster.Gate{VM: "back", Started: 2, Sequence: 2}, 0)
 	s.started = time.Now().Add(-2 * inviteDuration)
 	s.mu.Unlock()
 	announceReplica(t, s, 3, 1, true)
