gate: count held bytes, and stop reading from a replica whose caller does not read

Cause: a stream that its caller does not read was buffered up to 16 MiB, no body read and no write had a deadline, and nothing refused a body for want of memory.

Change: internal/gate/buffers applies the decisions of package memory to HTTP requests. A body is admitted before it is read, by its length or in chunks of 64 KiB, and must make progress. The response is written in pieces of 4 KiB, each with a deadline. A stream of which more than 256 KiB wait is not read further from its replica; the new input route.Paused keeps the replica from being taken for stalled or silent, and the gaps of a stream that was paused once are no longer measured. A caller that reads nothing for 3 s then has its response ended. When the account is full, the response that nobody has read for the longest time ends. Requests reserve in steps of 8 KiB, so that no lock of all requests is taken for each event.

Bodies are never refused for want of a team's part while nobody else holds anything.

With HTTP/2 the first form of the write deadline reset streams between two events (TestDeadlinesEndWithTheirRequest); there it is now cleared after each write.

--- a/internal/apierr/apierr.go
+++ b/internal/apierr/apierr.go
@@ -19,6 +19,7 @@
 	Unauthorized Kind = "unauthorized" // no team has this token: 401
 	NotFound     Kind = "not_found"    // no such object: 404
 	Conflict     Kind = "conflict"     // the object changed in the meantime: 409
+	TooSlow      Kind = "too_slow"     // the body did not arrive in time: 408
 	TooLarge     Kind = "too_large"    // over a size limit: 413
 	Refused      Kind = "refused"      // permanent, a retry does not help: 422
 	Overloaded   Kind = "overloaded"   // over a rate or queue limit: 429
@@ -109,6 +110,8 @@
 		return http.StatusNotFound
 	case Conflict:
 		return http.StatusConflict
+	case TooSlow:
+		return http.StatusRequestTimeout
 	case TooLarge:
 		return http.StatusRequestEntityTooLarge
 	case Refused:
--- a/internal/gate/proxy/attempt.go
+++ b/internal/gate/proxy/attempt.go
@@ -34,6 +34,8 @@
 	cancelCtx context.CancelFunc
 	stopped   atomic.Bool // cancelled by package route: its answer must not be used
 	connected atomic.Bool // the request got a connection, so bytes may have been sent
+	mustPause bool        // too much of the stream waits for the caller; used by the goroutine that reads the answer
+	whole     int         // bytes of a whole answer counted in the flight; guarded by its lock
 }
 
 func newAttempt(f *flight, o route.Dispatch) *attempt {
@@ -225,14 +227,14 @@
 		}
 		delivered := a.flight.protocol.Streams() && e.Token > 0
 		a.step(route.Progress{Attempt: a.id, Tokens: e.Token, Delivered: delivered})
-		if err := a.flight.addEvent(a, e); err != nil {
+		if err := a.deliver(e); err != nil {
 			return err
 		}
 	}
 }
 
 func (a *attempt) finishStream(last *Event) error {
-	if err := a.flight.addEvent(a, last); err != nil {
+	if err := a.deliver(last); err != nil {
 		return err
 	}
 	answer := &Reply{}
@@ -261,15 +263,12 @@
 // that a truncated answer is never delivered as complete. The transport checks it
 // against its Content-Length or chunks.
 func (a *attempt) readWhole(response *http.Response) error {
-	limit := a.flight.shard.router.options.MaxAnswerBytes
-	body, err := io.ReadAll(io.LimitReader(response.Body, int64(limit)+1))
+	body, err := a.readBody(response)
 	if err != nil {
 		return err
 	}
-	if len(body) > limit {
-		return errTooLong
-	}
 	if isCloseDelimited(response) && !a.flight.protocol.AllowsCloseDelimited() {
+		a.returnWhole(a.whole)
 		return errTruncated
 	}
 	if a.flight.shard.complete(a) {
@@ -277,3 +276,42 @@
 	}
 	return nil
 }
+
+// wholeStep is the step in which memory is reserved for a whole answer without a length.
+const wholeStep = 16 << 10
+
+// readBody reads the body of a whole answer, after memory was reserved for it.
+func (a *attempt) readBody(response *http.Response) (data []byte, err error) {
+	limit := a.flight.shard.router.options.MaxAnswerBytes
+	defer func() {
+		if err != nil {
+			a.returnWhole(a.whole)
+		}
+	}()
+	step := wholeStep
+	var body bytes.Buffer
+	if length := response.ContentLength; length > 0 && response.Request.Method != http.MethodHead {
+		if length > int64(limit) {
+			return nil, errTooLong
+		}
+		step = int(length)
+	}
+	for body.Len() <= limit {
+		if err := a.reserveWhole(step); err != nil {
+			return nil, err
+		}
+		if body.Len() == 0 && step > wholeStep {
+			body.Grow(step + bytes.MinRead) // reading to the end does not copy it then
+		}
+		n, err := io.CopyN(&body, response.Body, int64(step))
+		if errors.Is(err, io.EOF) {
+			a.returnWhole(step - int(n))
+			return body.Bytes(), nil
+		}
+		if err != nil {
+			return nil, err
+		}
+		step = wholeStep
+	}
+	return nil, errTooLong
+}
--- a/internal/gate/proxy/batch.go
+++ b/internal/gate/proxy/batch.go
@@ -1,6 +1,7 @@
 package proxy
 
 import (
+	"cmp"
 	"context"
 	"net/http"
 	"time"
@@ -14,6 +15,7 @@
 type BatchItem struct {
 	ID                 string // unique among the items and requests in progress
 	Team               string
+	Owner              string // the team that its memory counts for; empty: Team
 	Service            string
 	Model              string
 	Version            string
@@ -88,7 +90,12 @@
 	if err := protocol.Check(); err != nil {
 		return BatchResult{Outcome: BatchFailed, Err: err}, nil
 	}
-	flight := newFlight(s, request, protocol)
+	memory := r.options.Memory.NewRequest(cmp.Or(item.Owner, item.Team), item.ID)
+	defer memory.Release()
+	if err := memory.Admit(int64(len(item.Body) + len(item.Text))); err != nil {
+		return BatchResult{Outcome: BatchNotRun, Err: err}, nil
+	}
+	flight := newFlight(s, request, protocol, memory)
 	flight.checkLease = item.CheckLease
 	if item.Reached > flight.tokens {
 		flight.tokens = item.Reached
--- a/internal/gate/proxy/flight.go
+++ b/internal/gate/proxy/flight.go
@@ -9,12 +9,14 @@
 	"time"
 
 	"slateway.example/slateway/internal/apierr"
+	"slateway.example/slateway/internal/gate/buffers"
 	"slateway.example/slateway/internal/route"
 )
 
 // flight is one request in progress. Its attempts append to its buffer, and the
 // goroutine that serves the caller drains it, so that a slow caller never makes a
-// healthy stream appear stalled.
+// healthy stream appear stalled. When too much of a stream waits for the caller, the
+// attempt stops reading and reports a pause (see backpressure.go).
 type flight struct {
 	shard      *shard
 	request    route.Request
@@ -25,9 +27,14 @@
 	attempts  sync.WaitGroup
 	attempted atomic.Bool   // at least one attempt was started
 	wake      chan struct{} // holds one value when there is something to do
+	memory    *buffers.Request
 
 	mu          sync.Mutex
-	pending     bytes.Buffer // stream events not yet delivered to the caller
+	pending     bytes.Buffer  // stream events not yet delivered to the caller
+	delivering  int           // bytes that are being written to the caller
+	whole       int           // bytes of whole answers that attempts read
+	reserved    int           // bytes reserved in memory for the answer
+	resumed     chan struct{} // closed when a paused attempt may go on; nil: none is paused
 	text        strings.Builder
 	tokens      int    // number of the last event or token in text
 	head        *Reply // of a stream, from the first answer used
@@ -40,9 +47,9 @@
 	maxGap      time.Duration // longest time between two events
 }
 
-func newFlight(s *shard, request route.Request, p Protocol) *flight {
+func newFlight(s *shard, request route.Request, p Protocol, memory *buffers.Request) *flight {
 	return &flight{
-		shard: s, request: request, protocol: p, started: time.Now(),
+		shard: s, request: request, protocol: p, memory: memory, started: time.Now(),
 		tokens: p.LastReceived(), wake: make(chan struct{}, 1),
 	}
 }
@@ -163,6 +170,9 @@
 		f.finishLocked(answerTooLong())
 		return errAttemptStopped
 	}
+	if !f.reserveLocked(len(e.Raw) + len(e.Text)) {
+		return errNoRoom
+	}
 	now := time.Now()
 	if !f.lastEventAt.IsZero() {
 		f.maxGap = max(f.maxGap, now.Sub(f.lastEventAt))
@@ -173,6 +183,9 @@
 	f.meta.update(e)
 	if f.protocol.Streams() {
 		f.pending.Write(e.Raw)
+		unread := f.unreadLocked()
+		a.mustPause = unread > f.shard.router.options.UnreadBytes
+		f.memory.SetQueued(unread)
 		f.signal()
 	}
 	return nil
@@ -185,15 +198,31 @@
 	return &Progress{Head: f.head, Tokens: f.tokens, Text: f.text.String(), meta: f.meta}
 }
 
-// takePending moves the events not yet delivered to into, and returns the stream's head
-// and whether the flight has finished.
-func (f *flight) takePending(into *bytes.Buffer) (head *Reply, finished bool) {
+// pieceBytes is the size of the pieces in which a stream is written to its caller. What
+// the caller has read is known only after each piece.
+const pieceBytes = 4 << 10
+
+// takePending moves the next events or parts of them to into. It returns the stream's
+// head, whether more waits, and whether the flight has finished and nothing waits any
+// more.
+func (f *flight) takePending(into *bytes.Buffer) (head *Reply, more, finished bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	into.Reset()
-	_, _ = f.pending.WriteTo(into)
-	f.pending.Reset()
-	return f.head, f.finished
+	into.Write(f.pending.Next(pieceBytes))
+	f.delivering = into.Len()
+	return f.head, f.pending.Len() > 0 || f.finished, f.finished && f.delivering == 0
+}
+
+// delivered records that the caller has taken what takePending returned last.
+func (f *flight) delivered() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.delivering = 0
+	f.memory.Taken()
+	f.memory.SetQueued(f.unreadLocked())
+	f.resumeLocked()
+	f.returnLocked()
 }
 
 // outcome returns the answer or error of a finished flight.
--- a/internal/gate/proxy/online.go
+++ b/internal/gate/proxy/online.go
@@ -11,6 +11,7 @@
 	"go.uber.org/zap"
 
 	"slateway.example/slateway/internal/apierr"
+	"slateway.example/slateway/internal/gate/buffers"
 	"slateway.example/slateway/internal/route"
 	"slateway.example/slateway/internal/telemetry"
 	"slateway.example/slateway/internal/upstream"
@@ -130,7 +131,14 @@
 		caller.Refuse(unknownService(service))
 		return
 	}
-	flight := newFlight(s, request, p)
+	memory := buffers.FromContext(ctx)
+	if memory == nil {
+		memory = r.options.Memory.NewRequest(request.Team, request.ID)
+		defer memory.Release()
+	}
+	flight := newFlight(s, request, p, memory)
+	memory.OnEnd(flight.end)
+	defer memory.OnEnd(nil)
 	s.add(flight)
 	d := &delivery{flight: flight, caller: caller, metrics: r.options.Metrics}
 	d.serve(ctx)
@@ -171,14 +179,29 @@
 			d.metrics.Count(string(route.ReasonDeadline))
 		case <-d.flight.wake:
 		}
-		head, finished := d.flight.takePending(&events)
-		if events.Len() > 0 && !d.writeEvents(head, events.Bytes()) {
-			return
-		}
+		head, more, finished := d.flight.takePending(&events)
 		if finished {
 			d.finish()
 			return
 		}
+		if more {
+			d.flight.signal()
+		}
+		if events.Len() > 0 {
+			if !d.writeEvents(head, events.Bytes()) {
+				d.writeFailed()
+				return
+			}
+			d.flight.delivered()
+		}
+	}
+}
+
+// writeFailed ends a stream that could not be written. If the gate has ended it, the
+// caller may still read, and must not take it for complete.
+func (d *delivery) writeFailed() {
+	if _, err := d.flight.outcome(); err != nil {
+		d.finish()
 	}
 }
 
--- a/internal/gate/proxy/options.go
+++ b/internal/gate/proxy/options.go
@@ -9,6 +9,7 @@
 
 	"go.uber.org/zap"
 
+	"slateway.example/slateway/internal/gate/buffers"
 	"slateway.example/slateway/internal/route"
 	"slateway.example/slateway/internal/upstream"
 )
@@ -86,6 +87,15 @@
 	UnackedTimeout time.Duration
 	ProbeTimeout   time.Duration
 	MaxAnswerBytes int // limits the buffered part of an answer
+
+	// Memory accounts for the bytes held for callers and items; nil: without a limit.
+	Memory *buffers.Account
+	// UnreadBytes is how much of a stream may wait for its caller before the gate stops
+	// reading from the replica, and UnreadTimeout how long a caller may then read nothing
+	// until its response ends.
+	UnreadBytes   int
+	UnreadTimeout time.Duration
+
 	DefaultTimeout time.Duration
 }
 
@@ -97,6 +107,8 @@
 	defaultProbeTimeout     = 400 * time.Millisecond
 	defaultMaxAnswerBytes   = 16 << 20
 	defaultTimeout          = 60 * time.Second
+	defaultUnreadBytes      = 256 << 10
+	defaultUnreadTimeout    = 3 * time.Second
 )
 
 type noMetrics struct{}
@@ -111,6 +123,11 @@
 	setDefault(&o.ProbeTimeout, defaultProbeTimeout)
 	setDefault(&o.MaxAnswerBytes, defaultMaxAnswerBytes)
 	setDefault(&o.DefaultTimeout, defaultTimeout)
+	setDefault(&o.UnreadBytes, defaultUnreadBytes)
+	setDefault(&o.UnreadTimeout, defaultUnreadTimeout)
+	if o.Memory == nil {
+		o.Memory = buffers.New(buffers.Options{Log: o.Log})
+	}
 	setDefault(&o.Policy, route.TailPolicy())
 	if o.Metrics == nil {
 		o.Metrics = noMetrics{}
--- a/internal/memory/account.go
+++ b/internal/memory/account.go
@@ -14,14 +14,18 @@
 	requestShare = 8
 	// teamShare is the part of the budget that a team may hold while others hold anything.
 	teamShare = 2
-	// smallShare is the part of the budget, and of a team's part, that only small
-	// reservations may use. Without it, a few callers with large bodies that arrive
-	// slowly would have all other requests refused.
-	smallShare = 8
-	// smallBytes is the size up to which a body, or the response of a request, is small.
-	smallBytes = 64 << 10
-	// maxSmallShare limits small reservations to this part of a small budget.
-	maxSmallShare = 64
+	// reserveShare is the part of the budget, and of a team's part, that only medium and
+	// small reservations may use, and half of it only small ones. Without it, callers with
+	// large bodies that arrive slowly, or with long responses that they do not read, would
+	// have all other requests wait or refused.
+	reserveShare = 4
+	// mediumBytes and smallBytes are the sizes up to which a body, or the response of a
+	// request, is medium or small.
+	mediumBytes = 64 << 10
+	smallBytes  = 16 << 10
+	// maxMediumShare limits medium reservations to this part of a small budget, and small
+	// ones to a quarter of that.
+	maxMediumShare = 64
 	// recentlyRead is the time since the last read within which a response is not ended.
 	recentlyRead = time.Second
 )
@@ -73,7 +77,7 @@
 func New(budget, largestBody int64) *Account {
 	return &Account{
 		budget:     budget,
-		maxRequest: min(max(budget/requestShare, largestBody), budget/teamShare-budget/teamShare/smallShare),
+		maxRequest: min(max(budget/requestShare, largestBody), without(budget/teamShare, reserveShare)),
 		teams:      make(map[string]int64),
 		holds:      make(map[*Hold]struct{}),
 	}
@@ -141,10 +145,7 @@
 	if h.released {
 		return Released
 	}
-	reserved := int64(smallShare)
-	if size <= a.small() {
-		reserved = 0
-	}
+	reserved := a.reservedFrom(size)
 	if a.held+n > without(a.budget, reserved) {
 		return Full
 	}
@@ -155,7 +156,19 @@
 	return Granted
 }
 
-func (a *Account) small() int64 { return min(smallBytes, a.budget/maxSmallShare) }
+// reservedFrom returns which part of the budget a body or response of the given size may
+// not use; 0: it may use all of it.
+func (a *Account) reservedFrom(size int64) int64 {
+	medium := min(mediumBytes, a.budget/maxMediumShare)
+	switch {
+	case size <= medium*smallBytes/mediumBytes:
+		return 0
+	case size <= medium:
+		return 2 * reserveShare
+	default:
+		return reserveShare
+	}
+}
 
 // without returns n less one of the given number of parts of it; no parts: n.
 func without(n, parts int64) int64 {
@@ -219,6 +232,9 @@
 	Requests int
 }
 
+// Totals returns the state of the account without its teams.
+func (a *Account) Totals() Status { return Status{Budget: a.budget, Held: a.held, Peak: a.peak} }
+
 // Status returns the state of the account.
 func (a *Account) Status() Status {
 	counts := make(map[string]int)
@@ -227,7 +243,7 @@
 			counts[h.Team]++
 		}
 	}
-	status := Status{Budget: a.budget, Held: a.held, Peak: a.peak}
+	status := a.Totals()
 	for team, held := range a.teams {
 		status.Teams = append(status.Teams, TeamStatus{Team: team, Held: held, Requests: counts[team]})
 	}
--- a/internal/route/attempt.go
+++ b/internal/route/attempt.go
@@ -128,7 +128,7 @@
 	if a == nil {
 		return
 	}
-	if a.tokens > 0 {
+	if a.tokens > 0 && !a.wasPaused {
 		s.observeGap(s.now.Sub(a.lastProgress))
 	}
 	a.lastProgress = s.now
--- a/internal/route/messages.go
+++ b/internal/route/messages.go
@@ -122,6 +122,13 @@
 		Tokens    int
 		Delivered bool // the caller has received part of the answer
 	}
+	// Paused reports that the gate reads nothing from the replica for now, because the
+	// caller does not read or there is no memory; or, if Paused is false, that it reads
+	// again. The replica is not taken for stalled or silent meanwhile.
+	Paused struct {
+		Attempt AttemptID
+		Paused  bool
+	}
 	// Finished reports that the whole answer arrived.
 	Finished struct{ Attempt AttemptID }
 	// Failed reports that the attempt ended without its answer.
--- a/internal/route/quiet.go
+++ b/internal/route/quiet.go
@@ -51,7 +51,7 @@
 // isIdle reports whether an attempt has made no progress for longer than nearly all
 // attempts take.
 func (s *Shard) isIdle(a *attempt) bool {
-	idle := s.now.Sub(a.lastProgress)
+	idle := s.idleFor(a)
 	if a.tokens > 0 {
 		return idle >= s.stallThreshold()
 	}
--- a/internal/route/shard.go
+++ b/internal/route/shard.go
@@ -92,6 +92,8 @@
 	started        time.Time
 	lastProgress   time.Time // when anything last arrived
 	tokens         int
+	paused         bool       // the gate reads nothing from the replica for now
+	wasPaused      bool       // its events after a pause arrive faster than the replica makes them
 	queued         bool       // may have to wait for a slot of the replica
 	handoverTarget *replica   // replica that is asked to take over the run; nil: none
 	disconnected   bool       // its connection ended during the handover
--- a/internal/route/stall.go
+++ b/internal/route/stall.go
@@ -53,7 +53,7 @@
 	req := a.req
 	mayResume := req.Class == Online && req.delivered && (req.Resumable || req.Movable) && a.replica.entry.CanResume &&
 		a.tokens > 0 && len(req.liveAttempts) == 1 && req.stalls < maxStallResumes
-	return mayResume && s.now.Sub(a.lastProgress) >= after &&
+	return mayResume && s.idleFor(a) >= after &&
 		s.crashes.Status(s.now, req.Fingerprint) == upstream.StatusClear && s.othersProgress(a, after)
 }
 
@@ -63,7 +63,7 @@
 func (s *Shard) othersProgress(a *attempt, after time.Duration) bool {
 	others := 0
 	for _, other := range a.replica.attempts {
-		if other == a || other.tokens == 0 {
+		if other == a || other.tokens == 0 || other.paused {
 			continue
 		}
 		if s.now.Sub(other.lastProgress) < after {
--- a/internal/route/tick.go
+++ b/internal/route/tick.go
@@ -47,7 +47,7 @@
 
 // failIdle fails the attempts on r that have been idle for their limit.
 func (s *Shard) failIdle(r *replica, limit func(*attempt) time.Duration) {
-	isSilent := func(a *attempt) bool { return s.now.Sub(a.lastProgress) >= limit(a) }
+	isSilent := func(a *attempt) bool { return s.idleFor(a) >= limit(a) }
 	if s.config.Disabled.Silence || !slices.ContainsFunc(r.attempts, isSilent) {
 		return
 	}
@@ -63,7 +63,7 @@
 // within firstAnswerTimeout, but is retried over another connection, and CauseSilent
 // otherwise.
 func (s *Shard) silenceCause(a *attempt) FailureCause {
-	if a.tokens == 0 && s.now.Sub(a.lastProgress) < s.firstAnswerTimeout(a) {
+	if a.tokens == 0 && s.idleFor(a) < s.firstAnswerTimeout(a) {
 		return CauseUnanswered
 	}
 	return CauseSilent
@@ -76,7 +76,7 @@
 		return
 	}
 	after := s.idleProbeDelay()
-	idleTooLong := func(a *attempt) bool { return s.now.Sub(a.lastProgress) >= after }
+	idleTooLong := func(a *attempt) bool { return s.idleFor(a) >= after }
 	if slices.ContainsFunc(r.attempts, idleTooLong) {
 		r.probeDelay = after
 		s.probe(r)
