--- a/cmd/slatewayd/main.go
+++ b/cmd/slatewayd/main.go
@@ -105,6 +105,7 @@
 		return err
 	}
 	defer log.Close()
+	daemon.SetMemoryLimit(&loaded)
 	if loaded.HasControl() {
 		return runSite(ctx, command, loaded, log)
 	}
--- a/internal/api/errors.go
+++ b/internal/api/errors.go
@@ -9,6 +9,7 @@
 	goa "goa.design/goa/v3/pkg"
 
 	"slateway.example/slateway/internal/apierr"
+	"slateway.example/slateway/internal/gate/buffers"
 )
 
 type headerKey struct{}
@@ -34,7 +35,12 @@
 // the error's reason.
 func (s *Server) formatError(ctx context.Context, err error) goahttp.Statuser {
 	known := toError(err)
-	s.metrics.Refused(known.Reason)
+	if refused := buffers.FromContext(ctx).Refusal(); refused != nil {
+		known = refused // goa's decoders hide it
+	}
+	if !buffers.Logged(known) {
+		s.metrics.Refused(known.Reason)
+	}
 	if header, ok := ctx.Value(headerKey{}).(http.Header); ok {
 		apierr.SetRetryAfter(header, known)
 	}
--- a/internal/api/jobs.go
+++ b/internal/api/jobs.go
@@ -11,6 +11,7 @@
 
 	"slateway.example/slateway/gen/jobs"
 	"slateway.example/slateway/internal/apierr"
+	"slateway.example/slateway/internal/gate/buffers"
 	"slateway.example/slateway/internal/instant"
 	"slateway.example/slateway/internal/job"
 	"slateway.example/slateway/internal/team"
@@ -28,6 +29,7 @@
 	if err != nil {
 		return ctx, err
 	}
+	buffers.FromContext(ctx).Identify(policy.Team, "")
 	return context.WithValue(ctx, policyKey{}, policy), nil
 }
 
@@ -181,6 +183,9 @@
 			return nil, nil, err
 		}
 	}
+	if err := buffers.FromContext(ctx).Admit(int64(lines.Cap())); err != nil {
+		return nil, nil, err
+	}
 	result := &jobs.ResultsResult{Next: int64(page.Next), Complete: page.End}
 	return result, io.NopCloser(&lines), nil
 }
--- a/internal/daemon/gate.go
+++ b/internal/daemon/gate.go
@@ -13,6 +13,7 @@
 	"slateway.example/slateway/internal/fleet"
 	"slateway.example/slateway/internal/gate"
 	"slateway.example/slateway/internal/gate/batch"
+	"slateway.example/slateway/internal/gate/buffers"
 	"slateway.example/slateway/internal/gate/exchange"
 	"slateway.example/slateway/internal/gate/orders"
 	"slateway.example/slateway/internal/gate/proxy"
@@ -33,6 +34,7 @@
 	access   *gate.Access
 	exchange *exchange.Exchange
 	router   *proxy.Router
+	memory   *buffers.Account
 	front    *gate.Front
 	runner   *batch.Runner
 	draining *drain
@@ -58,6 +60,7 @@
 		Fleet: d.fleet, Client: d.calls, Log: d.log,
 		DirectLifetime: s.Upstream.ExpireAfter,
 	})
+	g.memory = newMemory(s, d.metrics, d.log)
 	g.router = proxy.New(proxy.Options{
 		Self:  s.VM.Name,
 		Place: s.VM.Place,
@@ -72,6 +75,9 @@
 		BroadcastCrashes: g.exchange.SpreadCrashReports,
 		DialTimeout:      s.Timeouts.Dial,
 		DefaultTimeout:   s.Timeouts.Request,
+		Memory:           g.memory,
+		UnreadBytes:      s.Limits.UnreadBytes,
+		UnreadTimeout:    s.Timeouts.Unread,
 	})
 	g.exchange.Attach(g.router)
 	session := client.NewSession(job.GateRun{VM: s.VM.Name, Started: time.Now().UnixMilli()})
@@ -127,6 +133,7 @@
 	g.stopOthers = stopOthers
 	g.others.Go(func() { g.watcher.Run(othersContext) })
 	g.others.Go(func() { g.exchange.Run(othersContext) })
+	g.others.Go(func() { g.memory.Run(othersContext, memoryGaugeInterval) })
 	g.others.Go(func() {
 		publishGateLoad(othersContext, g.fleet, g.router.InFlight, g.settings.Limits.MaxInProgress, g.log)
 	})
--- a/internal/daemon/listen.go
+++ b/internal/daemon/listen.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"slateway.example/slateway/internal/api"
+	"slateway.example/slateway/internal/gate/buffers"
 	"slateway.example/slateway/internal/sockets"
 )
 
@@ -112,6 +113,9 @@
 	server := d.newServer()
 	server.MountOperators()
 	server.Handle(http.MethodGet, "/metrics", d.metrics.Handler().ServeHTTP)
+	if d.gate != nil {
+		server.Handle(http.MethodGet, buffers.PathMemory, d.gate.memory.ServeStatus)
+	}
 	return server.Handler()
 }
 
@@ -126,7 +130,7 @@
 			front.ServeService(w, r, server.PathValue(r, "service"), "/"+server.PathValue(r, "path"))
 		})
 	}
-	return d.gate.draining.trackRequests(server.Handler())
+	return d.gate.draining.trackRequests(d.gate.memory.Handler(server.Handler()))
 }
 
 // serviceMethods are the HTTP methods forwarded to upstreams that are not LLM
--- a/internal/daemon/site.go
+++ b/internal/daemon/site.go
@@ -11,6 +11,7 @@
 	"slateway.example/slateway/internal/control"
 	"slateway.example/slateway/internal/directory"
 	"slateway.example/slateway/internal/gate"
+	"slateway.example/slateway/internal/gate/buffers"
 	"slateway.example/slateway/internal/gate/credit"
 	"slateway.example/slateway/internal/gate/proxy"
 	"slateway.example/slateway/internal/job"
@@ -195,6 +196,7 @@
 		s.gate.exchange.Mount(peers)
 		s.gate.follower.Mount(peers)
 		metrics.HandleFunc("GET "+credit.PathCaps, s.gate.credit.ServeCaps)
+		metrics.HandleFunc("GET "+buffers.PathMemory, s.gate.memory.ServeStatus)
 		list = append(list,
 			endpoint{"callers", addresses.Callers, s.gate.handler(s.edge)},
 			endpoint{"readiness", addresses.Readiness, s.edge.Readiness(s.gate.ready)},
--- a/internal/daemon/sitegate.go
+++ b/internal/daemon/sitegate.go
@@ -15,6 +15,7 @@
 	"slateway.example/slateway/internal/directory"
 	"slateway.example/slateway/internal/gate"
 	"slateway.example/slateway/internal/gate/batch"
+	"slateway.example/slateway/internal/gate/buffers"
 	"slateway.example/slateway/internal/gate/credit"
 	"slateway.example/slateway/internal/gate/exchange"
 	"slateway.example/slateway/internal/gate/follow"
@@ -34,6 +35,7 @@
 	follower *follow.Follower
 	exchange *exchange.Exchange
 	router   *proxy.Router
+	memory   *buffers.Account
 	routed   *gate.RouteHandler
 	jobs     *gate.Jobs
 	entries  *gate.Entries
@@ -96,6 +98,7 @@
 		VM: s.VM.Name, Place: s.VM.Place, Region: s.VM.Region,
 		Fleet: g.follower.Fleet(), ExpectedGates: g.follower.ExpectedGates, Client: site.calls, Log: site.log.Logger, DirectLifetime: s.Upstream.ExpireAfter,
 	})
+	g.memory = newMemory(s, site.metrics, site.log.Logger)
 	g.router = proxy.New(proxy.Options{
 		Self: s.VM.Name, Place: s.VM.Place, Seed: maphash.String(maphash.MakeSeed(), s.VM.Name),
 		Route: route.Config{
@@ -115,6 +118,9 @@
 		DialTimeout:      s.Timeouts.Dial,
 		UnackedTimeout:   s.Timeouts.Unanswered,
 		DefaultTimeout:   s.Timeouts.Request,
+		Memory:           g.memory,
+		UnreadBytes:      s.Limits.UnreadBytes,
+		UnreadTimeout:    s.Timeouts.Unread,
 	})
 	g.exchange.Attach(g.router)
 	keepers := keeperclient.NewDynamic(site.calls, g.follower.Keepers)
@@ -158,6 +164,7 @@
 	g.others.Go(func() { g.follower.Run(othersContext) })
 	g.others.Go(func() { g.exchange.RunGates(othersContext) })
 	g.others.Go(func() { g.credit.Run(othersContext) })
+	g.others.Go(func() { g.memory.Run(othersContext, memoryGaugeInterval) })
 	g.others.Go(func() { g.awaitReady(othersContext) })
 	batchContext, stopBatch := context.WithCancel(ctx)
 	g.stopBatch = stopBatch
@@ -195,7 +202,7 @@
 // handler returns the handler for callers, which counts their requests for the
 // drain.
 func (g *siteGate) handler(edge Edge) http.Handler {
-	next := edge.Callers(g.routed, g.jobs)
+	next := g.memory.Handler(edge.Callers(g.routed, g.jobs))
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if g.draining.hasBegun() {
 			w.Header().Set("Connection", "close")
--- a/internal/gate/jobs.go
+++ b/internal/gate/jobs.go
@@ -175,6 +175,7 @@
 	routed := proxy.BatchItem{
 		ID:                 string(lease.Job) + "/" + item.CustomID,
 		Team:               found.Name,
+		Owner:              lease.Owner,
 		Service:            j.service(found, lease.Queue.Service),
 		Body:               item.Body,
 		TargetTime:         lease.LocalTime(lease.Deadline, now),
--- a/internal/gate/online.go
+++ b/internal/gate/online.go
@@ -3,7 +3,6 @@
 import (
 	"encoding/json"
 	"errors"
-	"io"
 	"net/http"
 	"strconv"
 	"strings"
@@ -13,6 +12,7 @@
 	"go.uber.org/zap"
 
 	"slateway.example/slateway/internal/apierr"
+	"slateway.example/slateway/internal/gate/buffers"
 	"slateway.example/slateway/internal/gate/proxy"
 	"slateway.example/slateway/internal/route"
 	"slateway.example/slateway/internal/team"
@@ -166,12 +166,17 @@
 	if c.deadline, err = deadlineOf(r.Header.Get(HeaderDeadline), &policy.Online, time.Now()); err != nil {
 		return c, err
 	}
+	buffers.FromContext(r.Context()).Identify(policy.Team, c.id)
 	c.body, err = readBody(w, r, f.maxBody)
 	return c, err
 }
 
 func readBody(w http.ResponseWriter, r *http.Request, limit int64) ([]byte, error) {
-	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, limit))
+	body, err := buffers.ReadBody(w, r, limit)
+	var refusal *apierr.Error
+	if errors.As(err, &refusal) {
+		return nil, refusal
+	}
 	var tooLarge *http.MaxBytesError
 	if errors.As(err, &tooLarge) {
 		return nil, apierr.New(apierr.TooLarge, apierr.ReasonBodyTooLarge,
@@ -244,6 +249,10 @@
 // refuse answers a request with an error.
 func (f *Front) refuse(w http.ResponseWriter, r *http.Request, c *call, err error) {
 	refusal := apierr.From(err)
+	if buffers.Logged(refusal) {
+		apierr.WriteHTTP(w, refusal)
+		return
+	}
 	f.metrics.Refused(refusal.Reason)
 	teamName := ""
 	if c.policy != nil {
--- a/internal/settings/check.go
+++ b/internal/settings/check.go
@@ -200,11 +200,33 @@
 	if s.Config.Lease > MaxConfigLease {
 		c.add("config.lease", s.Config.Lease.String(), "a change could not be in force everywhere within 9 s", "set it to at most "+MaxConfigLease.String())
 	}
+	s.checkMemory(c)
 	if s.Limits.MaxItemBytes > s.Limits.MaxPartBytes {
 		c.add("limits.max_item_bytes", fmt.Sprint(s.Limits.MaxItemBytes), "larger than limits.max_part_bytes", "lower it")
 	}
 }
 
+// checkMemory reports a memory size that is too small, or not in megabytes, and a bound
+// for one caller that would use up the budget of all.
+func (s *Settings) checkMemory(c *checker) {
+	switch mb := s.Limits.MemoryMB; {
+	case mb == 0:
+	case mb < MinMemoryMB:
+		c.add("limits.memory_mb", fmt.Sprint(mb), fmt.Sprintf("less than the %d MB that a process needs", MinMemoryMB),
+			"set it to the memory of the VM in megabytes, or to 0 for the default of "+fmt.Sprint(DefaultMemoryMB))
+	case mb > maxMemoryMB:
+		c.add("limits.memory_mb", fmt.Sprint(mb), "more than 16 TB; probably not in megabytes", "set it to the memory of the VM in megabytes")
+		return
+	}
+	if largest := s.MemoryBudget() / 8; int64(s.Limits.UnreadBytes) > largest {
+		c.add("limits.unread_bytes", fmt.Sprint(s.Limits.UnreadBytes), "more than 1/32 of limits.memory_mb, an eighth of what the gate holds for all callers",
+			fmt.Sprintf("set it to at most %d, or raise limits.memory_mb", largest))
+	}
+}
+
+// maxMemoryMB is more memory than any VM has.
+const maxMemoryMB = 16 << 20
+
 // atMostFraction reports the first value if factor times it exceeds the second.
 func (c *checker) atMostFraction(firstKey string, first time.Duration, secondKey string, second time.Duration, factor int, remedy string) {
 	if first*time.Duration(factor) <= second {
--- a/internal/settings/numbers.go
+++ b/internal/settings/numbers.go
@@ -37,6 +37,9 @@
 		{"timeouts.request", s.Timeouts.Request},
 		{"timeouts.stream_idle", s.Timeouts.StreamIdle},
 		{"timeouts.drain", s.Timeouts.Drain},
+		{"timeouts.body", s.Timeouts.Body},
+		{"timeouts.unread", s.Timeouts.Unread},
+		{"timeouts.write", s.Timeouts.Write},
 	}
 }
 
@@ -62,6 +65,7 @@
 		{"limits.max_item_bytes", s.Limits.MaxItemBytes},
 		{"limits.max_queue", s.Limits.MaxQueue},
 		{"limits.max_in_progress", s.Limits.MaxInProgress},
+		{"limits.unread_bytes", s.Limits.UnreadBytes},
 	}
 }
 
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -156,6 +156,8 @@
 	MaxQueue      int `toml:"max_queue"`       // online requests waiting in a gate
 	MaxInProgress int `toml:"max_in_progress"` // online requests running in a gate
 	Descriptors   int `toml:"descriptors"`     // open files and connections of the process; 0: the system's limit
+	MemoryMB      int `toml:"memory_mb"`       // memory of the VM; 0: DefaultMemoryMB
+	UnreadBytes   int `toml:"unread_bytes"`    // bytes of a stream that wait for a caller before the gate stops reading from the replica
 
 	// Within any TeamWindow, all gates together may exceed a team's rate and burst by
 	// the fraction TeamOvershoot of them plus TeamSlack requests.
@@ -171,6 +173,9 @@
 	Request    time.Duration `toml:"request"`     // deadline of a request that sets none
 	StreamIdle time.Duration `toml:"stream_idle"` // time without an event until a stream's connection is suspect
 	Drain      time.Duration `toml:"drain"`       // longest drain after SIGTERM
+	Body       time.Duration `toml:"body"`        // a request body must make progress within this time
+	Unread     time.Duration `toml:"unread"`      // a caller may read nothing for this time while the gate waits for it
+	Write      time.Duration `toml:"write"`       // a caller must take each piece of a response within this time
 }
 
 // Log sets the daemon's log.
@@ -179,6 +184,30 @@
 	Format string `toml:"format"` // json or console
 }
 
+// DefaultMemoryMB is the memory that a VM is assumed to have if limits.memory_mb is 0,
+// and MinMemoryMB the least with which a process works: its budget then admits one body
+// of nearly the default limit.
+const (
+	DefaultMemoryMB = 512
+	MinMemoryMB     = 64
+)
+
+// Memory returns the memory of the VM in bytes.
+func (s *Settings) Memory() int64 {
+	if s.Limits.MemoryMB == 0 {
+		return DefaultMemoryMB << 20
+	}
+	return int64(s.Limits.MemoryMB) << 20
+}
+
+// MemoryBudget returns how many bytes the process may hold for callers and job items: a
+// quarter of the memory. The heap may grow to twice what is in use before it is collected.
+func (s *Settings) MemoryBudget() int64 { return s.Memory() / 4 }
+
+// GoMemoryLimit returns the limit at which Go collects garbage more often: three quarters
+// of the memory. The rest is for the system and for memory outside Go's heap.
+func (s *Settings) GoMemoryLimit() int64 { return s.Memory() / 4 * 3 }
+
 // HasControl reports whether the site has control VMs.
 func (s *Settings) HasControl() bool { return len(s.Control.Seeds) > 0 }
 
@@ -221,11 +250,12 @@
 		},
 		Limits: Limits{
 			MaxBodyBytes: 8 << 20, MaxPartBytes: 16 << 20, MaxItemBytes: 1 << 20,
-			MaxQueue: 1024, MaxInProgress: 4096,
+			MaxQueue: 1024, MaxInProgress: 4096, UnreadBytes: 256 << 10,
 			TeamWindow: 5 * time.Second, TeamOvershoot: 0.1, TeamSlack: 20,
 		},
 		Timeouts: Timeouts{
 			Dial: time.Second, Request: 2 * time.Minute, StreamIdle: 10 * time.Second, Drain: 30 * time.Minute,
+			Body: 5 * time.Second, Unread: 3 * time.Second, Write: 30 * time.Second,
 		},
 		Log: Log{Level: "info", Format: "json"},
 	}
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -97,3 +97,31 @@
 	_, err := settings.Load(file)
 	return err
 }
+
+// Guards against memory settings with which a gate refuses every body, or lets one
+// caller use what is meant for all.
+func TestMemorySettings(t *testing.T) {
+	cases := []struct{ name, limits, problem string }{
+		{"too little", `memory_mb = 32`, `limits.memory_mb = 32: less than the 64 MB that a process needs; set it to the memory of the VM in megabytes, or to 0 for the default of 512`},
+		{"negative", `memory_mb = -1`, `limits.memory_mb = -1: less than the 64 MB`},
+		{"in bytes", `memory_mb = 536870912`, `limits.memory_mb = 536870912: more than 16 TB; probably not in megabytes; set it`},
+		{"one caller", "memory_mb = 64\nunread_bytes = 4000000", `limits.unread_bytes = 4000000: more than 1/32 of limits.memory_mb, an eighth of what the gate holds for all callers; set it to at most 2097152, or raise limits.memory_mb`},
+		{"none", `unread_bytes = 0`, `limits.unread_bytes = 0: must be positive; set it to at least 1`},
+		{"no unit", "[timeouts]\nunread = 3", `timeouts.unread: a duration without a unit`},
+		{"no time", "[timeouts]\nbody = \"0s\"\nwrite = \"1us\"", `timeouts.write = 1µs: too short; set it to at least 1ms`},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			g := NewWithT(t)
+			_, err := settings.Parse(smallSite + "[limits]\n" + c.limits)
+			g.Expect(err).To(MatchError(ContainSubstring(c.problem)))
+		})
+	}
+	g := NewWithT(t)
+	for text, budget := range map[string]int64{"": 128 << 20, "[limits]\nmemory_mb = 0": 128 << 20, "[limits]\nmemory_mb = 184": 46 << 20} {
+		parsed, err := settings.Parse(smallSite + text)
+		g.Expect(err).NotTo(HaveOccurred())
+		g.Expect(parsed.MemoryBudget()).To(Equal(budget))
+		g.Expect(parsed.GoMemoryLimit()).To(Equal(3 * budget))
+	}
+}
