gate: keep the connection of a caller that does not read for a while

Cause: timeouts.unanswered sets TCP_USER_TIMEOUT, which ends a connection also when the other end acknowledges everything and merely does not read. With the 1.5 s of the templates a caller that paused reading lost its connection after 1.8 s (trial with a 20 MB write: connection timed out after 1.77 s), and with it a response that was buffered whole. timeouts.unread never applied.

Change: on the callers' listener the timeout of TCP is no shorter than timeouts.write. The gate itself reads TCP_INFO of the connections that have requests in progress, four times a second, and closes one whose other end has acknowledged nothing for timeouts.unanswered although data was sent.

That a dead caller is found is tested for the decision only (TestSilentConnection), as no test here can drop packets.

--- a/internal/daemon/gate.go
+++ b/internal/daemon/gate.go
@@ -133,7 +133,7 @@
 	g.stopOthers = stopOthers
 	g.others.Go(func() { g.watcher.Run(othersContext) })
 	g.others.Go(func() { g.exchange.Run(othersContext) })
-	g.others.Go(func() { g.memory.Run(othersContext, memoryGaugeInterval) })
+	g.others.Go(func() { g.memory.Run(othersContext) })
 	g.others.Go(func() {
 		publishGateLoad(othersContext, g.fleet, g.router.InFlight, g.settings.Limits.MaxInProgress, g.log)
 	})
--- a/internal/daemon/listen.go
+++ b/internal/daemon/listen.go
@@ -71,7 +71,7 @@
 		return err
 	}
 	if d.gate != nil {
-		if err := d.add("callers", addresses.Callers, d.callersHandler()); err != nil {
+		if err := d.add(callersKey, addresses.Callers, d.callersHandler()); err != nil {
 			return err
 		}
 	}
@@ -82,13 +82,20 @@
 }
 
 func (d *Daemon) add(key, address string, handler http.Handler) error {
-	l, err := newListener(key, address, handler, d.settings.Timeouts.Unanswered)
+	unacked := d.settings.Timeouts.Unanswered
+	if key == callersKey {
+		unacked = callersUnackedTimeout(&d.settings.Timeouts)
+	}
+	l, err := newListener(key, address, handler, unacked)
 	if err != nil {
 		for _, open := range d.listeners {
 			_ = open.socket.Close()
 		}
 		return err
 	}
+	if key == callersKey {
+		l.server.ConnContext = d.gate.memory.ConnContext
+	}
 	if key == peersCounter {
 		l.socket = d.metrics.CountListener(peersCounter, l.socket)
 	}
--- a/internal/daemon/memory.go
+++ b/internal/daemon/memory.go
@@ -10,14 +10,22 @@
 	"slateway.example/slateway/internal/settings"
 )
 
-// memoryGaugeInterval is how often the gauges of held bytes are updated.
-const memoryGaugeInterval = time.Second
+// callersUnackedTimeout returns how long TCP may leave data unacknowledged on callers'
+// connections. TCP also ends a connection by it whose other end is alive and does not
+// read, so it is no shorter than the time within which a caller must read. The gate itself
+// closes the connections of dead callers earlier, by timeouts.unanswered.
+func callersUnackedTimeout(t *settings.Timeouts) time.Duration {
+	if t.Unanswered == 0 {
+		return 0
+	}
+	return max(t.Unanswered, t.Write)
+}
 
 // newMemory creates the account of the bytes that a gate holds for callers and job items.
 func newMemory(s *settings.Settings, metrics buffers.Metrics, log *zap.Logger) *buffers.Account {
 	return buffers.New(buffers.Options{
 		Budget: s.MemoryBudget(), LargestBody: int64(s.Limits.MaxBodyBytes),
-		BodyTimeout: s.Timeouts.Body, WriteTimeout: s.Timeouts.Write,
+		BodyTimeout: s.Timeouts.Body, WriteTimeout: s.Timeouts.Write, UnackedTimeout: s.Timeouts.Unanswered,
 		Name: s.VM.Name, Metrics: metrics, Log: log,
 	})
 }
--- a/internal/daemon/site.go
+++ b/internal/daemon/site.go
@@ -156,13 +156,20 @@
 
 func (s *Site) listen(failures chan<- error) error {
 	for _, entry := range s.handlers() {
-		l, err := newListener(entry.key, entry.address, entry.handler, s.settings.Timeouts.Unanswered)
+		unacked := s.settings.Timeouts.Unanswered
+		if entry.key == callersKey {
+			unacked = callersUnackedTimeout(&s.settings.Timeouts)
+		}
+		l, err := newListener(entry.key, entry.address, entry.handler, unacked)
 		if err != nil {
 			for _, open := range s.listeners {
 				_ = open.socket.Close()
 			}
 			return err
 		}
+		if entry.key == callersKey {
+			l.server.ConnContext = s.gate.memory.ConnContext
+		}
 		l.socket = s.limitConnections(entry.key, l.socket)
 		s.listeners = append(s.listeners, l)
 	}
@@ -172,6 +179,9 @@
 	return nil
 }
 
+// callersKey is the name of the callers' listener in the settings.
+const callersKey = "callers"
+
 // endpoint is a listening address with its handler.
 type endpoint struct {
 	key, address string // key is the name below listen in the settings
@@ -198,7 +208,7 @@
 		metrics.HandleFunc("GET "+credit.PathCaps, s.gate.credit.ServeCaps)
 		metrics.HandleFunc("GET "+buffers.PathMemory, s.gate.memory.ServeStatus)
 		list = append(list,
-			endpoint{"callers", addresses.Callers, s.gate.handler(s.edge)},
+			endpoint{callersKey, addresses.Callers, s.gate.handler(s.edge)},
 			endpoint{"readiness", addresses.Readiness, s.edge.Readiness(s.gate.ready)},
 			endpoint{"directory", addresses.Directory, s.edge.Directory(s.gate.entries)})
 	}
--- a/internal/daemon/sitegate.go
+++ b/internal/daemon/sitegate.go
@@ -164,7 +164,7 @@
 	g.others.Go(func() { g.follower.Run(othersContext) })
 	g.others.Go(func() { g.exchange.RunGates(othersContext) })
 	g.others.Go(func() { g.credit.Run(othersContext) })
-	g.others.Go(func() { g.memory.Run(othersContext, memoryGaugeInterval) })
+	g.others.Go(func() { g.memory.Run(othersContext) })
 	g.others.Go(func() { g.awaitReady(othersContext) })
 	batchContext, stopBatch := context.WithCancel(ctx)
 	g.stopBatch = stopBatch
--- a/internal/gate/buffers/account.go
+++ b/internal/gate/buffers/account.go
@@ -55,6 +55,9 @@
 
 	BodyTimeout  time.Duration // a body must make progress within this time; 0: no limit
 	WriteTimeout time.Duration // limits each write to a caller; 0: no limit
+	// UnackedTimeout is how long sent data may remain unacknowledged by the caller's VM
+	// before its connection is closed; 0: the system's timeout. See ConnContext.
+	UnackedTimeout time.Duration
 
 	Name    string      // the gate, as shown in its status
 	Metrics Metrics     // nil: none
@@ -121,14 +124,20 @@
 	a.options.Metrics.Set(gaugePeak, status.Peak)
 }
 
-// Run updates the gauges every interval until ctx ends.
-func (a *Account) Run(ctx context.Context, interval time.Duration) {
-	ticker := time.NewTicker(interval)
+// watchInterval is how often Run looks for silent callers.
+const watchInterval = 250 * time.Millisecond
+
+// Run updates the gauges and closes the connections of silent callers until ctx ends.
+func (a *Account) Run(ctx context.Context) {
+	ticker := time.NewTicker(watchInterval)
 	defer ticker.Stop()
 	for {
 		a.mu.Lock()
 		a.publish()
 		a.mu.Unlock()
+		if a.options.UnackedTimeout > 0 {
+			a.closeSilent()
+		}
 		select {
 		case <-ctx.Done():
 			return
--- a/internal/gate/buffers/handler.go
+++ b/internal/gate/buffers/handler.go
@@ -34,6 +34,7 @@
 	return http.HandlerFunc(func(w http.ResponseWriter, hr *http.Request) {
 		r := a.NewRequest("", "")
 		r.control, r.multiplexed = http.NewResponseController(w), hr.ProtoMajor >= 2
+		r.silence.connection, _ = hr.Context().Value(connKey{}).(net.Conn)
 		hr = hr.WithContext(context.WithValue(hr.Context(), requestKey{}, r))
 		writer := &writer{ResponseWriter: w, request: r}
 		defer r.Release()
--- a/internal/gate/buffers/request.go
+++ b/internal/gate/buffers/request.go
@@ -25,6 +25,8 @@
 	hold     *memory.Hold // nil until the first reservation
 	released bool
 
+	silence silence // used by Account.Run only, but for its connection
+
 	queued  atomic.Int64 // response bytes that wait in a flight
 	writing atomic.Int64 // response bytes that are being written
 	since   atomic.Int64 // when the caller read last, or bytes began to wait; nanoseconds after account.started
--- a/internal/gate/proxy/memory_test.go
+++ b/internal/gate/proxy/memory_test.go
@@ -25,6 +25,7 @@
 	"slateway.example/slateway/internal/gate/buffers"
 	"slateway.example/slateway/internal/gate/proxy"
 	"slateway.example/slateway/internal/route"
+	"slateway.example/slateway/internal/sockets"
 	"slateway.example/slateway/internal/upstream"
 )
 
@@ -518,6 +519,38 @@
 	}
 }
 
+// Guards against a caller that is taken for dead because it does not read for longer than
+// timeouts.unanswered: TCP_USER_TIMEOUT ends such a connection, and the response that is
+// kept for it is lost.
+func TestLateReaderIsNotTakenForDead(t *testing.T) {
+	const unanswered = 500 * time.Millisecond
+	g := newMemoryGate(t, buffers.Options{Budget: memoryBudget, WriteTimeout: 30 * time.Second, UnackedTimeout: unanswered}, proxy.Options{})
+	go g.account.Run(during(10 * time.Second))
+	listener, err := sockets.Listen(context.Background(), "127.0.0.1:0", 30*time.Second)
+	if err != nil {
+		t.Fatal(err)
+	}
+	g.address = listener.Addr().String()
+	server := &http.Server{Handler: g.account.Handler(http.HandlerFunc(g.serve)), ConnContext: g.account.ConnContext}
+	g.servers = append(g.servers, server)
+	go func() { _ = server.Serve(sockets.NewLimitedListener(listener, 100, nil)) }()
+	body := promptBody(false, 800, 10_000, 0)
+	connection := g.open(t, "council", len(body), body)
+	defer connection.Close()
+	time.Sleep(6 * unanswered)
+	response, err := http.ReadResponse(bufio.NewReader(connection), nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	data, err := io.ReadAll(response.Body)
+	if err != nil || len(data) < 800*10_000 {
+		t.Errorf("read %d bytes: %v", len(data), err)
+	}
+	if n := g.count("caller_unacknowledged"); n != 0 {
+		t.Errorf("%d callers were taken for dead", n)
+	}
+}
+
 // Guards against a stream that hangs for ever because one event is larger than the
 // bound.
 func TestEventLargerThanBoundPasses(t *testing.T) {
--- a/internal/sockets/bound.go
+++ b/internal/sockets/bound.go
@@ -1,8 +1,10 @@
 package sockets
 
 import (
+	"errors"
 	"net"
 	"sync"
+	"syscall"
 )
 
 // LimitedListener is a listener that limits the number of open connections. Further
@@ -44,6 +46,15 @@
 	release func()
 }
 
+// SyscallConn gives access to the socket, for Acknowledgements.
+func (c *limitedConn) SyscallConn() (syscall.RawConn, error) {
+	inner, ok := c.Conn.(syscall.Conn)
+	if !ok {
+		return nil, errors.ErrUnsupported
+	}
+	return inner.SyscallConn()
+}
+
 func (c *limitedConn) Close() error {
 	defer c.release()
 	return c.Conn.Close()
