--- a/internal/ctl/app.go
+++ b/internal/ctl/app.go
@@ -71,6 +71,7 @@
 			a.memberCommand(),
 			a.entriesCommand(),
 			a.capCommand(),
+			a.gateCommand(),
 			a.accountCommand(),
 		},
 		Reader:    streams.In,
