--- a/internal/gate/buffers/account.go
+++ b/internal/gate/buffers/account.go
@@ -158,6 +158,7 @@
 	now := time.Now()
 	if r.hold == nil {
 		r.hold = a.core.Open(now, r.owner)
+		r.hold.Allow(r.allowed)
 		a.requests[r.hold] = r
 	}
 	cause := with(r.hold, n)
--- a/internal/gate/buffers/handler.go
+++ b/internal/gate/buffers/handler.go
@@ -280,6 +280,7 @@
 	if !admitted {
 		return io.ReadAll(limited(w, hr.Body, limit))
 	}
+	b.writer.request.allow(limit)
 	if hr.ContentLength <= 0 {
 		return io.ReadAll(limited(b.writer.ResponseWriter, b, limit))
 	}
--- a/internal/gate/buffers/request.go
+++ b/internal/gate/buffers/request.go
@@ -23,6 +23,7 @@
 	// Guarded by account.mu.
 	owner    memory.Owner
 	hold     *memory.Hold // nil until the first reservation
+	allowed  int64        // size of a body that operators allow; 0: no limit of theirs
 	released bool
 
 	silence silence // used by Account.Run only, but for its connection
@@ -67,6 +68,13 @@
 	}
 }
 
+// allow allows a body of up to n bytes. It must be called before the first reservation.
+func (r *Request) allow(n int64) {
+	r.account.mu.Lock()
+	defer r.account.mu.Unlock()
+	r.allowed = n
+}
+
 // Admit reserves n bytes that are held until the request ends, or returns the refusal.
 // The refusal is true only while nothing has been run for the request.
 func (r *Request) Admit(n int64) *apierr.Error {
--- a/internal/memory/account.go
+++ b/internal/memory/account.go
@@ -48,11 +48,16 @@
 	Request string
 }
 
+// Allow allows the request a body of up to n bytes, but no more than a team's part. It is
+// for limits that operators have set for bodies.
+func (h *Hold) Allow(n int64) { h.allowed = n }
+
 // Account records the bytes that a process holds for others. It is not safe for
 // concurrent use.
 type Account struct {
 	budget     int64
-	maxRequest int64
+	maxRequest int64 // that one request may reserve for its body, unless its hold allows more
+	teamPart   int64 // that a team may hold in large bodies and responses beside others
 	held, peak int64
 	teams      map[string]int64 // bytes held for each team
 	holds      map[*Hold]struct{}
@@ -62,6 +67,7 @@
 type Hold struct {
 	Owner
 	Since    time.Time // when it was reserved
+	allowed  int64     // size of a body that is allowed although it is over maxRequest
 	body     int64
 	response int64
 	unread   time.Time // since when its caller has read nothing of its response; zero: nothing waits
@@ -75,9 +81,11 @@
 // New returns an account with a budget in bytes. One request may reserve an eighth of
 // the budget for its body, or largestBody if that is more, but at most a team's part.
 func New(budget, largestBody int64) *Account {
+	part := without(budget/teamShare, reserveShare)
 	return &Account{
 		budget:     budget,
-		maxRequest: min(max(budget/requestShare, largestBody), without(budget/teamShare, reserveShare)),
+		maxRequest: min(max(budget/requestShare, largestBody), part),
+		teamPart:   part,
 		teams:      make(map[string]int64),
 		holds:      make(map[*Hold]struct{}),
 	}
@@ -92,7 +100,7 @@
 
 // ReserveBody adds n bytes of a request body to the hold.
 func (a *Account) ReserveBody(h *Hold, n int64) Cause {
-	if h.body+n > a.maxRequest {
+	if h.body+n > max(a.maxRequest, min(h.allowed, a.teamPart)) {
 		return TooLarge
 	}
 	if cause := a.check(h, n, h.body+n); cause != Granted {
--- a/internal/memory/account_test.go
+++ b/internal/memory/account_test.go
@@ -83,6 +83,14 @@
 	if cause := a.ReserveBody(open(a, "council", "s"), 8<<20+1); cause != memory.TooLarge {
 		t.Errorf("a larger body: %q", cause)
 	}
+	allowed := open(a, "council", "t")
+	allowed.Allow(1 << 30)
+	if cause := a.ReserveBody(allowed, 16<<20); cause != memory.Granted {
+		t.Errorf("a body that the operators allow: %q", cause)
+	}
+	if cause := a.ReserveBody(allowed, 8<<20); cause != memory.TooLarge {
+		t.Errorf("a body larger than a team's part: %q", cause)
+	}
 }
 
 // Guards against quick callers that wait for memory because many others do not read
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -185,8 +185,8 @@
 }
 
 // DefaultMemoryMB is the memory that a VM is assumed to have if limits.memory_mb is 0,
-// and MinMemoryMB the least with which a process works: its budget then admits one body
-// of nearly the default limit.
+// and MinMemoryMB the least with which a process works: a gate then admits bodies of up
+// to 6 MB.
 const (
 	DefaultMemoryMB = 512
 	MinMemoryMB     = 64
