gate: a paused process does not end responses of slow readers at once

The time without a read is counted in eight steps of timeouts.unread, so that a process that was stopped for 3 s loses one step.

--- a/internal/gate/buffers/request.go
+++ b/internal/gate/buffers/request.go
@@ -148,9 +148,12 @@
 	return r.account.started.Add(time.Duration(r.since.Load()))
 }
 
-// SinceTaken returns how long the caller has read nothing of the bytes that wait, or 0 if
+// LastTaken returns a value that changes when the caller reads a part of the response.
+func (r *Request) LastTaken() int64 { return r.since.Load() }
+
+// sinceTaken returns how long the caller has read nothing of the bytes that wait, or 0 if
 // none wait.
-func (r *Request) SinceTaken() time.Duration {
+func (r *Request) sinceTaken() time.Duration {
 	since := r.unreadSince()
 	if since.IsZero() {
 		return 0
@@ -210,6 +213,6 @@
 	owner, held := a.describe(r)
 	a.options.Log.Info("response ended early", telemetry.RequestID(owner.Request), telemetry.Team(owner.Team), telemetry.Reason(string(reason)),
 		zap.Int64("held", held), zap.Int64("unread", r.queued.Load()+r.writing.Load()),
-		zap.Duration("idle", r.SinceTaken()), zap.Duration("age", time.Since(r.started)))
+		zap.Duration("idle", r.sinceTaken()), zap.Duration("age", time.Since(r.started)))
 	a.options.Metrics.Count(endedPrefix + string(reason))
 }
--- a/internal/gate/proxy/backpressure.go
+++ b/internal/gate/proxy/backpressure.go
@@ -18,6 +18,9 @@
 	// resumeShare: the gate reads on when this part of UnreadBytes has been read, so
 	// that it neither pauses for each event nor leaves the replica waiting for long.
 	resumeShare = 8
+	// unreadSteps is how often a paused attempt checks within UnreadTimeout whether the
+	// caller has read. If the process is paused, its callers lose one step only.
+	unreadSteps = 8
 	// roomPoll is how often an attempt that waits for memory tries again.
 	roomPoll = 25 * time.Millisecond
 )
@@ -107,25 +110,23 @@
 		return nil
 	}
 	defer a.pauseReading()()
-	timeout := f.shard.router.options.UnreadTimeout
-	paused := time.Now()
-	timer := time.NewTimer(timeout)
-	defer timer.Stop()
-	for {
+	ticker := time.NewTicker(f.shard.router.options.UnreadTimeout / unreadSteps)
+	defer ticker.Stop()
+	last := f.memory.LastTaken()
+	for idle := 0; idle < unreadSteps; idle++ {
 		select {
 		case <-resumed:
 			return nil
 		case <-a.ctx.Done():
 			return errAttemptStopped
-		case <-timer.C:
+		case <-ticker.C:
 		}
-		idle := min(f.memory.SinceTaken(), time.Since(paused))
-		if idle >= timeout {
-			f.memory.EndSlowReader()
-			return errAttemptStopped
+		if taken := f.memory.LastTaken(); taken != last {
+			last, idle = taken, -1
 		}
-		timer.Reset(timeout - idle)
 	}
+	f.memory.EndSlowReader()
+	return errAttemptStopped
 }
 
 // awaitRoom repeats try, which returns errNoRoom while there is no memory. An item of a
