--- a/internal/gate/proxy/backpressure.go
+++ b/internal/gate/proxy/backpressure.go
@@ -10,9 +10,10 @@
 )
 
 const (
-	// reserveStep is the step in which a flight reserves memory, so that most answers
-	// reserve once.
-	reserveStep = 8 << 10
+	// reserveStep is the least that a flight reserves at once, so that most answers reserve
+	// once. A longer answer reserves an eighth of its size at once.
+	reserveStep  = 8 << 10
+	reserveShare = 8
 	// keepReserved is how much unused memory a flight keeps before it returns some.
 	keepReserved = 64 << 10
 	// resumeShare: the gate reads on when this part of UnreadBytes has been read, so
@@ -21,8 +22,10 @@
 	// unreadSteps is how often a paused attempt checks within UnreadTimeout whether the
 	// caller has read. If the process is paused, its callers lose one step only.
 	unreadSteps = 8
-	// roomPoll is how often an attempt that waits for memory tries again.
-	roomPoll = 25 * time.Millisecond
+	// roomPoll is how often an attempt that waits for memory tries again, and slowRoomPoll
+	// how often if the caller has not read what it was sent. There may be hundreds of those.
+	roomPoll     = 25 * time.Millisecond
+	slowRoomPoll = 200 * time.Millisecond
 )
 
 // errNoRoom means that there is no memory for a part of an answer now.
@@ -31,6 +34,12 @@
 // unreadLocked returns how much of the stream waits for the caller. f.mu must be held.
 func (f *flight) unreadLocked() int { return f.pending.Len() + f.delivering }
 
+func (f *flight) hasUnread() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.unreadLocked() > 0
+}
+
 // usedLocked returns the bytes held for the answer. f.mu must be held.
 func (f *flight) usedLocked() int { return f.unreadLocked() + f.text.Len() + f.whole }
 
@@ -41,7 +50,8 @@
 	if missing <= 0 {
 		return true
 	}
-	step := (missing + reserveStep - 1) / reserveStep * reserveStep
+	step := max(missing, f.reserved/reserveShare)
+	step = (step + reserveStep - 1) / reserveStep * reserveStep
 	if !f.memory.ReserveResponse(int64(step)) {
 		return false
 	}
@@ -133,7 +143,11 @@
 // job gives up after UnreadTimeout, so that items that wait for each other's memory end.
 func (a *attempt) awaitRoom(try func() error) error {
 	defer a.pauseReading()()
-	ticker := time.NewTicker(roomPoll)
+	poll := roomPoll
+	if a.flight.hasUnread() {
+		poll = slowRoomPoll
+	}
+	ticker := time.NewTicker(poll)
 	defer ticker.Stop()
 	began := time.Now()
 	for {
