--- a/internal/gate/buffers/handler.go
+++ b/internal/gate/buffers/handler.go
@@ -36,7 +36,7 @@
 		r.control, r.multiplexed = http.NewResponseController(w), hr.ProtoMajor >= 2
 		r.silence.connection, _ = hr.Context().Value(connKey{}).(net.Conn)
 		hr = hr.WithContext(context.WithValue(hr.Context(), requestKey{}, r))
-		writer := &writer{ResponseWriter: w, request: r}
+		writer := &writer{ResponseWriter: w, request: r, flusher: r.control}
 		defer r.Release()
 		defer r.disconnect()
 		if hr.Body != nil && hr.Body != http.NoBody {
@@ -51,13 +51,19 @@
 // armWrite sets the deadline of the writes that follow. It returns an error if the
 // response has been ended.
 func (r *Request) armWrite() error {
+	if r.interrupted.Load() {
+		return os.ErrDeadlineExceeded
+	}
+	timeout, now := r.account.options.WriteTimeout, time.Now()
+	if timeout <= 0 || now.Sub(r.armedAt) <= timeout/rearmDivisor {
+		return nil
+	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if r.interrupted {
+	if r.interrupted.Load() {
 		return os.ErrDeadlineExceeded
 	}
-	timeout := r.account.options.WriteTimeout
-	if now := time.Now(); timeout > 0 && r.control != nil && now.Sub(r.armedAt) > timeout/rearmDivisor {
+	if r.control != nil {
 		r.armedAt = now
 		_ = r.control.SetWriteDeadline(now.Add(timeout)) // not supported by writers of tests
 	}
@@ -73,7 +79,7 @@
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if r.control != nil && !r.interrupted {
+	if r.control != nil && !r.interrupted.Load() {
 		r.armedAt = time.Time{}
 		_ = r.control.SetWriteDeadline(time.Time{}) // as in armWrite
 	}
@@ -85,7 +91,7 @@
 func (r *Request) disconnect() {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if timeout := r.account.options.WriteTimeout; timeout > 0 && r.control != nil && !r.interrupted {
+	if timeout := r.account.options.WriteTimeout; timeout > 0 && r.control != nil && !r.interrupted.Load() {
 		_ = r.control.SetWriteDeadline(time.Now().Add(timeout))
 	}
 	r.control = nil
@@ -95,6 +101,7 @@
 type writer struct {
 	http.ResponseWriter
 	request *Request
+	flusher *http.ResponseController // of the wrapped writer
 }
 
 // Unwrap returns the wrapped writer, for http.ResponseController.
@@ -131,7 +138,7 @@
 		return err
 	}
 	defer r.disarmWrite()
-	err := http.NewResponseController(w.ResponseWriter).Flush()
+	err := w.flusher.Flush()
 	if err != nil {
 		r.writeFailed(err)
 	}
@@ -150,7 +157,7 @@
 
 // Hijack hands the connection over, without deadlines.
 func (w *writer) Hijack() (net.Conn, *bufio.ReadWriter, error) {
-	connection, buffered, err := http.NewResponseController(w.ResponseWriter).Hijack()
+	connection, buffered, err := w.flusher.Hijack()
 	if err != nil {
 		return connection, buffered, err
 	}
--- a/internal/gate/buffers/request.go
+++ b/internal/gate/buffers/request.go
@@ -28,6 +28,10 @@
 
 	silence silence // used by Account.Run only, but for its connection
 
+	armedAt time.Time // when the write deadline was set; used by the handler's goroutine only
+
+	interrupted atomic.Bool // the response was ended; set under mu
+
 	queued  atomic.Int64 // response bytes that wait in a flight
 	writing atomic.Int64 // response bytes that are being written
 	since   atomic.Int64 // when the caller read last, or bytes began to wait; nanoseconds after account.started
@@ -35,10 +39,8 @@
 	mu          sync.Mutex
 	control     *http.ResponseController // nil: no connection, or its handler has ended
 	multiplexed bool                     // HTTP/2
-	interrupted bool
-	armedAt     time.Time           // when the write deadline was set
-	refused     *apierr.Error       // why its body was not read; nil: it was, or still is
-	onEnd       func(*apierr.Error) // ends the response; nil: the connection is interrupted only
+	refused     *apierr.Error            // why its body was not read; nil: it was, or still is
+	onEnd       func(*apierr.Error)      // ends the response; nil: the connection is interrupted only
 }
 
 // NewRequest returns a Request without a connection. It must be released.
@@ -191,8 +193,7 @@
 func (r *Request) end(reason apierr.Reason, message string) {
 	r.mu.Lock()
 	onEnd := r.onEnd
-	already := r.interrupted
-	r.interrupted = true
+	already := r.interrupted.Swap(true)
 	if r.control != nil {
 		_ = r.control.SetWriteDeadline(past) // fails only where no write can be waiting
 	}
