--- a/internal/gate/proxy/backpressure.go
+++ b/internal/gate/proxy/backpressure.go
@@ -90,10 +90,14 @@
 	return f.resumed
 }
 
-// end ends the answer early: nothing more of it is delivered.
+// end ends the answer early: nothing more of it is delivered. A stream that its replica
+// has completed fails too if its caller has not got all of it.
 func (f *flight) end(err *apierr.Error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	if f.finished && f.err == nil && f.unreadLocked() > 0 {
+		f.err = err
+	}
 	f.pending.Reset()
 	f.finishLocked(err)
 }
--- a/internal/gate/proxy/memory_test.go
+++ b/internal/gate/proxy/memory_test.go
@@ -525,6 +525,41 @@
 	}
 }
 
+// Guards against a response that looks complete, and counts as answered, although the gate
+// needed its memory for others before its caller had read it.
+func TestReclaimedResponseIsIncomplete(t *testing.T) {
+	for _, stream := range []bool{true, false} {
+		t.Run(fmt.Sprint("stream ", stream), func(t *testing.T) {
+			g := newMemoryGate(t, buffers.Options{Budget: memoryBudget, WriteTimeout: 30 * time.Second}, proxy.Options{})
+			// more than the socket buffers take
+			body := promptBody(stream, 200, 1000, 0)
+			if !stream {
+				body = promptBody(stream, 800, 10_000, 0)
+			}
+			connection := g.open(t, "council", len(body), body)
+			defer connection.Close()
+			time.Sleep(1500 * time.Millisecond)
+			other := g.account.NewRequest("hall", "other")
+			defer other.Release()
+			for end := time.Now().Add(5 * time.Second); !other.ReserveResponse(memoryBudget * 3 / 4); time.Sleep(10 * time.Millisecond) {
+				if time.Now().After(end) {
+					t.Fatalf("%d bytes are still held", g.account.Status().Held)
+				}
+			}
+			if done, ended := g.count("online_done"), g.count("ended.memory_reclaimed"); stream && done != 0 || ended != 1 {
+				t.Errorf("%d requests count as answered, %d as ended", done, ended)
+			}
+			response, err := http.ReadResponse(bufio.NewReader(connection), nil)
+			if err != nil {
+				return // nothing was sent
+			}
+			if data, err := io.ReadAll(response.Body); err == nil {
+				t.Errorf("the response looks complete after %d bytes", len(data))
+			}
+		})
+	}
+}
+
 // Guards against a caller that is taken for dead because it does not read for longer than
 // timeouts.unanswered: TCP_USER_TIMEOUT ends such a connection, and the response that is
 // kept for it is lost.
