--- a/internal/gate/proxy/memory_test.go
+++ b/internal/gate/proxy/memory_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"context"
 	"errors"
 	"fmt"
@@ -278,7 +279,7 @@
 			var callers sync.WaitGroup
 			callers.Go(func() { watchHeap(ctx, &heap) })
 			var refused, ended atomic.Int64
-			half := strings.Repeat("y", 2<<20)
+			half := bytes.Repeat([]byte("y"), 2<<20)
 			for i := range stalledCallers {
 				start := make(chan struct{})
 				time.AfterFunc(time.Duration(2*i)*time.Millisecond, func() { close(start) })
@@ -328,9 +329,9 @@
 
 // sendAndStop sends a part of a body, waits for the response and counts it if it is a
 // refusal.
-func sendAndStop(ctx context.Context, connection net.Conn, part string, refused *atomic.Int64) {
+func sendAndStop(ctx context.Context, connection net.Conn, part []byte, refused *atomic.Int64) {
 	defer connection.Close()
-	go func() { _, _ = io.WriteString(connection, part) }()
+	go func() { _, _ = connection.Write(part) }()
 	deadline, _ := ctx.Deadline()
 	_ = connection.SetReadDeadline(deadline)
 	response, err := http.ReadResponse(bufio.NewReader(connection), nil)
