--- a/internal/daemon/listen.go
+++ b/internal/daemon/listen.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"slateway.example/slateway/internal/api"
+	"slateway.example/slateway/internal/gate/buffers"
 	"slateway.example/slateway/internal/gate/proxy"
 	"slateway.example/slateway/internal/sockets"
 )
@@ -71,7 +72,7 @@
 		return err
 	}
 	if d.gate != nil {
-		if err := d.add("callers", addresses.Callers, d.callersHandler()); err != nil {
+		if err := d.add(callersKey, addresses.Callers, d.callersHandler()); err != nil {
 			return err
 		}
 	}
@@ -82,13 +83,20 @@
 }
 
 func (d *Daemon) add(key, address string, handler http.Handler) error {
-	l, err := newListener(key, address, handler, d.settings.Timeouts.Unanswered)
+	unacked := d.settings.Timeouts.Unanswered
+	if key == callersKey {
+		unacked = callersUnackedTimeout(&d.settings.Timeouts)
+	}
+	l, err := newListener(key, address, handler, unacked)
 	if err != nil {
 		for _, open := range d.listeners {
 			_ = open.socket.Close()
 		}
 		return err
 	}
+	if key == callersKey {
+		l.server.ConnContext = d.gate.memory.ConnContext
+	}
 	if key == peersCounter {
 		l.socket = d.metrics.CountListener(peersCounter, l.socket)
 	}
@@ -115,6 +123,7 @@
 	server.Handle(http.MethodGet, "/metrics", d.metrics.Handler().ServeHTTP)
 	if d.gate != nil {
 		server.Handle(http.MethodGet, proxy.PathShares, d.gate.router.ServeShares)
+		server.Handle(http.MethodGet, buffers.PathMemory, d.gate.memory.ServeStatus)
 	}
 	return server.Handler()
 }
@@ -130,7 +139,7 @@
 			front.ServeService(w, r, server.PathValue(r, "service"), "/"+server.PathValue(r, "path"))
 		})
 	}
-	return d.gate.draining.trackRequests(server.Handler())
+	return d.gate.draining.trackRequests(d.gate.memory.Handler(server.Handler()))
 }
 
 // serviceMethods are the HTTP methods forwarded to upstreams that are not LLM
--- a/internal/route/pace.go
+++ b/internal/route/pace.go
@@ -155,7 +155,7 @@
 // checkPace compares the pace that the attempt's replica told with the time that the
 // attempt took from its first event, or as a whole for a plain service.
 func (s *Shard) checkPace(a *attempt) {
-	if a.toldPace == 0 || a.req.Class != Online {
+	if a.toldPace == 0 || a.req.Class != Online || a.wasPaused {
 		return
 	}
 	took, meter := s.now.Sub(a.started), &s.serviceTime
--- a/internal/route/shard.go
+++ b/internal/route/shard.go
@@ -52,7 +52,7 @@
 	batchQueue     waitQueue // batch items without an attempt
 	othersReported reportedLoad
 	backlog        backlogState
-	tellsPace      bool          // some replica of the service has told its pace
+	tellsPace      bool // some replica of the service has told its pace
 	heard          heardReplicas
 	lastBatchItem  *request      // the batch item that was dispatched last
 	reservations   []reservation // online requests that wait for an owner's acknowledgement, in order of their start
@@ -126,6 +126,8 @@
 	firstAt        time.Time // when the first token arrived
 	tokens         int
 	toldPace       float64    // the replica's pace as told with the answer; 0: it told none
+	paused         bool       // the gate reads nothing from the replica for now
+	wasPaused      bool       // its events after a pause arrive faster than the replica makes them
 	queued         bool       // may have to wait for a slot of the replica
 	handoverTarget *replica   // replica that is asked to take over the run; nil: none
 	disconnected   bool       // its connection ended during the handover
