--- a/internal/ctl/caps.go
+++ b/internal/ctl/caps.go
@@ -3,17 +3,12 @@
 import (
 	"cmp"
 	"context"
-	"encoding/json"
-	"errors"
 	"fmt"
 	"io"
-	"slices"
 
 	"github.com/urfave/cli/v3"
 )
 
-const capsPath = "/v1/caps"
-
 // capStatus is a team's rate limit and remaining credit at one gate.
 type capStatus struct {
 	Team   string  `json:"team"`
@@ -25,6 +20,21 @@
 	Low    bool    `json:"low"`
 }
 
+var capList = gateList[capStatus]{
+	path:    "/v1/caps",
+	subject: "team",
+	keep: func(command *cli.Command, c *capStatus, team string) bool {
+		return (team == "" || c.Team == team) && (c.Owner || command.Bool("all-gates"))
+	},
+	compare: func(a, b capStatus) int {
+		return cmp.Or(cmp.Compare(a.Credit, b.Credit), cmp.Compare(a.Team, b.Team), cmp.Compare(a.Gate, b.Gate))
+	},
+	header: "TEAM\tCREDIT\tRATE\tBURST\tSTATE\tGATE",
+	write: func(w io.Writer, c *capStatus) {
+		fmt.Fprintf(w, "%s\t%.1f\t%g\t%d\t%s\t%s\n", c.Team, c.Credit, c.Rate, c.Burst, c.state(), c.Gate)
+	},
+}
+
 func (a *app) capCommand() *cli.Command {
 	return &cli.Command{
 		Name:  "cap",
@@ -35,41 +45,13 @@
 			ArgsUsage:   "[TEAM]",
 			Description: "queries the metrics address of each --server; list all gates, since each gate holds the credit of some teams only",
 			Flags:       []cli.Flag{&cli.BoolFlag{Name: "all-gates", Usage: "also list gates that hold credit of a team without being its owner"}},
-			Action:      a.capList,
+			Action: func(ctx context.Context, command *cli.Command) error {
+				return capList.list(ctx, a, command)
+			},
 		}},
 	}
 }
 
-func (a *app) capList(ctx context.Context, command *cli.Command) error {
-	if command.Args().Len() > 1 {
-		return &UsageError{Message: command.FullName() + " takes one team at most"}
-	}
-	rows, err := queryServers[capStatus](ctx, command, capsPath)
-	if len(rows) == 0 && err != nil {
-		return err
-	}
-	team := command.Args().First()
-	rows = slices.DeleteFunc(rows, func(c capStatus) bool {
-		return team != "" && c.Team != team || !c.Owner && !command.Bool("all-gates")
-	})
-	slices.SortFunc(rows, func(a, b capStatus) int {
-		return cmp.Or(cmp.Compare(a.Credit, b.Credit), cmp.Compare(a.Team, b.Team), cmp.Compare(a.Gate, b.Gate))
-	})
-	if err != nil {
-		fmt.Fprintln(a.streams.Err, "slatectl: not all gates answered:", err)
-	}
-	raw, err := json.Marshal(rows)
-	if err != nil {
-		return err
-	}
-	return a.print(command, raw, func(w io.Writer) {
-		fmt.Fprintln(w, "TEAM\tCREDIT\tRATE\tBURST\tSTATE\tGATE")
-		for _, c := range rows {
-			fmt.Fprintf(w, "%s\t%.1f\t%g\t%d\t%s\t%s\n", c.Team, c.Credit, c.Rate, c.Burst, c.state(), c.Gate)
-		}
-	})
-}
-
 func (c *capStatus) state() string {
 	switch {
 	case !c.Owner:
@@ -82,19 +64,3 @@
 		return "plenty"
 	}
 }
-
-// queryServers queries a list at each server once. It returns the joined lists, and an
-// error that joins the errors of the servers that did not answer.
-func queryServers[Row any](ctx context.Context, command *cli.Command, path string) ([]Row, error) {
-	var rows []Row
-	var failed []error
-	for _, server := range command.StringSlice("server") {
-		var list []Row
-		if _, err := NewClient([]string{server}, "", 0).get(ctx, path, nil, &list); err != nil {
-			failed = append(failed, err)
-			continue
-		}
-		rows = append(rows, list...)
-	}
-	return rows, errors.Join(failed...)
-}
--- a/internal/ctl/paces.go
+++ b/internal/ctl/paces.go
@@ -3,16 +3,12 @@
 import (
 	"cmp"
 	"context"
-	"encoding/json"
 	"fmt"
 	"io"
-	"slices"
 
 	"github.com/urfave/cli/v3"
 )
 
-const pacesPath = "/v1/paces"
-
 // paceStatus is the pace of one replica as one gate knows it.
 type paceStatus struct {
 	Gate       string `json:"gate"`
@@ -25,6 +21,21 @@
 	Batch      int    `json:"batch"`
 }
 
+var paceList = gateList[paceStatus]{
+	path:    "/v1/paces",
+	subject: "replica",
+	keep: func(_ *cli.Command, p *paceStatus, replica string) bool {
+		return replica == "" || p.Replica == replica
+	},
+	compare: func(a, b paceStatus) int {
+		return cmp.Or(cmp.Compare(b.Percent, a.Percent), cmp.Compare(a.Replica, b.Replica), cmp.Compare(a.Gate, b.Gate))
+	},
+	header: "REPLICA\tSERVICE\tPACE\tAGE\tSTATE\tONLINE\tBATCH\tGATE",
+	write: func(w io.Writer, p *paceStatus) {
+		fmt.Fprintf(w, "%s\t%s\t%d%%\t%dms\t%s\t%d\t%d\t%s\n", p.Replica, p.Service, p.Percent, p.AgeMillis, p.state(), p.Online, p.Batch, p.Gate)
+	},
+}
+
 func (a *app) paceCommand() *cli.Command {
 	return &cli.Command{
 		Name:  "pace",
@@ -34,39 +45,13 @@
 			Usage:       "list replicas, the slowest first",
 			ArgsUsage:   "[REPLICA]",
 			Description: "queries the metrics address of each --server, a gate; each gate knows the replicas that it or their owner gates have used within the last second",
-			Action:      a.paceList,
+			Action: func(ctx context.Context, command *cli.Command) error {
+				return paceList.list(ctx, a, command)
+			},
 		}},
 	}
 }
 
-func (a *app) paceList(ctx context.Context, command *cli.Command) error {
-	if command.Args().Len() > 1 {
-		return &UsageError{Message: command.FullName() + " takes one replica at most"}
-	}
-	rows, err := queryServers[paceStatus](ctx, command, pacesPath)
-	if len(rows) == 0 && err != nil {
-		return err
-	}
-	replica := command.Args().First()
-	rows = slices.DeleteFunc(rows, func(p paceStatus) bool { return replica != "" && p.Replica != replica })
-	slices.SortFunc(rows, func(a, b paceStatus) int {
-		return cmp.Or(cmp.Compare(b.Percent, a.Percent), cmp.Compare(a.Replica, b.Replica), cmp.Compare(a.Gate, b.Gate))
-	})
-	if err != nil {
-		fmt.Fprintln(a.streams.Err, "slatectl: not all gates answered:", err)
-	}
-	raw, err := json.Marshal(rows)
-	if err != nil {
-		return err
-	}
-	return a.print(command, raw, func(w io.Writer) {
-		fmt.Fprintln(w, "REPLICA\tSERVICE\tPACE\tAGE\tSTATE\tONLINE\tBATCH\tGATE")
-		for _, p := range rows {
-			fmt.Fprintf(w, "%s\t%s\t%d%%\t%dms\t%s\t%d\t%d\t%s\n", p.Replica, p.Service, p.Percent, p.AgeMillis, p.state(), p.Online, p.Batch, p.Gate)
-		}
-	})
-}
-
 func (p *paceStatus) state() string {
 	if p.Distrusted {
 		return "distrusted"
