route: forget a dead process's pace; pass a pace on once

Three faults in the use of the pace that replicas report:

- A new process under the same replica ID kept the pace of the one before it for 0.8 s, its distrust for 10 s and its sums of told and observed times.
A new incarnation now begins without them.
- A gate returned to the owner a pace that it knew only from the owner's acknowledgement.
Each exchange made the observation younger by the time under way, so that between busy gates it never expired.
A load report now carries only a pace that the replica told this gate, as the number of waiting requests does.
- A request whose candidates were all slow gave its reserved slot up and asked for one again until maxReservations.
It now keeps the slot unless another replica at its usual pace would be chosen.

Also counts only requests that wait for capacity as an online backlog, not those that wait for a probe or their next try: free slots would not start them. The search for a backlog, made for each owned replica and batch item, ends at the first such request.

--- a/internal/route/backlog.go
+++ b/internal/route/backlog.go
@@ -1,16 +1,18 @@
 package route
 
 import (
+	"slices"
 	"time"
 
 	"slateway.example/slateway/internal/apierr"
 )
 
 // Backlog: while online requests wait for capacity anywhere in the fleet, batch items start
-// only on replicas that are mostly idle. After an outage the callers of its whole duration return together, and each
-// gate limits those that are overdue. The slots that this leaves, and those that become
-// free for a moment at one gate, would be filled with batch items, which slow down the
-// online answers on their replica and are preempted again by the next request.
+// only on replicas that are mostly idle. After an outage the callers of its whole duration
+// return together, and each gate limits those that are overdue. The slots that this leaves,
+// and those that become free for a moment at one gate, would be filled with batch items,
+// which slow down the online answers on their replica and are preempted again by the next
+// request.
 //
 // The rule applies to services whose replicas tell their pace: they share their machines,
 // so that a free slot does not show free capacity.
@@ -34,12 +36,18 @@
 // normal at the top of a load step: the next free slot or a preempted batch item ends them.
 const backlogWait = 100 * time.Millisecond
 
-// onlineWaiting returns the number of online requests that have waited in this gate's queue
-// for backlogWait.
+// waitsForCapacity reports whether a queued request has waited for backlogWait and would
+// start if there were a free slot. One that waits for a probe or for its next try would not.
+func (s *Shard) waitsForCapacity(req *request) bool {
+	return s.now.Sub(req.queuedAt) >= backlogWait && req.awaitedReplica == nil && !s.now.Before(req.notBefore)
+}
+
+// onlineWaiting returns the number of online requests in this gate's queue that have waited
+// for capacity for backlogWait.
 func (s *Shard) onlineWaiting() int {
 	waiting := 0
 	for _, req := range s.onlineQueue.list {
-		if s.now.Sub(req.queuedAt) >= backlogWait {
+		if s.waitsForCapacity(req) {
 			waiting++
 		}
 	}
@@ -75,7 +83,11 @@
 // hasBacklog reports whether online requests wait for capacity here or, by recent reports,
 // at other gates.
 func (s *Shard) hasBacklog() bool {
-	return s.tellsPace && !s.config.Disabled.Backlog && (s.onlineWaiting() > 0 || s.now.Before(s.backlog.until))
+	if !s.tellsPace || s.config.Disabled.Backlog {
+		return false
+	}
+	// The search ends at the first request: this is called for each replica and batch item.
+	return s.now.Before(s.backlog.until) || slices.ContainsFunc(s.onlineQueue.list, s.waitsForCapacity)
 }
 
 // backlogHeadroomShare is the share of a replica's slots in which no batch item starts
--- a/internal/route/messages.go
+++ b/internal/route/messages.go
@@ -180,7 +180,7 @@
 		Gate          string
 		Replica       upstream.ReplicaID
 		Online, Batch int
-		Pace          upstream.Pace // newest that the gate knows of the replica
+		Pace          upstream.Pace // newest that the replica told the gate
 		Waiting       int           // online requests that wait for capacity at the gate
 	}
 	// GatesChanged lists the live gates, including this one.
--- a/internal/route/pace.go
+++ b/internal/route/pace.go
@@ -45,8 +45,9 @@
 
 // paceState is what a gate knows of a replica's pace.
 type paceState struct {
-	percent int       // 0: unknown
-	at      time.Time // when the replica told it
+	percent  int       // 0: unknown
+	at       time.Time // when the replica told it
+	observed bool      // the replica told it to this gate; otherwise another gate passed it on
 
 	check           paceCheck
 	distrustedUntil time.Time
@@ -78,7 +79,9 @@
 	a.toldPace = boundPace(in.Percent)
 	r := a.replica
 	wasSlow := s.isSlow(r)
-	s.learnPace(r, upstream.Pace{Percent: in.Percent})
+	if s.learnPace(r, upstream.Pace{Percent: in.Percent}) {
+		r.pace.observed = true
+	}
 	if s.isSlow(r) != wasSlow {
 		s.reportPace(r)
 	}
@@ -92,20 +95,36 @@
 	s.reportLoad(r)
 }
 
-// learnPace records a pace of the given age unless a newer one is known.
-func (s *Shard) learnPace(r *replica, pace upstream.Pace) {
+// learnPace records a pace of the given age unless a newer one is known. It reports
+// whether it did.
+func (s *Shard) learnPace(r *replica, pace upstream.Pace) bool {
 	if pace.Percent <= 0 {
-		return
+		return false
 	}
 	at := s.now.Add(-pace.Age())
 	if !at.After(r.pace.at) {
-		return
+		return false
 	}
-	r.pace.percent, r.pace.at = pace.Percent, at
+	r.pace.percent, r.pace.at, r.pace.observed = pace.Percent, at, false
 	s.tellsPace = true
+	return true
+}
+
+// forgetPace discards what a process that has ended told. Reports of other gates about an
+// earlier time are ignored from now on.
+func (s *Shard) forgetPace(r *replica) { r.pace = paceState{at: s.now} }
+
+// observedPace returns the pace for a load report to the replica's owner, if the replica
+// told it to this gate. A pace that an acknowledgement passed on is not returned to the
+// owner: it would become younger by the time under way with each exchange and never expire.
+func (s *Shard) observedPace(r *replica) upstream.Pace {
+	if !r.pace.observed {
+		return upstream.Pace{}
+	}
+	return s.knownPace(r)
 }
 
-// knownPace returns the newest pace of the replica for a report to another gate.
+// knownPace returns the newest pace of the replica for an acknowledgement.
 func (s *Shard) knownPace(r *replica) upstream.Pace {
 	age := s.now.Sub(r.pace.at)
 	if r.pace.percent == 0 || age >= paceLifetime {
--- a/internal/route/pace_test.go
+++ b/internal/route/pace_test.go
@@ -120,17 +120,17 @@
 	for _, wrong := range []struct{ actual, told int }{{300, 50}, {100, 300}} {
 		t.Run(fmt.Sprintf("told %d, is %d", wrong.told, wrong.actual), func(t *testing.T) {
 			c := newGateSimWith(4, 8, func(config *route.Config) { config.ReservationWait = 40 * time.Millisecond })
-			liar := c.engines[0]
+			faulty := c.engines[0]
 			starts := map[bool]int{}
 			c.paceOf = func(e *simEngine, _ time.Time) (actual, told int) {
-				if e == liar {
+				if e == faulty {
 					return wrong.actual, wrong.told
 				}
 				return 100, 100
 			}
 			c.play(c.perSecondAt(0.5), 20*time.Second)
 			for _, start := range c.starts {
-				starts[start.engine == liar]++
+				starts[start.engine == faulty]++
 			}
 			mean := starts[false] / (len(c.engines) - 1)
 			t.Logf("%d requests on the replica, %d on each other one", starts[true], mean)
@@ -155,7 +155,7 @@
 	}
 }
 
-// Guards against a pace that is believed for longer than it lasts.
+// Guards against a pace that is used for longer than it is valid.
 func TestAPaceLapses(t *testing.T) {
 	r := newRig(t, route.Config{}, 1)
 	r.arrive(route.Request{ID: "a", Class: route.Online})
--- a/internal/route/place.go
+++ b/internal/route/place.go
@@ -106,7 +106,7 @@
 		case s.onlineLoad(r) > s.slots(r):
 			s.count(ReasonSlotTaken)
 			s.reserveElsewhere(res)
-		case s.isSlow(r) && res.req.reservationTries < maxReservations:
+		case s.isSlow(r) && res.req.reservationTries < maxReservations && s.hasReplicaAtUsualPace(res.req):
 			s.count(ReasonSlowReplica)
 			s.reserveElsewhere(res)
 		default:
@@ -115,6 +115,14 @@
 	}
 }
 
+// hasReplicaAtUsualPace reports whether the request would now be placed on a replica that
+// is not slow. Without this check, a request whose candidates are all slow would ask for a
+// slot maxReservations times before it starts.
+func (s *Shard) hasReplicaAtUsualPace(req *request) bool {
+	r := s.pick(req)
+	return r != nil && !s.isSlow(r)
+}
+
 func (s *Shard) reservationsOn(r *replica, acknowledged uint64) []reservation {
 	var found []reservation
 	for _, res := range s.reservations {
--- a/internal/route/replica.go
+++ b/internal/route/replica.go
@@ -269,6 +269,7 @@
 	s.handleDeath(r, EvidenceAnnounced)
 	r.incarnation = r.entry.Incarnation
 	r.failures = 0
+	s.forgetPace(r)
 	s.recover(r, true, EvidenceAnnounced)
 }
 
--- a/internal/route/usage.go
+++ b/internal/route/usage.go
@@ -56,7 +56,7 @@
 	r.reportNumber++
 	s.emit(ReportLoad{
 		Gate: r.owner, Replica: r.entry.Replica, Online: r.online, Batch: r.batch, ReportNumber: r.reportNumber,
-		Pace: s.knownPace(r), Waiting: s.onlineWaiting(),
+		Pace: s.observedPace(r), Waiting: s.onlineWaiting(),
 	})
 }
 
