limit, share: bound the delay at tiny rates; forget vanished owners

The delay for a refused caller was computed as a duration before it was compared with its bound. At a rate near zero it overflowed to zero or less, and the caller came back at once. The window over which asks are counted overflowed in the same way.

A Reporter kept each owner that never answered for as long as its process ran. It now forgets the owners to which it reports no team any more.

--- a/internal/limit/contention.go
+++ b/internal/limit/contention.go
@@ -10,7 +10,9 @@
 	// minRateWindow is the shortest time over which the rate of asks is measured. At low
 	// rates the window spans overdueTurn credits, because one ask within a second would
 	// otherwise exceed any cap below one request per second.
-	minRateWindow   = time.Second
+	minRateWindow = time.Second
+	// maxRateWindow keeps the window of a tiny rate from overflowing a duration.
+	maxRateWindow   = 24 * time.Hour
 	rateWindowParts = 10
 )
 
@@ -22,7 +24,8 @@
 }
 
 func rateWindow(c Cap) time.Duration {
-	return max(minRateWindow, time.Duration(overdueTurn/c.Rate*float64(time.Second)))
+	seconds := min(overdueTurn/c.Rate, maxRateWindow.Seconds())
+	return max(minRateWindow, time.Duration(seconds*float64(time.Second)))
 }
 
 func (r *askRate) advance(now time.Time, window time.Duration) {
--- a/internal/limit/contention_test.go
+++ b/internal/limit/contention_test.go
@@ -12,11 +12,11 @@
 )
 
 // hotTeam simulates the callers of one team: new ones come at random, and refused ones come
-// back when they are told to, until their patience ends.
+// back when they are told to, until they give up.
 type hotTeam struct {
-	cap              limit.Cap
-	rate             float64 // mean of new callers per second
-	target, patience time.Duration
+	cap               limit.Cap
+	rate              float64 // mean of new callers per second
+	target, retryTime time.Duration
 	// longestBackoff bounds the delay after which callers come back, whatever they are told;
 	// zero: they come back when they are told to.
 	longestBackoff time.Duration
@@ -78,7 +78,7 @@
 			} else {
 				result.inTime++
 			}
-		case waited+backoff < h.patience:
+		case waited+backoff < h.retryTime:
 			heap.Push(&callers, askingCaller{came: c.came, asks: c.asks.Add(backoff)})
 		default:
 			result.unserved++
@@ -109,7 +109,7 @@
 	}{{65, 0, 900}, {100, 0, 950}, {65, 500 * time.Millisecond, 800}, {240, 500 * time.Millisecond, 780}} {
 		h := hotTeam{
 			cap: limit.Cap{Rate: 50, Burst: 50}, rate: load.perSecond, target: 300 * time.Millisecond,
-			patience: 4 * time.Second, longestBackoff: load.longestBackoff, seed: 7,
+			retryTime: 4 * time.Second, longestBackoff: load.longestBackoff, seed: 7,
 		}
 		before, after := h.run(20*time.Second, false), h.run(20*time.Second, true)
 		t.Logf("%+v: granted in time %d, overdue %d, unserved %d; unless asks tell whether they are overdue: %d, %d, %d",
@@ -128,9 +128,9 @@
 func TestNoCreditIsLostToTurns(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		h := hotTeam{
-			cap:      limit.Cap{Rate: rapid.Float64Range(0.3, 60).Draw(t, "rate"), Burst: rapid.IntRange(1, 100).Draw(t, "burst")},
-			target:   time.Duration(rapid.IntRange(50, 1000).Draw(t, "target")) * time.Millisecond,
-			patience: time.Duration(rapid.IntRange(1000, 8000).Draw(t, "patience")) * time.Millisecond,
+			cap:       limit.Cap{Rate: rapid.Float64Range(0.3, 60).Draw(t, "rate"), Burst: rapid.IntRange(1, 100).Draw(t, "burst")},
+			target:    time.Duration(rapid.IntRange(50, 1000).Draw(t, "target")) * time.Millisecond,
+			retryTime: time.Duration(rapid.IntRange(1000, 8000).Draw(t, "retryTime")) * time.Millisecond,
 		}
 		h.rate = h.cap.Rate * rapid.Float64Range(1.2, 8).Draw(t, "overload")
 		h.longestBackoff = rapid.SampledFrom([]time.Duration{0, 500 * time.Millisecond}).Draw(t, "longest backoff")
@@ -237,3 +237,21 @@
 		t.Errorf("%d of 16 overdue callers were granted, after %d refusals", granted, refused)
 	}
 }
+
+// A cap of very few requests must not overflow the time that a refused caller is told: a
+// negative delay makes callers come back at once.
+func TestTheDelayAtATinyRateIsBounded(t *testing.T) {
+	for _, rate := range []float64{1e-9, 1e-12, 1e-300} {
+		for _, overdue := range []bool{false, true} {
+			l := newLedger()
+			ask := askFor(limit.Cap{Rate: rate, Burst: 1})
+			ask.Overdue = overdue
+			for range 100 {
+				answer := l.Take(start, ask, owner)
+				if answer.Verdict == limit.OverCap && (answer.Wait <= 0 || answer.Wait > 10*time.Second) {
+					t.Fatalf("rate %g, overdue %t: %+v", rate, overdue, answer)
+				}
+			}
+		}
+	}
+}
--- a/internal/limit/ledger.go
+++ b/internal/limit/ledger.go
@@ -214,8 +214,12 @@
 
 // timeToAccrue returns the time in which the given credit accrues, at most maxRetryDelay.
 func (a *account) timeToAccrue(credit float64) time.Duration {
-	wait := time.Duration(math.Ceil(credit/a.cap.Rate*1000)) * time.Millisecond
-	return min(wait, maxRetryDelay)
+	milliseconds := math.Ceil(credit / a.cap.Rate * 1000)
+	// Compared as numbers: at a tiny rate the duration would overflow to a negative one.
+	if milliseconds >= float64(maxRetryDelay.Milliseconds()) {
+		return maxRetryDelay
+	}
+	return time.Duration(milliseconds) * time.Millisecond
 }
 
 func (a *account) low() bool { return a.credit < a.margin/lowMarginDivisor }
--- a/internal/share/usage.go
+++ b/internal/share/usage.go
@@ -166,6 +166,14 @@
 	}
 	r.expiredAt = now
 	maps.DeleteFunc(r.own, func(_ Key, o *ownUsage) bool { return now.Sub(o.usedAt) > Lifetime })
+	owners := make(map[string]struct{})
+	for _, o := range r.own {
+		owners[o.owner] = struct{}{}
+	}
+	maps.DeleteFunc(r.unanswered, func(owner string, _ bool) bool {
+		_, inUse := owners[owner]
+		return !inUse
+	})
 	maps.DeleteFunc(r.charged, func(_ answerKey, a *answered) bool { return now.Sub(a.at) > Lifetime })
 }
 
--- a/internal/share/usage_test.go
+++ b/internal/share/usage_test.go
@@ -402,3 +402,23 @@
 		}
 	}
 }
+
+// A reporter must not remember for ever the owners that vanished before they answered.
+func TestOwnersThatVanishedAreForgotten(t *testing.T) {
+	r := share.NewReporter()
+	used := []share.Usage{{Key: simKeys[0], Started: 1}}
+	r.Reports(start, used, func(string) string { return "gate-1" })
+	r.Sent("gate-1")
+	later := start.Add(share.Lifetime + time.Second)
+	r.Reports(later, used, func(string) string { return "gate-2" })
+	if r.Sent("gate-1") {
+		t.Error("an owner of no team is remembered")
+	}
+	if r.Sent("gate-2") || !r.Sent("gate-2") {
+		t.Error("the owner in use is not remembered")
+	}
+	r.Reports(later.Add(2*time.Second), used, func(string) string { return "gate-2" })
+	if !r.Sent("gate-2") {
+		t.Error("the owner in use was forgotten")
+	}
+}
