--- a/internal/route/batch.go
+++ b/internal/route/batch.go
@@ -152,21 +152,23 @@
 }
 
 // pickBatch chooses the owned replica with the most free slots, or with the fewest if
-// the policy packs.
+// the policy packs. Slow replicas are chosen after all others.
 func (s *Shard) pickBatch(req *request) *replica {
 	s.rebuild()
 	var best *replica
-	bestFree := 0
+	bestFree, bestSlow := 0, false
 	for _, r := range s.owned {
 		free := s.freeBatchSlots(r, req.Policy) - s.reservedSlots(req, r)
-		if s.isSlow(r) {
-			free = min(free, 1) // chosen after the others
-		}
 		if free <= 0 || !s.mayServe(req, r) || (s.isSuspect(req) && s.hasTrial(r)) {
 			continue
 		}
-		if best == nil || (req.Policy.Pack && free < bestFree) || (!req.Policy.Pack && free > bestFree) {
-			best, bestFree = r, free
+		slow := s.isSlow(r)
+		better := free > bestFree
+		if req.Policy.Pack {
+			better = free < bestFree
+		}
+		if best == nil || bestSlow && !slow || bestSlow == slow && better {
+			best, bestFree, bestSlow = r, free, slow
 		}
 	}
 	return best
--- a/internal/route/pace_state_test.go
+++ b/internal/route/pace_state_test.go
@@ -137,3 +137,27 @@
 		Load: upstream.Load{Slots: slots, Ready: true},
 	}})
 }
+
+// Guards against batch items that start on a slow replica while another one has a free slot,
+// also under a policy that fills the replicas with the fewest free slots first.
+func TestBatchItemsStartLastOnSlowReplicas(t *testing.T) {
+	for _, pack := range []bool{false, true} {
+		for _, free := range []int{1, 2} {
+			r := newRig(t, route.Config{}, 2)
+			for id := range 2 {
+				r.step(route.LoadReported{Gate: "gate-2", Replica: upstream.ReplicaID(fmt.Sprint("r", id)), Online: 2 - free})
+			}
+			r.step(route.LoadReported{Gate: "gate-2", Replica: "r0", Online: 2 - free, Pace: upstream.Pace{Percent: 250}})
+			for i := range 2 * free {
+				id := fmt.Sprint("item", i)
+				r.arrive(route.Request{ID: id, Class: route.Batch, Repeatable: true, Policy: route.Policy{Pack: pack}, Fingerprint: upstream.FingerprintOf(id, nil)})
+				if r.sent[id] == 0 {
+					t.Fatalf("pack %t, %d free: item %d was not sent", pack, free, i)
+				}
+				if slow := r.lastDispatch[id].Target.Replica == "r0"; slow != (i >= free) {
+					t.Errorf("pack %t, %d free slots on each: item %d went to the slow replica: %t", pack, free, i, slow)
+				}
+			}
+		}
+	}
+}
