route: measure the pace of a continued stream by its own events

The events of an answer are numbered through all attempts. The check of a replica's pace divided the time of an attempt that continues an answer by the events of all attempts, so that the replica seemed up to a hundred times as fast as it told. Several such streams, as after a replica's failure, made the others distrusted for 10 s and lowered the mean.

--- a/internal/route/attempt.go
+++ b/internal/route/attempt.go
@@ -139,7 +139,7 @@
 	a.replica.lastContact = s.now
 	if in.Tokens > 0 && a.tokens == 0 {
 		s.firstTokenTime.observe(s.now.Sub(a.started))
-		a.firstAt = s.now
+		a.firstAt, a.firstToken = s.now, in.Tokens
 		s.cancelOthers(a)
 	}
 	a.tokens = max(a.tokens, in.Tokens)
--- a/internal/route/pace.go
+++ b/internal/route/pace.go
@@ -169,8 +169,8 @@
 		return
 	}
 	took, meter := s.now.Sub(a.started), &s.serviceTime
-	if a.tokens > 1 && !a.firstAt.IsZero() {
-		took, meter = s.now.Sub(a.firstAt)/time.Duration(a.tokens-1), &s.eventTime
+	if events := a.tokens - a.firstToken; events > 0 && !a.firstAt.IsZero() {
+		took, meter = s.now.Sub(a.firstAt)/time.Duration(events), &s.eventTime
 	}
 	usual := meter.mean
 	meter.observe(took)
--- a/internal/route/pace_state_test.go
+++ b/internal/route/pace_state_test.go
@@ -161,3 +161,27 @@
 		}
 	}
 }
+
+// Guards against a replica that is distrusted because it continues streams: the numbers of
+// their events start where the attempt before ended.
+func TestContinuedStreamsShowThePace(t *testing.T) {
+	r := newRig(t, route.Config{}, 1)
+	for i := range 24 {
+		id := fmt.Sprint("q", i)
+		r.arrive(route.Request{ID: id, Class: route.Online, Fingerprint: upstream.FingerprintOf(id, nil)})
+		attempt := r.lastDispatch[id].Attempt
+		r.step(route.PaceObserved{Attempt: attempt, Percent: 100})
+		first := 1
+		if i >= 8 {
+			first = 200
+		}
+		for token := range 5 {
+			r.now = r.now.Add(100 * time.Millisecond)
+			r.step(route.Progress{Attempt: attempt, Tokens: first + token, Delivered: true})
+		}
+		r.step(route.Finished{Attempt: attempt})
+		if r.shard.Replicas()[0].Distrusted {
+			t.Fatalf("the replica is distrusted after %d streams at the usual pace", i+1)
+		}
+	}
+}
--- a/internal/route/shard.go
+++ b/internal/route/shard.go
@@ -114,6 +114,7 @@
 	started        time.Time
 	lastProgress   time.Time // when anything last arrived
 	firstAt        time.Time // when the first token arrived
+	firstToken     int       // its number; larger than 1 if the attempt continues an answer
 	tokens         int
 	toldPace       float64    // the replica's pace as told with the answer; 0: it told none
 	queued         bool       // may have to wait for a slot of the replica
