--- a/internal/route/rebalance.go
+++ b/internal/route/rebalance.go
@@ -23,7 +23,8 @@
 // returnForRebalance returns waiting batch items while replicas of other gates have free
 // slots; the keepers lease them to a gate that has room. When online work takes the slots
 // for which a gate leased items, or the replicas leave, the items would otherwise wait here
-// and miss their targets while other gates have idle slots and nothing to run.
+// and miss their targets while other gates have idle slots and nothing to run. During an
+// online backlog the other gates hold batch items back too.
 func (s *Shard) returnForRebalance() {
 	if s.draining || s.batchQueue.len() == 0 || s.hasBacklog() {
 		return
