share: report no usage of requests without a team

At a site without teams, each gate where requests waited reported the usage of the empty team five times a second, all to the same owner: up to 1,225 datagrams a second and as many answers at 245 gates, by which nothing was decided.

--- a/internal/share/scheduler.go
+++ b/internal/share/scheduler.go
@@ -121,12 +121,14 @@
 const contentionMemory = time.Second
 
 // Usage returns what was started for each team since the last call, and which teams wait.
-// While no requests wait, there is nothing to share, and the starts are not reported.
+// While no requests wait, there is nothing to share, and the starts are not reported. Those
+// of requests without a team never are: at a site without teams, all gates would send them
+// to one owner.
 func (s *Scheduler) Usage(now time.Time, service string) []Usage {
 	contended := len(s.waiting) > 0 || now.Sub(s.contendedAt) < contentionMemory
 	var list []Usage
 	for _, t := range s.teams {
-		if contended && (t.unread > 0 || t.waiting > 0) {
+		if contended && t.name != "" && (t.unread > 0 || t.waiting > 0) {
 			list = append(list, Usage{Key: Key{Service: service, Team: t.name}, Started: t.unread, Waiting: t.waiting > 0})
 		}
 		t.unread = 0
--- a/internal/share/scheduler_test.go
+++ b/internal/share/scheduler_test.go
@@ -93,3 +93,18 @@
 		}
 	})
 }
+
+// Guards against reports at a site without teams: there, all gates would send them to one
+// owner, which would decide nothing by them.
+func TestRequestsWithoutATeamAreNotReported(t *testing.T) {
+	s := share.NewScheduler()
+	for _, name := range []string{"", "council"} {
+		team := s.Team(start, name, 1)
+		s.Enter(team)
+		s.Start(start, team, 5)
+	}
+	used := s.Usage(start, "wordroom")
+	if len(used) != 1 || used[0].Team != "council" || used[0].Started != 5 {
+		t.Errorf("reported: %+v", used)
+	}
+}
