--- a/internal/route/pace_state_test.go
+++ b/internal/route/pace_state_test.go
@@ -185,3 +185,28 @@
 		}
 	}
 }
+
+// Guards against a request that keeps its slot on a slow replica although another one would
+// start it sooner.
+func TestASlotOnASlowReplicaIsGivenUpForABetterOne(t *testing.T) {
+	r := newRig(t, route.Config{ReservationWait: 40 * time.Millisecond}, 2)
+	r.step(route.GatesChanged{Gates: []route.Gate{{ID: "owner", Place: "glas-a"}}})
+	report := func(id upstream.ReplicaID, online, percent int) upstream.OwnerLoad {
+		return upstream.OwnerLoad{Replica: id, Online: online, Pace: upstream.Pace{Percent: percent}}
+	}
+	for id, online := range map[upstream.ReplicaID]int{"r0": 5, "r1": 6} {
+		r.announceSlots(string(id), 8)
+		r.step(route.OwnerReported{Load: report(id, online, 0)})
+	}
+	r.now = r.now.Add(150 * time.Millisecond) // the reports are too old to do without a reservation
+	r.arrive(route.Request{ID: "a", Class: route.Online})
+	r.step(route.OwnerReported{Load: report("r1", 6, 100)})
+	if online := r.shard.Load("r0").Online; online != 1 {
+		t.Fatalf("%d slots are reserved on r0: the test exercises nothing", online)
+	}
+	r.step(route.OwnerReported{Load: report("r0", 6, 250), Acknowledges: 1, ReportedOnline: 1})
+	r.step(route.OwnerReported{Load: report("r1", 7, 100), Acknowledges: 1, ReportedOnline: 1})
+	if target := r.lastDispatch["a"].Target; target == nil || target.Replica != "r1" {
+		t.Errorf("the request went to %+v, r1 wanted", target)
+	}
+}
