--- a/internal/route/shard.go
+++ b/internal/route/shard.go
@@ -124,6 +124,7 @@
 	started        time.Time
 	lastProgress   time.Time // when anything last arrived
 	firstAt        time.Time // when the first token arrived
+	firstToken     int       // its number; larger than 1 if the attempt continues an answer
 	tokens         int
 	toldPace       float64    // the replica's pace as told with the answer; 0: it told none
 	paused         bool       // the gate reads nothing from the replica for now
