--- a/internal/route/backlog.go
+++ b/internal/route/backlog.go
@@ -91,8 +91,8 @@
 }
 
 // backlogHeadroomShare is the share of a replica's slots in which no batch item starts
-// during a backlog. A gate that cannot reach its replicas has a backlog of its own; batch
-// items then still start on replicas that are mostly idle.
+// during a backlog, but for one slot at least. A gate that cannot reach its replicas has a
+// backlog of its own; batch items then still start on replicas that are mostly idle.
 const backlogHeadroomShare = 0.5
 
 // backlogHeadroom returns the slots of a replica that batch items leave free now because
@@ -101,7 +101,7 @@
 	if !s.hasBacklog() {
 		return 0
 	}
-	return int(backlogHeadroomShare*float64(slots) + 0.5)
+	return min(slots-1, int(backlogHeadroomShare*float64(slots)+0.5))
 }
 
 // countBacklog counts each backlog once.
--- a/internal/upstream/pace.go
+++ b/internal/upstream/pace.go
@@ -14,5 +14,10 @@
 	return Pace{Percent: percent, AgeMillis: int(age.Milliseconds())}
 }
 
-// Age returns the time since the replica told the pace.
-func (p Pace) Age() time.Duration { return time.Duration(max(0, p.AgeMillis)) * time.Millisecond }
+// maxAge bounds the age in a message. Paces are of no use long before.
+const maxAge = time.Minute
+
+// Age returns the time since the replica told the pace, at most maxAge.
+func (p Pace) Age() time.Duration {
+	return time.Duration(min(max(0, p.AgeMillis), int(maxAge/time.Millisecond))) * time.Millisecond
+}
