--- a/internal/route/replica.go
+++ b/internal/route/replica.go
@@ -63,7 +63,7 @@
 	loadVersion uint64 // table version of the last change of its load
 	owner       string // ID of the gate that owns it
 	ownerScore  uint64 // rendezvous score of the owner
-	ownerPlace  string // its place when the owner was chosen
+	ownerPlace  string // place of the replica at the choice of the owner
 	holdUntil   time.Time
 	preemptedAt time.Time // when batch work of this gate was last preempted on it
 
--- a/internal/route/shard.go
+++ b/internal/route/shard.go
@@ -34,7 +34,7 @@
 	remote   []*replica // in other places, accepting work
 	owned    []*replica // owned by this gate, accepting work
 	byPlace  map[string][]*replica
-	moved    []*replica // their place has changed since their owner was chosen; in any order
+	moved    []*replica // changed their place after the choice of their owner; in any order
 	reported []*replica // with load reports of other gates
 	mine     []*replica // owned by this gate
 	// localHashes are the hashes of the local replicas in the same order. Each request
