limit: a standby accrues no credit after the reports against the owner have expired

Known red: TestNoScheduleRunsMoreThanTheCap: 176 requests of a team ran in a window, the maximum is 174.9.

What callers saw: nothing; replicas were given up to a burst of a team at its cap twice, after one lost packet at any time before.

Cause: a standby acts for an owner while reports of its silence are at most a second old, but expired reports were dropped only at the next ask, after the account had been refilled. Its whole idle time counted as time of acting, and it saved up a burst that the owner had too. The number of reporting gates was counted over reports of any age as well, so that lost packets minutes apart made a standby take over (quorum of two: four or five gates).

Fix: credit accrues until the newest report expires; each refill drops the expired ones, before a report is counted.

--- a/internal/limit/ledger.go
+++ b/internal/limit/ledger.go
@@ -35,7 +35,7 @@
 	promised   float64
 	contention contention
 
-	timeouts        []ownerTimeout // gates that the owner did not answer recently
+	timeouts        []ownerTimeout // gates that the owner did not answer recently, oldest first
 	acting          bool           // this gate is the standby and acts for the owner
 	ownerNotifiedAt time.Time      // time of the last notification to the owner that its standby acts for it
 	yieldsUntil     time.Time      // as owner, this gate leaves the team to its standby until then
@@ -157,18 +157,31 @@
 // depth returns the maximum credit that the account holds.
 func (a *account) depth() float64 { return max(1, float64(a.cap.Burst)+a.margin) }
 
+// refill adds the credit accrued since the last refill and ends an acting that is over.
 func (a *account) refill(now time.Time) {
-	passed := now.Sub(a.refilledAt)
-	if passed <= 0 {
+	if !now.After(a.refilledAt) {
 		return
 	}
-	accrues := a.accruesCredit(a.refilledAt)
+	if accrued := a.cap.Rate * a.accrualTime(now).Seconds(); accrued > 0 {
+		a.promised = max(0, a.promised-accrued)
+		a.contention.promised = max(0, a.contention.promised-accrued/overdueTurn)
+		a.credit = min(a.depth(), a.credit+accrued)
+	}
 	a.refilledAt = now
-	if accrues {
-		a.promised = max(0, a.promised-a.cap.Rate*passed.Seconds())
-		a.contention.promised = max(0, a.contention.promised-a.cap.Rate*passed.Seconds()/overdueTurn)
-		a.credit = min(a.depth(), a.credit+a.cap.Rate*passed.Seconds())
+	a.expireTimeouts(now)
+}
+
+// accrualTime returns how long credit has accrued since the last refill. A standby stops
+// when the last report expires, even if nobody asks it then.
+func (a *account) accrualTime(now time.Time) time.Duration {
+	if !a.accruesCredit(a.refilledAt) {
+		return 0
+	}
+	until := now
+	if expiry := a.actingExpiry(); !a.owned && expiry.Before(now) {
+		until = expiry
 	}
+	return max(0, until.Sub(a.refilledAt))
 }
 
 // setCap applies the cap of the newest routes. At the owner, a larger burst is available
@@ -229,7 +242,6 @@
 
 func (a *account) take(now time.Time, t Tolerance, ask *Ask) Answer {
 	a.refill(now)
-	a.expireTimeouts(now)
 	a.contention.countAsk(now, a.cap, ask.Overdue)
 	accrues := a.accruesCredit(now)
 	if !accrues && !a.lastGrant.IsZero() && now.Sub(a.lastGrant) >= t.Window {
@@ -287,6 +299,14 @@
 	}
 }
 
+// actingExpiry returns when the newest timeout report expires.
+func (a *account) actingExpiry() time.Time {
+	if len(a.timeouts) == 0 {
+		return time.Time{}
+	}
+	return a.timeouts[len(a.timeouts)-1].at.Add(ownerTimeoutLifetime)
+}
+
 // expireTimeouts drops old timeout reports and stops acting for the owner when none is
 // left.
 func (a *account) expireTimeouts(now time.Time) {
--- a/internal/limit/ledger_test.go
+++ b/internal/limit/ledger_test.go
@@ -203,6 +203,44 @@
 	}
 }
 
+// A standby that acted for the owner once must not accrue credit after the reports against
+// the owner have expired, because the owner grants that credit too.
+func TestAStandbyAccruesNoCreditAfterTheReportsExpire(t *testing.T) {
+	c := limit.Cap{Rate: 20, Burst: 60}
+	standby := newLedger()
+	role := limit.Role{OpeningMargins: 0.5, TakeoverQuorum: 1}
+	ask := askFor(c)
+	ask.OwnerTimedOut = true
+	standby.Take(start, ask, role)
+	standby.Take(start.Add(100*time.Millisecond), askFor(c), role)
+	granted := 0
+	for range 100 {
+		if standby.Take(start.Add(time.Minute), askFor(c), role).Verdict == limit.Granted {
+			granted++
+		}
+	}
+	// A second of acting and half of a margin, (0.1 * 160 + 20) / 5 / 2.
+	if granted > 24 {
+		t.Errorf("%d granted by a standby a minute after it acted for a second, want 24 at most", granted)
+	}
+}
+
+// A standby must not take over because of reports from different times: each of the gates
+// may have lost a single packet.
+func TestExpiredReportsDoNotCountForATakeover(t *testing.T) {
+	c := limit.Cap{Rate: 20, Burst: 60}
+	standby := newLedger()
+	role := limit.Role{OpeningMargins: 0.5, TakeoverQuorum: 2}
+	for i := range 6 {
+		ask := askFor(c)
+		ask.ID = limit.AskID{Gate: fmt.Sprint("gate-", i%5), Number: uint64(i + 1)}
+		ask.OwnerTimedOut = true
+		if answer := standby.Take(start.Add(time.Duration(i)*time.Minute), ask, role); answer.NotifyOwner {
+			t.Fatalf("the standby acts for the owner after one report a minute, at the report of minute %d", i)
+		}
+	}
+}
+
 // A gate must not accrue credit for the time in which another gate owned the team.
 func TestNoCreditComesInWhileAnotherGateOwnsTheTeam(t *testing.T) {
 	l := newLedger()
