limit: a standby that acts for a frozen owner saves up no burst

What callers saw: nothing; replicas could get the burst of a team at its cap twice, once from the standby and once from the owner that woke.

Cause: a standby that acts accrued up to the whole depth of the account. An owner that was frozen, not lost, still has its own credit when it returns, and a move of the credit may cost one margin only.

Fix: while it acts, a standby accrues up to one margin. It opens like the account of any new owner when it takes the team over.

--- a/internal/limit/ledger.go
+++ b/internal/limit/ledger.go
@@ -165,12 +165,21 @@
 	if accrued := a.cap.Rate * a.accrualTime(now).Seconds(); accrued > 0 {
 		a.promised = max(0, a.promised-accrued)
 		a.contention.promised = max(0, a.contention.promised-accrued/overdueTurn)
-		a.credit = min(a.depth(), a.credit+accrued)
+		a.credit = max(a.credit, min(a.accrualLimit(), a.credit+accrued))
 	}
 	a.refilledAt = now
 	a.expireTimeouts(now)
 }
 
+// accrualLimit returns the credit up to which credit accrues. A standby that acts for the
+// owner saves up no burst, because an owner that was frozen returns with its own.
+func (a *account) accrualLimit() float64 {
+	if a.owned {
+		return a.depth()
+	}
+	return max(1, a.margin)
+}
+
 // accrualTime returns how long credit has accrued since the last refill. A standby stops
 // when the last report expires, even if nobody asks it then.
 func (a *account) accrualTime(now time.Time) time.Duration {
--- a/internal/limit/ledger_test.go
+++ b/internal/limit/ledger_test.go
@@ -225,6 +225,29 @@
 	}
 }
 
+// A standby that acts for a frozen owner must not save up a burst: the owner keeps its own.
+func TestAStandbySavesUpNoBurst(t *testing.T) {
+	c := limit.Cap{Rate: 20, Burst: 60}
+	standby := newLedger()
+	role := limit.Role{OpeningMargins: 0.5, TakeoverQuorum: 1}
+	ask := askFor(c)
+	ask.OwnerTimedOut = true
+	at := start
+	for range 20 {
+		standby.Take(at, ask, role)
+		at = at.Add(500 * time.Millisecond)
+	}
+	granted := 0
+	for range 100 {
+		if standby.Take(at, ask, role).Verdict == limit.Granted {
+			granted++
+		}
+	}
+	if granted > 8 { // a margin: (0.1 * 160 + 20) / 5, and a credit that accrued
+		t.Errorf("%d granted at once by a standby that acted for 10 s, want 8 at most", granted)
+	}
+}
+
 // A standby must not take over because of reports from different times: each of the gates
 // may have lost a single packet.
 func TestExpiredReportsDoNotCountForATakeover(t *testing.T) {
--- a/internal/limit/property_test.go
+++ b/internal/limit/property_test.go
@@ -22,6 +22,8 @@
 	startedAt []time.Time
 	refused   int
 	admission []*limit.AdmissionChecks
+	frozen    string // VM that answers nothing until thawsAt
+	thawsAt   time.Time
 	// describe sets how long the request of an ask is of use; nil: asks do not say.
 	describe func(*limit.Ask)
 }
@@ -83,8 +85,18 @@
 	}
 }
 
-// isRunning reports whether a gate's process runs.
-func (s *site) isRunning(i int) bool { return !s.gates[i].Draining && s.gates[i].Started > 0 }
+// isRunning reports whether a gate's process runs and answers.
+func (s *site) isRunning(i int) bool {
+	if s.gates[i].VM == s.frozen && s.now.Before(s.thawsAt) {
+		return false
+	}
+	return !s.gates[i].Draining && s.gates[i].Started > 0
+}
+
+// freezeOwner makes the team's owner silent for a while; it keeps its credit.
+func (s *site) freezeOwner(duration time.Duration) {
+	s.frozen, s.thawsAt = s.views[0].Choose("council").Owner, s.now.Add(duration)
+}
 
 func (s *site) index(vm string) int {
 	for i, g := range s.gates {
@@ -167,12 +179,18 @@
 // No more requests of a team than its cap and tolerance allow may run, whatever messages are
 // lost or views are outdated, with at most one restart of a gate or of all gates in a window.
 func TestNoScheduleRunsMoreThanTheCap(t *testing.T) {
-	rapid.Check(t, func(t *rapid.T) { runSchedule(t, nil) })
+	rapid.Check(t, func(t *rapid.T) { runSchedule(t, nil, false) })
 }
 
 // The turns of overdue asks must not let more requests run than the cap allows.
 func TestNoScheduleWithOverdueAsksRunsMoreThanTheCap(t *testing.T) {
-	rapid.Check(t, func(t *rapid.T) { runSchedule(t, describeRandomly(t)) })
+	rapid.Check(t, func(t *rapid.T) { runSchedule(t, describeRandomly(t), false) })
+}
+
+// The credit of a frozen owner and the credit that its standby gives out meanwhile must not
+// add up to more than the cap allows.
+func TestNoScheduleWithAFrozenOwnerRunsMoreThanTheCap(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) { runSchedule(t, describeRandomly(t), true) })
 }
 
 // describeRandomly returns a function that makes some asks overdue, some in time for a while
@@ -189,7 +207,9 @@
 	}
 }
 
-func runSchedule(t *rapid.T, describe func(*limit.Ask)) {
+// runSchedule runs random requests and restarts. With freezes set, the owner also freezes at
+// times; a freeze is the only event of its window, like a restart.
+func runSchedule(t *rapid.T, describe func(*limit.Ask), freezes bool) {
 	c := limit.Cap{Rate: rapid.Float64Range(0.5, 60).Draw(t, "rate"), Burst: rapid.IntRange(0, 60).Draw(t, "burst")}
 	s := newSite(rapid.IntRange(2, 12).Draw(t, "gates"), c)
 	s.describe = describe
@@ -208,6 +228,9 @@
 		case step < 18:
 			s.refreshView(i)
 		case s.now.Sub(changed) <= tolerance.Window+limit.SettleTime:
+		case freezes && rapid.Bool().Draw(t, "freeze"):
+			s.freezeOwner(time.Duration(rapid.IntRange(0, 5000).Draw(t, "frozen ms")) * time.Millisecond)
+			changed = s.thawsAt
 		case step == 18:
 			changed = s.now
 			s.stopAll()
