keeper: a call at a keeper that stops is sent to another one

What callers saw: calls of operators and job owners answered 503, and gates without a renewal of their lease, while a VM was restarted, although another keeper could have answered.

Cause: callError looked for an API error first. The errors of the replicated groups convert to one, with reasons (keeper_stopped, proposals_full) that a client takes for final, so that its own cases for them were never reached.

Evidence: 'configuration watch failed: the replica host has stopped; ask another keeper' right after each hand-over of leadership in the logs of the restart spec, and no retry counted.

Fix: the typed errors are looked at first. A proposal whose outcome is unknown is still reported so.

--- a/internal/keeper/service.go
+++ b/internal/keeper/service.go
@@ -158,15 +158,17 @@
 		stopped    *replica.StoppedError
 		overloaded *replica.OverloadedError
 	)
+	// The errors of package replica also convert to an API error, with reasons that clients
+	// do not retry, so they come first.
 	switch {
-	case errors.As(err, &known):
-		return known
 	case errors.As(err, &unknown):
 		return apierr.New(apierr.Unavailable, keeperapi.ReasonOutcomeUnknown, "send the same call again", "%v", err).WithRan(apierr.RanUnknown)
 	case errors.As(err, &stopped):
 		return apierr.New(apierr.Unavailable, keeperapi.ReasonUnavailable, "ask another keeper", "%v", err)
 	case errors.As(err, &overloaded):
 		return apierr.New(apierr.Overloaded, keeperapi.ReasonOverloaded, "retry later", "%v", err).WithRetryAfter(overloadRetry)
+	case errors.As(err, &known):
+		return known
 	case errors.Is(err, context.DeadlineExceeded), errors.Is(err, context.Canceled):
 		return apierr.New(apierr.Unavailable, keeperapi.ReasonOutcomeUnknown, "send the same call again", "the call was cancelled or timed out: %v", err).WithRan(apierr.RanUnknown)
 	default:
