replica: log a stalled disk; tests of whole sites report stalls of the machine

Two known failures (no leader for 33 s; nine processes that began to serve 24 s late within 17 ms) fit a disk that takes no syncs, and no log of theirs can tell. A member logs when a sync takes longer than two election timeouts, which keeps it from voting, and how long it took in the end.

TestDiskOfTheLeaderHangs also checks the two lines; its other checks are unchanged.

--- a/internal/replica/group.go
+++ b/internal/replica/group.go
@@ -34,6 +34,7 @@
 	wasLeader            bool      // leadership as last reported to metrics and the log
 	ticksSinceLeadership int       // ticks since leadership was lost with proposals pending
 	syncSince            time.Time // start of the running sync; zero if none is running
+	diskStalled          bool      // the running sync counts as stalled
 	pendingReplacement   *replacement
 	counters             groupCounters
 	outgoingSnapshots    map[quorum.ID]uint64 // index of the snapshot that is being sent to each member
@@ -196,7 +197,13 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	limit := 2 * g.host.config.electionTimeout()
-	g.node.SetDiskStalled(!g.syncSince.IsZero() && time.Since(g.syncSince) > limit)
+	stalled := !g.syncSince.IsZero() && time.Since(g.syncSince) > limit
+	if stalled && !g.diskStalled {
+		g.host.logger.Warn("disk stalled: this member cannot vote or acknowledge entries", zap.Uint32("group", g.id),
+			zap.Duration("syncing_for", time.Since(g.syncSince)))
+	}
+	g.diskStalled = stalled
+	g.node.SetDiskStalled(stalled)
 	g.node.Tick()
 	g.failStaleWaiters()
 	return g.drain()
@@ -302,8 +309,12 @@
 	err := <-synced
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.host.config.Metrics.Observe(metricSync, time.Since(g.syncSince))
-	g.syncSince = time.Time{}
+	took := time.Since(g.syncSince)
+	g.host.config.Metrics.Observe(metricSync, took)
+	if g.diskStalled {
+		g.host.logger.Info("disk responds again", zap.Uint32("group", g.id), zap.Duration("sync_took", took), zap.Error(err))
+	}
+	g.syncSince, g.diskStalled = time.Time{}, false
 	return err
 }
 
--- a/internal/replica/host_test.go
+++ b/internal/replica/host_test.go
@@ -202,7 +202,9 @@
 	var hanging atomic.Pointer[string]
 	released := make(chan struct{})
 	release := sync.OnceFunc(func() { close(released) })
+	core, logged := observer.New(zap.InfoLevel)
 	c := startCluster(t, 3, 3, func(config *Config) {
+		config.Logger = zap.New(core)
 		name := config.VM
 		config.WAL.Create = func(path string) (wal.File, error) {
 			file, err := os.OpenFile(path, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
@@ -225,6 +227,11 @@
 	hanging.Store(nil)
 	release()
 	c.expectApplied(bad, "second")
+	for _, message := range []string{"disk stalled: this member cannot vote or acknowledge entries", "disk responds again"} {
+		if logged.FilterMessage(message).Len() == 0 {
+			t.Errorf("no line %q in the log", message)
+		}
+	}
 }
 
 // A middlebox loses its state: existing connections stay open without passing data,
--- a/test/suite_test.go
+++ b/test/suite_test.go
@@ -46,13 +46,18 @@
 // end of each VM's log is added to the report.
 func newFleet(options harness.Options) *harness.Fleet {
 	GinkgoHelper()
-	processes, err := harness.New(GinkgoT().TempDir(), programs, options)
+	folder := GinkgoT().TempDir()
+	processes, err := harness.New(folder, programs, options)
 	Expect(err).NotTo(HaveOccurred())
 	DeferCleanup(processes.Close)
+	stalls, err := harness.WatchStalls(folder)
+	Expect(err).NotTo(HaveOccurred())
+	DeferCleanup(stalls.Close)
 	DeferCleanup(func() {
 		if !CurrentSpecReport().Failed() {
 			return
 		}
+		AddReportEntry("machine", stalls.String(), ReportEntryVisibilityFailureOrVerbose)
 		for _, vm := range processes.VMs {
 			if vm.Process != nil {
 				AddReportEntry(vm.Name, vm.LogTail(4000), ReportEntryVisibilityFailureOrVerbose)
