Logs: the build of replicas and attempts, and streams that callers take up

The logs of the incident could not tell which version began a stream nor whether a request takes one up: replicas' versions were not decoded, Resumes was read nowhere.

Announcements carry the version of the replica's software as Build, through control VMs to gates (digest form 2, so that processes without it do not compare digests with it). "attempt", "replica changed" and "replica added or changed" show it; "caller takes a stream up" and streams.taken_up show take-ups. No decision uses it yet.

--- a/internal/control/service.go
+++ b/internal/control/service.go
@@ -320,6 +320,7 @@
 func (s *Service) logReplica(message string, a *upstream.Announcement) {
 	s.options.Log.Info(message, telemetry.Upstream(string(a.Replica)), zap.String("service", a.Service),
 		zap.String("address", a.Address), zap.Uint64("incarnation", a.Incarnation), zap.Uint64("sequence", a.Sequence),
+		zap.String("build", a.Build),
 		zap.Bool("ready", a.Ready), zap.Bool("leaving", a.Leaving))
 }
 
--- a/internal/gate/follow/take.go
+++ b/internal/gate/follow/take.go
@@ -140,7 +140,7 @@
 		f.listed[a.Replica] = lastListing{service: a.Service, incarnation: a.Incarnation, at: now}
 		if !full {
 			f.options.Log.Info("replica added or changed", telemetry.Upstream(string(a.Replica)), zap.String("service", a.Service),
-				zap.String("address", a.Address), zap.Uint64("incarnation", a.Incarnation), zap.Bool("leaving", a.Leaving),
+				zap.String("address", a.Address), zap.Uint64("incarnation", a.Incarnation), zap.String("build", a.Build), zap.Bool("leaving", a.Leaving),
 				zap.String("control", address))
 		}
 	}
--- a/internal/gate/proxy/shard.go
+++ b/internal/gate/proxy/shard.go
@@ -180,7 +180,7 @@
 func (s *shard) logDispatch(o *route.Dispatch) {
 	view := s.routing.Load(o.Target.Replica)
 	s.log().Info("attempt", telemetry.RequestID(o.ID), zap.Uint64("attempt", uint64(o.Attempt)), zap.String("kind", string(o.Kind)),
-		telemetry.Upstream(string(o.Target.Replica)), zap.String("address", o.Target.Address), zap.Bool("resume", o.Resume),
+		telemetry.Upstream(string(o.Target.Replica)), zap.String("address", o.Target.Address), zap.String("build", o.Target.Build), zap.Bool("resume", o.Resume),
 		zap.Int("slots", view.Slots), zap.Int("online", view.Online), zap.Int("batch", view.Batch),
 		zap.Int("others_online", view.OthersOnline), zap.Int("others_batch", view.OthersBatch), zap.Duration("others_age", view.OthersAge),
 		zap.Float64("pace", view.Pace), zap.Int("waiting", view.Waiting), zap.Duration("queued", o.Queued), zap.Int("behind", o.AheadInQueue),
--- a/internal/gate/routed.go
+++ b/internal/gate/routed.go
@@ -22,6 +22,9 @@
 	ReasonNoRouteStale apierr.Reason = "no_route_configuration_stale"
 )
 
+// CountTakenUp counts streams that callers take up after an event that they have received.
+const CountTakenUp = "streams.taken_up"
+
 // RouteSource provides the routes by which the gate serves requests.
 type RouteSource interface {
 	Routes() *routes.Matcher
@@ -125,6 +128,9 @@
 	Team          routes.Team // the sender; empty if the routes require no keys
 	Cost          float64     // tokens of the prompt and the longest output; 0: the request has none
 	Protocol      proxy.Protocol
+	// Resumes is the ID of the request that brought the first event of the stream that the
+	// caller takes up; empty if the caller names none.
+	Resumes string
 }
 
 // usefulUntil returns the time by which the answer must start to meet the route's
@@ -159,6 +165,11 @@
 	}
 	caller = &creditedCaller{Caller: caller, credit: f.credit, request: creditRequest}
 	service := found.Pick(rand.Float64(), f.router.Available)
+	if r.Protocol.LastReceived() > 0 {
+		f.log.Info("caller takes a stream up", telemetry.RequestID(r.ID), zap.String("resumes", r.Resumes),
+			zap.Int("last_event", r.Protocol.LastReceived()), zap.String("route", found.Name), zap.String("service", service))
+		f.metrics.Count(CountTakenUp)
+	}
 	f.log.Info("request routed", telemetry.RequestID(r.ID), telemetry.Team(r.Team.Name), zap.String("route", found.Name), zap.String("service", service),
 		zap.Uint64("routes", found.Matcher.Version()), zap.Duration("routes_age", f.source.Age()), zap.Duration("limit", longest),
 		zap.Duration("patience", r.CallerTimeout), zap.Duration("waited", waited),
--- a/internal/roster/digest.go
+++ b/internal/roster/digest.go
@@ -11,7 +11,7 @@
 // DigestForm identifies which fields the digests cover and how they are hashed. Two
 // processes compare digests only if they use the same form. It must be increased with each
 // change of hashReplica, hashGate, bucketOf or Buckets.
-const DigestForm = 1
+const DigestForm = 2
 
 // Buckets is the number of parts of the roster that control VMs compare with each other:
 // ReplicaBuckets of the replicas by ID, then one of all gates.
@@ -57,6 +57,7 @@
 	h.text(a.Address)
 	h.text(a.Place)
 	h.text(a.VM)
+	h.text(a.Build)
 	h.number(uint64(a.Slots))
 	h.flags(a.Ready, a.Leaving, a.ChecksFencing, a.CanResume, a.CanCancel, a.KVExport)
 	h.number(uint64(len(a.Models)))
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -208,7 +208,7 @@
 	return a.Replica == b.Replica && a.Incarnation == b.Incarnation && a.Service == b.Service && a.Kind == b.Kind &&
 		a.Address == b.Address && a.Place == b.Place && a.VM == b.VM && a.Slots == b.Slots && a.Ready == b.Ready && a.Leaving == b.Leaving &&
 		a.ChecksFencing == b.ChecksFencing && a.CanResume == b.CanResume && a.CanCancel == b.CanCancel && a.KVExport == b.KVExport &&
-		slices.Equal(a.Models, b.Models)
+		a.Build == b.Build && slices.Equal(a.Models, b.Models)
 }
 
 // Leave records that a replica leaves; incarnation 0 means the current one. It returns the
--- a/internal/upstream/announcement.go
+++ b/internal/upstream/announcement.go
@@ -44,6 +44,9 @@
 	Place       string  `json:"place"`
 	VM          string  `json:"vm"`
 	Models      []Model `json:"models,omitempty"` // empty: any model of the service
+	// Build is the version of the replica's software. Builds have no order, and what two of
+	// them write does not fit together in one answer.
+	Build string `json:"build,omitempty"`
 	Load
 	ChecksFencing bool `json:"checks_fencing"` // rejects orders with a stale fencing token
 	CanResume     bool `json:"can_resume"`     // can continue a stream at a given token
--- a/internal/upstream/table.go
+++ b/internal/upstream/table.go
@@ -132,7 +132,7 @@
 	if a.Incarnation != e.Incarnation {
 		return ChangeRestart
 	}
-	same := a.Address == e.Address && a.Place == e.Place && a.VM == e.VM && a.Kind == e.Kind &&
+	same := a.Address == e.Address && a.Place == e.Place && a.VM == e.VM && a.Kind == e.Kind && a.Build == e.Build &&
 		a.CanResume == e.CanResume && a.CanCancel == e.CanCancel &&
 		a.ChecksFencing == e.ChecksFencing && a.KVExport == e.KVExport && slices.Equal(a.Models, e.Models)
 	if same {
