proxy: end a stream that a caller takes up after its last event

What callers saw: a caller with all events of a stream but without its end (its gate was killed in between) got a closed connection from each gate.

Cause: the replica's answer has a head and no events; the gate sent the head with the first event, and then answered an empty reply with status 0, at which net/http panics.

The head is now sent at the stream's end if no event came.

--- a/internal/gate/proxy/flight.go
+++ b/internal/gate/proxy/flight.go
@@ -150,6 +150,13 @@
 	return f.protocol.Streams() && f.head != nil
 }
 
+// streamHead returns the head of a stream; nil if no replica has answered with one.
+func (f *flight) streamHead() *Reply {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.head
+}
+
 // errAttemptStopped means that the attempt was cancelled and its answer must not be used.
 var errAttemptStopped = errors.New("the attempt was cancelled")
 
--- a/internal/gate/proxy/online.go
+++ b/internal/gate/proxy/online.go
@@ -241,6 +241,11 @@
 	case err != nil:
 		d.caller.Refuse(err)
 		return
+	case !d.headWritten && d.flight.protocol.Streams() && d.flight.streamHead() != nil:
+		// The caller took the stream up after its last event: only the end was missing.
+		d.head, d.headWritten = d.flight.streamHead(), true
+		d.caller.Begin(d.head)
+		d.caller.End()
 	case d.headWritten:
 		d.caller.End()
 	default:
