route: an answer goes on only at the build that began it

What callers saw: answers with events of two software versions, after a replica crashed, a stream was handed over, or a batch item was preempted or taken over with its partial answer.

Cause: the next replica was chosen by service, model, load and place. Nothing recorded who wrote the events that the caller holds.

The shard records the build that wrote a request's first event and continues what the caller holds at that build only: it waits while a replica of the build is full or out of reach, and ends the answer at once (stream_build_gone) when none is left. What the gate alone holds (batch items) goes on at its build or starts anew; the partial answers at the keepers name their writer. A replica is asked for its process (/report) before it continues events while the service has several builds, since a restart under the same ID is known only once it is announced.

--- a/internal/gate/batch/item.go
+++ b/internal/gate/batch/item.go
@@ -19,7 +19,7 @@
 func (r *Runner) runItem(ctx context.Context, leased *keeperapi.LeasedItem) {
 	lease, item := &leased.Lease, &leased.Item
 	began := time.Now()
-	result, err := r.run(ctx, leased)
+	service, result, err := r.run(ctx, leased)
 	switch {
 	case stoppedByFence(ctx):
 		err = nil // the result holds the part of the answer received
@@ -28,6 +28,9 @@
 	}
 	reported := job.Result{Job: lease.Job, Item: lease.Item, Attempt: lease.Attempt, CustomID: item.CustomID}
 	setOutcome(&reported, lease, &result, err)
+	if len(reported.Partial) > 0 {
+		reported.PartialWriter = job.Writer(service, result.Build)
+	}
 	r.logEnd(leased, &reported, began)
 	draining := result.Err != nil && result.Err.Reason == route.ReasonDraining
 	if reported.Outcome == job.OutcomeReturned && !draining {
@@ -48,17 +51,19 @@
 		zap.Int("reached", reported.PartialEnd), zap.Duration("after", time.Since(began)), zap.Duration("late", overdue))
 }
 
-func (r *Runner) run(ctx context.Context, leased *keeperapi.LeasedItem) (proxy.BatchResult, error) {
+// run runs the item and returns the service that ran it.
+func (r *Runner) run(ctx context.Context, leased *keeperapi.LeasedItem) (service string, result proxy.BatchResult, err error) {
 	item, err := r.batchItem(leased)
 	if err != nil {
-		return proxy.BatchResult{Outcome: proxy.BatchNotRun, Err: apierr.From(err)}, nil
+		return "", proxy.BatchResult{Outcome: proxy.BatchNotRun, Err: apierr.From(err)}, nil
 	}
 	item.CheckLease = r.checkLease
 	if leased.Lease.CountOnlyAnswered {
 		item.SaveEvery = saveInterval
-		item.Save = func(part proxy.PartialAnswer) { r.savePartial(&leased.Lease, part) }
+		item.Save = func(part proxy.PartialAnswer) { r.savePartial(&leased.Lease, item.Service, part) }
 	}
-	return r.options.Router.RunBatch(ctx, item)
+	result, err = r.options.Router.RunBatch(ctx, item)
+	return item.Service, result, err
 }
 
 // saveInterval is how often the new part of an item's answer is saved at the keepers.
@@ -69,10 +74,11 @@
 
 // savePartial reports a part of an item's answer. If the report is lost, so are the
 // parts after it, and the item resumes from the last part stored.
-func (r *Runner) savePartial(lease *job.Leased, part proxy.PartialAnswer) {
+func (r *Runner) savePartial(lease *job.Leased, service string, part proxy.PartialAnswer) {
 	r.results.add(job.Result{
 		Job: lease.Job, Item: lease.Item, Attempt: lease.Attempt, Outcome: job.OutcomeProgress,
 		PartialFrom: part.From, PartialEnd: part.Reached, Partial: []byte(part.Text),
+		PartialWriter: job.Writer(service, part.Build),
 	})
 }
 
--- a/internal/gate/jobs.go
+++ b/internal/gate/jobs.go
@@ -185,11 +185,13 @@
 		RetryUntilAnswered: lease.CountOnlyAnswered,
 		Policy:             route.ThroughputPolicy(),
 		Protocol:           j.options.Protocol(lease.Team, lease.Owner, item),
-		Reached:            lease.PartialEnd,
-		Text:               string(leased.Partial),
+	}
+	if build, ok := job.CutWriter(lease.PartialWriter, routed.Service); ok {
+		routed.Reached, routed.Text, routed.Build = lease.PartialEnd, string(leased.Partial), build
 	}
 	j.options.Log.Info("item starts", telemetry.RequestID(item.CustomID), zap.String("job", string(lease.Job)),
-		zap.Int("attempt", lease.Attempt), zap.Int("reached", lease.PartialEnd), zap.String("service", routed.Service), zap.Uint64("routes", matcher.Version()))
+		zap.Int("attempt", lease.Attempt), zap.Int("reached", routed.Reached), zap.Int("known", lease.PartialEnd),
+		zap.String("writer", lease.PartialWriter), zap.String("service", routed.Service), zap.Uint64("routes", matcher.Version()))
 	return routed, nil
 }
 
--- a/internal/gate/proxy/attempt.go
+++ b/internal/gate/proxy/attempt.go
@@ -22,13 +22,16 @@
 
 // attempt is one attempt to run a flight's request on one replica.
 type attempt struct {
-	id        route.AttemptID
-	flight    *flight
-	target    upstream.Announcement
-	resume    bool
-	memory    string      // identifies the memory of the run to continue; empty: none
-	info      AttemptInfo // as passed to the Protocol
-	startedAt time.Time
+	id     route.AttemptID
+	flight *flight
+	target upstream.Announcement
+	resume bool
+	// unconfirmed: the replica's process may have been replaced by one of another build.
+	unconfirmed bool
+	mustConfirm bool        // the replica must first confirm that its process is the announced one
+	memory      string      // identifies the memory of the run to continue; empty: none
+	info        AttemptInfo // as passed to the Protocol
+	startedAt   time.Time
 
 	ctx       context.Context
 	cancelCtx context.CancelFunc
@@ -41,7 +44,7 @@
 func newAttempt(f *flight, o route.Dispatch) *attempt {
 	ctx, cancel := context.WithCancel(context.Background())
 	return &attempt{
-		id: o.Attempt, flight: f, target: *o.Target, resume: o.Resume, memory: o.Memory, startedAt: time.Now(),
+		id: o.Attempt, flight: f, target: *o.Target, resume: o.Resume, memory: o.Memory, unconfirmed: o.Unconfirmed, mustConfirm: o.Confirm, startedAt: time.Now(),
 		ctx: ctx, cancelCtx: cancel,
 	}
 }
@@ -85,6 +88,10 @@
 		a.flight.finish(err)
 		return
 	}
+	if cause, err := a.confirmProcess(); err != nil {
+		a.reportFailure(cause, err)
+		return
+	}
 	response, err := a.send()
 	if err != nil {
 		a.reportFailure(a.failureCause(err), err)
--- a/internal/gate/proxy/batch.go
+++ b/internal/gate/proxy/batch.go
@@ -34,19 +34,22 @@
 	// called right before each attempt; nil: no check.
 	CheckLease func() *apierr.Error
 	// Reached is the event or token up to which earlier attempts have produced the
-	// answer, and Text its text.
+	// answer, and Text its text, which replicas of Build have written.
 	Reached int
 	Text    string
+	Build   string
 	// Save is called every SaveEvery with the part of the answer that is new since
 	// the last call, if any; nil: never.
 	Save      func(PartialAnswer)
 	SaveEvery time.Duration
 }
 
-// PartialAnswer is the text of the events after From up to and including Reached.
+// PartialAnswer is the text of the events after From up to and including Reached. Build has
+// written it and what is before it.
 type PartialAnswer struct {
 	From, Reached int
 	Text          string
+	Build         string
 }
 
 // BatchOutcome is how the run of an item ended.
@@ -65,6 +68,7 @@
 	Status  int    // the upstream's HTTP status, when done
 	Body    []byte // the upstream's answer when done, else the part received
 	Reached int    // last event or token in Body, when not done
+	Build   string // that wrote Body, when not done
 	Err     *apierr.Error
 }
 
@@ -100,6 +104,7 @@
 	if item.Reached > flight.tokens {
 		flight.tokens = item.Reached
 		flight.text.WriteString(item.Text)
+		flight.build = item.Build
 	}
 	r.options.Metrics.Count(CountBatchStarted)
 	s.add(flight)
@@ -146,6 +151,10 @@
 
 func (s *partialSaver) save() {
 	reached, text := s.flight.resumePoint()
+	build, confirmed := s.flight.writer()
+	if !confirmed {
+		return
+	}
 	if s.flight.hasRestarted() {
 		// The text does not continue the parts already saved; joined, they would mix
 		// the answers of two runs.
@@ -155,7 +164,7 @@
 	if reached <= s.reached || len(text) <= s.length {
 		return
 	}
-	s.saveFunc(PartialAnswer{From: s.reached, Reached: reached, Text: text[s.length:]})
+	s.saveFunc(PartialAnswer{From: s.reached, Reached: reached, Text: text[s.length:], Build: build})
 	s.reached, s.length = reached, len(text)
 }
 
@@ -177,6 +186,7 @@
 		Fingerprint:        upstream.FingerprintOf(item.Service, item.Body),
 		Repeatable:         item.Repeatable,
 		Reached:            item.Reached,
+		Build:              item.Build,
 		RetryUntilAnswered: item.RetryUntilAnswered,
 		Policy:             item.Policy,
 	}
@@ -212,9 +222,9 @@
 	if mayReturn(&f.request, err) {
 		result.Outcome = BatchNotRun
 	}
-	if f.protocol.Resumable() {
+	if build, confirmed := f.writer(); confirmed && f.protocol.Resumable() {
 		reached, text := f.resumePoint()
-		result.Reached, result.Body = reached, []byte(text)
+		result.Reached, result.Body, result.Build = reached, []byte(text), build
 	}
 	return result
 }
--- a/internal/gate/proxy/flight.go
+++ b/internal/gate/proxy/flight.go
@@ -37,6 +37,8 @@
 	resumed     chan struct{} // closed when a paused attempt may go on; nil: none is paused
 	text        strings.Builder
 	tokens      int    // number of the last event or token in text
+	build       string // that wrote text
+	unconfirmed bool   // a process of another build may have written text
 	head        *Reply // of a stream, from the first answer used
 	reply       *Reply // whole answer of a request that is not streamed
 	err         *apierr.Error
@@ -120,6 +122,13 @@
 	return f.tokens, f.text.String()
 }
 
+// writer returns the build that wrote the text, and whether that is certain.
+func (f *flight) writer() (build string, confirmed bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.build, !f.unconfirmed
+}
+
 // restart discards the output of earlier attempts before an attempt that starts
 // over. It is only called while nothing has been delivered.
 func (f *flight) restart() {
@@ -127,6 +136,7 @@
 	defer f.mu.Unlock()
 	f.tokens = f.protocol.LastReceived()
 	f.restarted = true
+	f.build, f.unconfirmed = "", false
 	f.text.Reset()
 	f.meta = answerMeta{}
 }
@@ -180,6 +190,9 @@
 	if !f.reserveLocked(len(e.Raw) + len(e.Text)) {
 		return errNoRoom
 	}
+	if f.tokens == f.protocol.LastReceived() {
+		f.build, f.unconfirmed = a.target.Build, a.unconfirmed
+	}
 	now := time.Now()
 	if !f.lastEventAt.IsZero() {
 		f.maxGap = max(f.maxGap, now.Sub(f.lastEventAt))
--- a/internal/job/complete.go
+++ b/internal/job/complete.go
@@ -121,11 +121,11 @@
 }
 
 // keepPartial stores a partial answer if it extends the known one. It ignores a
-// piece that does not directly follow the known part: the piece in between was
-// lost or is delayed. The records count as used until the job is deleted.
+// piece that does not directly follow the known part or has another writer: the piece in
+// between was lost or is delayed. The records count as used until the job is deleted.
 func (t *Table) keepPartial(job *entry, result *Result) {
 	known := job.partials[result.Item]
-	follows := result.PartialFrom == 0 || result.PartialFrom == known.End
+	follows := result.PartialFrom == 0 || (result.PartialFrom == known.End && result.PartialWriter == known.Writer)
 	if len(result.Partial) == 0 || result.PartialEnd <= known.End || !follows {
 		return
 	}
@@ -134,7 +134,7 @@
 	if job.partials == nil {
 		job.partials = make(map[uint32]partial)
 	}
-	next := partial{End: result.PartialEnd, Ref: ref}
+	next := partial{End: result.PartialEnd, Ref: ref, Writer: result.PartialWriter}
 	if result.PartialFrom > 0 {
 		next.Ref = known.Ref
 		next.More = append(slices.Clone(known.More), ref)
--- a/internal/job/lease.go
+++ b/internal/job/lease.go
@@ -44,6 +44,8 @@
 	// PartialEnd and Partial describe the partial answer of earlier attempts.
 	PartialEnd int   `cbor:"13,keyasint,omitempty"` // its last event or token
 	Partial    []Ref `cbor:"16,keyasint,omitempty"` // its pieces in order
+	// PartialWriter identifies the service and the build that wrote it.
+	PartialWriter string `cbor:"19,keyasint,omitempty"`
 	// ExpectedRunTime is the mean time from the lease of the queue's items to their
 	// end; 0 means unknown.
 	ExpectedRunTime time.Duration `cbor:"15,keyasint,omitempty"`
@@ -232,6 +234,7 @@
 		CountOnlyAnswered: j.spec.CountOnlyAnswered,
 		PartialEnd:        j.partials[item].End,
 		Partial:           pieces,
+		PartialWriter:     j.partials[item].Writer,
 		ExpectedRunTime:   expected,
 		Owner:             j.spec.Owner,
 		LeasedAt:          now,
--- a/internal/job/table.go
+++ b/internal/job/table.go
@@ -83,6 +83,8 @@
 	End  int   `cbor:"1,keyasint"`           // last event or token of the partial answer
 	Ref  Ref   `cbor:"2,keyasint"`           // first piece
 	More []Ref `cbor:"3,keyasint,omitempty"` // further pieces, in order
+	// Writer is the Result.PartialWriter of the pieces.
+	Writer string `cbor:"4,keyasint,omitempty"`
 }
 
 // pieces returns the references of all pieces in order.
--- a/internal/job/types.go
+++ b/internal/job/types.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"crypto/sha256"
 	"encoding/hex"
+	"strings"
 	"time"
 
 	"slateway.example/slateway/internal/apierr"
@@ -166,6 +167,18 @@
 	Partial     []byte `cbor:"10,keyasint,omitempty"`
 	PartialEnd  int    `cbor:"11,keyasint,omitempty"`
 	PartialFrom int    `cbor:"12,keyasint,omitempty"`
+	// PartialWriter identifies the service and the build that wrote the whole partial answer.
+	// Only the same ones may continue it.
+	PartialWriter string `cbor:"13,keyasint,omitempty"`
+}
+
+// Writer identifies a build of a service as the writer of a partial answer.
+func Writer(service, build string) string { return service + "@" + build }
+
+// CutWriter returns the build in a Writer of the service. It returns false if another service,
+// or an unknown one, wrote the answer.
+func CutWriter(writer, service string) (build string, ok bool) {
+	return strings.CutPrefix(writer, service+"@")
 }
 
 // Ref locates a record in a Storage. The zero Ref means no record.
--- a/internal/route/admission.go
+++ b/internal/route/admission.go
@@ -28,6 +28,9 @@
 		return
 	}
 	req := &request{Request: in.Request, arrived: s.now, nextKind: First, tokens: in.Request.Reached}
+	if in.Request.Continues || in.Request.Reached > 0 {
+		req.origin = origin{known: true, build: in.Request.Build}
+	}
 	if err := s.admit(req); err != nil {
 		s.count(err.Reason)
 		s.emit(Refuse{ID: req.ID, Err: err})
@@ -63,6 +66,9 @@
 	if req.Class == Batch {
 		return s.admitBatch(req)
 	}
+	if err := s.buildError(req); err != nil {
+		return err
+	}
 	ready := s.readinessFor(req)
 	if ready == unknownModel {
 		return apierr.New(apierr.Unavailable, ReasonNoUpstream,
@@ -221,8 +227,8 @@
 	case r != nil:
 		s.dispatch(req, r, req.nextKind)
 		return started
-	case s.isSuspect(req):
-		return held
+	case s.isSuspect(req), req.holdsEvents() && len(s.builds) > 1:
+		return held // other requests may find room at replicas that this one may not use
 	default:
 		return noRoom
 	}
--- a/internal/route/attempt.go
+++ b/internal/route/attempt.go
@@ -15,7 +15,10 @@
 // kept memory from which the replica resumes the run.
 func (s *Shard) dispatchFrom(req *request, r *replica, kind DispatchKind, memory string) {
 	s.nextAttempt++
-	a := &attempt{id: s.nextAttempt, req: req, replica: r, started: s.now, lastProgress: s.now}
+	a := &attempt{
+		id: s.nextAttempt, req: req, replica: r, build: r.entry.Build, doubted: s.now.Before(r.unconfirmedUntil),
+		started: s.now, lastProgress: s.now,
+	}
 	a.queued = !s.hasSlot(r)
 	s.attempts[a.id] = a
 	s.addOverdue(req, 1)
@@ -25,9 +28,13 @@
 	r.attempts = append(r.attempts, a)
 	s.markActive(r)
 	s.addLoad(r, req.Class, 1)
+	if !req.holdsEvents() && !s.continuesAt(req, r) {
+		req.discardEvents()
+	}
 	resume := req.tokens > 0 && r.entry.CanResume && (req.Resumable || memory != "")
 	s.emit(Dispatch{
 		ID: req.ID, Attempt: a.id, Kind: kind, Target: &r.entry.Announcement, Resume: resume, Memory: memory,
+		Unconfirmed: a.doubted, Confirm: memory == "" && s.mustConfirm(req, r),
 		Queued: s.queueWait(req), AheadInQueue: req.aheadInQueue, ReservationTries: req.reservationTries,
 		Share: s.dispatchShare(req),
 	})
@@ -141,6 +148,7 @@
 	if in.Tokens > 0 && a.tokens == 0 {
 		s.firstTokenTime.observe(s.now.Sub(a.started))
 		a.firstAt, a.firstToken = s.now, in.Tokens
+		s.recordOrigin(a, in.Delivered)
 		s.cancelOthers(a)
 	}
 	a.tokens = max(a.tokens, in.Tokens)
--- a/internal/route/batch.go
+++ b/internal/route/batch.go
@@ -152,11 +152,12 @@
 }
 
 // pickBatch chooses the owned replica with the most free slots, or with the fewest if
-// the policy packs. Slow replicas are chosen after all others.
+// the policy packs. Slow replicas are chosen after all others, and replicas that cannot
+// continue what the item has reached after those that can.
 func (s *Shard) pickBatch(req *request) *replica {
 	s.rebuild()
 	var best *replica
-	bestFree, bestSlow := 0, false
+	bestFree, bestSlow, bestContinues := 0, false, false
 	for _, r := range s.owned {
 		free := s.freeBatchSlots(r, req.Policy) - s.reservedSlots(req, r)
 		if free <= 0 || !s.mayServe(req, r) || (s.isSuspect(req) && s.hasTrial(r)) {
@@ -167,8 +168,14 @@
 		if req.Policy.Pack {
 			better = free < bestFree
 		}
-		if best == nil || bestSlow && !slow || bestSlow == slow && better {
-			best, bestFree, bestSlow = r, free, slow
+		continues := s.continuesAt(req, r) // elsewhere the item would start anew
+		if best != nil && continues != bestContinues {
+			better = continues
+		} else {
+			better = best == nil || bestSlow && !slow || bestSlow == slow && better
+		}
+		if better {
+			best, bestFree, bestSlow, bestContinues = r, free, slow, continues
 		}
 	}
 	return best
--- a/internal/route/failure.go
+++ b/internal/route/failure.go
@@ -119,6 +119,9 @@
 			"send the request again if repeating it is harmless",
 			"the stream broke (%s) after part of it was delivered", cause).WithRan(apierr.RanUnknown)
 	}
+	if err := s.buildError(req); err != nil {
+		return err
+	}
 	if !s.now.Before(req.Deadline) {
 		return deadlineError(req)
 	}
--- a/internal/route/handover.go
+++ b/internal/route/handover.go
@@ -39,7 +39,7 @@
 			if r.entry.Place != a.replica.entry.Place {
 				free -= s.slots(r) // prefer any replica of the same place
 			}
-			mayTake := r != a.replica && s.mayServe(a.req, r) && !slices.Contains(a.handoverOffers, r)
+			mayTake := r != a.replica && s.mayServe(a.req, r) && s.continuesAt(a.req, r) && !slices.Contains(a.handoverOffers, r)
 			if mayTake && (best == nil || free > bestFree) {
 				best, bestFree = r, free
 			}
@@ -71,7 +71,7 @@
 // resumeRun continues a stopped run.
 func (s *Shard) resumeRun(a *attempt, to *replica, in HandedOver) {
 	req, target := a.req, a.replica
-	if in.Copied && s.acceptsWork(to) {
+	if in.Copied && s.acceptsWork(to) && s.continuesAt(req, to) {
 		target = to
 	}
 	s.cancel(a, CancelStalled)
--- a/internal/route/hedge.go
+++ b/internal/route/hedge.go
@@ -38,7 +38,7 @@
 	req.avoid = append(req.avoid, slow.entry.Replica)
 	r := s.pick(req)
 	req.avoid = req.avoid[:len(req.avoid)-1]
-	if r == nil || !s.budget.spend(hedgeReserve*s.config.RetryReserve*startShare) {
+	if r == nil || !s.continuesAt(req, r) || !s.budget.spend(hedgeReserve*s.config.RetryReserve*startShare) {
 		return
 	}
 	s.count(ReasonHedged)
--- a/internal/route/messages.go
+++ b/internal/route/messages.go
@@ -51,6 +51,11 @@
 	// Reached is the number of the event or token that earlier attempts, at other
 	// gates, have reached.
 	Reached int `json:"reached,omitempty"`
+	// Continues marks a stream whose caller holds events of an earlier request already.
+	Continues bool `json:"continues,omitempty"`
+	// Build wrote the events that the caller or earlier attempts, at other gates, hold. Only
+	// replicas of the same build continue them.
+	Build string `json:"build,omitempty"`
 	// RetryUntilAnswered marks a request that this gate alone holds until it has a
 	// result. Crashes of the replicas that ran it delay it, but never refuse it.
 	RetryUntilAnswered bool `json:"patient,omitempty"`
@@ -261,6 +266,12 @@
 		// of owners that were asked for a slot.
 		Queued                         time.Duration
 		AheadInQueue, ReservationTries int
+		// Unconfirmed reports that the replica's process may have been replaced by one of
+		// another build since Target was announced.
+		Unconfirmed bool
+		// Confirm reports that the replica must first be asked whether its process is still
+		// the announced one.
+		Confirm bool
 		// Memory is the name of the kept memory that the engine resumes from; empty:
 		// run the request as received.
 		Memory string
--- a/internal/route/pick.go
+++ b/internal/route/pick.go
@@ -139,14 +139,20 @@
 	model, version     string
 	overdue, delivered bool
 	reservationTries   int
+	holdsEvents        bool
+	build              string // that may continue the events
+	mayBeTakenUp       bool
 }
 
 // needOf returns the need of a request, and false if its choice depends on more.
 func (s *Shard) needOf(req *request) (need, bool) {
-	if len(req.avoid) > 0 || s.isSuspect(req) {
+	if len(req.avoid) > 0 || s.isSuspect(req) || req.origin.known && !req.origin.isConfirmed(s.now) {
 		return need{}, false
 	}
-	return need{req.Kind, req.Model, req.Version, req.overdue, req.delivered, req.reservationTries}, true
+	return need{
+		req.Kind, req.Model, req.Version, req.overdue, req.delivered, req.reservationTries,
+		req.holdsEvents(), req.origin.build, req.mayBeTakenUp(),
+	}, true
 }
 
 // fits reports whether the replica may run the request now.
@@ -187,7 +193,7 @@
 	if req.delivered && !r.entry.CanResume {
 		return false
 	}
-	return !slices.Contains(req.avoid, r.entry.Replica)
+	return s.mayWrite(req, r) && !slices.Contains(req.avoid, r.entry.Replica)
 }
 
 // affinityReplica returns the replica preferred by the request's prefix, so that
--- a/internal/route/probe.go
+++ b/internal/route/probe.go
@@ -9,6 +9,7 @@
 // requests would be sent to a dead or frozen process and wait there until they time
 // out.
 func (s *Shard) suspectReplica(r *replica, evidence Evidence) {
+	s.doubtBuild(r)
 	if s.config.Disabled.Probe || r.health == suspect {
 		return
 	}
--- a/internal/route/reasons.go
+++ b/internal/route/reasons.go
@@ -21,6 +21,7 @@
 	ReasonAttemptsSpent   apierr.Reason = "attempts_spent"         // every attempt failed
 	ReasonRetryBudget     apierr.Reason = "retry_budget_spent"     // too many recent retries
 	ReasonCannotResume    apierr.Reason = "stream_cannot_resume"   // part was delivered, and no replica can resume the stream
+	ReasonBuildGone       apierr.Reason = "stream_build_gone"      // no replica of the build that began the stream is left
 	ReasonDraining        apierr.Reason = "draining"               // the gate is shutting down
 	ReasonNotOwner        apierr.Reason = "not_fed_here"           // another gate owns the replicas that could run the item
 	ReasonFreeElsewhere   apierr.Reason = "free_elsewhere"         // another gate has free slots for the item
@@ -62,6 +63,7 @@
 	ReasonAttemptsSpent,
 	ReasonRetryBudget,
 	ReasonCannotResume,
+	ReasonBuildGone,
 	ReasonDraining,
 	ReasonNotOwner,
 	ReasonFreeElsewhere,
--- a/internal/route/replica.go
+++ b/internal/route/replica.go
@@ -37,8 +37,11 @@
 	listed      listedIn  // lists that contained it at the last rebuild
 	stale       bool      // it is in the shard's list of stale replicas
 	expired     bool      // no longer announced; kept until its attempts have ended
-	failures    int       // consecutive failed attempts on the process
-	fullUntil   time.Time // it declined a request; until then it receives no other
+	// unconfirmedUntil is when a restart of the process, which the gate may not know yet, would
+	// have been announced.
+	unconfirmedUntil time.Time
+	failures         int       // consecutive failed attempts on the process
+	fullUntil        time.Time // it declined a request; until then it receives no other
 
 	attempts []*attempt // live, in order of their start
 	batch    int        // live batch attempts
@@ -227,8 +230,12 @@
 		}
 		return
 	case upstream.ChangeJoin:
+		s.noteBuild(s.table.Get(id).Build)
 		s.join(id)
+	case upstream.ChangeIdentity:
+		s.noteBuild(s.table.Get(id).Build)
 	case upstream.ChangeRestart:
+		s.noteBuild(s.table.Get(id).Build)
 		s.updateReadySlots(s.replica(id))
 		s.handleRestart(s.replica(id))
 	}
@@ -274,8 +281,11 @@
 // handleRestart handles a new incarnation: the requests on the old process are lost,
 // and the new process starts slowly.
 func (s *Shard) handleRestart(r *replica) {
+	recent := s.takeRecentAttempts(r)
 	s.handleDeath(r, EvidenceAnnounced)
+	r.attempts = append(r.attempts, recent...)
 	r.incarnation = r.entry.Incarnation
+	r.unconfirmedUntil = time.Time{}
 	r.failures = 0
 	s.forgetPace(r)
 	s.recover(r, true, EvidenceAnnounced)
--- a/internal/route/shard.go
+++ b/internal/route/shard.go
@@ -44,18 +44,21 @@
 	slowStarting []*replica
 	stale        []*replica // those to be added to or removed from local, remote and owned; in any order
 
-	requests       map[string]*request
-	attempts       map[AttemptID]*attempt
-	copies         map[upstream.Fingerprint]*copyState
-	teams          map[string]*teamState
-	onlineQueue    waitQueue // online requests without an attempt
-	batchQueue     waitQueue // batch items without an attempt
-	othersReported reportedLoad
-	backlog        backlogState
-	tellsPace      bool // some replica of the service has told its pace
-	heard          heardReplicas
-	lastBatchItem  *request      // the batch item that was dispatched last
-	reservations   []reservation // online requests that wait for an owner's acknowledgement, in order of their start
+	requests        map[string]*request
+	attempts        map[AttemptID]*attempt
+	copies          map[upstream.Fingerprint]*copyState
+	teams           map[string]*teamState
+	onlineQueue     waitQueue // online requests without an attempt
+	batchQueue      waitQueue // batch items without an attempt
+	othersReported  reportedLoad
+	backlog         backlogState
+	builds          map[string]*knownBuild // builds of the service
+	newBuildUntil   time.Time              // no build is new any more
+	buildsCheckedAt time.Time
+	tellsPace       bool // some replica of the service has told its pace
+	heard           heardReplicas
+	lastBatchItem   *request      // the batch item that was dispatched last
+	reservations    []reservation // online requests that wait for an owner's acknowledgement, in order of their start
 
 	budget         retryBudget
 	answerTime     delayMeter // of whole online answers
@@ -107,6 +110,7 @@
 	shareTeam        *share.Team   // its team among the waiting online requests
 	teamQueue        *teamQueue    // where it waits; nil: it does not wait as an online request
 	shareCharged     bool          // its team has been charged for its start
+	origin           origin        // the build that wrote its events
 	unassignedSince  time.Time     // since when this gate owns no replica for this waiting batch item
 }
 
@@ -121,6 +125,8 @@
 	id             AttemptID
 	req            *request
 	replica        *replica
+	build          string // of the process to which it was sent, as known then
+	doubted        bool   // that process may have been replaced
 	started        time.Time
 	lastProgress   time.Time // when anything last arrived
 	firstAt        time.Time // when the first token arrived
@@ -149,6 +155,7 @@
 		attempts:    make(map[AttemptID]*attempt),
 		copies:      make(map[upstream.Fingerprint]*copyState),
 		teams:       make(map[string]*teamState),
+		builds:      make(map[string]*knownBuild),
 		byPlace:     make(map[string][]*replica),
 		budget:      newRetryBudget(config.RetryShare, config.RetryReserve),
 		onlineQueue: waitQueue{fair: &fairOrder{scheduler: share.NewScheduler()}},
--- a/internal/route/stall.go
+++ b/internal/route/stall.go
@@ -54,6 +54,7 @@
 	mayResume := req.Class == Online && req.delivered && (req.Resumable || req.Movable) && a.replica.entry.CanResume &&
 		a.tokens > 0 && len(req.liveAttempts) == 1 && req.stalls < maxStallResumes
 	return mayResume && s.idleFor(a) >= after &&
+		s.continuesAt(req, a.replica) &&
 		s.crashes.Status(s.now, req.Fingerprint) == upstream.StatusClear && s.othersProgress(a, after)
 }
 
--- a/internal/route/tick.go
+++ b/internal/route/tick.go
@@ -23,6 +23,8 @@
 	s.countBacklog()
 	s.checkAwaitedProbes()
 	s.checkReservations()
+	s.expireBuilds()
+	s.refuseBuildsGone()
 	s.checkWaiting()
 	s.refuseLongWaits()
 	s.returnUnassigned()
