Streams that callers take up go on at the build that began them

Cause: the gate that began the stream was the only one that could know its version, and the next one asked nobody. The class of fault: a decision that continues something uses only what this process knows of the present, not who began it.

A gate now records the build of each stream at its first event. While a service may have several builds it also sends the record to three gates, chosen by the request's ID, each in another place; the gate that a caller comes to asks there (internal/origin decides, internal/gate/takeup calls). No record is needed while the service has had one build for as long as a stream and its caller's tries last. Not known means refused at once, as not run, with stream_origin_unknown.

--- a/internal/control/controlapi/api.go
+++ b/internal/control/controlapi/api.go
@@ -7,6 +7,7 @@
 
 	"slateway.example/slateway/internal/apierr"
 	"slateway.example/slateway/internal/codec"
+	"slateway.example/slateway/internal/origin"
 	"slateway.example/slateway/internal/quorum"
 	"slateway.example/slateway/internal/roster"
 	"slateway.example/slateway/internal/routes"
@@ -65,6 +66,9 @@
 	// Digests are the digests of the gate's buckets. A gate that comes from another control
 	// VM sends them with Digest and accepts a response with Buckets.
 	Digests []uint64 `cbor:"12,keyasint,omitempty"`
+	// BuildsHash is the BuildsHash of the last response; nil if the gate is of a build that
+	// does not read Builds.
+	BuildsHash *uint64 `cbor:"13,keyasint,omitempty"`
 }
 
 // FollowResponse carries the changes since the gate's last response.
@@ -98,6 +102,13 @@
 	// Buckets are the buckets whose digests differ from those in the request. Changes then
 	// lists all that these buckets contain, and the other buckets are equal.
 	Buckets []int `cbor:"14,keyasint,omitempty"`
+	// Builds lists the builds of all services that the control VM remembers, if their hash
+	// differs from that in the request. It has missed none for BuildsReach.
+	Builds      []origin.Past `cbor:"15,keyasint,omitempty"`
+	BuildsReach time.Duration `cbor:"16,keyasint,omitempty"`
+	BuildsHash  uint64        `cbor:"17,keyasint,omitempty"`
+	// NoContact reports that the control VM was not in contact with the leader.
+	NoContact bool `cbor:"18,keyasint,omitempty"`
 }
 
 // Version returns the roster version that a follower has after it has applied the response.
@@ -156,4 +167,7 @@
 	DigestForm int `cbor:"3,keyasint,omitempty"`
 	// Differing lists the buckets whose digests differ, in response to Digests.
 	Differing []int `cbor:"4,keyasint,omitempty"`
+	// Builds and BuildsReach are as in FollowResponse.
+	Builds      []origin.Past `cbor:"5,keyasint,omitempty"`
+	BuildsReach time.Duration `cbor:"6,keyasint,omitempty"`
 }
--- a/internal/control/follow.go
+++ b/internal/control/follow.go
@@ -25,6 +25,7 @@
 	since, verified := s.compare(request)
 	if request.Routes == 0 && s.hasJustStarted() && !s.InContact() {
 		if response, changed, _ := s.buildResponse(request, since); changed && response.HasRoutes() {
+			response.NoContact = true
 			s.options.Log.Info("no leader yet after a restart: sending the routes on disk to a gate without routes", zap.String("gate", request.Gate.VM),
 				zap.Uint64("version", s.options.Config.Routes().Version()))
 			return response, nil
@@ -219,6 +220,7 @@
 		response.MissingGates = s.missingGates(response.ExpectedGates)
 	}
 	s.mu.Unlock()
+	s.addBuilds(response, request)
 	if version == since && since > 0 {
 		response.Changes.Version = version
 		return response, response.HasRoutes(), rosterChanged
@@ -250,6 +252,7 @@
 		Epoch: s.epoch, AcceptsDigest: roster.DigestForm, ExpectedGates: expected, Buckets: differing, Verified: len(differing) == 0,
 	}
 	s.addPeers(response, request.PeersHash)
+	s.addBuilds(response, request)
 	if matcher := s.options.Config.Routes(); matcher.Version() > request.Routes {
 		s.addRoutes(response, matcher.Document(), request.AcceptsPacked)
 	}
@@ -313,6 +316,20 @@
 	response.Packed = data
 }
 
+// addBuilds adds the builds that this VM remembers, unless the gate has them already.
+func (s *Service) addBuilds(response *controlapi.FollowResponse, request *controlapi.FollowRequest) {
+	if request.BuildsHash == nil {
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := time.Now()
+	response.BuildsHash = s.table.BuildsHash(now)
+	if response.BuildsHash != *request.BuildsHash {
+		response.Builds, response.BuildsReach = s.table.Builds(now)
+	}
+}
+
 // addPeers adds the lists of control VMs and keepers unless the gate has them already.
 // Sent to each gate twice a second, they would be most of the bytes of the responses.
 func (s *Service) addPeers(response *controlapi.FollowResponse, knownHash uint64) {
--- a/internal/control/journal.go
+++ b/internal/control/journal.go
@@ -16,6 +16,7 @@
 	"go.uber.org/zap"
 
 	"slateway.example/slateway/internal/codec"
+	"slateway.example/slateway/internal/origin"
 	"slateway.example/slateway/internal/roster"
 	"slateway.example/slateway/internal/upstream"
 	"slateway.example/slateway/internal/wal"
@@ -67,6 +68,7 @@
 type journalContent struct {
 	Replicas []roster.ReplicaReport `cbor:"1,keyasint"`
 	Gates    []roster.Gate          `cbor:"2,keyasint,omitempty"`
+	Builds   []origin.Past          `cbor:"3,keyasint,omitempty"`
 }
 
 // journalChanges is the content of a frame.
@@ -75,6 +77,7 @@
 	Gates     []roster.Gate          `cbor:"2,keyasint,omitempty"`
 	Gone      []roster.Gone          `cbor:"3,keyasint,omitempty"`
 	GatesGone []string               `cbor:"4,keyasint,omitempty"`
+	Builds    []origin.Past          `cbor:"5,keyasint,omitempty"` // all that are remembered
 }
 
 // A frame consists of the payload's length, a CRC-32C over the length and the payload, and
@@ -156,6 +159,7 @@
 		for _, report := range changes.Replicas {
 			replicas[report.Replica.Replica] = report
 		}
+		content.Builds = append(content.Builds, changes.Builds...)
 		for _, vm := range changes.GatesGone {
 			delete(gates, vm)
 		}
--- a/internal/control/packed_test.go
+++ b/internal/control/packed_test.go
@@ -33,7 +33,7 @@
 }
 
 func newJoiningRoster(perRead int) *joiningRoster {
-	return &joiningRoster{table: roster.New(roster.Config{ReplicaLifetime: time.Minute, GateLifetime: time.Minute}), perRead: perRead}
+	return &joiningRoster{table: roster.New(roster.Config{ReplicaLifetime: time.Minute, GateLifetime: time.Minute}, time.Now()), perRead: perRead}
 }
 
 // While thousands of replicas join, a gate that starts must not wait until the full roster has
--- a/internal/control/service.go
+++ b/internal/control/service.go
@@ -22,6 +22,7 @@
 	"slateway.example/slateway/internal/keeper/keeperapi"
 	"slateway.example/slateway/internal/keeper/keeperclient"
 	"slateway.example/slateway/internal/member"
+	"slateway.example/slateway/internal/origin"
 	"slateway.example/slateway/internal/quorum"
 	"slateway.example/slateway/internal/replica"
 	"slateway.example/slateway/internal/roster"
@@ -126,7 +127,7 @@
 		options:   options,
 		started:   time.Now(),
 		epoch:     uuid.NewString(),
-		table:     roster.New(options.Roster),
+		table:     roster.New(options.Roster, time.Now()),
 		directory: directory.New(uint64(time.Now().UnixMilli()), random),
 		changed:   make(chan struct{}),
 		contacts:  make(map[string]time.Time),
@@ -144,10 +145,26 @@
 	s.journal.changes, s.journal.count = s.journalChanges, options.Metrics.Count
 	content := s.journal.load()
 	s.merge(content.Replicas, nil)
+	s.restoreBuilds(content.Builds)
 	s.previousGates = content.Gates
 	return s
 }
 
+// restoreBuilds remembers the builds in the journal. They count as announced until now, since
+// the time for which this VM was down is not known. Without a journal the VM knows nothing of
+// the time before its start.
+func (s *Service) restoreBuilds(builds []origin.Past) {
+	if len(builds) == 0 {
+		return
+	}
+	for i := range builds {
+		builds[i].Age = 0
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.table.RememberBuilds(s.started, builds, origin.Memory)
+}
+
 // SetSeeds replaces the peers addresses of control VMs that come from the settings.
 func (s *Service) SetSeeds(seeds []string) {
 	s.mu.Lock()
@@ -258,7 +275,8 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.keepsPrevious = s.awaitsPreviousGates()
-	return s.table.Version(), journalContent{Replicas: s.table.AllReplicaReports(time.Now()), Gates: s.gatesToPersist()}
+	builds, _ := s.table.Builds(time.Now())
+	return s.table.Version(), journalContent{Builds: builds, Replicas: s.table.AllReplicaReports(time.Now()), Gates: s.gatesToPersist()}
 }
 
 // journalChanges returns the changes after a version for the journal.
@@ -274,6 +292,7 @@
 		ids[i] = found.Replicas[i].Replica
 	}
 	changes = journalChanges{Replicas: s.table.ReplicaReports(time.Now(), ids), Gates: found.Gates, Gone: found.Gone}
+	changes.Builds, _ = s.table.Builds(time.Now())
 	if !s.keepsPrevious {
 		changes.GatesGone = found.GatesGone
 	}
@@ -351,6 +370,9 @@
 		s.recordRefusal("routes refused", refusal, document.Version)
 		return nil, refusal
 	}
+	s.mu.Lock()
+	s.noteNoTraffic(s.InContact())
+	s.mu.Unlock()
 	began := time.Now()
 	outcome, err := s.options.Keepers.ReplaceRoutes(ctx, document)
 	if err != nil {
--- a/internal/control/share.go
+++ b/internal/control/share.go
@@ -10,6 +10,7 @@
 
 	"slateway.example/slateway/internal/control/controlapi"
 	"slateway.example/slateway/internal/keeper/keeperapi"
+	"slateway.example/slateway/internal/origin"
 	"slateway.example/slateway/internal/roster"
 	"slateway.example/slateway/internal/rpc"
 	"slateway.example/slateway/internal/upstream"
@@ -70,9 +71,10 @@
 }
 
 func (s *Service) tick() {
-	s.InContact() // logs a change of contact even if there are no requests
+	inContact := s.InContact() // logs a change of contact even if there are no requests
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.noteNoTraffic(inContact)
 	before := s.table.Version()
 	now := time.Now()
 	s.table.Tick(now)
@@ -82,6 +84,14 @@
 	}
 }
 
+// noteNoTraffic completes the log of builds while there are no routes: no stream can have
+// begun before. The caller holds the mutex.
+func (s *Service) noteNoTraffic(inContact bool) {
+	if inContact && s.options.Config.Routes().Version() == 0 {
+		s.table.RememberBuilds(time.Now(), nil, origin.Memory)
+	}
+}
+
 // shareReports sends the other control VMs the reports that replicas and gates have sent
 // to this one since the last call.
 func (s *Service) shareReports(ctx context.Context) {
@@ -153,6 +163,9 @@
 		return
 	}
 	s.merge(answer.Replicas, answer.Gates)
+	s.mu.Lock()
+	s.table.RememberBuilds(time.Now(), answer.Builds, answer.BuildsReach)
+	s.mu.Unlock()
 	if len(answer.Differing) == 0 {
 		return
 	}
@@ -279,6 +292,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := time.Now()
+	response.Builds, response.BuildsReach = s.table.Builds(now)
 	if request.Full {
 		response.Replicas = s.table.AllReplicaReports(now)
 		response.Gates = s.table.AllGateReports(now)
--- a/internal/daemon/site.go
+++ b/internal/daemon/site.go
@@ -204,6 +204,7 @@
 	}
 	if s.gate != nil {
 		s.gate.exchange.Mount(peers)
+		s.gate.takeups.Mount(peers)
 		s.gate.follower.Mount(peers)
 		metrics.HandleFunc("GET "+credit.PathCaps, s.gate.credit.ServeCaps)
 		metrics.HandleFunc("GET "+proxy.PathPaces, s.gate.router.ServePaces)
--- a/internal/daemon/sitegate.go
+++ b/internal/daemon/sitegate.go
@@ -20,6 +20,7 @@
 	"slateway.example/slateway/internal/gate/exchange"
 	"slateway.example/slateway/internal/gate/follow"
 	"slateway.example/slateway/internal/gate/proxy"
+	"slateway.example/slateway/internal/gate/takeup"
 	"slateway.example/slateway/internal/job"
 	"slateway.example/slateway/internal/keeper/keeperclient"
 	"slateway.example/slateway/internal/limit"
@@ -41,6 +42,7 @@
 	entries  *gate.Entries
 	runner   *batch.Runner
 	credit   *credit.Service
+	takeups  *takeup.Service
 	draining *drain
 	isReady  atomic.Bool
 
@@ -98,6 +100,9 @@
 		VM: s.VM.Name, Place: s.VM.Place, Region: s.VM.Region,
 		Fleet: g.follower.Fleet(), ExpectedGates: g.follower.ExpectedGates, Client: site.calls, Log: site.log.Logger, DirectLifetime: s.Upstream.ExpireAfter,
 	})
+	g.takeups = takeup.New(takeup.Options{
+		VM: s.VM.Name, Fleet: g.follower.Fleet(), Calls: site.calls, Routes: g.follower.Routes, Log: site.log.Logger, Metrics: site.metrics,
+	})
 	g.memory = newMemory(s, site.metrics, site.log.Logger)
 	g.router = proxy.New(proxy.Options{
 		Self: s.VM.Name, Place: s.VM.Place, Seed: maphash.String(maphash.MakeSeed(), s.VM.Name),
@@ -113,6 +118,7 @@
 		Metrics:          site.metrics,
 		Log:              site.log.Logger,
 		SendReports:      g.exchange.SendLoadReports,
+		StreamBegan:      g.takeups.Began,
 		BroadcastCrashes: g.exchange.SpreadCrashReports,
 		Probe:            proxy.ProbeConnection,
 		DialTimeout:      s.Timeouts.Dial,
@@ -135,7 +141,7 @@
 		return nil, err
 	}
 	g.credit = teamCredit
-	g.routed = gate.NewRouteHandler(g.follower, g.router, g.credit, site.metrics, site.log.Logger)
+	g.routed = gate.NewRouteHandler(g.follower, g.router, g.credit, g.takeups, site.metrics, site.log.Logger)
 	g.jobs = gate.NewJobs(gate.JobsOptions{
 		Keepers: keepers, Source: g.follower, Router: g.router, Metrics: site.metrics, Log: site.log.Logger,
 		Retention: s.Batch.Retention, Timeout: jobCallTimeout, Protocol: site.edge.ItemProtocol,
@@ -166,6 +172,7 @@
 	g.others.Go(func() { g.follower.Run(othersContext) })
 	g.others.Go(func() { g.exchange.RunGates(othersContext) })
 	g.others.Go(func() { g.credit.Run(othersContext) })
+	g.others.Go(func() { g.takeups.Run(othersContext) })
 	g.others.Go(func() { g.memory.Run(othersContext) })
 	g.others.Go(func() { g.awaitReady(othersContext) })
 	batchContext, stopBatch := context.WithCancel(ctx)
--- a/internal/daemon/sitereplicas.go
+++ b/internal/daemon/sitereplicas.go
@@ -1,15 +1,32 @@
 package daemon
 
-import "slateway.example/slateway/internal/upstream"
+import (
+	"time"
+
+	"slateway.example/slateway/internal/origin"
+	"slateway.example/slateway/internal/upstream"
+)
 
 // siteReplicas forwards the replica changes received from the control VMs to the
 // router, which is created after the follower.
 type siteReplicas struct{ gate *siteGate }
 
 // Announce applies the announcement of a replica.
-func (r siteReplicas) Announce(a upstream.Announcement) error { return r.gate.router.Announce(a) }
+func (r siteReplicas) Announce(a upstream.Announcement) error {
+	if err := r.gate.router.Announce(a); err != nil {
+		return err
+	}
+	r.gate.takeups.Announced(&a)
+	return nil
+}
 
 // Withdraw removes a replica.
 func (r siteReplicas) Withdraw(service string, id upstream.ReplicaID, incarnation uint64) {
 	r.gate.router.Withdraw(service, id, incarnation)
+	r.gate.takeups.Withdrawn(id, incarnation)
+}
+
+// Confirmed records that a control VM has confirmed the known replicas.
+func (r siteReplicas) Confirmed(past []origin.Past, reach time.Duration) {
+	r.gate.takeups.Confirmed(past, reach)
 }
--- a/internal/gate/follow/digest_test.go
+++ b/internal/gate/follow/digest_test.go
@@ -11,6 +11,7 @@
 	"go.uber.org/zap"
 
 	"slateway.example/slateway/internal/control/controlapi"
+	"slateway.example/slateway/internal/origin"
 	"slateway.example/slateway/internal/roster"
 	"slateway.example/slateway/internal/rpc"
 	"slateway.example/slateway/internal/telemetry"
@@ -25,6 +26,8 @@
 	return nil
 }
 
+func (heldReplicas) Confirmed([]origin.Past, time.Duration) {}
+
 func (h heldReplicas) Withdraw(_ string, id upstream.ReplicaID, _ uint64) { delete(h, id) }
 
 func newTestFollower(held heldReplicas) *Follower {
@@ -126,7 +129,7 @@
 	held := heldReplicas{}
 	f := newTestFollower(held)
 	f.current = "c1"
-	table := roster.New(roster.Config{ReplicaLifetime: time.Minute, GateLifetime: time.Minute})
+	table := roster.New(roster.Config{ReplicaLifetime: time.Minute, GateLifetime: time.Minute}, time.Now())
 	announce := func(sequence uint64, ids ...string) {
 		for _, a := range listed(ids...) {
 			a.Address, a.Place, a.Kind, a.Slots, a.Sequence = string(a.Replica), "a", upstream.KindService, 1, sequence
--- a/internal/gate/follow/first_test.go
+++ b/internal/gate/follow/first_test.go
@@ -12,6 +12,7 @@
 
 	"slateway.example/slateway/internal/control/controlapi"
 	"slateway.example/slateway/internal/gate/follow"
+	"slateway.example/slateway/internal/origin"
 	"slateway.example/slateway/internal/roster"
 	"slateway.example/slateway/internal/routes"
 	"slateway.example/slateway/internal/rpc"
@@ -23,6 +24,8 @@
 // noReplicas is a router that ignores announcements.
 type noReplicas struct{}
 
+func (noReplicas) Confirmed([]origin.Past, time.Duration) {}
+
 func (noReplicas) Announce(upstream.Announcement) error        { return nil }
 func (noReplicas) Withdraw(string, upstream.ReplicaID, uint64) {}
 
--- a/internal/gate/follow/follower.go
+++ b/internal/gate/follow/follower.go
@@ -15,6 +15,7 @@
 
 	"slateway.example/slateway/internal/control/controlapi"
 	"slateway.example/slateway/internal/member"
+	"slateway.example/slateway/internal/origin"
 	"slateway.example/slateway/internal/roster"
 	"slateway.example/slateway/internal/routes"
 	"slateway.example/slateway/internal/rpc"
@@ -26,6 +27,9 @@
 type Router interface {
 	Announce(a upstream.Announcement) error
 	Withdraw(service string, id upstream.ReplicaID, incarnation uint64)
+	// Confirmed reports that a control VM in contact has confirmed all replicas. Past and reach
+	// are the builds that it remembers and for how long it has missed none, if it told them.
+	Confirmed(past []origin.Past, reach time.Duration)
 }
 
 // Options configures a Follower. All fields are required.
@@ -84,6 +88,7 @@
 	since               uint64
 	digest              uint64 // of listing, as of the last response
 	bucketDigests       [roster.Buckets]uint64
+	buildsHash          uint64    // of the builds that the control VM of the last response remembers
 	answeredBy          string    // control VM of the last response
 	acceptsDigest       bool      // that control VM compares digests
 	fullRefreshAt       time.Time // last full or verified response
@@ -322,7 +327,7 @@
 	f.gate.Sequence++
 	request := &controlapi.FollowRequest{
 		Gate: f.gate, Routes: f.Routes().Version(), Epoch: f.epoch, Since: f.since, Wait: pollWait, PeersHash: f.peers,
-		AcceptsPacked: true, AcceptsGateChanges: true, AcceptsLater: true,
+		AcceptsPacked: true, AcceptsGateChanges: true, AcceptsLater: true, BuildsHash: new(f.buildsHash),
 	}
 	refresh := time.Since(f.fullRefreshAt) >= fullRefreshInterval
 	switch {
--- a/internal/gate/follow/take.go
+++ b/internal/gate/follow/take.go
@@ -29,6 +29,9 @@
 		f.applyReplicas(address, response.Later, false)
 		f.listing.ApplyGates(response.Later)
 	}
+	if !response.NoContact {
+		f.options.Router.Confirmed(response.Builds, response.BuildsReach)
+	}
 	complete := full || response.Verified || len(response.Buckets) > 0
 	if complete {
 		f.withdrawUnlisted()
@@ -43,6 +46,7 @@
 	f.choice.recordAnswer(address)
 	f.epoch, f.since, f.digest = response.Epoch, response.Version(), f.listing.Digest()
 	f.bucketDigests = f.listing.BucketDigests()
+	f.buildsHash = response.BuildsHash
 	f.answeredBy, f.acceptsDigest = address, response.AcceptsDigest == roster.DigestForm
 	if len(response.Controls) > 0 {
 		f.setControls(response.Controls)
--- a/internal/gate/online.go
+++ b/internal/gate/online.go
@@ -44,7 +44,6 @@
 // Metrics counts refused requests by reason.
 type Metrics interface {
 	Refused(reason apierr.Reason)
-	Count(name string)
 }
 
 // Front serves online requests of callers.
--- a/internal/gate/proxy/options.go
+++ b/internal/gate/proxy/options.go
@@ -72,6 +72,9 @@
 	// SendReports sends load reports to the owner gates of the replicas that this
 	// gate uses. It is required unless this gate is the only one.
 	SendReports SendReports
+	// StreamBegan records the build that has written the first event of a stream for its
+	// caller. If it is not certain, the build is not known. It must not block.
+	StreamBegan func(service, request, build string, certain bool)
 	// BroadcastCrashes sends crash records to the live gates. It returns when they
 	// have received them or ctx has ended.
 	BroadcastCrashes func(ctx context.Context, service string, crashes []upstream.CrashRecord)
@@ -136,6 +139,9 @@
 	if o.Log == nil {
 		o.Log = zap.NewNop()
 	}
+	if o.StreamBegan == nil {
+		o.StreamBegan = func(string, string, string, bool) {}
+	}
 	if o.BroadcastCrashes == nil {
 		o.BroadcastCrashes = func(context.Context, string, []upstream.CrashRecord) {}
 	}
--- a/internal/gate/proxy/shard.go
+++ b/internal/gate/proxy/shard.go
@@ -119,6 +119,8 @@
 				Service: s.service, Gate: s.router.options.Self, Replica: o.Replica, Online: o.Online, Batch: o.Batch, Number: o.ReportNumber,
 				Pace: o.Pace, Waiting: o.Waiting,
 			})
+		case route.StreamBegan:
+			s.router.options.StreamBegan(s.service, o.ID, o.Build, o.Certain)
 		case route.ReportCrashes:
 			ready = s.broadcastCrashes(o.Crashes)
 		case route.Count:
--- a/internal/gate/routed.go
+++ b/internal/gate/routed.go
@@ -9,6 +9,7 @@
 
 	"slateway.example/slateway/internal/apierr"
 	"slateway.example/slateway/internal/gate/proxy"
+	"slateway.example/slateway/internal/gate/takeup"
 	"slateway.example/slateway/internal/route"
 	"slateway.example/slateway/internal/routes"
 	"slateway.example/slateway/internal/telemetry"
@@ -22,8 +23,10 @@
 	ReasonNoRouteStale apierr.Reason = "no_route_configuration_stale"
 )
 
-// CountTakenUp counts streams that callers take up after an event that they have received.
-const CountTakenUp = "streams.taken_up"
+// Origins finds the build that began a stream which a caller takes up.
+type Origins interface {
+	Resolve(ctx context.Context, t takeup.TakeUp) (takeup.Found, *apierr.Error)
+}
 
 // RouteSource provides the routes by which the gate serves requests.
 type RouteSource interface {
@@ -41,14 +44,15 @@
 	source   RouteSource
 	router   *proxy.Router
 	credit   Credit
+	origins  Origins
 	metrics  Metrics
 	log      *zap.Logger
 	timeouts *waitEstimator
 }
 
 // NewRouteHandler creates a RouteHandler.
-func NewRouteHandler(source RouteSource, router *proxy.Router, credit Credit, metrics Metrics, log *zap.Logger) *RouteHandler {
-	return &RouteHandler{source: source, router: router, credit: credit, metrics: metrics, log: log, timeouts: newWaitEstimator()}
+func NewRouteHandler(source RouteSource, router *proxy.Router, credit Credit, origins Origins, metrics Metrics, log *zap.Logger) *RouteHandler {
+	return &RouteHandler{source: source, router: router, credit: credit, origins: origins, metrics: metrics, log: log, timeouts: newWaitEstimator()}
 }
 
 // MatchedRoute is the route of a request, with the version of the routes it is from.
@@ -165,10 +169,16 @@
 	}
 	caller = &creditedCaller{Caller: caller, credit: f.credit, request: creditRequest}
 	service := found.Pick(rand.Float64(), f.router.Available)
-	if r.Protocol.LastReceived() > 0 {
-		f.log.Info("caller takes a stream up", telemetry.RequestID(r.ID), zap.String("resumes", r.Resumes),
-			zap.Int("last_event", r.Protocol.LastReceived()), zap.String("route", found.Name), zap.String("service", service))
-		f.metrics.Count(CountTakenUp)
+	build, takenUp := "", r.Protocol.LastReceived() > 0
+	if takenUp {
+		origin, refusal := f.origins.Resolve(ctx, takeup.TakeUp{
+			ID: r.ID, Resumes: r.Resumes, LastEvent: r.Protocol.LastReceived(), Route: found.Route, Service: service,
+		})
+		if refusal != nil {
+			caller.Refuse(refusal)
+			return
+		}
+		service, build = origin.Service, origin.Build
 	}
 	f.log.Info("request routed", telemetry.RequestID(r.ID), telemetry.Team(r.Team.Name), zap.String("route", found.Name), zap.String("service", service),
 		zap.Uint64("routes", found.Matcher.Version()), zap.Duration("routes_age", f.source.Age()), zap.Duration("limit", longest),
@@ -184,6 +194,8 @@
 		Repeatable:  found.Repeatable(),
 		Resumable:   found.Kind == routes.Streaming && found.Resumable,
 		Movable:     found.Kind == routes.Streaming && found.canMove(service),
+		Continues:   takenUp,
+		Build:       build,
 		MaxAttempts: found.MaxAttempts,
 		UsefulUntil: usefulUntil(found, r, waited),
 		Share:       route.Share{Team: r.Team.Name, Cost: r.Cost},
--- a/internal/gate/routed_test.go
+++ b/internal/gate/routed_test.go
@@ -58,7 +58,7 @@
 
 func newRouted(s *source) (*gate.RouteHandler, *telemetry.Metrics) {
 	metrics := telemetry.NewMetrics()
-	return gate.NewRouteHandler(s, nil, nil, metrics, zap.NewNop()), metrics
+	return gate.NewRouteHandler(s, nil, nil, nil, metrics, zap.NewNop()), metrics
 }
 
 // Guards against the refusal of all callers after a full restart of a site: they send
--- /dev/null
+++ b/internal/gate/takeup/takeup.go
@@ -0,0 +1,294 @@
+// Package takeup finds the build that began a stream which a caller takes up, and records the
+// builds of the streams that this gate begins. Package origin decides; this package owns the
+// calls between gates, the lock and the log.
+package takeup
+
+import (
+	"context"
+	"net/http"
+	"slices"
+	"sync"
+	"time"
+
+	"go.uber.org/zap"
+
+	"slateway.example/slateway/internal/apierr"
+	"slateway.example/slateway/internal/member"
+	"slateway.example/slateway/internal/origin"
+	"slateway.example/slateway/internal/routes"
+	"slateway.example/slateway/internal/rpc"
+	"slateway.example/slateway/internal/telemetry"
+	"slateway.example/slateway/internal/upstream"
+)
+
+// Reasons for refusing to continue a stream. None of the requests has run.
+const (
+	// ReasonOriginUnknown: no one in reach knows which build began the stream.
+	ReasonOriginUnknown apierr.Reason = "stream_origin_unknown"
+	// ReasonServiceGone: the route no longer uses the service that began the stream.
+	ReasonServiceGone apierr.Reason = "stream_service_gone"
+)
+
+// Counters.
+const (
+	countTakenUp  = "streams.taken_up"        // streams that callers took up
+	countKnownPre = "streams.origin_"         // followed by the Source, if the origin was found
+	countRecords  = "streams.records_sent"    // records sent to other gates
+	countDropped  = "streams.records_lost"    // records that a gate did not acknowledge, or that were too many
+	countRetried  = "streams.records_retried" // calls with records that were sent again
+)
+
+// Source is how a gate learned which build began a stream.
+type Source string
+
+// Sources.
+const (
+	SourceOwn  Source = "own_record"   // this gate began the stream or holds its record
+	SourceSole Source = "sole_build"   // the service has had one build only
+	SourceGate Source = "other_record" // another gate holds the record
+	SourceSide Source = "other_sole"   // another gate knows that the service has had one build only
+)
+
+// Fleet provides the gates of the site.
+type Fleet interface{ Members() []member.Member }
+
+// Options configures a Service. All fields are required.
+type Options struct {
+	VM      string
+	Fleet   Fleet
+	Calls   *rpc.Client
+	Routes  func() *routes.Matcher
+	Log     *zap.Logger
+	Metrics *telemetry.Metrics
+}
+
+// Service is one gate's part in finding the origins of streams. It is safe for concurrent use.
+type Service struct {
+	options Options
+	sender  *sender
+
+	mu      sync.Mutex // guards the fields below
+	history *origin.History
+	records *origin.Records
+	soleOf  map[string]bool // services that had one build at the last look
+	routes  windowOf
+}
+
+// windowOf is the window for a version of the routes.
+type windowOf struct {
+	version uint64
+	window  time.Duration
+}
+
+// New creates a Service. Run must run while it is used.
+func New(options Options) *Service {
+	now := time.Now()
+	s := &Service{
+		options: options, history: origin.NewHistory(now), records: origin.NewRecords(now), soleOf: make(map[string]bool),
+	}
+	s.sender = newSender(s)
+	return s
+}
+
+// Announced records the announcement of a replica.
+func (s *Service) Announced(a *upstream.Announcement) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := time.Now()
+	s.history.Announced(now, a)
+	s.checkSole(now, a.Service)
+}
+
+// Withdrawn records that a replica is no longer announced, up to an incarnation.
+func (s *Service) Withdrawn(id upstream.ReplicaID, incarnation uint64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.history.Withdrawn(time.Now(), id, incarnation)
+}
+
+// Confirmed records that a control VM has confirmed what this gate knows of replicas. Past and
+// reach are what it remembers of earlier builds, if it has told.
+func (s *Service) Confirmed(past []origin.Past, reach time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := time.Now()
+	s.history.Remember(now, past, reach)
+	s.history.Confirm(now)
+}
+
+// minWindow is the shortest time for which a service must have had one build. Callers try for
+// some seconds.
+const minWindow = 10 * time.Second
+
+// window returns how long ago a stream that is taken up now may have begun: a stream lasts for
+// its route's timeout at most, and its caller's tries for as long again. The caller holds the
+// mutex.
+func (s *Service) window() time.Duration {
+	matcher := s.options.Routes()
+	if s.routes.window > 0 && s.routes.version == matcher.Version() {
+		return s.routes.window
+	}
+	longest := minWindow
+	for _, r := range matcher.Document().Routes {
+		if r.Kind == routes.Streaming {
+			longest = max(longest, 2*r.Timeout)
+		}
+	}
+	s.routes = windowOf{version: matcher.Version(), window: min(longest, origin.Memory)}
+	return s.routes.window
+}
+
+// checkSole sends the records of a service to other gates when it no longer has one build
+// only. The caller holds the mutex.
+func (s *Service) checkSole(now time.Time, service string) {
+	window := s.window()
+	_, doubt := s.history.Sole(now, service, window)
+	had := s.soleOf[service]
+	s.soleOf[service] = doubt == ""
+	if !had || doubt != origin.DoubtSeveral {
+		return
+	}
+	records := s.records.Of(service, now.Add(-window))
+	s.options.Log.Info("a service has several builds, sending the records of its streams", zap.String("service", service), zap.Int("records", len(records)))
+	for id, record := range records {
+		s.publish(id, record)
+	}
+}
+
+// Began records the build that has written the first event of a stream. If it is not certain,
+// the stream cannot be taken up while the service has several builds.
+func (s *Service) Began(service, request, build string, certain bool) {
+	s.record(request, origin.Record{Service: service, Build: build, Unknown: !certain})
+}
+
+func (s *Service) record(request string, record origin.Record) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := time.Now()
+	s.records.Put(now, request, record)
+	_, doubt := s.history.Sole(now, record.Service, s.window())
+	s.soleOf[record.Service] = doubt == ""
+	if doubt != "" {
+		s.publish(request, record)
+	}
+}
+
+// publish sends a record to the gates that hold it.
+func (s *Service) publish(request string, record origin.Record) {
+	entry := Entry{Request: request, Service: record.Service, Build: record.Build, Unknown: record.Unknown}
+	for _, gate := range origin.Rank(request, s.gates(), origin.Holders) {
+		if gate.ID != s.options.VM {
+			s.sender.enqueue(gate.ID, entry)
+		}
+	}
+}
+
+func (s *Service) gates() []origin.Gate {
+	members := s.options.Fleet.Members()
+	gates := make([]origin.Gate, len(members))
+	for i := range members {
+		gates[i] = origin.Gate{ID: members[i].VM.Name, Place: members[i].VM.Place}
+	}
+	return gates
+}
+
+func (s *Service) addressOf(gate string) (string, bool) {
+	members := s.options.Fleet.Members()
+	i := slices.IndexFunc(members, func(m member.Member) bool { return m.VM.Name == gate })
+	if i < 0 {
+		return "", false
+	}
+	return members[i].VM.Peers, true
+}
+
+// TakeUp is a caller's request for the rest of a stream.
+type TakeUp struct {
+	ID        string
+	Resumes   string // request that brought the first event; empty if the caller names none
+	LastEvent int
+	Route     *routes.Route
+	Service   string // that a new request would use
+}
+
+// Found is the build at which a stream goes on.
+type Found struct{ Service, Build string }
+
+// Resolve returns the service and the build that began a stream, or why it cannot go on.
+func (s *Service) Resolve(ctx context.Context, t TakeUp) (Found, *apierr.Error) {
+	s.options.Metrics.Count(countTakenUp)
+	began := time.Now()
+	found, source, from, doubt := s.find(ctx, &t)
+	var refusal *apierr.Error
+	switch {
+	case source == "" || found.Unknown:
+		refusal = apierr.New(apierr.Unavailable, ReasonOriginUnknown, "request the stream from its start",
+			"it is not known which build of service %q began the stream of request %q", t.Service, t.Resumes)
+	case found.Service != t.Service && !usesService(t.Route, found.Service):
+		refusal = apierr.New(apierr.Unavailable, ReasonServiceGone, "request the stream from its start",
+			"the route no longer uses service %q, which began the stream", found.Service)
+	}
+	s.logDecision(&t, &found, source, from, doubt, refusal, time.Since(began))
+	if refusal != nil {
+		s.options.Metrics.Refused(refusal.Reason)
+		return Found{}, refusal
+	}
+	s.options.Metrics.Count(countKnownPre + string(source))
+	// The caller may take the stream up again under this request's ID.
+	s.record(t.ID, origin.Record{Service: found.Service, Build: found.Build})
+	return Found{Service: found.Service, Build: found.Build}, nil
+}
+
+func usesService(r *routes.Route, service string) bool {
+	return slices.ContainsFunc(r.Split, func(share routes.Share) bool { return share.Service == service && share.Weight > 0 })
+}
+
+// find looks the origin of a stream up in this gate and then in others. An empty source means
+// that it is not known. From is the gate that knew it.
+func (s *Service) find(ctx context.Context, t *TakeUp) (found origin.Record, source Source, from string, doubt origin.Doubt) {
+	s.mu.Lock()
+	now := time.Now()
+	record, known := s.records.Get(t.Resumes)
+	build, doubt := s.history.Sole(now, t.Service, s.window())
+	s.mu.Unlock()
+	switch {
+	case known && !record.Unknown:
+		return record, SourceOwn, s.options.VM, doubt
+	case doubt == "":
+		return origin.Record{Service: t.Service, Build: build, At: now}, SourceSole, s.options.VM, doubt
+	case known:
+		return record, SourceOwn, s.options.VM, doubt
+	}
+	found, source, from = s.ask(ctx, t)
+	return found, source, from, doubt
+}
+
+func (s *Service) logDecision(t *TakeUp, found *origin.Record, source Source, from string, doubt origin.Doubt, refusal *apierr.Error, took time.Duration) {
+	s.mu.Lock()
+	reach, confirmAge := s.history.Reach(time.Now())
+	s.mu.Unlock()
+	fields := []zap.Field{
+		telemetry.RequestID(t.ID), zap.String("resumes", t.Resumes), zap.Int("last_event", t.LastEvent), zap.String("route", t.Route.Name),
+		zap.String("service", found.Service), zap.String("build", found.Build), zap.String("known_by", string(source)), zap.String("gate", from),
+		zap.String("doubt", string(doubt)), zap.Duration("history", reach), zap.Duration("confirmed", confirmAge), zap.Duration("after", took),
+	}
+	if !found.At.IsZero() {
+		fields = append(fields, zap.Duration("record_age", time.Since(found.At)))
+	}
+	if refusal != nil {
+		fields = append(fields, telemetry.Reason(string(refusal.Reason)))
+	}
+	s.options.Log.Info("caller takes a stream up", fields...)
+}
+
+// Builds lists the builds of all services that this gate knows.
+func (s *Service) Builds() []origin.Build {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.history.Builds(time.Now())
+}
+
+// Mount registers the procedure that other gates call on mux.
+func (s *Service) Mount(mux *http.ServeMux) { rpc.Handle(mux, procedure, maxCallBytes, s.serve) }
+
+// Run sends records to other gates until ctx ends.
+func (s *Service) Run(ctx context.Context) { s.sender.run(ctx) }
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -74,13 +74,15 @@
 	// change, so that the changes after a version are found without a scan of all rows.
 	changes list.List
 	digests digests
+	builds  buildLog
 }
 
-// New creates an empty roster.
-func New(config Config) *Table {
+// New creates an empty roster that knows nothing of the time before now.
+func New(config Config, now time.Time) *Table {
 	return &Table{
 		config: config, replicas: make(map[upstream.ReplicaID]*replicaRow),
 		byAddress: make(map[string]upstream.ReplicaID), gates: make(map[string]*gateRow),
+		builds: newBuildLog(now),
 	}
 }
 
@@ -120,6 +122,7 @@
 	row.announcement, row.removed = a, false
 	t.byAddress[a.Address] = a.Replica
 	row.lastHeartbeat = now.Add(-age)
+	t.builds.note(now, &a)
 	if !wasRemoved && sameForGates(&known, &a) {
 		return Refreshed
 	}
@@ -230,6 +233,7 @@
 
 // Tick removes replicas and gates whose lifetime has passed.
 func (t *Table) Tick(now time.Time) {
+	t.refreshBuilds(now)
 	for id, row := range t.replicas {
 		idle := now.Sub(row.lastHeartbeat)
 		switch {
--- a/internal/roster/roster_test.go
+++ b/internal/roster/roster_test.go
@@ -11,7 +11,7 @@
 var start = time.Unix(1_000_000, 0)
 
 func table() *roster.Table {
-	return roster.New(roster.Config{ReplicaLifetime: 20 * time.Second, GateLifetime: 2 * time.Second})
+	return roster.New(roster.Config{ReplicaLifetime: 20 * time.Second, GateLifetime: 2 * time.Second}, time.Now())
 }
 
 func announcement(id string, incarnation, sequence uint64, address string) upstream.Announcement {
