New builds: gates learn from control VMs how long ago a build was first announced

A property test over releases, crashes, late announcements, kills, cuts, freezes and stops of all gates (60,000 schedules of 120 steps) found a stream at two builds: a gate that had just started sent a stream to a build that was announced a moment before, since all builds were equally new to it, and a gate that had not heard of that build took the stream for one of the old.

--- a/internal/control/service.go
+++ b/internal/control/service.go
@@ -144,8 +144,8 @@
 	}
 	s.journal.changes, s.journal.count = s.journalChanges, options.Metrics.Count
 	content := s.journal.load()
-	s.merge(content.Replicas, nil)
 	s.restoreBuilds(content.Builds)
+	s.merge(content.Replicas, nil)
 	s.previousGates = content.Gates
 	return s
 }
@@ -158,7 +158,7 @@
 		return
 	}
 	for i := range builds {
-		builds[i].Age = 0
+		builds[i].Age, builds[i].Known = 0, origin.Memory
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/internal/daemon/sitereplicas.go
+++ b/internal/daemon/sitereplicas.go
@@ -26,7 +26,20 @@
 	r.gate.takeups.Withdrawn(id, incarnation)
 }
 
-// Confirmed records that a control VM has confirmed the known replicas.
-func (r siteReplicas) Confirmed(past []origin.Past, reach time.Duration) {
-	r.gate.takeups.Confirmed(past, reach)
+// RememberBuilds adds the builds that a control VM remembers.
+func (r siteReplicas) RememberBuilds(past []origin.Past, reach time.Duration) {
+	first := make(map[string]map[string]time.Duration)
+	for _, p := range past {
+		if first[p.Service] == nil {
+			first[p.Service] = make(map[string]time.Duration)
+		}
+		first[p.Service][p.Build] = p.Known
+	}
+	for service, builds := range first {
+		r.gate.router.RememberBuilds(service, builds)
+	}
+	r.gate.takeups.RememberBuilds(past, reach)
 }
+
+// Confirmed records that a control VM has confirmed the known replicas.
+func (r siteReplicas) Confirmed() { r.gate.takeups.Confirmed() }
--- a/internal/gate/follow/digest_test.go
+++ b/internal/gate/follow/digest_test.go
@@ -26,7 +26,8 @@
 	return nil
 }
 
-func (heldReplicas) Confirmed([]origin.Past, time.Duration) {}
+func (heldReplicas) RememberBuilds([]origin.Past, time.Duration) {}
+func (heldReplicas) Confirmed()                                  {}
 
 func (h heldReplicas) Withdraw(_ string, id upstream.ReplicaID, _ uint64) { delete(h, id) }
 
--- a/internal/gate/follow/first_test.go
+++ b/internal/gate/follow/first_test.go
@@ -24,7 +24,8 @@
 // noReplicas is a router that ignores announcements.
 type noReplicas struct{}
 
-func (noReplicas) Confirmed([]origin.Past, time.Duration) {}
+func (noReplicas) RememberBuilds([]origin.Past, time.Duration) {}
+func (noReplicas) Confirmed()                                  {}
 
 func (noReplicas) Announce(upstream.Announcement) error        { return nil }
 func (noReplicas) Withdraw(string, upstream.ReplicaID, uint64) {}
--- a/internal/gate/follow/follower.go
+++ b/internal/gate/follow/follower.go
@@ -27,9 +27,12 @@
 type Router interface {
 	Announce(a upstream.Announcement) error
 	Withdraw(service string, id upstream.ReplicaID, incarnation uint64)
-	// Confirmed reports that a control VM in contact has confirmed all replicas. Past and reach
-	// are the builds that it remembers and for how long it has missed none, if it told them.
-	Confirmed(past []origin.Past, reach time.Duration)
+	// RememberBuilds is called before Announce with the builds that a control VM remembers and
+	// the time for which it has missed none.
+	RememberBuilds(past []origin.Past, reach time.Duration)
+	// Confirmed is called after Announce and Withdraw when a control VM in contact has
+	// confirmed all replicas.
+	Confirmed()
 }
 
 // Options configures a Follower. All fields are required.
--- a/internal/gate/follow/take.go
+++ b/internal/gate/follow/take.go
@@ -18,6 +18,7 @@
 	if document := f.unpackRoutes(address, response); document != nil {
 		f.installRoutes(address, document)
 	}
+	f.options.Router.RememberBuilds(response.Builds, response.BuildsReach)
 	full := isFull(request, response)
 	if full {
 		f.listing.Clear()
@@ -30,7 +31,7 @@
 		f.listing.ApplyGates(response.Later)
 	}
 	if !response.NoContact {
-		f.options.Router.Confirmed(response.Builds, response.BuildsReach)
+		f.options.Router.Confirmed()
 	}
 	complete := full || response.Verified || len(response.Buckets) > 0
 	if complete {
--- a/internal/gate/proxy/router.go
+++ b/internal/gate/proxy/router.go
@@ -121,6 +121,11 @@
 	return nil
 }
 
+// RememberBuilds records how long ago the builds of a service were first announced.
+func (r *Router) RememberBuilds(service string, first map[string]time.Duration) {
+	r.findOrAddShard(service).step(route.BuildsKnown{FirstAnnounced: first})
+}
+
 // Withdraw removes a replica, up to and including an incarnation.
 func (r *Router) Withdraw(service string, id upstream.ReplicaID, incarnation uint64) {
 	if s := r.findShard(service); s != nil {
--- a/internal/gate/takeup/calls.go
+++ b/internal/gate/takeup/calls.go
@@ -44,38 +44,51 @@
 	now := time.Now()
 	for i := range request.Records {
 		e := &request.Records[i]
-		s.records.Put(now, e.Request, origin.Record{Service: e.Service, Build: e.Build, Unknown: e.Unknown})
+		s.book.Put(now, e.Request, origin.Record{Service: e.Service, Build: e.Build, Unknown: e.Unknown})
 	}
 	response := &Response{}
 	if request.Service == "" {
 		return response, nil
 	}
-	if record, found := s.records.Get(request.Ask); found {
+	answer := s.book.Find(now, request.Ask, request.Service, s.window())
+	response.Sole, response.SoleBuild = answer.Sole, answer.SoleBuild
+	if answer.Known {
+		record := &answer.Record
 		response.Found = &Entry{
 			Request: request.Ask, Service: record.Service, Build: record.Build, Unknown: record.Unknown, AgeMS: now.Sub(record.At).Milliseconds(),
 		}
-		return response, nil
 	}
-	build, doubt := s.history.Sole(now, request.Service, s.window())
-	response.Sole, response.SoleBuild = doubt == "", build
 	return response, nil
 }
 
+// answer converts a response.
+func (r *Response) answer() origin.Answer {
+	a := origin.Answer{Sole: r.Sole, SoleBuild: r.SoleBuild}
+	if f := r.Found; f != nil {
+		a.Known = true
+		a.Record = origin.Record{
+			Service: f.Service, Build: f.Build, Unknown: f.Unknown, At: time.Now().Add(-time.Duration(f.AgeMS) * time.Millisecond),
+		}
+	}
+	return a
+}
+
 // askTimeout bounds how long a caller that takes a stream up waits for the answers of other
 // gates: several round trips between places.
 const askTimeout = 250 * time.Millisecond
 
-// ask asks other gates for the origin of a stream. The first one that knows it decides.
-func (s *Service) ask(ctx context.Context, t *TakeUp) (found origin.Record, source Source, from string) {
-	type answer struct {
-		*Response
+// ask asks other gates for the origin of a stream and returns the best answer and the gate that
+// gave it. The first gate with a record decides.
+func (s *Service) ask(ctx context.Context, t *TakeUp) (best origin.Answer, from string) {
+	type reply struct {
+		origin.Answer
 		gate string
 	}
 	ctx, cancel := context.WithTimeout(ctx, askTimeout)
 	defer cancel()
 	var asked sync.WaitGroup
 	ranked := origin.Rank(t.Resumes, s.gates(), origin.Asked)
-	answers := make(chan answer, len(ranked))
+	replies := make(chan reply, len(ranked))
 	for _, gate := range ranked {
 		address, known := s.addressOf(gate.ID)
 		if gate.ID == s.options.VM || !known {
@@ -84,28 +97,21 @@
 		asked.Go(func() {
 			response, err := rpc.Call(ctx, s.options.Calls, address, procedure, &Request{Ask: t.Resumes, Service: t.Service})
 			if err == nil {
-				answers <- answer{Response: response, gate: gate.ID}
+				replies <- reply{response.answer(), gate.ID}
 			}
 		})
 	}
 	go func() {
 		asked.Wait()
-		close(answers)
+		close(replies)
 	}()
-	var sole origin.Record
-	soleFrom := ""
-	for a := range answers {
-		switch {
-		case a.Found != nil:
-			return origin.Record{
-				Service: a.Found.Service, Build: a.Found.Build, Unknown: a.Found.Unknown, At: time.Now().Add(-time.Duration(a.Found.AgeMS) * time.Millisecond),
-			}, SourceGate, a.gate
-		case a.Sole:
-			sole, soleFrom = origin.Record{Service: t.Service, Build: a.SoleBuild, At: time.Now()}, a.gate
+	for r := range replies {
+		if r.Prefer(&best) {
+			best, from = r.Answer, r.gate
+		}
+		if best.Known {
+			break
 		}
 	}
-	if soleFrom != "" {
-		return sole, SourceSide, soleFrom
-	}
-	return origin.Record{}, "", ""
+	return best, from
 }
--- a/internal/gate/takeup/takeup.go
+++ b/internal/gate/takeup/takeup.go
@@ -67,11 +67,10 @@
 	options Options
 	sender  *sender
 
-	mu      sync.Mutex // guards the fields below
-	history *origin.History
-	records *origin.Records
-	soleOf  map[string]bool // services that had one build at the last look
-	routes  windowOf
+	mu     sync.Mutex // guards the fields below
+	book   *origin.Book
+	soleOf map[string]bool // services that had one build at the last look
+	routes windowOf
 }
 
 // windowOf is the window for a version of the routes.
@@ -84,7 +83,7 @@
 func New(options Options) *Service {
 	now := time.Now()
 	s := &Service{
-		options: options, history: origin.NewHistory(now), records: origin.NewRecords(now), soleOf: make(map[string]bool),
+		options: options, book: origin.NewBook(now), soleOf: make(map[string]bool),
 	}
 	s.sender = newSender(s)
 	return s
@@ -95,7 +94,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := time.Now()
-	s.history.Announced(now, a)
+	s.book.Announced(now, a)
 	s.checkSole(now, a.Service)
 }
 
@@ -103,17 +102,21 @@
 func (s *Service) Withdrawn(id upstream.ReplicaID, incarnation uint64) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.history.Withdrawn(time.Now(), id, incarnation)
+	s.book.Withdrawn(time.Now(), id, incarnation)
 }
 
-// Confirmed records that a control VM has confirmed what this gate knows of replicas. Past and
-// reach are what it remembers of earlier builds, if it has told.
-func (s *Service) Confirmed(past []origin.Past, reach time.Duration) {
+// RememberBuilds adds builds that a control VM remembers, which has missed none for reach.
+func (s *Service) RememberBuilds(past []origin.Past, reach time.Duration) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	now := time.Now()
-	s.history.Remember(now, past, reach)
-	s.history.Confirm(now)
+	s.book.Remember(time.Now(), past, reach)
+}
+
+// Confirmed records that a control VM has confirmed what this gate knows of replicas.
+func (s *Service) Confirmed() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.book.Confirm(time.Now())
 }
 
 // minWindow is the shortest time for which a service must have had one build. Callers try for
@@ -142,13 +145,13 @@
 // only. The caller holds the mutex.
 func (s *Service) checkSole(now time.Time, service string) {
 	window := s.window()
-	_, doubt := s.history.Sole(now, service, window)
+	_, doubt := s.book.Sole(now, service, window)
 	had := s.soleOf[service]
 	s.soleOf[service] = doubt == ""
 	if !had || doubt != origin.DoubtSeveral {
 		return
 	}
-	records := s.records.Of(service, now.Add(-window))
+	records := s.book.Of(service, now.Add(-window))
 	s.options.Log.Info("a service has several builds, sending the records of its streams", zap.String("service", service), zap.Int("records", len(records)))
 	for id, record := range records {
 		s.publish(id, record)
@@ -165,8 +168,8 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := time.Now()
-	s.records.Put(now, request, record)
-	_, doubt := s.history.Sole(now, record.Service, s.window())
+	s.book.Put(now, request, record)
+	_, doubt := s.book.Sole(now, record.Service, s.window())
 	s.soleOf[record.Service] = doubt == ""
 	if doubt != "" {
 		s.publish(request, record)
@@ -217,17 +220,18 @@
 func (s *Service) Resolve(ctx context.Context, t TakeUp) (Found, *apierr.Error) {
 	s.options.Metrics.Count(countTakenUp)
 	began := time.Now()
-	found, source, from, doubt := s.find(ctx, &t)
+	answer, source, from := s.find(ctx, &t)
+	found, known := answer.Origin(t.Service)
 	var refusal *apierr.Error
 	switch {
-	case source == "" || found.Unknown:
+	case !known:
 		refusal = apierr.New(apierr.Unavailable, ReasonOriginUnknown, "request the stream from its start",
 			"it is not known which build of service %q began the stream of request %q", t.Service, t.Resumes)
 	case found.Service != t.Service && !usesService(t.Route, found.Service):
 		refusal = apierr.New(apierr.Unavailable, ReasonServiceGone, "request the stream from its start",
 			"the route no longer uses service %q, which began the stream", found.Service)
 	}
-	s.logDecision(&t, &found, source, from, doubt, refusal, time.Since(began))
+	s.logDecision(&t, &answer, source, from, refusal, time.Since(began))
 	if refusal != nil {
 		s.options.Metrics.Refused(refusal.Reason)
 		return Found{}, refusal
@@ -242,37 +246,47 @@
 	return slices.ContainsFunc(r.Split, func(share routes.Share) bool { return share.Service == service && share.Weight > 0 })
 }
 
-// find looks the origin of a stream up in this gate and then in others. An empty source means
-// that it is not known. From is the gate that knew it.
-func (s *Service) find(ctx context.Context, t *TakeUp) (found origin.Record, source Source, from string, doubt origin.Doubt) {
+// find looks the origin of a stream up in this gate and then in others. It returns the answer
+// that decides, where it is from and the gate that gave it.
+func (s *Service) find(ctx context.Context, t *TakeUp) (answer origin.Answer, source Source, from string) {
 	s.mu.Lock()
-	now := time.Now()
-	record, known := s.records.Get(t.Resumes)
-	build, doubt := s.history.Sole(now, t.Service, s.window())
+	own := s.book.Find(time.Now(), t.Resumes, t.Service, s.window())
 	s.mu.Unlock()
+	if own.Final() {
+		return own, sourceOf(&own, SourceOwn, SourceSole), s.options.VM
+	}
+	best, from := s.ask(ctx, t)
+	if own.Doubt == origin.DoubtSeveral {
+		best.Sole = false // this gate knows better
+	}
+	best.Doubt = own.Doubt
+	return best, sourceOf(&best, SourceGate, SourceSide), from
+}
+
+// sourceOf returns the source of an answer; empty if it does not tell the origin.
+func sourceOf(a *origin.Answer, record, sole Source) Source {
 	switch {
-	case known && !record.Unknown:
-		return record, SourceOwn, s.options.VM, doubt
-	case doubt == "":
-		return origin.Record{Service: t.Service, Build: build, At: now}, SourceSole, s.options.VM, doubt
-	case known:
-		return record, SourceOwn, s.options.VM, doubt
+	case a.Known && !a.Record.Unknown:
+		return record
+	case a.Sole:
+		return sole
+	default:
+		return ""
 	}
-	found, source, from = s.ask(ctx, t)
-	return found, source, from, doubt
 }
 
-func (s *Service) logDecision(t *TakeUp, found *origin.Record, source Source, from string, doubt origin.Doubt, refusal *apierr.Error, took time.Duration) {
+func (s *Service) logDecision(t *TakeUp, answer *origin.Answer, source Source, from string, refusal *apierr.Error, took time.Duration) {
 	s.mu.Lock()
-	reach, confirmAge := s.history.Reach(time.Now())
+	reach, confirmAge := s.book.Reach(time.Now())
 	s.mu.Unlock()
+	found, _ := answer.Origin(t.Service)
 	fields := []zap.Field{
 		telemetry.RequestID(t.ID), zap.String("resumes", t.Resumes), zap.Int("last_event", t.LastEvent), zap.String("route", t.Route.Name),
 		zap.String("service", found.Service), zap.String("build", found.Build), zap.String("known_by", string(source)), zap.String("gate", from),
-		zap.String("doubt", string(doubt)), zap.Duration("history", reach), zap.Duration("confirmed", confirmAge), zap.Duration("after", took),
+		zap.String("doubt", string(answer.Doubt)), zap.Duration("history", reach), zap.Duration("confirmed", confirmAge), zap.Duration("after", took),
 	}
-	if !found.At.IsZero() {
-		fields = append(fields, zap.Duration("record_age", time.Since(found.At)))
+	if answer.Known {
+		fields = append(fields, zap.Duration("record_age", time.Since(answer.Record.At)))
 	}
 	if refusal != nil {
 		fields = append(fields, telemetry.Reason(string(refusal.Reason)))
@@ -284,7 +298,7 @@
 func (s *Service) Builds() []origin.Build {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.history.Builds(time.Now())
+	return s.book.Builds(time.Now())
 }
 
 // Mount registers the procedure that other gates call on mux.
--- a/internal/origin/history.go
+++ b/internal/origin/history.go
@@ -89,6 +89,7 @@
 	Service string        `cbor:"1,keyasint"`
 	Build   string        `cbor:"2,keyasint,omitempty"`
 	Age     time.Duration `cbor:"3,keyasint,omitempty"` // since a replica of it was last announced
+	Known   time.Duration `cbor:"4,keyasint,omitempty"` // since one was first announced
 }
 
 // Remember adds builds that a control VM remembers, which has missed none for the time reach.
--- a/internal/roster/builds.go
+++ b/internal/roster/builds.go
@@ -15,18 +15,33 @@
 // buildLog records when replicas of each build of a service were last listed.
 type buildLog struct {
 	since       time.Time // no build that was announced after it is missing
-	last        map[buildKey]time.Time
+	builds      map[buildKey]buildTimes
 	refreshedAt time.Time
 }
 
+// buildTimes is when replicas of a build were first and last listed.
+type buildTimes struct{ first, last time.Time }
+
 type buildKey struct{ service, build string }
 
 func newBuildLog(now time.Time) buildLog {
-	return buildLog{since: now, last: make(map[buildKey]time.Time)}
+	return buildLog{since: now, builds: make(map[buildKey]buildTimes)}
 }
 
 func (l *buildLog) note(now time.Time, a *upstream.Announcement) {
-	l.last[buildKey{a.Service, a.Build}] = now
+	l.add(buildKey{a.Service, a.Build}, buildTimes{now, now})
+}
+
+// add extends the times of a build.
+func (l *buildLog) add(key buildKey, seen buildTimes) {
+	known, found := l.builds[key]
+	if found && known.first.Before(seen.first) {
+		seen.first = known.first
+	}
+	if known.last.After(seen.last) {
+		seen.last = known.last
+	}
+	l.builds[key] = seen
 }
 
 // buildRefreshInterval is how often the builds of the listed replicas are noted. Gates allow
@@ -45,17 +60,14 @@
 			t.builds.note(now, &row.announcement)
 		}
 	}
-	maps.DeleteFunc(t.builds.last, func(_ buildKey, last time.Time) bool { return now.Sub(last) > origin.Memory })
+	maps.DeleteFunc(t.builds.builds, func(_ buildKey, seen buildTimes) bool { return now.Sub(seen.last) > origin.Memory })
 }
 
 // RememberBuilds adds builds that another control VM or the journal remembers. None was missed
 // for the time reach.
 func (t *Table) RememberBuilds(now time.Time, past []origin.Past, reach time.Duration) {
 	for _, p := range past {
-		key := buildKey{p.Service, p.Build}
-		if at := now.Add(-p.Age); at.After(t.builds.last[key]) {
-			t.builds.last[key] = at
-		}
+		t.builds.add(buildKey{p.Service, p.Build}, buildTimes{first: now.Add(-p.Known), last: now.Add(-p.Age)})
 	}
 	if since := now.Add(-reach); since.Before(t.builds.since) {
 		t.builds.since = since
@@ -65,8 +77,8 @@
 // Builds lists the builds of all services that were listed within origin.Memory. Reach is the
 // time for which none was missed.
 func (t *Table) Builds(now time.Time) (past []origin.Past, reach time.Duration) {
-	for key, last := range t.builds.last {
-		past = append(past, origin.Past{Service: key.service, Build: key.build, Age: now.Sub(last)})
+	for key, seen := range t.builds.builds {
+		past = append(past, origin.Past{Service: key.service, Build: key.build, Age: now.Sub(seen.last), Known: now.Sub(seen.first)})
 	}
 	slices.SortFunc(past, func(a, b origin.Past) int {
 		return cmp.Or(cmp.Compare(a.Service, b.Service), cmp.Compare(a.Build, b.Build))
--- a/internal/route/build.go
+++ b/internal/route/build.go
@@ -141,26 +141,38 @@
 // buildMemory is how long a build without replicas is remembered.
 const buildMemory = time.Minute
 
+// knownBuild records when a build was announced.
+type knownBuild struct {
+	firstAt, lastAt time.Time
+}
+
 // noteBuild records that a build of the service was announced.
-func (s *Shard) noteBuild(build string) {
+func (s *Shard) noteBuild(build string) { s.noteBuildSince(build, 0) }
+
+// noteBuildSince records that a build was first announced some time ago.
+func (s *Shard) noteBuildSince(build string, age time.Duration) {
 	known := s.builds[build]
 	if known == nil {
 		known = &knownBuild{firstAt: s.now}
-		for _, other := range s.builds {
-			if s.now.Sub(other.firstAt) >= newBuildDelay {
-				known.newUntil = s.now.Add(newBuildDelay)
-				s.newBuildUntil = known.newUntil
-			}
-		}
 		s.builds[build] = known
 	}
 	known.lastAt = s.now
+	if at := s.now.Add(-age); at.Before(known.firstAt) {
+		known.firstAt = at
+	}
+	if until := known.firstAt.Add(newBuildDelay); until.After(s.newBuildUntil) {
+		s.newBuildUntil = until
+	}
 }
 
-// knownBuild records when a build was announced.
-type knownBuild struct {
-	firstAt, lastAt time.Time
-	newUntil        time.Time // until then it gets no streams while another build serves
+// BuildsKnown carries the builds of the service that the control VMs remember, and how long
+// ago each was first announced.
+type BuildsKnown struct{ FirstAnnounced map[string]time.Duration }
+
+func (in BuildsKnown) apply(s *Shard) {
+	for build, age := range in.FirstAnnounced {
+		s.noteBuildSince(build, age)
+	}
 }
 
 // buildCheckInterval is how often builds without replicas are looked for.
@@ -183,17 +195,18 @@
 }
 
 // isNewBuild reports whether the replica's build is so new that other gates may not know of
-// it, while a replica of another build takes work.
+// it, while a replica of an older build takes work.
 func (s *Shard) isNewBuild(r *replica) bool {
-	if !s.now.Before(s.newBuildUntil) {
+	if !s.now.Before(s.newBuildUntil) || len(s.builds) < 2 {
 		return false
 	}
-	if known := s.builds[r.entry.Build]; known == nil || !s.now.Before(known.newUntil) {
+	known := s.builds[r.entry.Build]
+	if known == nil || s.now.Sub(known.firstAt) >= newBuildDelay {
 		return false
 	}
 	olderServes := func(other *replica) bool {
-		known := s.builds[other.entry.Build]
-		return known != nil && !s.now.Before(known.newUntil)
+		o := s.builds[other.entry.Build]
+		return o != nil && o.firstAt.Before(known.firstAt)
 	}
 	return slices.ContainsFunc(s.local, olderServes) || slices.ContainsFunc(s.remote, olderServes)
 }
