route: a replica in doubt confirms its process instead of being left out

Tests of the decisions about builds: waiting for a full or unreachable build, refusal at once when it is gone, new builds, and a stream whose build became unknown.

--- a/internal/route/attempt.go
+++ b/internal/route/attempt.go
@@ -15,8 +15,9 @@
 // kept memory from which the replica resumes the run.
 func (s *Shard) dispatchFrom(req *request, r *replica, kind DispatchKind, memory string) {
 	s.nextAttempt++
+	confirm := memory == "" && s.mustConfirm(req, r)
 	a := &attempt{
-		id: s.nextAttempt, req: req, replica: r, build: r.entry.Build, doubted: s.now.Before(r.unconfirmedUntil),
+		id: s.nextAttempt, req: req, replica: r, build: r.entry.Build, doubted: s.isDoubted(r) && !confirm,
 		started: s.now, lastProgress: s.now,
 	}
 	a.queued = !s.hasSlot(r)
@@ -34,7 +35,7 @@
 	resume := req.tokens > 0 && r.entry.CanResume && (req.Resumable || memory != "")
 	s.emit(Dispatch{
 		ID: req.ID, Attempt: a.id, Kind: kind, Target: &r.entry.Announcement, Resume: resume, Memory: memory,
-		Unconfirmed: a.doubted, Confirm: memory == "" && s.mustConfirm(req, r),
+		Unconfirmed: a.doubted, Confirm: confirm,
 		Queued: s.queueWait(req), AheadInQueue: req.aheadInQueue, ReservationTries: req.reservationTries,
 		Share: s.dispatchShare(req),
 	})
--- a/internal/route/build.go
+++ b/internal/route/build.go
@@ -99,14 +99,20 @@
 	if !o.known {
 		return true
 	}
-	return r.entry.Build == o.build && !s.now.Before(r.unconfirmedUntil) && o.isConfirmed(s.now)
+	return r.entry.Build == o.build && (canConfirm(r) || !s.isDoubted(r)) && o.isConfirmed(s.now)
 }
 
-// mustConfirm reports whether a replica must confirm its process before it continues events. A
-// restart with another build, under the same ID, is known to the gate only once it has been
-// announced.
+// isDoubted reports whether the replica's process may have been replaced.
+func (s *Shard) isDoubted(r *replica) bool { return s.now.Before(r.unconfirmedUntil) }
+
+// canConfirm reports whether the replica tells which of its processes answers.
+func canConfirm(r *replica) bool { return r.entry.Kind == upstream.KindEngine }
+
+// mustConfirm reports whether a replica must first confirm its process: before it continues
+// events, and before it begins some while its process is in doubt. A restart with another
+// build, under the same ID, is known to the gate only once it has been announced.
 func (s *Shard) mustConfirm(req *request, r *replica) bool {
-	return req.origin.known && len(s.builds) > 1 && r.entry.Kind == upstream.KindEngine
+	return len(s.builds) > 1 && canConfirm(r) && (req.origin.known || s.isDoubted(r))
 }
 
 // holdsEvents reports whether the caller of a request holds events that it must continue.
--- a/internal/route/build_test.go
+++ b/internal/route/build_test.go
@@ -105,3 +105,146 @@
 		t.Fatalf("sent %d times, last to build %s, resumed %t", s.sent["item"], d.Target.Build, d.Resume)
 	}
 }
+
+// take continues a stream of the build whose caller came from another gate.
+func (s *streams) take(id, build string) {
+	s.arrive(route.Request{
+		ID: id, Class: route.Online, Repeatable: true, Resumable: true, Continues: true, Build: build, MaxAttempts: 3,
+		Fingerprint: upstream.FingerprintOf(id, nil),
+	})
+}
+
+func TestATakenUpStreamWaitsForItsBuild(t *testing.T) {
+	t.Run("while its replicas are full", func(t *testing.T) {
+		s := newBuildRig(t)
+		for i := range 4 {
+			s.startOn(fmt.Sprint("running-", i), "v1")
+		}
+		s.announceBuild("b0", "v2", 1)
+		s.run(2*time.Second, "running-0", "running-1", "running-2", "running-3")
+		s.take("taken", "v1")
+		s.run(500*time.Millisecond, "running-0", "running-1", "running-2", "running-3")
+		if s.sent["taken"] > 0 || s.refused["taken"] != nil {
+			t.Fatalf("sent to %+v, refused %v", s.lastDispatch["taken"].Target, s.refused["taken"])
+		}
+		for _, id := range []upstream.ReplicaID{"a1", "a2"} {
+			s.step(route.Probed{Replica: id, Alive: true})
+		}
+		if s.sent["taken"] > 0 {
+			t.Fatal("sent to a full replica")
+		}
+		s.step(route.Finished{Attempt: s.lastDispatch["running-0"].Attempt})
+		if d := s.lastDispatch["taken"]; s.sent["taken"] != 1 || d.Target.Build != "v1" {
+			t.Errorf("sent %d times, last to %+v", s.sent["taken"], d.Target)
+		}
+	})
+	t.Run("while its replicas are out of reach", func(t *testing.T) {
+		s := newBuildRig(t)
+		s.announceBuild("b0", "v2", 1)
+		for _, id := range []string{"a1", "a2"} {
+			s.announceState(id, "v1", 1, upstream.Load{Slots: 2})
+		}
+		s.take("taken", "v1")
+		s.pass(time.Second)
+		if s.sent["taken"] > 0 || s.refused["taken"] != nil {
+			t.Fatalf("sent to %+v, refused %v", s.lastDispatch["taken"].Target, s.refused["taken"])
+		}
+		s.announceBuild("a2", "v1", 1)
+		if d := s.lastDispatch["taken"]; s.sent["taken"] != 1 || d.Target.Build != "v1" {
+			t.Errorf("sent %d times, last to %+v", s.sent["taken"], d.Target)
+		}
+	})
+}
+
+func TestAStreamWhoseBuildIsGoneIsRefusedAtOnce(t *testing.T) {
+	gone := func(s *streams, id string) {
+		t.Helper()
+		if err := s.refused[id]; err == nil || err.Reason != route.ReasonBuildGone {
+			t.Errorf("%s: refused with %v, sent %d times", id, err, s.sent[id])
+		}
+	}
+	s := newBuildRig(t)
+	s.take("never", "v9")
+	gone(s, "never")
+	s.startOn("running", "v1")
+	s.announceBuild("b0", "v2", 1)
+	for _, id := range []string{"a1", "a2"} {
+		s.announceState(id, "v1", 1, upstream.Load{Slots: 2, Ready: true, Leaving: true})
+	}
+	s.take("late", "v1")
+	gone(s, "late")
+	s.breakRun("running")
+	s.pass(50 * time.Millisecond)
+	gone(s, "running")
+}
+
+// Guards against a stream of a build that other gates have not heard of yet.
+func TestANewBuildGetsNoStreamsAtOnce(t *testing.T) {
+	s := newBuildRig(t)
+	for i := range 4 {
+		s.announceBuild(fmt.Sprint("b", i), "v2", 1)
+	}
+	for i := range 8 {
+		s.arrive(route.Request{ID: fmt.Sprint("stream-", i), Class: route.Online, Repeatable: true, Resumable: true, Fingerprint: upstream.FingerprintOf(fmt.Sprint(i), nil)})
+	}
+	for i := range 4 {
+		if d := s.lastDispatch[fmt.Sprint("stream-", i)]; d.Target == nil || d.Target.Build != "v1" {
+			t.Errorf("stream %d was sent to %+v", i, d.Target)
+		}
+	}
+	s.arrive(route.Request{ID: "page", Class: route.Online, Repeatable: true, Fingerprint: upstream.FingerprintOf("page", nil)})
+	if d := s.lastDispatch["page"]; d.Target == nil || d.Target.Build != "v2" {
+		t.Errorf("a request that cannot be taken up was sent to %+v", d.Target)
+	}
+	s.pass(1600 * time.Millisecond)
+	if s.sent["stream-7"] != 1 || s.lastDispatch["stream-7"].Target.Build != "v2" {
+		t.Errorf("the last stream was sent %d times", s.sent["stream-7"])
+	}
+}
+
+// Guards against a stream that waits for a new build while no other one serves.
+func TestANewBuildServesAloneAtOnce(t *testing.T) {
+	s := newBuildRig(t)
+	for _, id := range []string{"a1", "a2"} {
+		s.step(route.Withdrawn{Replica: upstream.ReplicaID(id), Incarnation: 1})
+	}
+	s.announceBuild("b0", "v2", 1)
+	s.startOn("stream", "v2")
+}
+
+// Guards against a stream that moves although the process that writes it may be another one
+// than the gate knew: its replica has restarted with another build.
+func TestAStreamOfAnUnknownBuildDoesNotMove(t *testing.T) {
+	s := newBuildRig(t)
+	s.startOn("stream", "v1")
+	s.announceBuild(string(s.lastDispatch["stream"].Target.Replica), "v2", 2)
+	s.run(300*time.Millisecond, "stream")
+	if s.sent["stream"] != 1 || s.refused["stream"] != nil {
+		t.Fatalf("sent %d times, refused %v", s.sent["stream"], s.refused["stream"])
+	}
+	s.breakRun("stream")
+	s.pass(50 * time.Millisecond)
+	if err := s.refused["stream"]; err == nil || err.Reason != route.ReasonBuildGone {
+		t.Errorf("sent %d times, refused %v", s.sent["stream"], err)
+	}
+}
+
+// Guards against requests of one build that keep others from starting while no replica of that
+// build has room.
+func TestStreamsThatWaitForTheirBuildHoldUpNoOthers(t *testing.T) {
+	s := newBuildRig(t)
+	for i := range 4 {
+		s.startOn(fmt.Sprint("running-", i), "v1")
+	}
+	for i := range 12 {
+		s.take(fmt.Sprint("taken-", i), "v1")
+	}
+	for i := range 4 {
+		s.announceBuild(fmt.Sprint("b", i), "v2", 1)
+	}
+	s.pass(2 * time.Second)
+	s.arrive(route.Request{ID: "other", Class: route.Online, Repeatable: true, Resumable: true, Fingerprint: upstream.FingerprintOf("other", nil)})
+	if d := s.lastDispatch["other"]; d.Target == nil || d.Target.Build != "v2" {
+		t.Errorf("the other request was sent to %+v", d.Target)
+	}
+}
