--- a/internal/ctl/app.go
+++ b/internal/ctl/app.go
@@ -72,6 +72,7 @@
 			a.entriesCommand(),
 			a.capCommand(),
 			a.paceCommand(),
+			a.buildCommand(),
 			a.shareCommand(),
 			a.gateCommand(),
 			a.accountCommand(),
--- a/internal/daemon/site.go
+++ b/internal/daemon/site.go
@@ -14,6 +14,7 @@
 	"slateway.example/slateway/internal/gate/buffers"
 	"slateway.example/slateway/internal/gate/credit"
 	"slateway.example/slateway/internal/gate/proxy"
+	"slateway.example/slateway/internal/gate/takeup"
 	"slateway.example/slateway/internal/job"
 	"slateway.example/slateway/internal/rpc"
 	"slateway.example/slateway/internal/settings"
@@ -208,6 +209,7 @@
 		s.gate.follower.Mount(peers)
 		metrics.HandleFunc("GET "+credit.PathCaps, s.gate.credit.ServeCaps)
 		metrics.HandleFunc("GET "+proxy.PathPaces, s.gate.router.ServePaces)
+		metrics.HandleFunc("GET "+takeup.PathBuilds, s.gate.takeups.ServeBuilds)
 		metrics.HandleFunc("GET "+proxy.PathShares, s.gate.router.ServeShares)
 		metrics.HandleFunc("GET "+buffers.PathMemory, s.gate.memory.ServeStatus)
 		list = append(list,
--- a/internal/gate/takeup/takeup.go
+++ b/internal/gate/takeup/takeup.go
@@ -294,13 +294,6 @@
 	s.options.Log.Info("caller takes a stream up", fields...)
 }
 
-// Builds lists the builds of all services that this gate knows.
-func (s *Service) Builds() []origin.Build {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.book.Builds(time.Now())
-}
-
 // Mount registers the procedure that other gates call on mux.
 func (s *Service) Mount(mux *http.ServeMux) { rpc.Handle(mux, procedure, maxCallBytes, s.serve) }
 
