--- a/internal/daemon/sitecontrol.go
+++ b/internal/daemon/sitecontrol.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"slateway.example/slateway/internal/control"
+	"slateway.example/slateway/internal/gate/takeup"
 	"slateway.example/slateway/internal/keeper"
 	"slateway.example/slateway/internal/keeper/keeperapi"
 	"slateway.example/slateway/internal/keeper/keeperclient"
@@ -108,6 +109,7 @@
 	c.keeper.service.Mount(mux)
 	if c.service != nil {
 		c.service.Mount(mux)
+		takeup.NewStore().Mount(mux)
 	}
 }
 
--- a/internal/daemon/sitegate.go
+++ b/internal/daemon/sitegate.go
@@ -101,7 +101,7 @@
 		Fleet: g.follower.Fleet(), ExpectedGates: g.follower.ExpectedGates, Client: site.calls, Log: site.log.Logger, DirectLifetime: s.Upstream.ExpireAfter,
 	})
 	g.takeups = takeup.New(takeup.Options{
-		VM: s.VM.Name, Fleet: g.follower.Fleet(), Calls: site.calls, Routes: g.follower.Routes, Log: site.log.Logger, Metrics: site.metrics,
+		VM: s.VM.Name, Fleet: g.follower.Fleet(), Controls: g.follower.Controls, Calls: site.calls, Routes: g.follower.Routes, Log: site.log.Logger, Metrics: site.metrics,
 	})
 	g.memory = newMemory(s, site.metrics, site.log.Logger)
 	g.router = proxy.New(proxy.Options{
--- a/internal/gate/follow/follower.go
+++ b/internal/gate/follow/follower.go
@@ -156,6 +156,13 @@
 	return f.keepers
 }
 
+// Controls returns the peers addresses of the known control VMs. The slice is read only.
+func (f *Follower) Controls() []string {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.controls
+}
+
 // Gates returns the live gates as last reported by the control VMs.
 func (f *Follower) Gates() []roster.Gate {
 	f.mu.Lock()
--- a/internal/gate/takeup/calls.go
+++ b/internal/gate/takeup/calls.go
@@ -42,10 +42,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := time.Now()
-	for i := range request.Records {
-		e := &request.Records[i]
-		s.book.Put(now, e.Request, origin.Record{Service: e.Service, Build: e.Build, Unknown: e.Unknown})
-	}
+	request.putInto(s.book.Records, now)
 	response := &Response{}
 	if request.Service == "" {
 		return response, nil
@@ -53,10 +50,7 @@
 	answer := s.book.Find(now, request.Ask, request.Service, s.window())
 	response.Sole, response.SoleBuild = answer.Sole, answer.SoleBuild
 	if answer.Known {
-		record := &answer.Record
-		response.Found = &Entry{
-			Request: request.Ask, Service: record.Service, Build: record.Build, Unknown: record.Unknown, AgeMS: now.Sub(record.At).Milliseconds(),
-		}
+		response.Found = entryOf(request.Ask, &answer.Record, now)
 	}
 	return response, nil
 }
@@ -87,7 +81,7 @@
 	ctx, cancel := context.WithTimeout(ctx, askTimeout)
 	defer cancel()
 	var asked sync.WaitGroup
-	ranked := origin.Rank(t.Resumes, s.gates(), origin.Asked)
+	ranked := append(origin.Rank(t.Resumes, s.gates(), origin.Asked), origin.Rank(t.Resumes, s.controls(), controlsAsked)...)
 	replies := make(chan reply, len(ranked))
 	for _, gate := range ranked {
 		address, known := s.addressOf(gate.ID)
--- a/internal/gate/takeup/takeup.go
+++ b/internal/gate/takeup/takeup.go
@@ -52,14 +52,23 @@
 // Fleet provides the gates of the site.
 type Fleet interface{ Members() []member.Member }
 
+// A control VM holds a copy of each record too, so that not all of them are gone when all
+// gates are killed at once. Two are asked, since one may have joined or left meanwhile.
+const (
+	controlHolders = 1
+	controlsAsked  = 2
+)
+
 // Options configures a Service. All fields are required.
 type Options struct {
-	VM      string
-	Fleet   Fleet
-	Calls   *rpc.Client
-	Routes  func() *routes.Matcher
-	Log     *zap.Logger
-	Metrics *telemetry.Metrics
+	VM    string
+	Fleet Fleet
+	// Controls returns the peers addresses of the control VMs.
+	Controls func() []string
+	Calls    *rpc.Client
+	Routes   func() *routes.Matcher
+	Log      *zap.Logger
+	Metrics  *telemetry.Metrics
 }
 
 // Service is one gate's part in finding the origins of streams. It is safe for concurrent use.
@@ -184,6 +193,18 @@
 			s.sender.enqueue(gate.ID, entry)
 		}
 	}
+	for _, control := range origin.Rank(request, s.controls(), controlHolders) {
+		s.sender.enqueue(control.ID, entry)
+	}
+}
+
+// controls returns the control VMs by their addresses.
+func (s *Service) controls() []origin.Gate {
+	var controls []origin.Gate
+	for _, address := range s.options.Controls() {
+		controls = append(controls, origin.Gate{ID: address})
+	}
+	return controls
 }
 
 func (s *Service) gates() []origin.Gate {
@@ -195,11 +216,12 @@
 	return gates
 }
 
+// addressOf returns the address of a gate, or of a control VM, which its address identifies.
 func (s *Service) addressOf(gate string) (string, bool) {
 	members := s.options.Fleet.Members()
 	i := slices.IndexFunc(members, func(m member.Member) bool { return m.VM.Name == gate })
 	if i < 0 {
-		return "", false
+		return gate, slices.Contains(s.options.Controls(), gate)
 	}
 	return members[i].VM.Peers, true
 }
