takeup: share the records of earlier streams whenever a second build is first heard of

What callers could see: a stream that began before a release was refused at another gate, if its own gate had been out of contact for a moment before it heard of the new build: the records were shared only by a gate that knew the one build right before. Found by reading; now they are shared at the first sight of several builds in any case.

--- a/internal/gate/takeup/takeup.go
+++ b/internal/gate/takeup/takeup.go
@@ -78,7 +78,7 @@
 
 	mu     sync.Mutex // guards the fields below
 	book   *origin.Book
-	soleOf map[string]bool // services that had one build at the last look
+	shared map[string]bool // services with several builds, whose records were sent to other gates
 	routes windowOf
 }
 
@@ -92,7 +92,7 @@
 func New(options Options) *Service {
 	now := time.Now()
 	s := &Service{
-		options: options, book: origin.NewBook(now), soleOf: make(map[string]bool),
+		options: options, book: origin.NewBook(now), shared: make(map[string]bool),
 	}
 	s.sender = newSender(s)
 	return s
@@ -104,7 +104,7 @@
 	defer s.mu.Unlock()
 	now := time.Now()
 	s.book.Announced(now, a)
-	s.checkSole(now, a.Service)
+	s.shareRecords(now, a.Service)
 }
 
 // Withdrawn records that a replica is no longer announced, up to an incarnation.
@@ -150,16 +150,18 @@
 	return s.routes.window
 }
 
-// checkSole sends the records of a service to other gates when it no longer has one build
-// only. The caller holds the mutex.
-func (s *Service) checkSole(now time.Time, service string) {
+// shareRecords sends the records of a service to other gates when it has had several builds for
+// the first time. The caller holds the mutex.
+func (s *Service) shareRecords(now time.Time, service string) {
 	window := s.window()
-	_, doubt := s.book.Sole(now, service, window)
-	had := s.soleOf[service]
-	s.soleOf[service] = doubt == ""
-	if !had || doubt != origin.DoubtSeveral {
+	switch _, doubt := s.book.Sole(now, service, window); {
+	case doubt == "":
+		s.shared[service] = false
+		return
+	case doubt != origin.DoubtSeveral || s.shared[service]:
 		return
 	}
+	s.shared[service] = true
 	records := s.book.Of(service, now.Add(-window))
 	s.options.Log.Info("a service has several builds, sending the records of its streams", zap.String("service", service), zap.Int("records", len(records)))
 	for id, record := range records {
@@ -178,9 +180,7 @@
 	defer s.mu.Unlock()
 	now := time.Now()
 	s.book.Put(now, request, record)
-	_, doubt := s.book.Sole(now, record.Service, s.window())
-	s.soleOf[record.Service] = doubt == ""
-	if doubt != "" {
+	if _, doubt := s.book.Sole(now, record.Service, s.window()); doubt != "" {
 		s.publish(request, record)
 	}
 }
--- a/internal/route/build.go
+++ b/internal/route/build.go
@@ -224,6 +224,9 @@
 	if !req.holdsEvents() {
 		return nil
 	}
+	if _, known := s.builds[req.origin.build]; known && len(s.builds) == 1 {
+		return nil // a replica that starts is probably of this build
+	}
 	if !req.origin.isLost() {
 		for _, r := range s.replicas {
 			if r.entry.Build == req.origin.build && !r.expired && !r.entry.Leaving && r.serves(req) {
