--- a/internal/origin/origin_test.go
+++ b/internal/origin/origin_test.go
@@ -110,37 +110,46 @@
 // Guards against records that are not found after a third of the gates, or all gates of a
 // place, were killed: some as holders, some no longer listed, some back and empty.
 func TestRecordsAreFoundAfterGatesWereKilled(t *testing.T) {
-	gates := gatesIn(3, 3)
 	for name, killed := range map[string]func(n int, g origin.Gate) bool{
-		"a third":         func(n int, g origin.Gate) bool { return (n+int(g.ID[len(g.ID)-1]))%3 == 0 },
-		"all of a place":  func(_ int, g origin.Gate) bool { return g.Place == "place-1" },
-		"one of the gate": func(n int, g origin.Gate) bool { return g.ID == fmt.Sprint("gate-", n%9) },
+		"a third":        func(n int, g origin.Gate) bool { return (n+int(g.ID[len(g.ID)-1]))%3 == 0 },
+		"all of a place": func(_ int, g origin.Gate) bool { return g.Place == "place-1" },
+		"one":            func(n int, g origin.Gate) bool { return g.ID == fmt.Sprint("gate-", n%9) },
 	} {
-		const requests = 3000
-		found := 0
-		for n := range requests {
-			request := fmt.Sprint("request-", n)
-			holds := map[string]bool{}
-			for _, g := range origin.Rank(request, gates, origin.Holders) {
-				holds[g.ID] = !killed(n, g)
-			}
-			var listed []origin.Gate
-			for i, g := range gates {
-				if !killed(n, g) || i%2 == 0 {
-					listed = append(listed, g)
-				}
+		for copies := 1; copies <= origin.Holders; copies++ {
+			share := shareFound(copies, killed)
+			t.Logf("%s of nine gates killed, %d copies: %.3f of the records are found", name, copies, share)
+			if copies == origin.Holders && share < 0.9 {
+				t.Errorf("%s killed: %.3f of the records are found", name, share)
 			}
-			for _, g := range origin.Rank(request, listed, origin.Asked) {
-				if holds[g.ID] {
-					found++
-					break
-				}
+		}
+	}
+}
+
+// shareFound returns the share of requests whose record a gate finds that has not been killed.
+func shareFound(copies int, killed func(n int, g origin.Gate) bool) float64 {
+	const requests = 3000
+	gates := gatesIn(3, 3)
+	found := 0
+	for n := range requests {
+		request := fmt.Sprint("request-", n)
+		holds := map[string]bool{}
+		for _, g := range origin.Rank(request, gates, copies) {
+			holds[g.ID] = !killed(n, g)
+		}
+		var listed []origin.Gate
+		for i, g := range gates {
+			if !killed(n, g) || i%2 == 0 {
+				listed = append(listed, g)
 			}
 		}
-		if share := float64(found) / requests; share < 0.9 {
-			t.Errorf("%s killed: %.3f of the records are found", name, share)
+		for _, g := range origin.Rank(request, listed, origin.Asked) {
+			if holds[g.ID] {
+				found++
+				break
+			}
 		}
 	}
+	return float64(found) / requests
 }
 
 func TestRecordsAreBounded(t *testing.T) {
