Logs: parts of prompts, and the requests on a process when it ended

From the logs of the incident nobody could tell what the requests on a crashed replica had in common, nor which of them had begun their answer. "request routed" and "item starts" name the parts of the prompt that other requests may share; "requests lost with a process" lists, at each gate, the requests on a process that ended: those whose answer had begun (events, time that it flowed), the others with their parts, and how many replicas had ended with the same request before. The protocol of a request tells its parts, which internal/crash identifies.

--- a/internal/gate/jobs.go
+++ b/internal/gate/jobs.go
@@ -191,7 +191,8 @@
 	}
 	j.options.Log.Info("item starts", telemetry.RequestID(item.CustomID), zap.String("job", string(lease.Job)),
 		zap.Int("attempt", lease.Attempt), zap.Int("reached", routed.Reached), zap.Int("known", lease.PartialEnd),
-		zap.String("writer", lease.PartialWriter), zap.String("service", routed.Service), zap.Uint64("routes", matcher.Version()))
+		zap.String("writer", lease.PartialWriter), zap.String("service", routed.Service), zap.Uint64("routes", matcher.Version()),
+		zap.Stringers("parts", routed.Protocol.PromptParts()))
 	return routed, nil
 }
 
--- a/internal/gate/proxy/batch.go
+++ b/internal/gate/proxy/batch.go
@@ -91,6 +91,7 @@
 	}
 	request.Resumable = protocol.Resumable()
 	request.Kind = protocol.Kind()
+	request.Parts = protocol.PromptParts()
 	if err := protocol.Check(); err != nil {
 		return BatchResult{Outcome: BatchFailed, Err: err}, nil
 	}
--- a/internal/gate/proxy/form.go
+++ b/internal/gate/proxy/form.go
@@ -11,6 +11,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"slateway.example/slateway/internal/apierr"
+	"slateway.example/slateway/internal/crash"
 	"slateway.example/slateway/internal/route"
 	"slateway.example/slateway/internal/upstream"
 )
@@ -132,6 +133,9 @@
 // Streams reports whether the caller receives events.
 func (f *httpProtocol) Streams() bool { return f.stream }
 
+// PromptParts returns nil: the protocol names no parts.
+func (f *httpProtocol) PromptParts() []crash.Part { return nil }
+
 // AllowsCloseDelimited returns false, since such an answer may be truncated.
 func (f *httpProtocol) AllowsCloseDelimited() bool { return false }
 
--- a/internal/gate/proxy/online.go
+++ b/internal/gate/proxy/online.go
@@ -124,6 +124,7 @@
 	r.options.Metrics.Count(CountOnlineOffered)
 	request.Class = route.Online
 	request.Kind = p.Kind()
+	request.Parts = p.PromptParts()
 	if err := p.Check(); err != nil {
 		r.options.Metrics.Count(telemetry.RefusedPrefix + string(err.Reason))
 		caller.Refuse(err)
--- a/internal/gate/proxy/protocol.go
+++ b/internal/gate/proxy/protocol.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"slateway.example/slateway/internal/apierr"
+	"slateway.example/slateway/internal/crash"
 	"slateway.example/slateway/internal/route"
 	"slateway.example/slateway/internal/upstream"
 )
@@ -22,6 +23,8 @@
 	Streams() bool
 	// Resumable reports whether another upstream can continue a partial answer.
 	Resumable() bool
+	// PromptParts returns the parts of the prompt that other requests may share, in their order.
+	PromptParts() []crash.Part
 	// LastReceived returns the number of the last event that the caller already has;
 	// 0 for a request from the start.
 	LastReceived() int
--- a/internal/gate/proxy/shard.go
+++ b/internal/gate/proxy/shard.go
@@ -2,12 +2,15 @@
 
 import (
 	"context"
+	"fmt"
+	"slices"
 	"sync"
 	"time"
 
 	"go.uber.org/zap"
 
 	"slateway.example/slateway/internal/apierr"
+	"slateway.example/slateway/internal/crash"
 	"slateway.example/slateway/internal/route"
 	"slateway.example/slateway/internal/telemetry"
 	"slateway.example/slateway/internal/upstream"
@@ -108,6 +111,8 @@
 			s.cancel(o)
 		case route.StateChanged:
 			s.logHealth(&o)
+		case route.ProcessDied:
+			s.logDeath(&o)
 		case route.Refuse:
 			s.refuse(o, ready)
 		case route.Probe:
@@ -197,6 +202,32 @@
 		zap.Int("attempts", o.Attempts), zap.Duration("quiet", o.Idle), zap.Bool("slowly", o.SlowStart))
 }
 
+// logDeath logs which requests were on a process when it ended, which of them had begun their
+// answer, and the parts of prompts of the others.
+func (s *shard) logDeath(o *route.ProcessDied) {
+	var begun, waiting []string
+	var parts []crash.Part
+	for i := range o.Requests {
+		lost := &o.Requests[i]
+		line := fmt.Sprintf("%s %s crashes=%d", lost.ID, lost.Class, lost.Crashes)
+		if lost.Tokens > 0 {
+			begun = append(begun, fmt.Sprintf("%s events=%d flowed=%s", line, lost.Tokens, lost.Flowed.Round(time.Millisecond)))
+			continue
+		}
+		waiting = append(waiting, fmt.Sprintf("%s parts=%v", line, lost.Parts))
+		parts = append(parts, lost.Parts...)
+	}
+	slices.Sort(parts)
+	s.log().Info("requests lost with a process", telemetry.Upstream(string(o.Replica)), zap.String("service", s.service),
+		zap.Uint64("incarnation", o.Incarnation), zap.String("evidence", string(o.Evidence)), zap.Strings("begun", firstOf(begun)), zap.Int("begun_count", len(begun)),
+		zap.Strings("not_begun", firstOf(waiting)), zap.Int("not_begun_count", len(waiting)), zap.Stringers("parts", firstOf(slices.Compact(parts))))
+}
+
+// maxLogged bounds a list in a log line.
+const maxLogged = 24
+
+func firstOf[T any](list []T) []T { return list[:min(len(list), maxLogged)] }
+
 func (s *shard) refuse(o route.Refuse, ready chan struct{}) {
 	f := s.flights[o.ID]
 	if f == nil {
--- a/internal/gate/routed.go
+++ b/internal/gate/routed.go
@@ -183,7 +183,7 @@
 	f.log.Info("request routed", telemetry.RequestID(r.ID), telemetry.Team(r.Team.Name), zap.String("route", found.Name), zap.String("service", service),
 		zap.Uint64("routes", found.Matcher.Version()), zap.Duration("routes_age", f.source.Age()), zap.Duration("limit", longest),
 		zap.Duration("patience", r.CallerTimeout), zap.Duration("waited", waited),
-		zap.Duration("target", found.TargetLatency), zap.Duration("pause", found.MaxEventGap))
+		zap.Duration("target", found.TargetLatency), zap.Duration("pause", found.MaxEventGap), zap.Stringers("parts", r.Protocol.PromptParts()))
 	f.router.Serve(ctx, caller, service, r.Protocol, route.Request{
 		ID:          r.ID,
 		Team:        found.Name,
--- a/internal/route/attempt.go
+++ b/internal/route/attempt.go
@@ -107,7 +107,7 @@
 		s.cancel(req.liveAttempts[0], cause)
 	}
 	if req.awaitedReplica != nil {
-		req.awaitedReplica.abandonedPrints = append(req.awaitedReplica.abandonedPrints, req.Fingerprint)
+		req.awaitedReplica.abandoned = append(req.awaitedReplica.abandoned, req.lost)
 		s.endAwait(req)
 	}
 	s.onlineQueue.remove(req)
--- a/internal/route/copies.go
+++ b/internal/route/copies.go
@@ -37,8 +37,9 @@
 // the replica's process died while running it. A caller that received its error sooner
 // could send a harmful request through another gate before that gate has the crash
 // record. Queued copies of the request wait for the same reason.
-func (s *Shard) awaitProbe(req *request, r *replica) {
+func (s *Shard) awaitProbe(req *request, r *replica, lost lostRequest) {
 	req.awaitedReplica = r
+	req.lost = lost
 	req.awaitingSince = s.now
 	s.copiesOf(req.Fingerprint).awaitingProbe++
 }
--- a/internal/route/failure.go
+++ b/internal/route/failure.go
@@ -35,13 +35,13 @@
 	if cause == CauseSilent || cause == CauseUnanswered || (cause == CauseBroken && len(req.liveAttempts) > 0) {
 		// The request does not wait for the probe, but gets a crash record if the probe
 		// finds the process dead.
-		r.abandonedPrints = append(r.abandonedPrints, req.Fingerprint)
+		r.abandoned = append(r.abandoned, lostOf(a))
 	}
 	if len(req.liveAttempts) > 0 {
 		return // a hedge still runs
 	}
 	if cause == CauseBroken && !s.config.Disabled.Poison {
-		s.awaitProbe(req, r)
+		s.awaitProbe(req, r, lostOf(a))
 	}
 	s.retryOrRefuse(req, cause)
 }
--- /dev/null
+++ b/internal/route/lost.go
@@ -0,0 +1,66 @@
+package route
+
+import (
+	"time"
+
+	"slateway.example/slateway/internal/crash"
+	"slateway.example/slateway/internal/upstream"
+)
+
+// lostRequest is a request as its attempt was when the replica's process ended.
+type lostRequest struct {
+	id          string
+	class       Class
+	fingerprint upstream.Fingerprint
+	parts       []crash.Part
+	tokens      int           // reached in this attempt; 0: its answer had not begun
+	flowed      time.Duration // from the first event to the last
+}
+
+// lostOf returns the state of an attempt that ends with its process.
+func lostOf(a *attempt) lostRequest {
+	return lostRequest{
+		id: a.req.ID, class: a.req.Class, fingerprint: a.req.Fingerprint, parts: a.req.Parts,
+		tokens: a.tokens, flowed: a.flowTime(),
+	}
+}
+
+// flowTime returns how long the answer of the attempt has flowed.
+func (a *attempt) flowTime() time.Duration {
+	if a.firstAt.IsZero() {
+		return 0
+	}
+	return a.lastProgress.Sub(a.firstAt)
+}
+
+// ProcessDied reports that a replica's process has ended and which requests of this gate were
+// on it.
+type ProcessDied struct {
+	Replica     upstream.ReplicaID
+	Incarnation uint64
+	Evidence    Evidence
+	Requests    []LostRequest
+}
+
+// LostRequest is a request that was on a replica when its process ended.
+type LostRequest struct {
+	ID      string
+	Class   Class
+	Parts   []crash.Part
+	Tokens  int           // of the answer, as far as this process wrote it; 0: it had not begun
+	Flowed  time.Duration // from its first event to the last
+	Crashes int           // replicas that ended with the same request on them before, as known here
+}
+
+func (ProcessDied) output() {}
+
+func (s *Shard) emitProcessDied(r *replica, evidence Evidence, lost []lostRequest) {
+	died := ProcessDied{Replica: r.entry.Replica, Incarnation: r.incarnation, Evidence: evidence}
+	for i := range lost {
+		crashes, _ := s.crashes.CrashCount(s.now, lost[i].fingerprint)
+		died.Requests = append(died.Requests, LostRequest{
+			ID: lost[i].id, Class: lost[i].class, Parts: lost[i].parts, Tokens: lost[i].tokens, Flowed: lost[i].flowed, Crashes: crashes,
+		})
+	}
+	s.emit(died)
+}
--- a/internal/route/messages.go
+++ b/internal/route/messages.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"slateway.example/slateway/internal/apierr"
+	"slateway.example/slateway/internal/crash"
 	"slateway.example/slateway/internal/upstream"
 )
 
@@ -38,6 +39,7 @@
 	Deadline    time.Time            `json:"deadline"`
 	Fingerprint upstream.Fingerprint `json:"fingerprint"`
 	Prefix      uint64               `json:"prefix,omitempty"` // hash of the start of the prompt; 0: no affinity
+	Parts       []crash.Part         `json:"parts,omitempty"`  // of the prompt, that other requests may share
 	Repeatable  bool                 `json:"repeatable"`
 	Resumable   bool                 `json:"resumable"` // another replica can continue its stream at a given token
 	Limits      Limits               `json:"limits,omitempty"`
--- a/internal/route/poison.go
+++ b/internal/route/poison.go
@@ -144,22 +144,19 @@
 	return a.req.replicaDied && a.tokens > a.req.tokensAtDeath
 }
 
-// recordCrashes adds crash records for the requests that ran on a replica when it died;
-// abandoned are the fingerprints of further ones that were removed or moved before.
-func (s *Shard) recordCrashes(r *replica, suspects []*request, abandoned []upstream.Fingerprint) {
+// recordCrashes adds crash records for the requests that were lost when a replica died.
+func (s *Shard) recordCrashes(r *replica, lost []lostRequest) {
 	if s.config.Disabled.Poison {
 		return
 	}
-	prints := slices.Clone(abandoned)
-	for _, req := range suspects {
-		req.tokensAtDeath = req.tokens
-		req.replicaDied = true
-		prints = append(prints, req.Fingerprint)
-	}
 	var added []upstream.CrashRecord
-	for _, print := range prints {
+	for i := range lost {
+		if req := s.requests[lost[i].id]; req != nil {
+			req.tokensAtDeath = req.tokens
+			req.replicaDied = true
+		}
 		crash := upstream.CrashRecord{
-			Fingerprint: print,
+			Fingerprint: lost[i].fingerprint,
 			Replica:     r.entry.Replica,
 			Incarnation: r.incarnation,
 			Gate:        s.config.Self,
--- a/internal/route/probe.go
+++ b/internal/route/probe.go
@@ -132,7 +132,7 @@
 // returns them.
 func (s *Shard) releaseAwaiting(r *replica) []*request {
 	var released []*request
-	r.abandonedPrints = nil
+	r.abandoned = nil
 	for _, queue := range []*waitQueue{&s.onlineQueue, &s.batchQueue} {
 		for _, req := range queue.list {
 			if req.awaitedReplica == r {
@@ -147,18 +147,23 @@
 // handleDeath records a crash for all requests that ran on a dead replica: those whose
 // connections broke and those whose attempts are still open.
 func (s *Shard) handleDeath(r *replica, evidence Evidence) {
-	abandoned := r.abandonedPrints
+	lost := r.abandoned
 	held := s.releaseAwaiting(r)
-	suspects := slices.Clone(held)
+	for _, req := range held {
+		lost = append(lost, req.lost)
+	}
 	for _, a := range r.attempts {
-		suspects = append(suspects, a.req)
+		lost = append(lost, lostOf(a))
 	}
 	if !r.dead {
 		r.dead = true
 		s.count(ReasonReplicaDied)
 		s.emitState(r, StateDead, evidence)
 	}
-	s.recordCrashes(r, suspects, abandoned)
+	if len(lost) > 0 {
+		s.emitProcessDied(r, evidence, lost)
+	}
+	s.recordCrashes(r, lost)
 	s.sendHeldErrors(held)
 	for _, a := range slices.Clone(r.attempts) {
 		if s.attempts[a.id] != nil {
--- a/internal/route/replica.go
+++ b/internal/route/replica.go
@@ -72,13 +72,13 @@
 
 	pace paceState
 
-	health          health
-	probing         bool // a probe is under way; nothing new is sent there until it ends
-	probeAt         time.Time
-	probeDelay      time.Duration
-	missedProbe     bool                   // a probe was not answered since it became suspect
-	penaltyUntil    time.Time              // until then an answered probe does not return it to use
-	abandonedPrints []upstream.Fingerprint // fingerprints of requests that were removed or moved before their probe ended
+	health       health
+	probing      bool // a probe is under way; nothing new is sent there until it ends
+	probeAt      time.Time
+	probeDelay   time.Duration
+	missedProbe  bool          // a probe was not answered since it became suspect
+	penaltyUntil time.Time     // until then an answered probe does not return it to use
+	abandoned    []lostRequest // requests that were removed or moved before their probe ended
 }
 
 // acceptsWork reports whether new requests may be sent to the replica.
--- a/internal/route/shard.go
+++ b/internal/route/shard.go
@@ -105,6 +105,7 @@
 	tokensAtDeath    int           // tokens reached at that time
 	awaitedReplica   *replica      // the probe of this replica must end before the next attempt
 	awaitingSince    time.Time     // when that wait began
+	lost             lostRequest   // its attempt on that replica
 	reservationTries int           // owners that were asked for a slot
 	heldError        *apierr.Error // final error, held until the probe ends; nil: the request is retried
 	shareTeam        *share.Team   // its team among the waiting online requests
