--- a/standin/link/link.go
+++ b/standin/link/link.go
@@ -30,14 +30,15 @@
 
 // Relay forwards TCP connections to a target.
 type Relay struct {
-	listener net.Listener
-	target   string
+	address string
+	target  string
 
 	// source returns the name of the process that opened a connection, or "" if it is
 	// unknown. If nil, all connections have the same condition.
 	source func(net.Conn) string
 
 	mu          sync.Mutex
+	listener    net.Listener
 	condition   Condition
 	bySource    map[string]Condition // overrides condition
 	changed     chan struct{}        // closed and replaced at each change of a condition
@@ -71,6 +72,7 @@
 		return nil, err
 	}
 	relay := &Relay{
+		address:     listener.Addr().String(),
 		listener:    listener,
 		target:      target,
 		source:      source,
@@ -79,12 +81,41 @@
 		random:      rand.New(rand.NewPCG(seed, 0)),
 		connections: make(map[*connection]struct{}),
 	}
-	go relay.accept()
+	go relay.accept(listener)
 	return relay, nil
 }
 
 // Address returns the IP:port that the relay listens on.
-func (r *Relay) Address() string { return r.listener.Addr().String() }
+func (r *Relay) Address() string { return r.address }
+
+// Down closes the relay's listener and connections, as when the VM answers and no process
+// listens. Up ends it.
+func (r *Relay) Down() {
+	r.mu.Lock()
+	_ = r.listener.Close()
+	open := r.connections
+	r.connections = make(map[*connection]struct{})
+	r.mu.Unlock()
+	for connection := range open {
+		connection.close()
+	}
+}
+
+// Up listens again after Down.
+func (r *Relay) Up() error {
+	listener, err := net.Listen("tcp", r.address)
+	if err != nil {
+		return err
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.closed {
+		return listener.Close()
+	}
+	r.listener = listener
+	go r.accept(listener)
+	return nil
+}
 
 // Set changes the condition of all open and future connections, except those of a
 // source whose condition SetFor has set.
@@ -138,8 +169,8 @@
 
 // Close stops the relay and closes its connections.
 func (r *Relay) Close() error {
-	err := r.listener.Close()
 	r.mu.Lock()
+	err := r.listener.Close()
 	r.closed = true
 	open := r.connections
 	r.connections = nil
@@ -150,9 +181,9 @@
 	return err
 }
 
-func (r *Relay) accept() {
+func (r *Relay) accept(listener net.Listener) {
 	for {
-		client, err := r.listener.Accept()
+		client, err := listener.Accept()
 		if err != nil {
 			return
 		}
