--- a/internal/control/controlapi/api.go
+++ b/internal/control/controlapi/api.go
@@ -7,6 +7,7 @@
 
 	"slateway.example/slateway/internal/apierr"
 	"slateway.example/slateway/internal/codec"
+	"slateway.example/slateway/internal/crash"
 	"slateway.example/slateway/internal/origin"
 	"slateway.example/slateway/internal/quorum"
 	"slateway.example/slateway/internal/roster"
@@ -27,10 +28,27 @@
 const (
 	Follow rpc.Procedure[FollowRequest, FollowResponse] = "/slateway.control/Follow"
 	Share  rpc.Procedure[ShareRequest, ShareResponse]   = "/slateway.control/Share"
+	// ReportParts is called by gates.
+	ReportParts rpc.Procedure[PartsRequest, PartsResponse] = "/slateway.control/Parts"
 	// Invite is served by gates.
 	Invite rpc.Procedure[InviteRequest, InviteResponse] = "/slateway.control/Invite"
 )
 
+// PartsRequest carries what a gate knows of parts of prompts that crash replicas.
+type PartsRequest struct {
+	Service string         `cbor:"1,keyasint"`
+	Records []crash.Record `cbor:"2,keyasint"`
+}
+
+// PartsResponse acknowledges a PartsRequest.
+type PartsResponse struct{}
+
+// ServiceParts is what is known of the parts of one service's prompts.
+type ServiceParts struct {
+	Service string         `cbor:"1,keyasint"`
+	Records []crash.Record `cbor:"2,keyasint"`
+}
+
 // InviteRequest informs a gate of a control VM that it can follow.
 type InviteRequest struct {
 	Control string `cbor:"1,keyasint"` // peers address
@@ -69,6 +87,9 @@
 	// BuildsHash is the BuildsHash of the last response; nil if the gate is of a build that
 	// does not read Builds.
 	BuildsHash *uint64 `cbor:"13,keyasint,omitempty"`
+	// PartsHash is the PartsHash of the last response; nil if the gate is of a build that does
+	// not read Parts.
+	PartsHash *uint64 `cbor:"14,keyasint,omitempty"`
 }
 
 // FollowResponse carries the changes since the gate's last response.
@@ -109,6 +130,10 @@
 	BuildsHash  uint64        `cbor:"17,keyasint,omitempty"`
 	// NoContact reports that the control VM was not in contact with the leader.
 	NoContact bool `cbor:"18,keyasint,omitempty"`
+	// Parts lists the parts of prompts that crash replicas, if their hash differs from that in
+	// the request.
+	Parts     []ServiceParts `cbor:"19,keyasint,omitempty"`
+	PartsHash uint64         `cbor:"20,keyasint,omitempty"`
 }
 
 // Version returns the roster version that a follower has after it has applied the response.
@@ -156,6 +181,9 @@
 	Renewals     []roster.Renewal     `cbor:"8,keyasint,omitempty"`
 	GateRenewals []roster.GateRenewal `cbor:"9,keyasint,omitempty"`
 	DigestForm   int                  `cbor:"10,keyasint,omitempty"`
+	// AsksParts asks for ServiceParts, unless their hash is PartsHash.
+	AsksParts bool   `cbor:"11,keyasint,omitempty"`
+	PartsHash uint64 `cbor:"12,keyasint,omitempty"`
 }
 
 // ShareResponse carries the reports that the request asked for.
@@ -170,4 +198,6 @@
 	// Builds and BuildsReach are as in FollowResponse.
 	Builds      []origin.Past `cbor:"5,keyasint,omitempty"`
 	BuildsReach time.Duration `cbor:"6,keyasint,omitempty"`
+	// Parts is as in FollowResponse.
+	Parts []ServiceParts `cbor:"7,keyasint,omitempty"`
 }
--- a/internal/control/follow.go
+++ b/internal/control/follow.go
@@ -221,6 +221,7 @@
 	}
 	s.mu.Unlock()
 	s.addBuilds(response, request)
+	s.addParts(response, request)
 	if version == since && since > 0 {
 		response.Changes.Version = version
 		return response, response.HasRoutes(), rosterChanged
@@ -253,6 +254,7 @@
 	}
 	s.addPeers(response, request.PeersHash)
 	s.addBuilds(response, request)
+	s.addParts(response, request)
 	if matcher := s.options.Config.Routes(); matcher.Version() > request.Routes {
 		s.addRoutes(response, matcher.Document(), request.AcceptsPacked)
 	}
--- a/internal/control/service.go
+++ b/internal/control/service.go
@@ -86,6 +86,7 @@
 	epoch         string
 	started       time.Time
 	journal       *journal
+	parts         *partStore
 	broadcaster   *broadcaster
 	packed        packedRoutes
 	packedChanges packedChanges
@@ -140,6 +141,7 @@
 
 		seeds:       options.Seeds,
 		journal:     newJournal(options.Folder, options.Log),
+		parts:       newPartStore(options.Folder, options.Log),
 		broadcaster: newBroadcaster(options.Address, options.Calls, options.Log),
 	}
 	s.journal.changes, s.journal.count = s.journalChanges, options.Metrics.Count
@@ -176,6 +178,7 @@
 func (s *Service) Mount(mux *http.ServeMux) {
 	rpc.HandleUncompressed(mux, controlapi.Follow, controlapi.MaxMessageBytes, s.follow)
 	rpc.Handle(mux, controlapi.Share, controlapi.MaxMessageBytes, s.share)
+	rpc.Handle(mux, controlapi.ReportParts, controlapi.MaxMessageBytes, s.reportParts)
 }
 
 // maxLag is how long this VM may lack a committed change and still serve requests. It is
--- a/internal/control/share.go
+++ b/internal/control/share.go
@@ -62,6 +62,7 @@
 // with that of one of them.
 func (s *Service) exchange(ctx context.Context, round int) {
 	s.shareReports(ctx)
+	s.parts.expire()
 	s.locate(ctx)
 	s.journal.request(s.snapshot) // writes changes of the gates; those of replicas are on disk already
 	if round%sharesPerSync == 0 {
@@ -153,7 +154,8 @@
 	s.mu.Lock()
 	digests := s.table.BucketDigests()
 	s.mu.Unlock()
-	request := &controlapi.ShareRequest{Digests: digests, DigestForm: roster.DigestForm}
+	_, partsHash := s.parts.lasting(0)
+	request := &controlapi.ShareRequest{Digests: digests, DigestForm: roster.DigestForm, PartsHash: partsHash, AsksParts: true}
 	answer, err := s.call(ctx, address, request)
 	if err == nil && answer.DigestForm != roster.DigestForm {
 		answer, err = s.call(ctx, address, &controlapi.ShareRequest{Full: true})
@@ -163,6 +165,9 @@
 		return
 	}
 	s.merge(answer.Replicas, answer.Gates)
+	for _, service := range answer.Parts {
+		s.parts.merge(service.Service, service.Records)
+	}
 	s.mu.Lock()
 	s.table.RememberBuilds(time.Now(), answer.Builds, answer.BuildsReach)
 	s.mu.Unlock()
@@ -289,6 +294,9 @@
 	if !request.Full && (!sameForm || len(request.Digests) == 0) {
 		return response, nil
 	}
+	if request.AsksParts {
+		response.Parts, _ = s.parts.lasting(request.PartsHash)
+	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := time.Now()
--- a/internal/crash/schedule_test.go
+++ b/internal/crash/schedule_test.go
@@ -1,9 +1,18 @@
 package crash_test
 
 import (
+	"math/rand/v2"
+	"os"
+	"runtime"
+	"slices"
+	"strconv"
+	"sync"
 	"testing"
 	"time"
 
+	"golang.org/x/sync/errgroup"
+
+	"slateway.example/slateway/internal/crash"
 	"slateway.example/slateway/internal/route"
 )
 
@@ -48,3 +57,91 @@
 		t.Errorf("%d sound requests were refused as harmful, among them %s", len(refused), refused[0].id)
 	}
 }
+
+// drawn returns a schedule with random faults.
+func drawn(seed uint64) schedule {
+	random := rand.New(rand.NewPCG(seed, 99))
+	between := func(from, to float64) float64 { return from + random.Float64()*(to-from) }
+	times := func(most int) (at []time.Duration) {
+		for range random.IntN(most + 1) {
+			at = append(at, time.Duration(between(2, 28)*float64(time.Second)))
+		}
+		return at
+	}
+	s := schedule{
+		seed: seed, gates: 3 + random.IntN(7), replicas: 4 + random.IntN(9), sound: between(8, 45), harmful: between(1, 50),
+		from: 3 * time.Second, until: 25 * time.Second, end: 30 * time.Second, restart: time.Duration(between(1, 5) * float64(time.Second)),
+		first: random.IntN(4) == 0, items: random.IntN(4), kills: times(2), freezes: times(2), cuts: times(2),
+	}
+	if random.IntN(3) == 0 {
+		s.late = time.Duration(between(0.05, 1.5) * float64(time.Second))
+	}
+	if random.IntN(3) == 0 {
+		s.parts = []crash.Part{harmfulPart, harmfulPart + 1}
+	}
+	if random.IntN(3) == 0 {
+		s.spontaneous = between(0, 0.5)
+	}
+	switch random.IntN(5) {
+	case 0:
+		s.groups = times(2)
+	case 1:
+		s.powerCuts = times(1)
+	case 2:
+		s.stops = times(2)
+	}
+	return s
+}
+
+// schedules returns the seeds to try: a few, or those up to SLATEWAY_CRASH_SCHEDULES.
+func schedules(t *testing.T, few uint64) uint64 {
+	text := os.Getenv("SLATEWAY_CRASH_SCHEDULES")
+	if text == "" {
+		return few
+	}
+	n, err := strconv.ParseUint(text, 10, 64)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return n
+}
+
+// Guards against requests with a part that has ended five replicas and reach further ones, in any
+// order of kills, cuts, freezes, stops of all gates, late messages, spontaneous ends and items.
+func TestNoScheduleSendsACondemnedPartOn(t *testing.T) {
+	var mu sync.Mutex
+	var verdicts []int
+	most, overGoal, condemned := 0, 0, 0
+	each(t, schedules(t, 60), func(seed uint64) {
+		w := newWorld(drawn(seed))
+		w.run()
+		mu.Lock()
+		defer mu.Unlock()
+		if w.afterFifth > maxAfterFifth*len(w.schedule.parts) {
+			t.Errorf("seed %d: %d requests sent after the fifth death and the window, %d processes ended", seed, w.afterFifth, len(w.deaths))
+		}
+		verdicts = append(verdicts, w.firstVerdicts()...)
+		for part, deaths := range w.deathsOf {
+			most = max(most, len(deaths))
+			if len(deaths) > 5+maxAfterFifth {
+				overGoal++
+				t.Logf("seed %d: %d replicas ended of part %d", seed, len(deaths), part)
+			}
+		}
+		condemned += w.soundCondemned
+	})
+	slices.Sort(verdicts)
+	t.Logf("verdict after %d, %d, %d deaths (median, nine of ten, most); most replicas ended of one part: %d, over eight in %d; sound parts condemned by gates: %d",
+		verdicts[len(verdicts)/2], verdicts[len(verdicts)*9/10], verdicts[len(verdicts)-1], most, overGoal, condemned)
+}
+
+// each runs a function for seeds 1 to n, several at a time.
+func each(t *testing.T, n uint64, run func(seed uint64)) {
+	t.Helper()
+	var running errgroup.Group
+	running.SetLimit(runtime.GOMAXPROCS(0))
+	for seed := uint64(1); seed <= n; seed++ {
+		running.Go(func() error { run(seed); return nil })
+	}
+	_ = running.Wait() // run returns no error
+}
--- a/internal/crash/world_test.go
+++ b/internal/crash/world_test.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"container/heap"
 	"fmt"
+	"maps"
 	"math/rand/v2"
 	"slices"
 	"time"
@@ -48,6 +49,8 @@
 	freezes     []time.Duration // when one gate is frozen for two seconds
 	cuts        []time.Duration // when one gate is cut off from the others for two seconds
 	late        time.Duration   // latest arrival of a message between gates
+	rule        crash.Rule
+	disabled    route.Guards
 }
 
 // replica is a replica's process.
@@ -71,14 +74,14 @@
 
 // gate is a gate with the decisions of one service.
 type gate struct {
-	id       string
-	shard    *route.Shard
-	up       bool
-	frozen   time.Time // until then
-	cut      time.Time // until then
+	id        string
+	shard     *route.Shard
+	up        bool
+	frozen    time.Time // until then
+	cut       time.Time // until then
 	disturbed time.Time // when it was last not in touch
-	runs     map[route.AttemptID]*run
-	started  int
+	runs      map[route.AttemptID]*run
+	started   int
 }
 
 func (g *gate) reachable(now time.Time) bool {
@@ -91,40 +94,50 @@
 
 // request is what a caller has sent.
 type request struct {
-	id      string
-	parts   []crash.Part
-	harmful bool
-	gate    *gate
-	at      time.Time
-	begun   bool
-	done    bool
-	refused *apierr.Error
-	sends   int
-	batch   bool
+	id         string
+	parts      []crash.Part
+	harmful    bool
+	gate       *gate
+	at         time.Time
+	begun      bool // at its first attempt
+	firstAfter time.Duration
+	done       bool
+	refused    *apierr.Error
+	sends      int
+	batch      bool
 }
 
 // world is a site of gates and replicas. A replica that ends comes back under another ID.
 type world struct {
 	schedule
-	random   *rand.Rand
-	now      time.Time
-	began    time.Time
-	queue    timers
-	gates    []*gate
-	replicas []*replica
-	requests []*request
-	byID     map[string]*request
-	count    int
+	random     *rand.Rand
+	now        time.Time
+	began      time.Time
+	queue      timers
+	gates      []*gate
+	control    *crash.Ledger // of the control VMs, which keep it on disk
+	replicas   []*replica
+	requests   []*request
+	byID       map[string]*request
+	count      int
+	timerCount int
 
 	deaths     []time.Time // of processes that harmful requests ended
-	ended      int         // processes that ended by themselves
-	afterFifth int         // harmful requests sent later than the window after the fifth death, by gates in touch
-	sends      int         // harmful requests sent
-	trace      func(format string, args ...any)
+	deathsOf   map[crash.Part][]time.Time
+	verdicts   map[crash.Part]int // deaths of harmful parts until their first verdict
+	ended      int                // processes that ended by themselves
+	afterFifth int                // harmful requests sent later than the window after the fifth death, by gates in touch
+	sends      int                // harmful requests sent
+
+	soundCondemned int // verdicts of gates on sound parts
+	trace          func(format string, args ...any)
 }
 
 func newWorld(s schedule) *world {
-	w := &world{schedule: s, random: rand.New(rand.NewPCG(s.seed, 1)), now: time.Unix(1_000_000, 0), byID: map[string]*request{}, trace: func(string, ...any) {}}
+	w := &world{
+		schedule: s, random: rand.New(rand.NewPCG(s.seed, 1)), now: time.Unix(1_000_000, 0), byID: map[string]*request{}, control: crash.NewLedger(s.rule),
+		deathsOf: map[crash.Part][]time.Time{}, verdicts: map[crash.Part]int{}, trace: func(string, ...any) {},
+	}
 	w.began = w.now
 	if len(w.schedule.parts) == 0 {
 		w.schedule.parts = []crash.Part{harmfulPart}
@@ -139,7 +152,13 @@
 	return w
 }
 
-func (w *world) after(d time.Duration, do func()) { w.queue.add(w.now.Add(d), do) }
+// at calls do at a time.
+func (w *world) at(at time.Time, do func()) {
+	w.timerCount++
+	heap.Push(&w.queue, timer{at, w.timerCount, do})
+}
+
+func (w *world) after(d time.Duration, do func()) { w.at(w.now.Add(d), do) }
 
 func (w *world) between(from, to time.Duration) time.Duration {
 	return from + time.Duration(w.random.Int64N(int64(to-from)+1))
@@ -150,44 +169,44 @@
 	w.arrivals(w.sound, 0, w.end, func() { w.send(w.soundRequest()) })
 	w.arrivals(w.harmful, w.from, w.until, func() { w.send(w.harmfulRequest()) })
 	for range w.items {
-		w.queue.add(w.began.Add(w.between(w.from, w.from+time.Second)), func() {
+		w.at(w.began.Add(w.between(w.from, w.from+time.Second)), func() {
 			r := w.harmfulRequest()
 			r.batch = true
 			w.send(r)
 		})
 	}
-	w.arrivals(w.spontaneous, 0, w.end, func() { w.endByItself(w.replicas[w.random.IntN(len(w.replicas))]) })
+	w.arrivals(w.spontaneous, 0, w.end, w.endOne)
 	for _, at := range w.groups {
 		for range len(w.replicas) / 3 {
-			w.queue.add(w.began.Add(at+w.between(0, 500*time.Millisecond)), func() { w.endByItself(w.replicas[w.random.IntN(len(w.replicas))]) })
+			w.at(w.began.Add(at+w.between(0, 500*time.Millisecond)), w.endOne)
 		}
 	}
 	for _, at := range w.powerCuts {
-		w.queue.add(w.began.Add(at), func() {
+		w.at(w.began.Add(at), func() {
 			for _, r := range slices.Clone(w.replicas) {
 				w.endByItself(r)
 			}
 		})
 	}
 	for _, at := range w.stops {
-		w.queue.add(w.began.Add(at), func() {
+		w.at(w.began.Add(at), func() {
 			for _, g := range w.gates {
 				w.killGate(g, 300*time.Millisecond)
 			}
 		})
 	}
 	for _, at := range w.kills {
-		w.queue.add(w.began.Add(at), func() { w.killGate(w.anyGate(), time.Second) })
+		w.at(w.began.Add(at), func() { w.killGate(w.anyGate(), time.Second) })
 	}
 	for _, at := range w.freezes {
-		w.queue.add(w.began.Add(at), func() {
+		w.at(w.began.Add(at), func() {
 			g := w.anyGate()
 			g.frozen = w.now.Add(2 * time.Second)
 			g.disturbed = g.frozen
 		})
 	}
 	for _, at := range w.cuts {
-		w.queue.add(w.began.Add(at), func() {
+		w.at(w.began.Add(at), func() {
 			g := w.anyGate()
 			g.cut = w.now.Add(2 * time.Second)
 			g.disturbed = g.cut
@@ -211,7 +230,7 @@
 		if at >= until {
 			return
 		}
-		w.queue.add(w.began.Add(at), do)
+		w.at(w.began.Add(at), do)
 	}
 }
 
@@ -221,6 +240,7 @@
 	g.started++
 	config := route.Config{
 		Self: g.id, Place: "glas-a", HedgeMin: -1, ProbeAfter: time.Hour, EntryLifetime: time.Hour, StallMin: 70 * time.Millisecond,
+		CrashRule: w.rule, Disabled: w.disabled,
 	}
 	g.shard = route.NewShard(config, rand.New(rand.NewPCG(w.seed, uint64(len(g.id)*1000+g.started))))
 	g.runs = map[route.AttemptID]*run{}
@@ -230,10 +250,12 @@
 		gates = append(gates, route.Gate{ID: fmt.Sprint("gate-", i), Place: "glas-a"})
 	}
 	w.step(g, route.GatesChanged{Gates: gates})
+	w.poll(g)
 	for _, r := range w.replicas {
 		w.announce(g, r)
 	}
 	w.ticks(g, g.started)
+	w.polls(g, g.started)
 }
 
 func (w *world) ticks(g *gate, started int) {
@@ -248,6 +270,28 @@
 	})
 }
 
+// pollInterval is how often a gate compares its records with those of a control VM.
+const pollInterval = 500 * time.Millisecond
+
+func (w *world) polls(g *gate, started int) {
+	w.after(pollInterval, func() {
+		if g.started != started || !g.up {
+			return
+		}
+		if g.reachable(w.now) {
+			w.poll(g)
+		}
+		w.polls(g, started)
+	})
+}
+
+// poll lets a gate have the lasting records of the control VMs, if they differ from its own.
+func (w *world) poll(g *gate) {
+	if _, hash := g.shard.LastingParts(w.now); hash != w.control.Hash() {
+		w.receive(nil, g, route.ReportCrashes{Parts: w.control.Lasting(w.now)})
+	}
+}
+
 func (w *world) killGate(g *gate, down time.Duration) {
 	if !g.up {
 		return
@@ -283,6 +327,13 @@
 	}})
 }
 
+// endOne ends one process.
+func (w *world) endOne() {
+	if len(w.replicas) > 0 {
+		w.endByItself(w.replicas[w.random.IntN(len(w.replicas))])
+	}
+}
+
 func (w *world) endByItself(r *replica) {
 	if r.up {
 		w.ended++
@@ -308,7 +359,7 @@
 		return
 	}
 	if w.now.Before(g.frozen) {
-		w.queue.add(g.frozen, func() { w.report(a, in) })
+		w.at(g.frozen, func() { w.report(a, in) })
 		return
 	}
 	switch in.(type) {
@@ -330,6 +381,13 @@
 	return w.newRequest([]crash.Part{sharedPart, part}, true)
 }
 
+// begin records that the answer has begun at the first attempt.
+func (r *request) begin(now time.Time) {
+	if !r.begun {
+		r.begun, r.firstAfter = true, now.Sub(r.at)
+	}
+}
+
 func (w *world) newRequest(parts []crash.Part, harmful bool) *request {
 	w.count++
 	r := &request{id: fmt.Sprint("request-", w.count), parts: parts, harmful: harmful}
@@ -353,7 +411,7 @@
 	}
 	r.gate, r.at = g, w.now
 	if w.now.Before(g.frozen) {
-		w.queue.add(g.frozen, func() { w.send(r) })
+		w.at(g.frozen, func() { w.send(r) })
 		return
 	}
 	in := route.Request{
@@ -370,24 +428,38 @@
 func (w *world) step(g *gate, in route.Input) {
 	delay := time.Duration(0)
 	for _, o := range slices.Clone(g.shard.Step(w.now, in)) {
-		switch o := o.(type) {
-		case route.Dispatch:
-			w.dispatch(g, o, delay)
-		case route.Cancel:
-			if a := g.runs[o.Attempt]; a != nil {
-				delete(g.runs, o.Attempt)
-				a.leave(w)
-			}
-		case route.Refuse:
-			r := w.byID[o.ID]
-			r.refused, r.done = o.Err, true
-			w.trace("%v %s refuses %s parts %v: %v", w.now.Sub(w.began), g.id, o.ID, r.parts, o.Err)
-		case route.Probe:
-			w.probe(g, o)
-		case route.ReportCrashes:
-			delay = w.spread(g, o)
+		delay = w.carryOut(g, o, delay)
+	}
+}
+
+// carryOut carries out one output. It returns how long the next ones wait.
+func (w *world) carryOut(g *gate, o route.Output, delay time.Duration) time.Duration {
+	switch o := o.(type) {
+	case route.Dispatch:
+		w.dispatch(g, o, delay)
+	case route.Cancel:
+		if a := g.runs[o.Attempt]; a != nil {
+			delete(g.runs, o.Attempt)
+			a.leave(w)
 		}
+	case route.Refuse:
+		r := w.byID[o.ID]
+		r.refused, r.done = o.Err, true
+		w.trace("%v %s refuses %s parts %v: %v", w.now.Sub(w.began), g.id, o.ID, r.parts, o.Err)
+	case route.Probe:
+		w.probe(g, o)
+	case route.ReportCrashes:
+		delay = w.spread(g, o)
+	case route.ReportParts:
+		if o.ControlOnly {
+			w.tellControl(g, o.Records)
+			break
+		}
+		w.spread(g, route.ReportCrashes{Parts: o.Records})
+	case route.PartJudged:
+		w.judged(g, &o.Change)
 	}
+	return delay
 }
 
 func (w *world) probe(g *gate, o route.Probe) {
@@ -404,6 +476,9 @@
 // spread sends reports of crashes to the other gates and returns how long the next outputs wait.
 func (w *world) spread(g *gate, o route.ReportCrashes) time.Duration {
 	longest := time.Duration(0)
+	if len(o.Parts) > 0 {
+		w.tellControl(g, o.Parts)
+	}
 	for _, other := range w.gates {
 		if other == g {
 			continue
@@ -419,10 +494,64 @@
 	return min(longest, 250*time.Millisecond)
 }
 
-func (w *world) receive(_, to *gate, o route.ReportCrashes) {
+func (w *world) tellControl(g *gate, records []crash.Record) {
+	w.after(w.between(2*time.Millisecond, 20*time.Millisecond), func() {
+		if g.reachable(w.now) {
+			w.control.Merge(w.now, records)
+		}
+	})
+}
+
+// receive applies reports at a gate, whose answer goes back.
+func (w *world) receive(from, to *gate, o route.ReportCrashes) {
 	if len(o.Crashes) > 0 {
 		w.step(to, route.CrashesReported{Crashes: o.Crashes})
 	}
+	if len(o.Parts) == 0 {
+		return
+	}
+	var answer []crash.Record
+	for _, out := range slices.Clone(to.shard.Step(w.now, route.PartsReported{Records: o.Parts})) {
+		if a, ok := out.(route.AnswerParts); ok {
+			answer = a.Records
+			continue
+		}
+		w.carryOut(to, out, 0)
+	}
+	if len(answer) > 0 && from == nil { // the control VMs
+		w.control.Merge(w.now, answer)
+		return
+	}
+	if len(answer) > 0 {
+		w.after(w.between(2*time.Millisecond, 15*time.Millisecond), func() {
+			if from.reachable(w.now) {
+				w.step(from, route.PartsReported{Records: answer, Answer: true})
+			}
+		})
+	}
+}
+
+// judged records that a gate has changed its judgement of a part.
+func (w *world) judged(g *gate, c *crash.Change) {
+	w.trace("%v %s: part %d %s, %d deaths", w.now.Sub(w.began), g.id, uint64(c.Part), c.Standing, c.Deaths)
+	if c.Standing != crash.Condemned {
+		return
+	}
+	if !slices.Contains(w.schedule.parts, c.Part) {
+		w.soundCondemned++
+		return
+	}
+	if _, known := w.verdicts[c.Part]; !known {
+		w.verdicts[c.Part] = len(w.deathsOf[c.Part])
+	}
+}
+
+func (w *world) firstVerdicts() []int { return slices.Collect(maps.Values(w.verdicts)) }
+
+// harmfulPart returns the harmful part of a request.
+func (r *request) harmfulPart(w *world) crash.Part {
+	i := slices.IndexFunc(r.parts, func(part crash.Part) bool { return slices.Contains(w.schedule.parts, part) })
+	return r.parts[i]
 }
 
 func (w *world) dispatch(g *gate, o route.Dispatch, delay time.Duration) {
@@ -431,7 +560,15 @@
 		a.sent = 1
 	}
 	g.runs[o.Attempt] = a
-	w.after(delay+w.between(time.Millisecond, 5*time.Millisecond), func() { w.arrive(a, o.Target.Replica) })
+	w.after(delay, func() {
+		if g.runs[a.attempt] != a || a.stopped {
+			return
+		}
+		if delay > 0 {
+			w.step(g, route.Sent{Attempt: o.Attempt})
+		}
+		w.after(w.between(time.Millisecond, 5*time.Millisecond), func() { w.arrive(a, o.Target.Replica) })
+	})
 }
 
 // arrive brings an attempt to its replica.
@@ -449,7 +586,8 @@
 	a.asked.sends++
 	if a.asked.harmful {
 		w.sends++
-		fifth := len(w.deaths) >= 5 && w.now.Sub(w.deaths[4]) > contactWindow
+		deaths := w.deathsOf[a.asked.harmfulPart(w)]
+		fifth := len(deaths) >= 5 && w.now.Sub(deaths[4]) > contactWindow
 		w.trace("%v %s sends harmful %s to %s (deaths %d)", w.now.Sub(w.began), a.gate.id, a.asked.id, r.id, len(w.deaths))
 		if fifth && a.gate.inTouch(w.now) {
 			w.afterFifth++
@@ -474,6 +612,8 @@
 	}
 	if a.asked.harmful {
 		w.deaths = append(w.deaths, w.now)
+		part := a.asked.harmfulPart(w)
+		w.deathsOf[part] = append(w.deathsOf[part], w.now)
 		w.trace("%v %s ends of %s (death %d)", w.now.Sub(w.began), r.id, a.asked.id, len(w.deaths))
 		w.endReplica(r)
 		return
@@ -496,7 +636,7 @@
 	sent := a.sent
 	w.after(2*time.Millisecond, func() {
 		if a.asked.sends == 1 && a.gate.runs[a.attempt] == a {
-			a.asked.begun = true
+			a.asked.begin(w.now)
 		}
 		w.report(a, route.Progress{Attempt: a.attempt, Tokens: sent, Delivered: !a.asked.batch})
 	})
@@ -554,12 +694,6 @@
 
 type timers []timer
 
-var timerCount int
-
-func (q *timers) add(at time.Time, do func()) {
-	timerCount++
-	heap.Push(q, timer{at, timerCount, do})
-}
 func (q timers) Len() int { return len(q) }
 func (q timers) Less(i, j int) bool {
 	return cmp.Or(q[i].at.Compare(q[j].at), cmp.Compare(q[i].number, q[j].number)) < 0
--- a/internal/ctl/app.go
+++ b/internal/ctl/app.go
@@ -73,6 +73,7 @@
 			a.capCommand(),
 			a.paceCommand(),
 			a.buildCommand(),
+			a.partCommand(),
 			a.shareCommand(),
 			a.gateCommand(),
 			a.accountCommand(),
--- a/internal/daemon/site.go
+++ b/internal/daemon/site.go
@@ -210,6 +210,8 @@
 		metrics.HandleFunc("GET "+credit.PathCaps, s.gate.credit.ServeCaps)
 		metrics.HandleFunc("GET "+proxy.PathPaces, s.gate.router.ServePaces)
 		metrics.HandleFunc("GET "+takeup.PathBuilds, s.gate.takeups.ServeBuilds)
+		metrics.HandleFunc("GET "+proxy.PathParts, s.gate.router.ServeParts)
+		metrics.HandleFunc("POST "+proxy.PathLiftPart, s.gate.router.ServeLiftPart)
 		metrics.HandleFunc("GET "+proxy.PathShares, s.gate.router.ServeShares)
 		metrics.HandleFunc("GET "+buffers.PathMemory, s.gate.memory.ServeStatus)
 		list = append(list,
--- a/internal/daemon/sitegate.go
+++ b/internal/daemon/sitegate.go
@@ -98,7 +98,7 @@
 	})
 	g.exchange = exchange.New(exchange.Options{
 		VM: s.VM.Name, Place: s.VM.Place, Region: s.VM.Region,
-		Fleet: g.follower.Fleet(), ExpectedGates: g.follower.ExpectedGates, Client: site.calls, Log: site.log.Logger, DirectLifetime: s.Upstream.ExpireAfter,
+		Fleet: g.follower.Fleet(), ExpectedGates: g.follower.ExpectedGates, Controls: g.follower.Controls, Client: site.calls, Log: site.log.Logger, DirectLifetime: s.Upstream.ExpireAfter,
 	})
 	g.takeups = takeup.New(takeup.Options{
 		VM: s.VM.Name, Fleet: g.follower.Fleet(), Controls: g.follower.Controls, Calls: site.calls, Routes: g.follower.Routes, Log: site.log.Logger, Metrics: site.metrics,
@@ -120,6 +120,7 @@
 		SendReports:      g.exchange.SendLoadReports,
 		StreamBegan:      g.takeups.Began,
 		BroadcastCrashes: g.exchange.SpreadCrashReports,
+		ReportParts:      g.exchange.ReportParts,
 		Probe:            proxy.ProbeConnection,
 		DialTimeout:      s.Timeouts.Dial,
 		UnackedTimeout:   s.Timeouts.Unanswered,
--- a/internal/daemon/sitereplicas.go
+++ b/internal/daemon/sitereplicas.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"slateway.example/slateway/internal/crash"
 	"slateway.example/slateway/internal/origin"
 	"slateway.example/slateway/internal/upstream"
 )
@@ -41,5 +42,13 @@
 	r.gate.takeups.RememberBuilds(past, reach)
 }
 
+// RememberParts adds the parts of prompts that crash replicas, as a control VM knows them, and
+// tells the control VMs if answers that have flowed here clear some.
+func (r siteReplicas) RememberParts(service string, records []crash.Record) {
+	if cleared := r.gate.router.MergeParts(service, records); len(cleared) > 0 {
+		r.gate.exchange.ReportParts(service, cleared)
+	}
+}
+
 // Confirmed records that a control VM has confirmed the known replicas.
 func (r siteReplicas) Confirmed() { r.gate.takeups.Confirmed() }
--- a/internal/gate/exchange/calls.go
+++ b/internal/gate/exchange/calls.go
@@ -4,9 +4,14 @@
 	"context"
 	"fmt"
 	"net/http"
+	"sync"
+	"time"
 
+	"go.uber.org/zap"
 	"golang.org/x/sync/errgroup"
 
+	"slateway.example/slateway/internal/control/controlapi"
+	"slateway.example/slateway/internal/crash"
 	"slateway.example/slateway/internal/gate/proxy"
 	"slateway.example/slateway/internal/member"
 	"slateway.example/slateway/internal/rpc"
@@ -33,10 +38,14 @@
 	Service string                 `cbor:"1,keyasint"`
 	Reports []upstream.CrashRecord `cbor:"2,keyasint"`
 	Relay   bool                   `cbor:"3,keyasint"`
+	Parts   []crash.Record         `cbor:"4,keyasint,omitempty"` // of prompts
 }
 
-// CrashReportsResponse acknowledges that the crash reports were applied.
-type CrashReportsResponse struct{}
+// CrashReportsResponse acknowledges that the crash reports were applied. Cleared are records
+// that clear parts, of which the sender does not know.
+type CrashReportsResponse struct {
+	Cleared []crash.Record `cbor:"1,keyasint,omitempty"`
+}
 
 const (
 	loadReportsProcedure  rpc.Procedure[LoadReportsRequest, LoadReportsResponse]   = "/slateway.gate/Usage"
@@ -67,51 +76,113 @@
 	return &LoadReportsResponse{Batch: e.router.ApplyLoadReports(request.Reports)}, nil
 }
 
-// SpreadCrashReports sends crash reports to the gates of the own place and to one gate of
-// every other place, which relays them there. It returns when all have answered or ctx has
-// ended.
-func (e *Exchange) SpreadCrashReports(ctx context.Context, service string, reports []upstream.CrashRecord) {
-	request := CrashReportsRequest{Service: service, Reports: reports}
-	var calls errgroup.Group
-	for _, address := range e.placeAddresses() {
-		calls.Go(func() error { return e.sendCrashReports(ctx, address, request) })
-	}
+// SpreadCrashReports sends crash reports and records of parts of prompts to the gates of the own
+// place and to one gate of every other place, which relays them there. It returns when all have
+// answered or ctx has ended, with the records of parts that they have answered.
+func (e *Exchange) SpreadCrashReports(ctx context.Context, service string, reports []upstream.CrashRecord, parts []crash.Record) []crash.Record {
+	request := CrashReportsRequest{Service: service, Reports: reports, Parts: parts}
+	answers := e.sendToPlace(ctx, request)
 	relayed := request
 	relayed.Relay = true
 	for _, contacts := range e.otherPlaces() {
-		calls.Go(func() error { return e.relayCrashReports(ctx, contacts, relayed) })
+		answers.calls.Go(func() error { return e.relayCrashReports(ctx, contacts, relayed, answers) })
+	}
+	return answers.wait() // gates that were not reached receive crash reports by digest
+}
+
+// crashAnswers collects the answers to crash reports.
+type crashAnswers struct {
+	calls errgroup.Group
+
+	mu      sync.Mutex
+	cleared []crash.Record
+}
+
+func (a *crashAnswers) add(cleared []crash.Record) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.cleared = append(a.cleared, cleared...)
+}
+
+// wait waits for all calls.
+func (a *crashAnswers) wait() []crash.Record {
+	_ = a.calls.Wait()
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.cleared
+}
+
+// sendToPlace begins to send crash reports to the other gates of the place.
+func (e *Exchange) sendToPlace(ctx context.Context, request CrashReportsRequest) *crashAnswers {
+	answers := &crashAnswers{}
+	for _, address := range e.placeAddresses() {
+		answers.calls.Go(func() error { return e.sendCrashReports(ctx, address, request, answers) })
 	}
-	_ = calls.Wait() // gates that were not reached receive them by digest
+	return answers
 }
 
 // relayCrashReports sends to the contacts of a place in turn until one answers.
-func (e *Exchange) relayCrashReports(ctx context.Context, contacts []string, request CrashReportsRequest) error {
+func (e *Exchange) relayCrashReports(ctx context.Context, contacts []string, request CrashReportsRequest, answers *crashAnswers) error {
 	var err error
 	for _, address := range contacts {
-		if err = e.sendCrashReports(ctx, address, request); err == nil {
+		if err = e.sendCrashReports(ctx, address, request, answers); err == nil {
 			return nil
 		}
 	}
 	return err
 }
 
-func (e *Exchange) sendCrashReports(ctx context.Context, address string, request CrashReportsRequest) error {
-	_, err := rpc.Call(ctx, e.options.Client, address, crashReportsProcedure, &request)
+func (e *Exchange) sendCrashReports(ctx context.Context, address string, request CrashReportsRequest, answers *crashAnswers) error {
+	response, err := rpc.Call(ctx, e.options.Client, address, crashReportsProcedure, &request)
+	if err == nil {
+		answers.add(response.Cleared)
+	}
 	return err
 }
 
 func (e *Exchange) serveCrashReports(ctx context.Context, request *CrashReportsRequest) (*CrashReportsResponse, error) {
-	e.router.RecordCrashes(request.Service, request.Reports)
-	if !request.Relay {
-		return &CrashReportsResponse{}, nil
+	if len(request.Reports) > 0 {
+		e.router.RecordCrashes(request.Service, request.Reports)
 	}
-	onward := CrashReportsRequest{Service: request.Service, Reports: request.Reports}
-	var calls errgroup.Group
-	for _, address := range e.placeAddresses() {
-		calls.Go(func() error { return e.sendCrashReports(ctx, address, onward) })
+	response := &CrashReportsResponse{Cleared: e.router.MergeParts(request.Service, request.Parts)}
+	if request.Relay {
+		onward := *request
+		onward.Relay = false
+		response.Cleared = append(response.Cleared, e.sendToPlace(ctx, onward).wait()...)
+	}
+	return response, nil
+}
+
+// ReportParts sends records of parts to the control VMs, which keep them for gates that start.
+// It does not wait for them.
+func (e *Exchange) ReportParts(service string, records []crash.Record) {
+	if e.options.Controls == nil {
+		return
+	}
+	request := &controlapi.PartsRequest{Service: service, Records: records}
+	for _, address := range e.options.Controls() {
+		go e.sendParts(address, request)
+	}
+}
+
+const (
+	// sendPartsTimeout bounds one call, and maxPartsSends the calls to one control VM. A control
+	// VM that was not reached gets the records from another one.
+	sendPartsTimeout = 500 * time.Millisecond
+	maxPartsSends    = 2
+)
+
+func (e *Exchange) sendParts(address string, request *controlapi.PartsRequest) {
+	var err error
+	for range maxPartsSends {
+		ctx, cancel := context.WithTimeout(context.Background(), sendPartsTimeout)
+		_, err = rpc.Call(ctx, e.options.Client, address, controlapi.ReportParts, request)
+		cancel()
+		if err == nil {
+			return
+		}
 	}
-	_ = calls.Wait()
-	return &CrashReportsResponse{}, nil
+	e.options.Log.Info("records of parts not sent", zap.String("control", address), zap.Int("records", len(request.Records)), zap.Error(err))
 }
 
 // placeAddresses returns the peers addresses of the other gates of the place.
--- a/internal/gate/exchange/exchange.go
+++ b/internal/gate/exchange/exchange.go
@@ -42,6 +42,8 @@
 	Fleet  Fleet
 	Client *rpc.Client
 	Log    *zap.Logger
+	// Controls returns the peers addresses of the control VMs; nil: there are none.
+	Controls func() []string
 
 	// ExpectedGates returns the number of gates including those that have not returned since
 	// all gates were down; 0 or a nil function: unknown.
--- a/internal/gate/follow/builds_test.go
+++ b/internal/gate/follow/builds_test.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"slateway.example/slateway/internal/control/controlapi"
+	"slateway.example/slateway/internal/crash"
 	"slateway.example/slateway/internal/origin"
 )
 
@@ -16,6 +17,8 @@
 	confirmed int
 }
 
+func (b *buildRecorder) RememberParts(string, []crash.Record) {}
+
 func (b *buildRecorder) RememberBuilds(past []origin.Past, reach time.Duration) {
 	b.past, b.reach = append(b.past, past...), max(b.reach, reach)
 }
--- a/internal/gate/follow/digest_test.go
+++ b/internal/gate/follow/digest_test.go
@@ -11,6 +11,7 @@
 	"go.uber.org/zap"
 
 	"slateway.example/slateway/internal/control/controlapi"
+	"slateway.example/slateway/internal/crash"
 	"slateway.example/slateway/internal/origin"
 	"slateway.example/slateway/internal/roster"
 	"slateway.example/slateway/internal/rpc"
@@ -26,6 +27,7 @@
 	return nil
 }
 
+func (heldReplicas) RememberParts(string, []crash.Record)        {}
 func (heldReplicas) RememberBuilds([]origin.Past, time.Duration) {}
 func (heldReplicas) Confirmed()                                  {}
 
--- a/internal/gate/follow/first_test.go
+++ b/internal/gate/follow/first_test.go
@@ -11,6 +11,7 @@
 	"go.uber.org/zap"
 
 	"slateway.example/slateway/internal/control/controlapi"
+	"slateway.example/slateway/internal/crash"
 	"slateway.example/slateway/internal/gate/follow"
 	"slateway.example/slateway/internal/origin"
 	"slateway.example/slateway/internal/roster"
@@ -24,6 +25,7 @@
 // noReplicas is a router that ignores announcements.
 type noReplicas struct{}
 
+func (noReplicas) RememberParts(string, []crash.Record)        {}
 func (noReplicas) RememberBuilds([]origin.Past, time.Duration) {}
 func (noReplicas) Confirmed()                                  {}
 
--- a/internal/gate/follow/follower.go
+++ b/internal/gate/follow/follower.go
@@ -14,6 +14,7 @@
 	"go.uber.org/zap"
 
 	"slateway.example/slateway/internal/control/controlapi"
+	"slateway.example/slateway/internal/crash"
 	"slateway.example/slateway/internal/member"
 	"slateway.example/slateway/internal/origin"
 	"slateway.example/slateway/internal/roster"
@@ -30,6 +31,9 @@
 	// RememberBuilds is called before Announce with the builds that a control VM remembers and
 	// the time for which it has missed none.
 	RememberBuilds(past []origin.Past, reach time.Duration)
+	// RememberParts is called with the parts of prompts that crash replicas of a service, as a
+	// control VM knows them.
+	RememberParts(service string, records []crash.Record)
 	// Confirmed is called after Announce and Withdraw when a control VM in contact has
 	// confirmed all replicas.
 	Confirmed()
@@ -91,6 +95,7 @@
 	since               uint64
 	digest              uint64 // of listing, as of the last response
 	bucketDigests       [roster.Buckets]uint64
+	partsHash           uint64    // of the parts of prompts that the control VM of the last response knows
 	buildsHash          uint64    // of the builds that the control VM of the last response remembers
 	answeredBy          string    // control VM of the last response
 	acceptsDigest       bool      // that control VM compares digests
@@ -337,7 +342,7 @@
 	f.gate.Sequence++
 	request := &controlapi.FollowRequest{
 		Gate: f.gate, Routes: f.Routes().Version(), Epoch: f.epoch, Since: f.since, Wait: pollWait, PeersHash: f.peers,
-		AcceptsPacked: true, AcceptsGateChanges: true, AcceptsLater: true, BuildsHash: new(f.buildsHash),
+		AcceptsPacked: true, AcceptsGateChanges: true, AcceptsLater: true, BuildsHash: new(f.buildsHash), PartsHash: new(f.partsHash),
 	}
 	refresh := time.Since(f.fullRefreshAt) >= fullRefreshInterval
 	switch {
--- a/internal/gate/follow/take.go
+++ b/internal/gate/follow/take.go
@@ -19,6 +19,9 @@
 		f.installRoutes(address, document)
 	}
 	f.options.Router.RememberBuilds(response.Builds, response.BuildsReach)
+	for i := range response.Parts {
+		f.options.Router.RememberParts(response.Parts[i].Service, response.Parts[i].Records)
+	}
 	full := isFull(request, response)
 	if full {
 		f.listing.Clear()
@@ -47,7 +50,7 @@
 	f.choice.recordAnswer(address)
 	f.epoch, f.since, f.digest = response.Epoch, response.Version(), f.listing.Digest()
 	f.bucketDigests = f.listing.BucketDigests()
-	f.buildsHash = response.BuildsHash
+	f.buildsHash, f.partsHash = response.BuildsHash, response.PartsHash
 	f.answeredBy, f.acceptsDigest = address, response.AcceptsDigest == roster.DigestForm
 	if len(response.Controls) > 0 {
 		f.setControls(response.Controls)
--- a/internal/gate/proxy/gates_test.go
+++ b/internal/gate/proxy/gates_test.go
@@ -13,6 +13,7 @@
 	. "github.com/onsi/gomega"
 
 	"slateway.example/slateway/internal/apierr"
+	"slateway.example/slateway/internal/crash"
 	"slateway.example/slateway/internal/gate/proxy"
 	"slateway.example/slateway/internal/route"
 	"slateway.example/slateway/internal/upstream"
@@ -32,12 +33,13 @@
 				to, err := strconv.Atoi(gate[len("gate-"):])
 				return routers[to].ApplyLoadReports(u), err
 			},
-			BroadcastCrashes: func(_ context.Context, service string, crashes []upstream.CrashRecord) {
+			BroadcastCrashes: func(_ context.Context, service string, crashes []upstream.CrashRecord, _ []crash.Record) []crash.Record {
 				for other, r := range routers {
 					if other != i {
 						r.RecordCrashes(service, crashes)
 					}
 				}
+				return nil
 			},
 		}))
 	}
--- a/internal/gate/proxy/options.go
+++ b/internal/gate/proxy/options.go
@@ -9,6 +9,7 @@
 
 	"go.uber.org/zap"
 
+	"slateway.example/slateway/internal/crash"
 	"slateway.example/slateway/internal/gate/buffers"
 	"slateway.example/slateway/internal/route"
 	"slateway.example/slateway/internal/upstream"
@@ -75,9 +76,12 @@
 	// StreamBegan records the build that has written the first event of a stream for its
 	// caller. If it is not certain, the build is not known. It must not block.
 	StreamBegan func(service, request, build string, certain bool)
-	// BroadcastCrashes sends crash records to the live gates. It returns when they
-	// have received them or ctx has ended.
-	BroadcastCrashes func(ctx context.Context, service string, crashes []upstream.CrashRecord)
+	// BroadcastCrashes sends crash records and records of parts of prompts to the live gates. It
+	// returns when they have received them or ctx has ended, with the records that they answered.
+	BroadcastCrashes func(ctx context.Context, service string, crashes []upstream.CrashRecord, parts []crash.Record) []crash.Record
+	// ReportParts sends records of parts to the control VMs; nil: there are none. It must not
+	// block.
+	ReportParts func(service string, parts []crash.Record)
 
 	// Probe checks whether the process at an address is alive; nil: by requesting
 	// PathLoad.
@@ -143,7 +147,10 @@
 		o.StreamBegan = func(string, string, string, bool) {}
 	}
 	if o.BroadcastCrashes == nil {
-		o.BroadcastCrashes = func(context.Context, string, []upstream.CrashRecord) {}
+		o.BroadcastCrashes = func(context.Context, string, []upstream.CrashRecord, []crash.Record) []crash.Record { return nil }
+	}
+	if o.ReportParts == nil {
+		o.ReportParts = func(string, []crash.Record) {}
 	}
 	o.Route.Self = o.Self
 	o.Route.Place = o.Place
--- a/internal/gate/proxy/router.go
+++ b/internal/gate/proxy/router.go
@@ -10,6 +10,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"slateway.example/slateway/internal/crash"
 	"slateway.example/slateway/internal/route"
 	"slateway.example/slateway/internal/upstream"
 )
@@ -181,6 +182,15 @@
 	r.findOrAddShard(service).step(route.CrashesReported{Crashes: crashes})
 }
 
+// MergeParts applies records of parts of prompts from another VM. It returns the records that
+// clear parts, of which that VM does not know.
+func (r *Router) MergeParts(service string, records []crash.Record) []crash.Record {
+	if len(records) == 0 {
+		return nil
+	}
+	return r.findOrAddShard(service).mergeParts(records)
+}
+
 // Cursor holds the version of each service up to which a peer has received changes.
 type Cursor map[string]uint64
 
--- a/internal/gate/proxy/shard.go
+++ b/internal/gate/proxy/shard.go
@@ -127,7 +127,11 @@
 		case route.StreamBegan:
 			s.router.options.StreamBegan(s.service, o.ID, o.Build, o.Certain)
 		case route.ReportCrashes:
-			ready = s.broadcastCrashes(o.Crashes)
+			ready = s.broadcastCrashes(o.Crashes, o.Parts)
+		case route.ReportParts:
+			s.reportParts(&o)
+		case route.PartJudged:
+			s.logPart(&o.Change)
 		case route.Count:
 			s.router.options.Metrics.Count(counterName(o.Reason))
 		}
@@ -141,18 +145,46 @@
 	return done
 }()
 
-func (s *shard) broadcastCrashes(crashes []upstream.CrashRecord) chan struct{} {
+func (s *shard) broadcastCrashes(crashes []upstream.CrashRecord, parts []crash.Record) chan struct{} {
 	done := make(chan struct{})
+	if len(parts) > 0 {
+		s.router.options.ReportParts(s.service, parts)
+	}
 	go func() {
 		defer close(done)
 		ctx, cancel := context.WithTimeout(context.Background(), s.router.options.BroadcastTimeout)
 		defer cancel()
-		s.router.options.BroadcastCrashes(ctx, s.service, crashes)
+		if answered := s.router.options.BroadcastCrashes(ctx, s.service, crashes, parts); len(answered) > 0 {
+			s.step(route.PartsReported{Records: answered, Answer: true})
+		}
 	}()
 	return done
 }
 
-func (s *shard) dispatch(o route.Dispatch, ready <-chan struct{}) {
+// reportParts sends records of parts without waiting for it.
+func (s *shard) reportParts(o *route.ReportParts) {
+	if o.ControlOnly {
+		s.router.options.ReportParts(s.service, o.Records)
+		return
+	}
+	s.broadcastCrashes(nil, o.Records)
+}
+
+// mergeParts applies records of parts from another VM and returns those that answer them.
+func (s *shard) mergeParts(records []crash.Record) (answer []crash.Record) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	outputs := s.routing.Step(time.Now(), route.PartsReported{Records: records})
+	for _, o := range outputs {
+		if a, ok := o.(route.AnswerParts); ok {
+			answer = a.Records
+		}
+	}
+	s.execute(outputs)
+	return answer
+}
+
+func (s *shard) dispatch(o route.Dispatch, ready chan struct{}) {
 	f := s.flights[o.ID]
 	if f == nil {
 		return
@@ -165,7 +197,10 @@
 	}
 	go func() {
 		defer f.attempts.Done()
-		<-ready
+		if ready != closedChannel {
+			<-ready
+			a.step(route.Sent{Attempt: a.id})
+		}
 		a.run()
 	}()
 }
@@ -223,6 +258,13 @@
 		zap.Strings("not_begun", firstOf(waiting)), zap.Int("not_begun_count", len(waiting)), zap.Stringers("parts", firstOf(slices.Compact(parts))))
 }
 
+// logPart logs that the standing of a part of prompts has changed, and what speaks against it.
+func (s *shard) logPart(c *crash.Change) {
+	s.log().Info("part of prompts judged", zap.Stringer("part", c.Part), zap.String("service", s.service),
+		zap.Stringer("from", c.From), zap.Stringer("to", c.Standing), zap.Int("crashes", c.Deaths), zap.Any("processes", firstOf(c.Processes)),
+		zap.Strings("teams", firstOf(c.Teams)), zap.Bool("doubtful", c.Doubtful), zap.Int("trials", c.Trials), zap.Duration("since_first", c.Age))
+}
+
 // maxLogged bounds a list in a log line.
 const maxLogged = 24
 
--- a/internal/route/admission.go
+++ b/internal/route/admission.go
@@ -215,7 +215,13 @@
 		s.dispatch(req, r, req.nextKind)
 		return started
 	}
-	r := s.pick(req)
+	r, narrowed := s.placeSuspect(req)
+	if narrowed && r == nil {
+		return held
+	}
+	if r == nil {
+		r = s.pick(req)
+	}
 	if r == nil && s.onlyAvoided(req, s.local, s.remote) {
 		req.avoid = nil
 		r = s.pick(req)
--- a/internal/route/attempt.go
+++ b/internal/route/attempt.go
@@ -18,7 +18,7 @@
 	confirm := memory == "" && s.mustConfirm(req, r)
 	a := &attempt{
 		id: s.nextAttempt, req: req, replica: r, build: r.entry.Build, doubted: s.isDoubted(r) && !confirm,
-		started: s.now, lastProgress: s.now,
+		started: s.now, lastProgress: s.now, unsent: s.delays,
 	}
 	a.queued = !s.hasSlot(r)
 	s.attempts[a.id] = a
@@ -33,6 +33,7 @@
 		req.discardEvents()
 	}
 	resume := req.tokens > 0 && r.entry.CanResume && (req.Resumable || memory != "")
+	req.isTrial = false
 	s.emit(Dispatch{
 		ID: req.ID, Attempt: a.id, Kind: kind, Target: &r.entry.Announcement, Resume: resume, Memory: memory,
 		Unconfirmed: a.doubted, Confirm: confirm,
@@ -155,6 +156,9 @@
 	a.tokens = max(a.tokens, in.Tokens)
 	a.req.tokens = max(a.req.tokens, in.Tokens)
 	a.req.delivered = a.req.delivered || in.Delivered
+	if a.flowTime() >= minFlowTime {
+		s.recordFlow(a)
+	}
 }
 
 // cancelOthers stops the other attempts of a request once one has answered.
@@ -179,6 +183,7 @@
 	req := a.req
 	a.replica.failures = 0
 	a.replica.lastContact = s.now
+	s.recordFlow(a)
 	s.checkPace(a)
 	s.endAttempt(a)
 	s.removeRequest(req, CancelHedgeLost)
--- a/internal/route/batch.go
+++ b/internal/route/batch.go
@@ -43,7 +43,8 @@
 	s.rebuild()
 	for _, req := range slices.Clone(s.batchQueue.list) {
 		switch {
-		case slices.ContainsFunc(s.owned, func(r *replica) bool { return r.serves(req) }):
+		case s.isCondemnedItem(req): // it would run nowhere else either
+		case slices.ContainsFunc(s.owned, func(r *replica) bool { return r.serves(req) }) && !s.isTriedElsewhere(req):
 			req.unassignedSince = time.Time{}
 		case req.unassignedSince.IsZero():
 			req.unassignedSince = s.now
@@ -83,7 +84,7 @@
 	for _, r := range s.owned {
 		room += max(0, s.freeBatchSlots(r, policy))
 	}
-	return max(0, room-s.batchQueue.len())
+	return max(0, room-(s.batchQueue.len()-s.countCondemnedItems()))
 }
 
 // prefetchShare sets how many batch items wait in the gate, so that a slot that becomes
@@ -104,7 +105,7 @@
 	for _, r := range s.owned {
 		items += r.batch + max(0, s.freeBatchSlots(r, policy)-s.reservedForNext(r))
 	}
-	return items + items/prefetchShare + 1
+	return items + items/prefetchShare + 1 + s.countCondemnedItems()
 }
 
 // remainingTime estimates how long an item still runs: its expected run time, reduced
@@ -121,6 +122,9 @@
 	if !s.mayRunNow(req) {
 		return held
 	}
+	if result, narrowed := s.startSuspectItem(req); narrowed {
+		return result
+	}
 	if r := s.replicaOfCopy(req); r != nil {
 		return s.startBatchOn(req, r)
 	}
--- a/internal/route/config.go
+++ b/internal/route/config.go
@@ -7,7 +7,11 @@
 // reads no clock and uses only the random source that it is given.
 package route
 
-import "time"
+import (
+	"time"
+
+	"slateway.example/slateway/internal/crash"
+)
 
 // Config holds the limits and delays of a shard. Zero fields take the default.
 type Config struct {
@@ -41,13 +45,15 @@
 	ProbeMax        time.Duration // longest delay between probes
 	SlowStart       time.Duration // time from recovery until a replica receives its full load
 
+	CrashRule crash.Rule // condemns parts of prompts; nil: crash.WeighedRule
+
 	Disabled Guards // for tests that show the failure that each guard prevents
 }
 
 // Guards disables individual protections in tests. The cases in testdata refer to the
 // fields by name.
 type Guards struct {
-	Leaving, Probe, Silence, Poison, Holder, Trial, Copies, Preempt, Yield, Feeder, Budget, Retry, Settle, Unfed, LateShare, Backlog bool
+	Leaving, Probe, Silence, Poison, Holder, Trial, Copies, Preempt, Yield, Feeder, Budget, Retry, Settle, Unfed, LateShare, Backlog, Parts, Narrow bool
 }
 
 // Defaults of Config.
--- a/internal/route/failure.go
+++ b/internal/route/failure.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"slateway.example/slateway/internal/apierr"
+	"slateway.example/slateway/internal/crash"
 )
 
 func (in Failed) apply(s *Shard) {
@@ -35,13 +36,13 @@
 	if cause == CauseSilent || cause == CauseUnanswered || (cause == CauseBroken && len(req.liveAttempts) > 0) {
 		// The request does not wait for the probe, but gets a crash record if the probe
 		// finds the process dead.
-		r.abandoned = append(r.abandoned, lostOf(a))
+		r.abandoned = append(r.abandoned, s.lostOf(a))
 	}
 	if len(req.liveAttempts) > 0 {
 		return // a hedge still runs
 	}
 	if cause == CauseBroken && !s.config.Disabled.Poison {
-		s.awaitProbe(req, r, lostOf(a))
+		s.awaitProbe(req, r, s.lostOf(a))
 	}
 	s.retryOrRefuse(req, cause)
 }
@@ -69,6 +70,10 @@
 	case CauseMisdirected:
 		// The process has ended and another one uses its address. The next announcement
 		// returns the replica to use.
+		if lost := r.takeBroken(s.now); len(lost) > 0 {
+			s.emitProcessDied(r, EvidenceMisdirected, lost)
+			s.recordCrashes(r, lost, EvidenceMisdirected)
+		}
 		s.withdraw(r.entry.Replica, r.incarnation)
 		return
 	case CauseNotSent, CauseBroken, CauseSilent, CauseDied:
@@ -128,6 +133,9 @@
 	if req.RetryUntilAnswered {
 		return nil
 	}
+	if standing, part := s.standing(req); standing == crash.Condemned {
+		return s.partError(req, part)
+	}
 	if req.tried >= s.maxAttempts(req) || req.declined >= maxDeclined {
 		return apierr.New(apierr.BadUpstream, ReasonAttemptsSpent,
 			"see the counters by reason and the replicas' logs under the request ID",
--- a/internal/route/health.go
+++ b/internal/route/health.go
@@ -16,14 +16,25 @@
 
 // Evidence other than failed attempts.
 const (
-	EvidenceUnanswered Evidence = "probe_unanswered"
-	EvidenceRefused    Evidence = "probe_refused"   // the VM answers, but no process listens
-	EvidenceAnswered   Evidence = "probe_answered"  // by the known process
-	EvidenceReplaced   Evidence = "probe_replaced"  // by another process
-	EvidenceAnnounced  Evidence = "announced_again" // by another process
-	EvidenceNoVerdict  Evidence = "verdict_overdue" // a connection broke, and no probe has been answered since
+	EvidenceUnanswered  Evidence = "probe_unanswered"
+	EvidenceRefused     Evidence = "probe_refused"   // the VM answers, but no process listens
+	EvidenceAnswered    Evidence = "probe_answered"  // by the known process
+	EvidenceReplaced    Evidence = "probe_replaced"  // by another process
+	EvidenceAnnounced   Evidence = "announced_again" // by another process
+	EvidenceMisdirected Evidence = "misdirected"     // another process has its address
+	EvidenceNoVerdict   Evidence = "verdict_overdue" // a connection broke, and no probe has been answered since
 )
 
+// provesEnd reports whether the process has ended. A replica that does not answer may also be
+// out of reach.
+func (e Evidence) provesEnd() bool {
+	switch e {
+	case EvidenceRefused, EvidenceReplaced, EvidenceAnnounced, EvidenceMisdirected:
+		return true
+	}
+	return false
+}
+
 // emitState reports that the gate's conclusion about a replica has changed.
 func (s *Shard) emitState(r *replica, state ReplicaState, evidence Evidence) {
 	change := StateChanged{
--- a/internal/route/hedge.go
+++ b/internal/route/hedge.go
@@ -31,7 +31,7 @@
 	req := a.req
 	return req.Class == Online && req.Repeatable && !req.delivered && a.tokens == 0 &&
 		len(req.liveAttempts) == 1 && req.tried < s.maxAttempts(req) && s.now.Sub(a.started) >= after &&
-		s.crashes.Status(s.now, req.Fingerprint) == upstream.StatusClear
+		s.crashes.Status(s.now, req.Fingerprint) == upstream.StatusClear && s.isClear(req)
 }
 
 func (s *Shard) startHedge(req *request, slow *replica) {
--- a/internal/route/lost.go
+++ b/internal/route/lost.go
@@ -1,6 +1,7 @@
 package route
 
 import (
+	"slices"
 	"time"
 
 	"slateway.example/slateway/internal/crash"
@@ -11,17 +12,20 @@
 type lostRequest struct {
 	id          string
 	class       Class
+	team        string // that sent it
 	fingerprint upstream.Fingerprint
 	parts       []crash.Part
+	unsent      bool          // it waited at the gate
+	waited      time.Duration // at the replica, until now or its first event
 	tokens      int           // reached in this attempt; 0: its answer had not begun
 	flowed      time.Duration // from the first event to the last
 }
 
 // lostOf returns the state of an attempt that ends with its process.
-func lostOf(a *attempt) lostRequest {
+func (s *Shard) lostOf(a *attempt) lostRequest {
 	return lostRequest{
-		id: a.req.ID, class: a.req.Class, fingerprint: a.req.Fingerprint, parts: a.req.Parts,
-		tokens: a.tokens, flowed: a.flowTime(),
+		id: a.req.ID, class: a.req.Class, team: a.req.Share.Team, fingerprint: a.req.Fingerprint, parts: a.req.Parts,
+		unsent: a.unsent, waited: s.now.Sub(a.started), tokens: a.tokens, flowed: a.flowTime(),
 	}
 }
 
@@ -33,6 +37,38 @@
 	return a.lastProgress.Sub(a.firstAt)
 }
 
+// brokenMemory is how long after a broken connection the end of a process is put down to the
+// requests on it, although a probe was answered: the next process may have answered it.
+const brokenMemory = 3 * time.Second
+
+// brokenAttempt is an attempt that ended with its connection.
+type brokenAttempt struct {
+	lostRequest
+	at time.Time
+}
+
+// keepBroken remembers the attempts that ended with their connections while a process answered.
+func (r *replica) keepBroken(now time.Time, abandoned []lostRequest, released []*request) {
+	r.broken = slices.DeleteFunc(r.broken, func(b brokenAttempt) bool { return now.Sub(b.at) >= brokenMemory })
+	for _, lost := range abandoned {
+		r.broken = append(r.broken, brokenAttempt{lost, now})
+	}
+	for _, req := range released {
+		r.broken = append(r.broken, brokenAttempt{req.lost, now})
+	}
+}
+
+// takeBroken returns and forgets them.
+func (r *replica) takeBroken(now time.Time) (lost []lostRequest) {
+	for _, b := range r.broken {
+		if now.Sub(b.at) < brokenMemory {
+			lost = append(lost, b.lostRequest)
+		}
+	}
+	r.broken = nil
+	return lost
+}
+
 // ProcessDied reports that a replica's process has ended and which requests of this gate were
 // on it.
 type ProcessDied struct {
--- a/internal/route/messages.go
+++ b/internal/route/messages.go
@@ -330,9 +330,12 @@
 		Pace          upstream.Pace
 		Waiting       int // online requests that wait for capacity at this gate
 	}
-	// ReportCrashes sends these crash records to all gates before the outputs that
-	// follow.
-	ReportCrashes struct{ Crashes []upstream.CrashRecord }
+	// ReportCrashes sends these crash records and records of parts to all gates before the
+	// outputs that follow.
+	ReportCrashes struct {
+		Crashes []upstream.CrashRecord
+		Parts   []crash.Record
+	}
 	// Count increments the counter of the reason.
 	Count struct{ Reason apierr.Reason }
 )
--- a/internal/route/poison.go
+++ b/internal/route/poison.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"slateway.example/slateway/internal/apierr"
+	"slateway.example/slateway/internal/crash"
 	"slateway.example/slateway/internal/upstream"
 )
 
@@ -21,6 +22,9 @@
 	if s.config.Disabled.Poison || req.RetryUntilAnswered {
 		return nil
 	}
+	if err := s.checkParts(req); err != nil {
+		return err
+	}
 	switch s.crashes.Status(s.now, req.Fingerprint) {
 	case upstream.StatusRefused:
 		return s.poisonError(req)
@@ -100,6 +104,8 @@
 const (
 	minCrashBackoff = 500 * time.Millisecond
 	maxCrashBackoff = 16 * time.Second
+	// maxItemCrashes is the number of crashes after which an item does not run again.
+	maxItemCrashes = 5
 )
 
 // crashBackoffUntil returns when a suspect request that is retried until answered may
@@ -109,6 +115,9 @@
 	if !req.RetryUntilAnswered || deaths == 0 {
 		return time.Time{}
 	}
+	if deaths >= maxItemCrashes {
+		return req.Deadline
+	}
 	wait := minCrashBackoff
 	for range deaths - 1 {
 		wait = min(2*wait, maxCrashBackoff)
@@ -145,33 +154,46 @@
 }
 
 // recordCrashes adds crash records for the requests that were lost when a replica died.
-func (s *Shard) recordCrashes(r *replica, lost []lostRequest) {
+func (s *Shard) recordCrashes(r *replica, lost []lostRequest, evidence Evidence) {
 	if s.config.Disabled.Poison {
 		return
 	}
+	var records []crash.Record
+	if evidence.provesEnd() {
+		records = s.accuseParts(r, lost)
+	}
 	var added []upstream.CrashRecord
 	for i := range lost {
 		if req := s.requests[lost[i].id]; req != nil {
 			req.tokensAtDeath = req.tokens
 			req.replicaDied = true
 		}
-		crash := upstream.CrashRecord{
-			Fingerprint: lost[i].fingerprint,
-			Replica:     r.entry.Replica,
-			Incarnation: r.incarnation,
-			Gate:        s.config.Self,
-			At:          s.now,
-		}
-		if s.crashes.Add(crash) {
-			added = append(added, crash)
+		if record := s.crashRecordOf(r, &lost[i]); s.crashes.Add(record) {
+			added = append(added, record)
 		}
 	}
-	if len(added) > 0 {
-		s.emit(ReportCrashes{Crashes: added})
+	if len(added)+len(records) > 0 {
+		s.reportCrashes(added, records)
 	}
+	s.applyJudgements()
 	s.applyCrashes(added)
 }
 
+// reportCrashes lets the outputs that follow wait until other gates have the records.
+func (s *Shard) reportCrashes(crashes []upstream.CrashRecord, parts []crash.Record) {
+	s.emit(ReportCrashes{Crashes: crashes, Parts: parts})
+	s.delays = true
+}
+
+// Sent reports that an attempt that had to wait for the reports of crashes is being sent.
+type Sent struct{ Attempt AttemptID }
+
+func (in Sent) apply(s *Shard) {
+	if a := s.attempts[in.Attempt]; a != nil {
+		a.unsent = false
+	}
+}
+
 func (in CrashesReported) apply(s *Shard) {
 	var added []upstream.CrashRecord
 	for _, crash := range in.Crashes {
--- a/internal/route/probe.go
+++ b/internal/route/probe.go
@@ -52,7 +52,10 @@
 	restarted := in.Alive && in.Incarnation > r.entry.Incarnation
 	switch {
 	case in.Alive && !restarted:
-		s.sendHeldErrors(s.releaseAwaiting(r))
+		abandoned := r.abandoned
+		released := s.releaseAwaiting(r)
+		r.keepBroken(s.now, abandoned, released)
+		s.sendHeldErrors(released)
 		s.handleReturn(r)
 	case restarted || in.Refused || s.isAwaited(r):
 		evidence := in.evidence(restarted)
@@ -148,12 +151,15 @@
 // connections broke and those whose attempts are still open.
 func (s *Shard) handleDeath(r *replica, evidence Evidence) {
 	lost := r.abandoned
+	if evidence.provesEnd() {
+		lost = append(lost, r.takeBroken(s.now)...)
+	}
 	held := s.releaseAwaiting(r)
 	for _, req := range held {
 		lost = append(lost, req.lost)
 	}
 	for _, a := range r.attempts {
-		lost = append(lost, lostOf(a))
+		lost = append(lost, s.lostOf(a))
 	}
 	if !r.dead {
 		r.dead = true
@@ -163,7 +169,7 @@
 	if len(lost) > 0 {
 		s.emitProcessDied(r, evidence, lost)
 	}
-	s.recordCrashes(r, lost)
+	s.recordCrashes(r, lost, evidence)
 	s.sendHeldErrors(held)
 	for _, a := range slices.Clone(r.attempts) {
 		if s.attempts[a.id] != nil {
--- a/internal/route/reasons.go
+++ b/internal/route/reasons.go
@@ -17,6 +17,7 @@
 	ReasonTeamRate        apierr.Reason = "team_rate_limit"        // the team exceeds its rate
 	ReasonPoison          apierr.Reason = "poison_request"         // the request crashed two replicas
 	ReasonSuspect         apierr.Reason = "suspect_request"        // one replica crashed; another gate is trying the request
+	ReasonPart            apierr.Reason = "poison_prompt_part"     // requests with one part of the prompt crashed replicas
 	ReasonUpstreamFailed  apierr.Reason = "upstream_failed"        // the attempt failed and may not be repeated
 	ReasonAttemptsSpent   apierr.Reason = "attempts_spent"         // every attempt failed
 	ReasonRetryBudget     apierr.Reason = "retry_budget_spent"     // too many recent retries
@@ -30,8 +31,10 @@
 
 // Reasons that are counted without a refusal.
 const (
-	ReasonRetryPrefix                   = "retry_"  // followed by the FailureCause
-	ReasonCancelPrefix                  = "cancel_" // followed by the CancelCause
+	ReasonRetryPrefix                   = "retry_"            // followed by the FailureCause
+	ReasonCancelPrefix                  = "cancel_"           // followed by the CancelCause
+	ReasonPartPrefix                    = "prompt_part_"      // followed by the crash.Standing
+	ReasonPartTrial       apierr.Reason = "prompt_part_trial" // a request with a condemned part is tried
 	ReasonHedged          apierr.Reason = "hedged"
 	ReasonStalled         apierr.Reason = "stalled_stream_taken_up"
 	ReasonHandOver        apierr.Reason = "stalled_stream_handed_over"
@@ -59,6 +62,7 @@
 	ReasonTeamRate,
 	ReasonPoison,
 	ReasonSuspect,
+	ReasonPart,
 	ReasonUpstreamFailed,
 	ReasonAttemptsSpent,
 	ReasonRetryBudget,
--- a/internal/route/replay_test.go
+++ b/internal/route/replay_test.go
@@ -120,7 +120,7 @@
 	case route.ReportCrashes:
 		for _, other := range b.trace.Gates {
 			if other != gate {
-				b.deliver(other, route.CrashesReported(o))
+				b.deliver(other, route.CrashesReported{Crashes: o.Crashes})
 			}
 		}
 	}
--- a/internal/route/shard.go
+++ b/internal/route/shard.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"slateway.example/slateway/internal/apierr"
+	"slateway.example/slateway/internal/crash"
 	"slateway.example/slateway/internal/share"
 	"slateway.example/slateway/internal/upstream"
 )
@@ -19,6 +20,7 @@
 
 	table   *upstream.Table
 	crashes *upstream.CrashRecords
+	parts   *crash.Ledger // of prompts
 	hints   *upstream.CacheHints
 
 	gates         []Gate
@@ -55,6 +57,7 @@
 	builds          map[string]*knownBuild // builds of the service
 	newBuildUntil   time.Time              // no build is new any more
 	buildsCheckedAt time.Time
+	partsCheckedAt  time.Time
 	tellsPace       bool // some replica of the service has told its pace
 	heard           heardReplicas
 	lastBatchItem   *request      // the batch item that was dispatched last
@@ -81,6 +84,7 @@
 	}
 
 	outputs []Output
+	delays  bool // the outputs of this step wait until other gates know of crashes
 }
 
 // request is a request without a final answer.
@@ -112,7 +116,9 @@
 	teamQueue        *teamQueue    // where it waits; nil: it does not wait as an online request
 	shareCharged     bool          // its team has been charged for its start
 	origin           origin        // the build that wrote its events
-	unassignedSince  time.Time     // since when this gate owns no replica for this waiting batch item
+	isTrial          bool          // it is the trial of the condemned part trialOf
+	trialOf          crash.Part
+	unassignedSince  time.Time // since when this gate owns no replica for this waiting batch item
 }
 
 func (r *request) avoidReplica(id upstream.ReplicaID) {
@@ -133,6 +139,8 @@
 	firstAt        time.Time // when the first token arrived
 	firstToken     int       // its number; larger than 1 if the attempt continues an answer
 	tokens         int
+	unsent         bool       // it waits until other gates know of crashes
+	flowRecorded   bool       // its answer has flowed for a while
 	toldPace       float64    // the replica's pace as told with the answer; 0: it told none
 	paused         bool       // the gate reads nothing from the replica for now
 	wasPaused      bool       // its events after a pause arrive faster than the replica makes them
@@ -146,11 +154,11 @@
 func NewShard(config Config, rng *rand.Rand) *Shard {
 	config = config.WithDefaults()
 	table := upstream.NewTable(config.EntryLifetime)
-	return &Shard{
+	s := &Shard{
 		config:      config,
 		rng:         rng,
 		table:       table,
-		crashes:     upstream.NewCrashRecords(config.CrashLifetime, table.NextVersion),
+		parts:       crash.NewLedger(config.CrashRule),
 		hints:       upstream.NewCacheHints(),
 		requests:    make(map[string]*request),
 		attempts:    make(map[AttemptID]*attempt),
@@ -161,6 +169,8 @@
 		budget:      newRetryBudget(config.RetryShare, config.RetryReserve),
 		onlineQueue: waitQueue{fair: &fairOrder{scheduler: share.NewScheduler()}},
 	}
+	s.crashes = upstream.NewCrashRecords(config.CrashLifetime, table.NextVersion, s.explainsCrash)
+	return s
 }
 
 // Step applies an input at time now and returns the outputs to carry out. The slice is
@@ -168,6 +178,7 @@
 func (s *Shard) Step(now time.Time, in Input) []Output {
 	s.now = now
 	s.outputs = s.outputs[:0]
+	s.delays = false
 	s.noRoom.found = false
 	s.dropOldReports()
 	in.apply(s)
--- a/internal/upstream/crashrecord.go
+++ b/internal/upstream/crashrecord.go
@@ -6,6 +6,8 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+
+	"slateway.example/slateway/internal/crash"
 )
 
 // Fingerprint identifies a request by the content that an upstream would
@@ -30,6 +32,10 @@
 	Gate        string      `json:"g"` // the gate that made the attempt
 	At          time.Time   `json:"t"`
 	Cleared     bool        `json:"c,omitempty"` // the request has completed since, so it did not cause the crash
+	// Begun reports that the request's answer had flowed for a while, so that it probably did
+	// not cause the crash.
+	Begun bool         `json:"b,omitempty"`
+	Parts []crash.Part `json:"p,omitempty"` // of the request's prompt
 
 	version uint64 // of the last change at this gate
 }
@@ -53,12 +59,17 @@
 	lifetime      time.Duration
 	nextVersion   func() uint64
 	byFingerprint map[Fingerprint][]CrashRecord // sorted by replica, incarnation, gate
+	// explained reports whether a crash has another cause than a request with the parts.
+	explained func(process crash.Process, parts []crash.Part) bool
 }
 
 // NewCrashRecords creates an empty set whose records expire after lifetime.
-// nextVersion returns the version for each change.
-func NewCrashRecords(lifetime time.Duration, nextVersion func() uint64) *CrashRecords {
-	return &CrashRecords{lifetime: lifetime, nextVersion: nextVersion, byFingerprint: make(map[Fingerprint][]CrashRecord)}
+// nextVersion returns the version for each change. Crashes that have another cause according to
+// explained, which may be nil, do not count.
+func NewCrashRecords(lifetime time.Duration, nextVersion func() uint64, explained func(crash.Process, []crash.Part) bool) *CrashRecords {
+	return &CrashRecords{
+		lifetime: lifetime, nextVersion: nextVersion, explained: explained, byFingerprint: make(map[Fingerprint][]CrashRecord),
+	}
 }
 
 // Add adds a crash record and reports whether the set changed: the record was
@@ -135,24 +146,39 @@
 }
 
 func (s *CrashRecords) countCrashes(now time.Time, list []CrashRecord) int {
-	count := 0
+	count, begun := 0, 0
 	var last CrashRecord
 	for _, record := range list {
 		if !s.isActive(now, record) {
 			continue
 		}
 		if record.Replica == last.Replica && record.Incarnation == last.Incarnation {
-			continue // the same crash, reported by another gate
+			if last.Begun && !record.Begun { // the same crash, reported by another gate
+				begun--
+				count++
+				last = record
+			}
+			continue
+		}
+		if record.Begun {
+			begun++
+		} else {
+			count++
 		}
-		count++
 		last = record
 	}
-	return count
+	return count + begun/begunPerCrash
 }
 
-// isActive reports whether a record is neither cleared nor expired.
+// begunPerCrash is how many crashes of replicas while an answer flowed count as one.
+const begunPerCrash = 2
+
+// isActive reports whether a record is neither cleared, expired nor explained.
 func (s *CrashRecords) isActive(now time.Time, record CrashRecord) bool {
-	return !record.Cleared && now.Sub(record.At) <= s.lifetime
+	if record.Cleared || now.Sub(record.At) > s.lifetime {
+		return false
+	}
+	return s.explained == nil || !s.explained(crash.Process{Replica: string(record.Replica), Incarnation: record.Incarnation}, record.Parts)
 }
 
 // RetryGate returns the only gate that may retry a suspect fingerprint: the first, by name,
--- a/internal/upstream/upstream_test.go
+++ b/internal/upstream/upstream_test.go
@@ -170,7 +170,7 @@
 
 func newCrashRecords() *upstream.CrashRecords {
 	var version uint64
-	return upstream.NewCrashRecords(time.Minute, func() uint64 { version++; return version })
+	return upstream.NewCrashRecords(time.Minute, func() uint64 { version++; return version }, nil)
 }
 
 func TestStatusCountsCrashes(t *testing.T) {
