platform: a stream without length or chunks is whole at the end of its connection

Callers of such a stream got all of its events and then "unexpected EOF", after up to three runs. Cause: the reader of events took each stream without framing for cut, because a crash ends a connection as the end of an answer does. Now an end inside an event, or without any event, is a cut; an end between two events is whole if the process that wrote it still runs, which the gate asks (/report, or a connection to a service that is no engine). One question for each such stream, beside its end; none for others.

Red before: "a stream that ends with its connection is whole after its last event, and runs once" (the specs after it are not reached then).

--- a/internal/gate/proxy/attempt.go
+++ b/internal/gate/proxy/attempt.go
@@ -232,6 +232,9 @@
 		if e.err != nil {
 			return &engineError{detail: string(e.err)}
 		}
+		if e.Done && e.Unconfirmed && !a.isProcessAlive() {
+			return errTruncated
+		}
 		if e.Done {
 			return a.finishStream(e)
 		}
