control: a VM that has just started asks for the builds at once

Callers whose streams broke off in the first seconds after a start of the site got 503 stream_origin_unknown: their gate follows a control VM that does not know yet that no build was missed, and which compares with another one only each two seconds, the first time before that one has learned it either. It now asks with each share (0.5 s) for up to 10 s after its start.

Red before: the new test (not within 5 s, of which none but the first round is a comparison).

--- a/internal/control/share.go
+++ b/internal/control/share.go
@@ -65,12 +65,30 @@
 	s.parts.expire()
 	s.locate(ctx)
 	s.journal.request(s.snapshot) // writes changes of the gates; those of replicas are on disk already
-	if round%sharesPerSync == 0 {
+	switch {
+	case round%sharesPerSync == 0:
 		s.syncWithOthers(ctx, round/sharesPerSync)
 		s.shareCandidates(ctx)
+	case s.lacksBuilds():
+		s.syncWithOthers(ctx, round)
 	}
 }
 
+// buildsSearch is how long after its start a VM asks for builds at each share.
+const buildsSearch = 10 * time.Second
+
+// lacksBuilds reports whether this VM has just started and its log of builds does not reach back.
+// Its gates refuse streams that callers take up until it does.
+func (s *Service) lacksBuilds() bool {
+	if time.Since(s.started) >= buildsSearch {
+		return false
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	_, reach := s.table.Builds(time.Now())
+	return reach < origin.Memory
+}
+
 func (s *Service) tick() {
 	inContact := s.InContact() // logs a change of contact even if there are no requests
 	s.mu.Lock()
--- a/internal/control/share_test.go
+++ b/internal/control/share_test.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"slateway.example/slateway/internal/control/controlapi"
+	"slateway.example/slateway/internal/origin"
 	"slateway.example/slateway/internal/quorum"
 	"slateway.example/slateway/internal/replica"
 	"slateway.example/slateway/internal/roster"
@@ -26,6 +27,7 @@
 func (shareGroup) Members() []quorum.Member             { return nil }
 func (shareGroup) Known() []quorum.Member               { return nil }
 func (shareGroup) RecordCandidates([]quorum.Member)     {}
+func (shareGroup) LocateLeaders(context.Context)        {}
 
 // startService starts a control VM that does not run: tests call its steps.
 func startService(t *testing.T) *Service {
@@ -250,3 +252,13 @@
 		t.Error("the control VM is not unreachable after a refused connection")
 	}
 }
+
+// Guards against take-ups that gates of a VM refuse for its first seconds, since it compares with
+// another VM only each two seconds and its first comparison found nobody.
+func TestAVMThatHasJustStartedSoonKnowsTheBuilds(t *testing.T) {
+	knowing, starting := startService(t), startService(t)
+	knowing.table.RememberBuilds(time.Now(), nil, origin.Memory)
+	starting.seeds = []string{knowing.options.Address}
+	starting.exchange(t.Context(), 1)
+	eventually(t, "the builds are known", func() bool { return !starting.lacksBuilds() })
+}
