control: a VM that runs late does not judge gates by their polls

A control VM takes a gate for unresponsive that has not polled for 500 ms. A check whose timer fires more than 50 ms late is now repeated after 250 ms and counted (gates.silent_check_late); the gate's lifetime remains the bound.

Red before: the new test (judged 200 ms late). Not yet measured at 300 VMs.

--- a/internal/control/longpoll.go
+++ b/internal/control/longpoll.go
@@ -15,6 +15,10 @@
 // then, a gate that has switched to another control VM has been reported by that one.
 const pollGrace = 500 * time.Millisecond
 
+// maxTimerLateness is how late a timer of this VM may fire for the VM to judge gates by the times
+// of their polls: it also reads the polls late.
+const maxTimerLateness = 50 * time.Millisecond
+
 // trackLongPoll records that a gate's long poll is open and returns the function to call
 // when it ends. A gate without a long poll at any control VM is removed from the answers
 // to callers well before its lifetime expires: a caller that is sent to a frozen gate
@@ -31,15 +35,28 @@
 			return
 		}
 		delete(s.longPolls, gate.VM)
-		time.AfterFunc(pollGrace, func() { s.checkUnresponsive(context.WithoutCancel(ctx), gate) })
+		s.planCheck(context.WithoutCancel(ctx), gate, pollGrace)
 	}
 }
 
+// planCheck checks a gate whose long poll has ended after a delay.
+func (s *Service) planCheck(ctx context.Context, gate *roster.Gate, delay time.Duration) {
+	due := time.Now().Add(delay)
+	time.AfterFunc(delay, func() { s.checkUnresponsive(ctx, gate, due, time.Now()) })
+}
+
 // checkUnresponsive marks a gate unresponsive if it has not polled any control VM since
-// its last report here.
-func (s *Service) checkUnresponsive(ctx context.Context, gate *roster.Gate) {
+// its last report here. If the check runs late it is repeated; the gate's lifetime ends it.
+func (s *Service) checkUnresponsive(ctx context.Context, gate *roster.Gate, due, now time.Time) {
 	s.mu.Lock()
-	unresponsive := s.longPolls[gate.VM] == 0 && s.table.MarkUnresponsive(gate)
+	silent := s.longPolls[gate.VM] == 0
+	if silent && now.Sub(due) > maxTimerLateness && s.table.IsLatest(gate) {
+		s.mu.Unlock()
+		s.options.Metrics.Count("gates.silent_check_late")
+		s.planCheck(ctx, gate, pollGrace/2)
+		return
+	}
+	unresponsive := silent && s.table.MarkUnresponsive(gate)
 	if unresponsive {
 		s.notify()
 	}
--- a/internal/control/share_test.go
+++ b/internal/control/share_test.go
@@ -262,3 +262,20 @@
 	starting.exchange(t.Context(), 1)
 	eventually(t, "the builds are known", func() bool { return !starting.lacksBuilds() })
 }
+
+// Guards against gates that a VM under load takes for unresponsive since it reads their polls late.
+func TestAVMThatIsLateDoesNotJudgeGates(t *testing.T) {
+	s := startService(t)
+	gate := roster.Gate{VM: "gate-1", Started: 1, Sequence: 1, Ready: true}
+	s.merge(nil, []roster.GateReport{{Gate: gate}})
+	due := time.Now()
+	s.checkUnresponsive(t.Context(), &gate, due, due.Add(200*time.Millisecond))
+	if len(s.table.Gates()) != 1 {
+		t.Fatal("the gate was judged 200 ms late")
+	}
+	eventually(t, "the repeated check removes the gate", func() bool {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		return len(s.table.Gates()) == 0
+	})
+}
--- a/internal/roster/gates.go
+++ b/internal/roster/gates.go
@@ -83,15 +83,21 @@
 // MarkUnresponsive removes a gate that has not reported since the given report from the live
 // gates until its next report. It reports whether followers must be notified.
 func (t *Table) MarkUnresponsive(g *Gate) bool {
-	row := t.gates[g.VM]
-	if row == nil || row.expired || row.gate.newer(g) {
+	if !t.IsLatest(g) {
 		return false
 	}
+	row := t.gates[g.VM]
 	row.expired = true
 	t.recordGateChange(row)
 	return true
 }
 
+// IsLatest reports whether a live gate has not reported since the given report.
+func (t *Table) IsLatest(g *Gate) bool {
+	row := t.gates[g.VM]
+	return row != nil && !row.expired && !row.gate.newer(g)
+}
+
 func (t *Table) recordGateChange(row *gateRow) {
 	hash, wasCounted := row.hash, row.counted
 	if !row.expired {
