Streams and items that begin at a process which is not announced yet

Callers got answers with events of two software versions: a replica restarts under its ID with another version, a stream or an item begins there before the announcement reaches the gate, and moves before it does. The gate took the events for those of the version it knew.

While several builds of a service serve, the first event of an answer now puts its build in doubt and asks the replica for its process (/report), beside the event; the events move only once it has answered that it is the announced one. One question for each answer that starts, none with one build.

Left: the first replica of a new build that appears in this way.

--- a/internal/gate/proxy/confirm.go
+++ b/internal/gate/proxy/confirm.go
@@ -25,6 +25,38 @@
 // errReplaced means that another process answers at the replica's address.
 var errReplaced = errors.New("the replica's process has been replaced")
 
+// identify asks a replica which of its processes answers, without waiting for it.
+func (s *shard) identify(o *route.IdentifyProcess) {
+	a := s.attempts[o.Attempt]
+	if a == nil {
+		return
+	}
+	identifier, ok := a.flight.protocol.(Identifier)
+	target, id, attempt := *o.Target, o.ID, o.Attempt
+	go func() {
+		found := uint64(0)
+		if ok {
+			ctx, cancel := context.WithTimeout(context.Background(), confirmTimeout)
+			defer cancel()
+			found, _ = s.router.transports.identify(ctx, identifier, &target) // an error means that it is not known
+		}
+		s.step(route.ProcessIdentified{ID: id, Attempt: attempt, Incarnation: found})
+	}()
+}
+
+// confirmWriter records that the build that has written the text of a request is certain.
+func (s *shard) confirmWriter(o *route.OriginConfirmed) {
+	f := s.flights[o.ID]
+	if f == nil {
+		return
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.build == o.Build {
+		f.unconfirmed = false
+	}
+}
+
 // isProcessAlive reports whether the process that answered the attempt still runs. A crash ends
 // connections as the end of an answer does.
 func (a *attempt) isProcessAlive() bool {
@@ -32,7 +64,9 @@
 	if !ok || a.target.Kind != upstream.KindEngine {
 		return a.transports().probe(a.target.Address).Alive
 	}
-	found, err := a.identify(identifier)
+	ctx, cancel := context.WithTimeout(a.ctx, confirmTimeout)
+	defer cancel()
+	found, err := a.transports().identify(ctx, identifier, &a.target)
 	return err == nil && (found == 0 || found == a.target.Incarnation)
 }
 
@@ -44,7 +78,9 @@
 	if !ok || !a.mustConfirm {
 		return "", nil
 	}
-	found, err := a.identify(identifier)
+	ctx, cancel := context.WithTimeout(a.ctx, confirmTimeout)
+	defer cancel()
+	found, err := a.transports().identify(ctx, identifier, &a.target)
 	if err != nil {
 		return route.CauseNotSent, err
 	}
@@ -54,15 +90,13 @@
 	return "", nil
 }
 
-// identify asks the replica for the incarnation of its process; 0 if it names none.
-func (a *attempt) identify(identifier Identifier) (uint64, error) {
-	ctx, cancel := context.WithTimeout(a.ctx, confirmTimeout)
-	defer cancel()
-	request, err := identifier.IdentifyRequest(ctx, &a.target)
+// identify asks a replica for the incarnation of its process; 0 if it names none.
+func (l *transports) identify(ctx context.Context, identifier Identifier, target *upstream.Announcement) (uint64, error) {
+	request, err := identifier.IdentifyRequest(ctx, target)
 	if err != nil {
 		return 0, err
 	}
-	answer, err := a.transports().pool(a.target.Replica).RoundTrip(request)
+	answer, err := l.pool(target.Replica).RoundTrip(request)
 	if err != nil {
 		return 0, err
 	}
--- a/internal/gate/proxy/shard.go
+++ b/internal/gate/proxy/shard.go
@@ -130,6 +130,10 @@
 			ready = s.broadcastCrashes(o.Crashes, o.Parts)
 		case route.ReportParts:
 			s.reportParts(&o)
+		case route.IdentifyProcess:
+			s.identify(&o)
+		case route.OriginConfirmed:
+			s.confirmWriter(&o)
 		case route.PartJudged:
 			s.logPart(&o.Change)
 		case route.Count:
--- a/internal/origin/order_test.go
+++ b/internal/origin/order_test.go
@@ -21,9 +21,10 @@
 	places  = 3
 )
 
-// process is a replica's process. A replica that starts again has another ID.
+// process is a replica's process. A replica that starts again mostly has another ID.
 type process struct {
 	id        upstream.ReplicaID
+	number    uint64 // incarnation
 	build     string
 	sequence  uint64
 	up        bool
@@ -52,6 +53,7 @@
 	first, current string // requests
 	gate           int
 	writer         string
+	on             uint64 // process of the replica that runs it
 	events         int
 	begun          time.Time
 	over           bool
@@ -74,10 +76,68 @@
 	gates     []*gate
 	streams   []*stream
 	letters   []letter
+	asked     []question
 	requests  int
 	continued int
 }
 
+// question is a gate's question to a replica for its process, not yet answered.
+type question struct {
+	gate *gate
+	route.IdentifyProcess
+}
+
+// answer lets replicas answer the questions for their processes.
+func (w *world) answer() {
+	asked := w.asked
+	w.asked = nil
+	for _, q := range asked {
+		p := w.process(q.Target.Replica)
+		in := route.ProcessIdentified{ID: q.ID, Attempt: q.Attempt}
+		if p.up {
+			in.Incarnation = p.number
+		}
+		if q.gate.up {
+			w.run(q.gate, in)
+		}
+	}
+}
+
+// restartInPlace replaces a process by one of another build under the same ID. Its announcement comes
+// later.
+func (w *world) restartInPlace(build string) {
+	p := w.processes[rapid.IntRange(0, len(w.processes)-1).Draw(w.t, "process")]
+	if !p.up || !w.allKnowSeveralBuilds() {
+		return // the first replica of a second build that appears so is not recognized
+	}
+	p.number, p.build, p.sequence = p.number+1, build, 0
+	p.announces = w.now.Add(w.latency("announcement"))
+	for _, s := range w.streams {
+		w.breakOff(s, p, p.number-1)
+	}
+}
+
+// allKnowSeveralBuilds reports whether all gates have heard that the service has several builds.
+func (w *world) allKnowSeveralBuilds() bool {
+	for _, g := range w.gates {
+		if _, doubt := g.book.Sole(w.now, service, window); g.up && doubt != origin.DoubtSeveral {
+			return false
+		}
+	}
+	return true
+}
+
+// breakOff ends the run of a stream that an earlier process of a replica wrote.
+func (w *world) breakOff(s *stream, p *process, number uint64) {
+	g := w.gates[s.gate]
+	d, running := g.attempts[s.current]
+	if s.over || !running || !g.up || d.Target.Replica != p.id || s.on != number {
+		return
+	}
+	delete(g.attempts, s.current)
+	w.run(g, route.Failed{Attempt: d.Attempt, Cause: route.CauseBroken})
+}
+
 func newWorld(t *rapid.T) *world {
 	w := &world{t: t, now: time.Unix(1_000_000, 0)}
 	w.control = roster.New(roster.Config{ReplicaLifetime: 20 * time.Second, GateLifetime: time.Second}, w.now)
@@ -102,7 +162,7 @@
 
 func (w *world) startProcess(build string) {
 	id := upstream.ReplicaID(fmt.Sprint("i-", len(w.processes)))
-	w.processes = append(w.processes, &process{id: id, build: build, up: true, announces: w.now.Add(w.latency("announcement"))})
+	w.processes = append(w.processes, &process{id: id, number: 1, build: build, up: true, announces: w.now.Add(w.latency("announcement"))})
 }
 
 func (w *world) latency(what string) time.Duration {
@@ -121,7 +181,7 @@
 func (w *world) announce(p *process, leaving bool) {
 	p.sequence++
 	w.control.Announce(w.now, upstream.Announcement{
-		Service: service, Kind: upstream.KindEngine, Replica: p.id, Incarnation: 1, Sequence: p.sequence, Build: p.build,
+		Service: service, Kind: upstream.KindEngine, Replica: p.id, Incarnation: p.number, Sequence: p.sequence, Build: p.build,
 		Address: "10.0.0.1:" + string(p.id[2:]) + "0", Place: "glas-a", CanResume: true,
 		Load: upstream.Load{Slots: 8, Ready: true, Leaving: leaving},
 	}, 0)
@@ -148,6 +208,7 @@
 			w.step(i, route.Tick{})
 		}
 		w.deliver()
+		w.answer()
 	}
 }
 
@@ -228,11 +289,17 @@
 		switch o := o.(type) {
 		case route.Dispatch:
 			g.attempts[o.ID] = o
+			if p := w.process(o.Target.Replica); o.Confirm && (!p.up || p.number != o.Target.Incarnation) {
+				delete(g.attempts, o.ID)
+				w.run(g, route.Failed{Attempt: o.Attempt, Cause: route.CauseMisdirected})
+			}
 		case route.Refuse:
 			delete(g.attempts, o.ID)
 		case route.Probe:
 			p := w.process(o.Replica)
-			w.run(g, route.Probed{Replica: o.Replica, Alive: p.up, Refused: !p.up})
+			w.run(g, route.Probed{Replica: o.Replica, Alive: p.up, Refused: !p.up}) // a connection names no process
+		case route.IdentifyProcess:
+			w.asked = append(w.asked, question{g, o})
 		case route.StreamBegan:
 			record := origin.Record{Service: service, Build: o.Build, Unknown: !o.Certain}
 			g.book.Put(w.now, o.ID, record)
@@ -276,6 +343,7 @@
 	if s.events > 0 && s.current != s.first {
 		w.continued++
 	}
+	s.on = p.number
 	s.writer = p.build
 	s.events++
 	w.run(g, route.Progress{Attempt: d.Attempt, Tokens: s.events, Delivered: true})
@@ -353,6 +421,7 @@
 			"unnamed":  func(*rapid.T) { s := streamAt(); w.takeUp(s, gateAt(), false); w.event(s) },
 			"pass":     func(t *rapid.T) { w.pass(time.Duration(rapid.IntRange(1, 40).Draw(t, "ticks")) * tick) },
 			"release":  func(t *rapid.T) { w.startProcess(fmt.Sprint("v", rapid.IntRange(1, 3).Draw(t, "version"))) },
+			"replace":  func(t *rapid.T) { w.restartInPlace(fmt.Sprint("v", rapid.IntRange(1, 3).Draw(t, "version"))) },
 			"crash":    func(t *rapid.T) { w.stopProcess(false) },
 			"leave":    func(t *rapid.T) { w.stopProcess(true) },
 			"kill":     func(*rapid.T) { w.gates[gateAt()].up = false },
--- a/internal/route/attempt.go
+++ b/internal/route/attempt.go
@@ -18,7 +18,7 @@
 	confirm := memory == "" && s.mustConfirm(req, r)
 	a := &attempt{
 		id: s.nextAttempt, req: req, replica: r, build: r.entry.Build, doubted: s.isDoubted(r) && !confirm,
-		started: s.now, lastProgress: s.now, unsent: s.delays,
+		started: s.now, lastProgress: s.now, unsent: s.delays, unidentified: s.mustIdentify(req, r, confirm),
 	}
 	a.queued = !s.hasSlot(r)
 	s.attempts[a.id] = a
@@ -36,7 +36,7 @@
 	req.isTrial = false
 	s.emit(Dispatch{
 		ID: req.ID, Attempt: a.id, Kind: kind, Target: &r.entry.Announcement, Resume: resume, Memory: memory,
-		Unconfirmed: a.doubted, Confirm: confirm,
+		Unconfirmed: a.doubted || a.unidentified, Confirm: confirm,
 		Queued: s.queueWait(req), AheadInQueue: req.aheadInQueue, ReservationTries: req.reservationTries,
 		Share: s.dispatchShare(req),
 	})
--- a/internal/route/build.go
+++ b/internal/route/build.go
@@ -24,6 +24,7 @@
 	doubtful    *replica
 	incarnation uint64
 	confirmedAt time.Time
+	asked       AttemptID // for which the replica was asked for its process; 0: none
 }
 
 const (
@@ -46,22 +47,78 @@
 
 func (StreamBegan) output() {}
 
-// recordOrigin records the build that writes the first event of a request.
+// IdentifyProcess asks a replica which of its processes answers. The result is a
+// ProcessIdentified input.
+type IdentifyProcess struct {
+	ID      string
+	Attempt AttemptID
+	Target  *upstream.Announcement // read only
+}
+
+// ProcessIdentified is the result of an IdentifyProcess output; Incarnation is 0 if the replica did
+// not tell it.
+type ProcessIdentified struct {
+	ID          string
+	Attempt     AttemptID
+	Incarnation uint64
+}
+
+// OriginConfirmed reports that the build that has written the events of a request is certain.
+type OriginConfirmed struct{ ID, Build string }
+
+func (IdentifyProcess) output() {}
+func (OriginConfirmed) output() {}
+
+// recordOrigin records the build that writes the first event of a request. In a service of several
+// builds its replica is asked for its process, which may have been replaced by one of another
+// build that is not announced yet; the build is in doubt until the answer.
 func (s *Shard) recordOrigin(a *attempt, delivered bool) {
 	req := a.req
 	if req.origin.known {
 		return
 	}
 	req.origin = origin{known: true, build: a.build}
-	if a.doubted {
+	if a.unidentified || a.doubted {
 		req.origin.doubtful, req.origin.incarnation = a.replica, a.replica.incarnation
 		req.origin.confirmedAt = a.started.Add(restartNotice)
 	}
+	if a.unidentified {
+		req.origin.asked = a.id
+		s.emit(IdentifyProcess{ID: req.ID, Attempt: a.id, Target: &a.replica.entry.Announcement})
+		return
+	}
 	if delivered && req.Class == Online {
 		s.emit(StreamBegan{ID: req.ID, Build: a.build, Certain: !a.doubted})
 	}
 }
 
+// mustIdentify reports whether the replica must be asked for its process once it begins an answer,
+// since it was not asked before.
+func (s *Shard) mustIdentify(req *request, r *replica, confirmed bool) bool {
+	return len(s.builds) > 1 && canConfirm(r) && !confirmed && !req.origin.known
+}
+
+func (in ProcessIdentified) apply(s *Shard) {
+	req := s.requests[in.ID]
+	if req == nil || req.origin.asked != in.Attempt {
+		return
+	}
+	o := &req.origin
+	o.asked = 0
+	isSame := in.Incarnation == o.incarnation && !o.isLost()
+	switch {
+	case isSame:
+		o.doubtful = nil
+		s.emit(OriginConfirmed{ID: req.ID, Build: o.build})
+	case in.Incarnation != 0:
+		o.lost = true
+	}
+	if req.delivered && req.Class == Online {
+		s.emit(StreamBegan{ID: req.ID, Build: o.build, Certain: isSame})
+	}
+	s.startWaiting()
+}
+
 // takeRecentAttempts removes from the replica the attempts that may have reached its new
 // process of another build, whose restart has been announced only now, and returns them. Which
 // of the two builds wrote their events cannot be known, so that they must not move.
--- a/internal/route/build_test.go
+++ b/internal/route/build_test.go
@@ -248,3 +248,68 @@
 		t.Errorf("the other request was sent to %+v", d.Target)
 	}
 }
+
+// identifyAs answers the questions for processes: they are those announced, or later ones.
+func (s *streams) identifyAs(later uint64) {
+	for _, asked := range s.identify {
+		s.step(route.ProcessIdentified{ID: asked.ID, Attempt: asked.Attempt, Incarnation: asked.Target.Incarnation + later})
+	}
+	s.identify = nil
+}
+
+// newTwoBuildRig returns a rig with two replicas of build v1 and one of v2, for some time.
+func newTwoBuildRig(t *testing.T) *streams {
+	s := newBuildRig(t)
+	s.announceBuild("b0", "v2", 1)
+	s.pass(2 * time.Second)
+	return s
+}
+
+// Guards against a stream that moves to the build of the announced process although its replica had
+// restarted with another one, which wrote the first event.
+func TestAStreamOfAProcessThatIsNotAnnouncedDoesNotMove(t *testing.T) {
+	for _, moves := range []bool{true, false} {
+		s := newTwoBuildRig(t)
+		s.arrive(route.Request{ID: "stream", Class: route.Online, Repeatable: true, Resumable: true, MaxAttempts: 3, Fingerprint: upstream.FingerprintOf("stream", nil)})
+		build := s.lastDispatch["stream"].Target.Build
+		s.run(60*time.Millisecond, "stream")
+		if moves && build == "v1" {
+			s.identifyAs(0)
+		} else {
+			s.identifyAs(1)
+		}
+		s.breakRun("stream")
+		s.pass(50 * time.Millisecond)
+		if moves && build == "v1" {
+			if d := s.lastDispatch["stream"]; s.sent["stream"] != 2 || d.Target.Build != "v1" {
+				t.Errorf("sent %d times, last to %+v, refused %v", s.sent["stream"], d.Target, s.refused["stream"])
+			}
+			continue
+		}
+		if err := s.refused["stream"]; err == nil || err.Reason != route.ReasonBuildGone {
+			t.Errorf("sent %d times, refused %v", s.sent["stream"], err)
+		}
+	}
+}
+
+// Guards against a text of a batch item that a process which was not announced began and another
+// build goes on with, after the item was preempted.
+func TestAnItemOfAProcessThatIsNotAnnouncedStartsAnew(t *testing.T) {
+	s := newTwoBuildRig(t)
+	s.arrive(route.Request{ID: "item", Class: route.Batch, Repeatable: true, Resumable: true, Fingerprint: upstream.FingerprintOf("item", nil)})
+	s.step(route.Progress{Attempt: s.lastDispatch["item"].Attempt, Tokens: 2})
+	s.breakRun("item")
+	s.identifyAs(1)
+	s.pass(500 * time.Millisecond)
+	if d := s.lastDispatch["item"]; s.sent["item"] != 2 || d.Resume {
+		t.Errorf("sent %d times, resumed %t", s.sent["item"], d.Resume)
+	}
+}
+
+func TestProcessesAreNotIdentifiedWhileThereIsOneBuild(t *testing.T) {
+	s := newBuildRig(t)
+	s.startOn("stream", "v1")
+	if len(s.identify) > 0 {
+		t.Errorf("%d replicas were asked", len(s.identify))
+	}
+}
--- a/internal/route/rig_test.go
+++ b/internal/route/rig_test.go
@@ -25,6 +25,7 @@
 	probed       []upstream.ReplicaID // probed replicas
 	resets       []upstream.ReplicaID // replicas whose pools were closed
 	handOvers    []route.HandOver     // requested handovers
+	identify     []route.IdentifyProcess
 }
 
 // newRig returns a rig with the shard of gate-1 and replicas r0, r1, … of two slots
@@ -69,6 +70,8 @@
 			r.probed = append(r.probed, o.Replica)
 		case route.Reset:
 			r.resets = append(r.resets, o.Replica)
+		case route.IdentifyProcess:
+			r.identify = append(r.identify, o)
 		case route.HandOver:
 			r.handOvers = append(r.handOvers, o)
 		}
--- a/internal/route/shard.go
+++ b/internal/route/shard.go
@@ -134,6 +134,7 @@
 	replica        *replica
 	build          string // of the process to which it was sent, as known then
 	doubted        bool   // that process may have been replaced
+	unidentified   bool   // that process is to be identified when the answer begins
 	started        time.Time
 	lastProgress   time.Time // when anything last arrived
 	firstAt        time.Time // when the first token arrived
