A slot that was reserved is judged again before it is used

The class: a decision that is carried out later without being taken again. In the same way requests that shared a part which had become a strong suspect meanwhile were sent to several replicas at once, and suspect requests to a replica with another's trial.

--- a/internal/route/reservation.go
+++ b/internal/route/reservation.go
@@ -3,6 +3,8 @@
 import (
 	"slices"
 	"time"
+
+	"slateway.example/slateway/internal/crash"
 )
 
 // Reservations: an online request is sent to a replica that another gate owns only
@@ -102,7 +104,7 @@
 func (s *Shard) handleAcknowledgement(r *replica, acknowledged uint64) {
 	for _, res := range s.reservationsOn(r, acknowledged) {
 		switch {
-		case !s.acceptsWork(r):
+		case !s.isStillRight(res):
 			s.reserveElsewhere(res)
 		case s.onlineLoad(r) > s.slots(r):
 			s.count(ReasonSlotTaken)
@@ -138,6 +140,20 @@
 	return slices.ContainsFunc(s.reservations, func(res reservation) bool { return res.replica == r })
 }
 
+// isStillRight reports whether a request may still be sent to the replica on which it has a slot.
+// Meanwhile the replica may have restarted with another build, or the request or a part of it may
+// have become suspect.
+func (s *Shard) isStillRight(res reservation) bool {
+	if !s.acceptsWork(res.replica) || !s.mayServe(res.req, res.replica) || (s.isSuspect(res.req) && s.hasTrial(res.replica)) {
+		return false
+	}
+	standing, part := s.standing(res.req)
+	if standing < crash.Strong || s.config.Disabled.Narrow {
+		return true
+	}
+	return s.mayTry(res.req, part) && s.trialReplica(res.req, part) == res.replica
+}
+
 func (s *Shard) sendReserved(res reservation) {
 	s.release(res)
 	s.dispatch(res.req, res.replica, res.req.nextKind)
@@ -159,7 +175,7 @@
 	for _, res := range slices.Clone(s.reservations) {
 		waited := s.now.Sub(res.since)
 		switch {
-		case !s.acceptsWork(res.replica):
+		case !s.isStillRight(res):
 			s.reserveElsewhere(res)
 		case s.ownsReplica(res.replica): // this gate has just become the owner
 			s.sendReserved(res)
