crash: gates try a strong suspect in turn after three deaths

After a third death without a verdict one gate now tries after the other, a second apart, in an order by a hash of gate and part; a turn begins when a replica has room. Before, the others waited two seconds after the fifth death, which were over by then.

--- a/internal/crash/ledger_test.go
+++ b/internal/crash/ledger_test.go
@@ -62,6 +62,24 @@
 	}
 }
 
+// Guards against a replica that comes back on a site without others, and to which each gate sends
+// a request with the part at once.
+func TestGatesTryInTurnAfterThreeDeaths(t *testing.T) {
+	l := crash.NewLedger(nil)
+	end := condemn(l, team, harmful)
+	expectStanding(t, l, team, crash.Strong, harmful)
+	back := end.Add(10 * time.Second)
+	second := func(crash.Part) int { return 1 }
+	for at := time.Duration(0); at < 3*time.Second; at += 100 * time.Millisecond {
+		if may := l.MayTry(back.Add(at), []crash.Part{harmful}, second); may != (at >= time.Second) {
+			t.Fatalf("the second gate may try %s after a replica is back: %t", at, may)
+		}
+	}
+	if !l.MayTry(back.Add(20*time.Second), []crash.Part{harmful}, func(crash.Part) int { return 0 }) {
+		t.Error("the first gate may not try at once")
+	}
+}
+
 // Guards against sound requests that are refused because an answer with their part began before
 // the end of a process and flowed.
 func TestAnAnswerThatFlowedClearsItsParts(t *testing.T) {
--- a/internal/crash/record.go
+++ b/internal/crash/record.go
@@ -51,6 +51,8 @@
 	trialAt     time.Time // last trial, else the verdict
 	seenAt      time.Time // last request with the part
 	toldSeenAt  time.Time // seenAt as other VMs know it
+	chanceAt    time.Time // since when there has been a replica with room for a request with the part
+	askedAt     time.Time // when MayTry was last asked for it
 	lifted      bool      // it was cleared while it was strong or condemned
 	contrast    bool      // an answer without the part has flowed here since its first death
 }
--- a/internal/crash/trial.go
+++ b/internal/crash/trial.go
@@ -45,21 +45,24 @@
 const (
 	firstPause = simultaneous // then the deaths so far can be judged
 	maxPause   = 10 * time.Second
-	// otherGatesPause is how long the first gate tries alone.
-	otherGatesPause = 2 * time.Second
+	// gateTurn is how long a gate tries alone after three deaths.
+	gateTurn = time.Second
+	// sameChance is the longest time between two questions for a part that belong to one chance.
+	sameChance = 500 * time.Millisecond
 )
 
-// MayTry reports whether a request with the parts may be tried now: the pause after the last death
-// of each strong suspect among them is over. Requests with one such suspect tell more than those
-// with several, and wait for the shortest pause only. After many deaths one gate tries before the
-// others.
-func (l *Ledger) MayTry(now time.Time, parts []Part, isFirst func(Part) bool) bool {
+// MayTry reports whether a request with the parts may be sent now to a replica that has room for it:
+// the pause after the last death of each strong suspect among them is over. Requests with one such
+// suspect tell more than those with several, and wait for the shortest pause only. After three deaths
+// one gate after the other tries, in the order of turnOf; the first has turn 0.
+func (l *Ledger) MayTry(now time.Time, parts []Part, turnOf func(Part) int) bool {
 	var suspects []*record
 	for _, part := range parts {
 		if l.isStrong(part) {
 			suspects = append(suspects, l.records[part])
 		}
 	}
+	may := true
 	for _, r := range suspects {
 		pause := firstPause
 		if len(suspects) > 1 {
@@ -67,14 +70,22 @@
 				pause = min(2*pause, maxPause)
 			}
 		}
-		if len(r.deaths) >= condemnDeaths && !isFirst(r.part) {
-			pause = max(pause, otherGatesPause)
-		}
-		if now.Sub(r.deaths[len(r.deaths)-1].at) < pause {
-			return false
+		last := r.deaths[len(r.deaths)-1].at
+		if now.Sub(last) < pause || len(r.deaths) > strongDeaths && !r.isTurn(now, last, turnOf(r.part)) {
+			may = false
 		}
 	}
-	return true
+	return may
+}
+
+// isTurn reports whether the gate with the given turn may try the part. Turns begin when there is a
+// replica with room after the last death.
+func (r *record) isTurn(now, lastDeath time.Time, turn int) bool {
+	if now.Sub(r.askedAt) > sameChance || r.chanceAt.Before(lastDeath) {
+		r.chanceAt = now
+	}
+	r.askedAt = now
+	return now.Sub(r.chanceAt) >= min(time.Duration(turn)*gateTurn, maxPause)
 }
 
 // StrongInTurn returns the strong suspects in the order in which they are tried: where there are
--- a/internal/route/ownership.go
+++ b/internal/route/ownership.go
@@ -63,6 +63,19 @@
 	return gate, score
 }
 
+// rank returns the number of gates with a higher score for the key than the given one.
+func (h *ownerScores) rank(gates []string, gate, key string) (higher int) {
+	h.setGate(gate)
+	score := h.of(key)
+	for _, id := range gates {
+		h.setGate(id)
+		if h.of(key) > score {
+			higher++
+		}
+	}
+	return higher
+}
+
 // chooseOwner chooses the replica's owner gate, the only gate that starts batch work on
 // it: the live gate in the replica's place with the highest rendezvous score, or the best
 // of all gates if the place has none. With a single owner, one gate knows all batch work on
--- a/internal/route/parts.go
+++ b/internal/route/parts.go
@@ -244,6 +244,11 @@
 	return gate == "" || gate == s.config.Self
 }
 
+// gateTurn returns how many gates try a part before this one.
+func (s *Shard) gateTurn(part crash.Part) int {
+	return s.scores.rank(s.ownerGates.all, s.config.Self, "part "+part.String())
+}
+
 // isTried reports whether the request is the trial of the part and has not been sent yet.
 func (r *request) isTried(part crash.Part) bool { return r.isTrial && r.trialOf == part }
 
@@ -316,7 +321,7 @@
 // mayTry reports whether a request with a strong suspect may be sent: one at a time, and after a
 // pause.
 func (s *Shard) mayTry(req *request, part crash.Part) bool {
-	return len(s.notBegun(part)) == 0 && s.parts.MayTry(s.now, req.Parts, s.isFirstGate)
+	return len(s.notBegun(part)) == 0 && s.parts.MayTry(s.now, req.Parts, s.gateTurn)
 }
 
 // startSuspectItem starts a batch item with a strong suspect on the replica where that is tried,
