--- a/internal/crash/trial.go
+++ b/internal/crash/trial.go
@@ -27,7 +27,10 @@
 // trialInterval returns the time from the last trial, or from the verdict, to the next trial.
 func (r *record) trialInterval() time.Duration {
 	first := firstTrials
-	if r.doubtful {
+	switch {
+	case r.doubtful && len(r.deaths) > condemnDeaths: // it has cost more than the others already
+		first = firstDoubtfulTrials[1:]
+	case r.doubtful:
 		first = firstDoubtfulTrials
 	}
 	if r.trials < len(first) {
