--- a/review/standin-2/main.go
+++ b/review/standin-2/main.go
@@ -19,7 +19,8 @@
 )
 
 var cases = map[string]func(ctx context.Context, r *record, trouble bool) (int, error){
-	"crash-one": crashOne,
+	"crash-one":  crashOne,
+	"job-bursts": jobBursts,
 }
 
 func main() {
