--- a/review/standin-2/main.go
+++ b/review/standin-2/main.go
@@ -21,6 +21,7 @@
 var cases = map[string]func(ctx context.Context, r *record, trouble bool) (int, error){
 	"crash-one":  crashOne,
 	"job-bursts": jobBursts,
+	"founding":   founding,
 }
 
 func main() {
--- a/review/standin-2/site.go
+++ b/review/standin-2/site.go
@@ -181,6 +181,17 @@
 	_ = m.command.Process.Signal(sig) // it may have ended
 }
 
+func (m *machine) running() bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	select {
+	case <-m.ended:
+		return false
+	default:
+		return true
+	}
+}
+
 func (m *machine) pid() int {
 	m.mu.Lock()
 	defer m.mu.Unlock()
