review: case 4, idle replicas are restarted in the warm-up

A replica without items may belong to the gate of a busy one, which then has a place for the items of the one that crashes.

--- a/review/standin-2/crashone.go
+++ b/review/standin-2/crashone.go
@@ -57,7 +57,7 @@
 			used[string(line[1])] = true
 		}
 		for _, e := range engines {
-			if used[e.id] && len(used) == 1 && (best == nil || e.load() > best.load()) {
+			if used[e.id] && len(used) == 1 && e.boot == 1 && (best == nil || e.load() > best.load()) {
 				best = e
 			}
 		}
@@ -65,6 +65,29 @@
 	return best
 }
 
+// useAll restarts the engines that get no items, until all have some. An idle one may belong to
+// the gate of a busy one, which would then have a place for its items.
+func useAll(ctx context.Context, engines []*engine) {
+	for range 5 {
+		pause(ctx, 1500*time.Millisecond)
+		idle := 0
+		for _, e := range engines {
+			if e.load() > 0 {
+				continue
+			}
+			idle++
+			e.site.record.line("replica %s is idle, restarted", e.address)
+			e.down()
+			if err := e.up(); err != nil {
+				e.site.record.line("replica %s: %v", e.address, err)
+			}
+		}
+		if idle == 0 {
+			return
+		}
+	}
+}
+
 // crashOne lets one of three replicas crash for four seconds while it runs items with outputs of
 // the largest size. The rule: every accepted item is listed in the end.
 func crashOne(ctx context.Context, r *record, trouble bool) (int, error) {
@@ -88,7 +111,9 @@
 		}
 		jobs = append(jobs, j)
 	}
-	pause(ctx, 10500*time.Millisecond)
+	began := time.Now()
+	useAll(ctx, engines)
+	pause(ctx, 10500*time.Millisecond-time.Since(began))
 	for _, e := range engines {
 		r.line("replica %s runs %d items", e.address, e.load())
 	}
