--- a/review/standin-2/client.go
+++ b/review/standin-2/client.go
@@ -46,7 +46,7 @@
 	controls := s.of("control")
 	for i := 0; ; i++ {
 		limited, cancel := context.WithTimeout(ctx, time.Second)
-		status, _ := call(limited, http.MethodPost, "http://"+controls[i%len(controls)].control()+"/configuration/replace", nil, strings.NewReader(document))
+		status, _ := call(limited, http.MethodPost, "http://"+controls[i%len(controls)].control()+wire["replace_configuration"], nil, strings.NewReader(document))
 		cancel()
 		if status == http.StatusOK {
 			s.record.line("desired state acknowledged")
@@ -80,7 +80,7 @@
 	for i := range items {
 		j.items = append(j.items, item{
 			ID: fmt.Sprintf("%s-%d", id, i), Path: fmt.Sprintf("/jobs/%s/%d", id, i),
-			Headers: map[string]string{"Slateway-Model-Name": "m", "Slateway-Token-Usage": "350,240", "Slateway-Prompt-Prefix": fmt.Sprintf("%s%x:350", hexID(id), i+1)},
+			Headers: map[string]string{wire["model"]: "m", wire["usage"]: "350,240", wire["prompt"]: fmt.Sprintf("%s%x:350", hexID(id), i+1)},
 			Body:    body, Tokens: 590,
 		})
 	}
@@ -115,7 +115,7 @@
 func (s *site) results(ctx context.Context, gate *machine, id string) (total int, list []result, status int) {
 	for {
 		limited, cancel := context.WithTimeout(ctx, 5*time.Second)
-		got, data := call(limited, http.MethodGet, fmt.Sprintf("http://%s/lots/%s?after=%d", gate.frontend(), id, len(list)), nil, nil)
+		got, data := call(limited, http.MethodGet, "http://"+gate.frontend()+fmt.Sprintf(wire["results"], id, len(list)), nil, nil)
 		cancel()
 		if got != http.StatusOK {
 			return total, list, got
--- a/review/standin-2/crashone.go
+++ b/review/standin-2/crashone.go
@@ -10,11 +10,6 @@
 	"time"
 )
 
-const batchDocument = `{"version":1,"routes":[
-{"name":"r-jobs","hostname":"news.example","path_prefix":"/jobs/","kind":"batch","timeout_ms":15000,"target_latency_ms":400,"priority":2,"service":"wordroom","max_attempts":3,"session_affinity":true,"resumable":true,"gap_target_ms":400,"completion_target_ms":8000,"max_queue_s":100,"max_queued_tokens":0}],
-"services":[{"name":"wordroom","health_check_path":"/health","max_connections":360,"protocol":"h1","tls":false,"engine":{"slots":160,"kv_cache_tokens":1000000,"kv_token_bytes":18432,"link_mbps":130000.0,"moves":true,"backups":true,"stride":7,"max_queued_tokens":12,"pin_ms":4000.0,"hold_ms":2000.0,"handle_s":5.0,"models":[{"name":"m"}]}}],
-"limits":{"max_header_bytes":16384,"max_body_bytes":4194304,"header_timeout_ms":3000,"idle_timeout_ms":15000}}`
-
 // startBatchSite starts a site with engines and the routes of batchDocument.
 func startBatchSite(ctx context.Context, s *site, count, slots int, shape func(*engine)) ([]*engine, error) {
 	if err := s.startAll(); err != nil {
--- a/review/standin-2/engine.go
+++ b/review/standin-2/engine.go
@@ -133,17 +133,17 @@
 	case request.URL.Path == "/health":
 		reply("200 OK", "Slateway-Instance-Id: "+self+"\r\n", "")
 		return true
-	case request.Header.Get("Slateway-Expected-Instance") != "" && request.Header.Get("Slateway-Expected-Instance") != self:
-		reply("421 Misdirected Request", "Slateway-Not-Executed: 1\r\n", "")
+	case request.Header.Get(wire["expected_replica"]) != "" && request.Header.Get(wire["expected_replica"]) != self:
+		reply("421 Misdirected Request", wire["not_run"]+": 1\r\n", "")
 		return true
 	case id == "":
-		reply("400 Bad Request", "Slateway-Not-Executed: 1\r\n", "")
+		reply("400 Bad Request", wire["not_run"]+": 1\r\n", "")
 		return true
 	case strings.HasPrefix(request.URL.Path, "/kv-"):
 		reply("404 Not Found", "", "")
 		return true
 	case waiting >= 24:
-		reply("503 Service Unavailable", "Slateway-Not-Executed: 1\r\n", "")
+		reply("503 Service Unavailable", wire["not_run"]+": 1\r\n", "")
 		return true
 	}
 	e.count(1)
@@ -195,7 +195,7 @@
 	number := len(e.runs[id]) - 1
 	e.mu.Unlock()
 	e.site.record.line("%s: run %s after %d", e.address, id, after)
-	fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nSlateway-Request-Id: %s\r\nSlateway-Response-Signature: s.%s\r\nContent-Type: text/event-stream\r\nConnection: close\r\nTransfer-Encoding: chunked\r\n\r\n", id, id)
+	fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nSlateway-Request-Id: %s\r\n%s: s.%s\r\nContent-Type: text/event-stream\r\nConnection: close\r\nTransfer-Encoding: chunked\r\n\r\n", id, wire["signature"], id)
 	for n := after + 1; n <= e.events; n++ {
 		select {
 		case <-gone:
@@ -232,7 +232,7 @@
 		e.mu.Unlock()
 		if up && err == nil {
 			limited, cancel := context.WithTimeout(ctx, time.Second)
-			status, _ := call(limited, http.MethodPost, "http://"+controls[next%len(controls)].control()+"/instances/"+id+"/heartbeat", nil, bytes.NewReader(body))
+			status, _ := call(limited, http.MethodPost, "http://"+controls[next%len(controls)].control()+fmt.Sprintf(wire["ping"], id), nil, bytes.NewReader(body))
 			cancel()
 			if status != http.StatusOK {
 				next++
--- a/review/standin-2/founding.go
+++ b/review/standin-2/founding.go
@@ -39,7 +39,7 @@
 	for i := 0; limited.Err() == nil; i++ {
 		call1, cancel := context.WithTimeout(limited, time.Second)
 		at := controls[i%len(controls)]
-		status, body := call(call1, http.MethodPost, "http://"+at.control()+"/configuration/replace", nil, strings.NewReader(batchDocument))
+		status, body := call(call1, http.MethodPost, "http://"+at.control()+wire["replace_configuration"], nil, strings.NewReader(batchDocument))
 		cancel()
 		r.line("desired state sent to %s: %d %.200s", at.name, status, body)
 		if status == http.StatusOK {
--- a/review/standin-2/site.go
+++ b/review/standin-2/site.go
@@ -149,7 +149,7 @@
 	}
 	defer output.Close()
 	command := exec.Command("target/slatewayd")
-	command.Env = []string{"SLATEWAY_NODE_FILE=" + m.settings, "PATH=" + os.Getenv("PATH"), "HOME=" + os.Getenv("HOME"), "LANG=C"}
+	command.Env = []string{wire["settings_variable"] + "=" + m.settings, "PATH=" + os.Getenv("PATH"), "HOME=" + os.Getenv("HOME"), "LANG=C"}
 	command.Stdout, command.Stderr = output, output
 	if err := command.Start(); err != nil {
 		return err
