--- a/review/standin-2/engine.go
+++ b/review/standin-2/engine.go
@@ -20,6 +20,7 @@
 type engine struct {
 	site      *site
 	service   string
+	zone      string
 	address   string
 	slots     int
 	events    int           // of each stream
@@ -47,7 +48,7 @@
 
 func newEngine(s *site, service string, number, slots int) *engine {
 	return &engine{
-		site: s, service: service, address: fmt.Sprintf("%s.%d:8080", s.network, 100+number), slots: slots,
+		site: s, service: service, zone: homeZone, address: fmt.Sprintf("%s.%d:8080", s.network, 100+number), slots: slots,
 		events: 30, eventSize: 20, interval: 20 * time.Millisecond, runs: map[string][]run{},
 	}
 }
@@ -225,7 +226,7 @@
 		e.sequence++
 		id := e.id
 		body, err := json.Marshal(map[string]any{
-			"service": e.service, "address": e.address, "zone": "glas-a", "version": "v1", "slots": e.slots, "state": "ready",
+			"service": e.service, "address": e.address, "zone": e.zone, "version": "v1", "slots": e.slots, "state": "ready",
 			"cold_remaining_ms": 0, "stage": "both", "models": []map[string]any{{"name": "m", "version": 1, "adapters": []string{}}},
 			"sequence": e.sequence, "born": e.born,
 		})
--- a/review/standin-2/founding.go
+++ b/review/standin-2/founding.go
@@ -13,9 +13,10 @@
 const ackBound = 60 * time.Second
 
 // founding starts a site for the first time and takes the core machine with the lowest address away
-// for good, before the site is founded. The rule: the first desired state is acknowledged.
+// for good, before the site is founded. The rule: the first desired state is acknowledged, and requests
+// are served.
 func founding(ctx context.Context, r *record, trouble bool) (int, error) {
-	s, err := newSite(r, 5, 3, 2)
+	s, err := newSite(r, 5, 3, homeGates(2)...)
 	if err != nil {
 		return failed, err
 	}
@@ -35,7 +36,7 @@
 	}
 	limited, cancel := context.WithTimeout(ctx, ackBound)
 	defer cancel()
-	controls := s.of("control")
+	controls, gates := s.of("control"), s.of("gate")
 	for i := 0; limited.Err() == nil; i++ {
 		call1, cancel := context.WithTimeout(limited, time.Second)
 		at := controls[i%len(controls)]
@@ -43,11 +44,18 @@
 		cancel()
 		r.line("desired state sent to %s: %d %.200s", at.name, status, body)
 		if status == http.StatusOK {
-			r.verdict("held: the first desired state is acknowledged")
+			break
+		}
+		// Traffic has begun: a client sends a batch job to one gate after the other.
+		if s.submit(limited, gates[i%len(gates)], newJob(fmt.Sprintf("%x0b", 256+i), 10, 1500), time.Second) == http.StatusAccepted {
+			r.verdict("a batch job was accepted")
 			return held, nil
 		}
 		pause(limited, 500*time.Millisecond)
 	}
+	if limited.Err() == nil {
+		return serveOne(ctx, s)
+	}
 	if ctx.Err() != nil {
 		return failed, ctx.Err()
 	}
@@ -56,15 +64,29 @@
 			return failed, fmt.Errorf("%s has ended", m.name)
 		}
 	}
-	r.verdict("FAULT: no desired state is acknowledged within %s, so no request can be served; all %d processes run", ackBound, len(s.machines))
+	r.verdict("FAULT: within %s no desired state is acknowledged and no request is served; all %d processes run", ackBound, len(s.machines))
 	return broken, nil
 }
 
+// serveOne checks that requests are served once the desired state is acknowledged.
+func serveOne(ctx context.Context, s *site) (int, error) {
+	if err := s.awaitReady(ctx); err != nil {
+		return failed, err
+	}
+	for i, gate := range s.of("gate") {
+		if status := s.submit(ctx, gate, newJob(fmt.Sprintf("%x0b", 4096+i), 10, 1500), 4*time.Second); status != http.StatusAccepted {
+			return failed, fmt.Errorf("a batch job was answered %d although the desired state is acknowledged", status)
+		}
+	}
+	s.record.verdict("held: the first desired state is acknowledged and batch jobs are accepted")
+	return held, nil
+}
+
 // replaceCore starts an empty core machine at another address in place of a lost one. Its seeds are
 // the core machines that are left.
 func (s *site) replaceCore(index int) error {
 	old := s.machines[index]
-	next := &machine{name: old.name + "-b", role: old.role, class: old.class, memoryMB: old.memoryMB, ip: fmt.Sprintf("%s.%d", s.network, len(s.machines)+1)}
+	next := &machine{name: old.name + "-b", role: old.role, class: old.class, zone: old.zone, memoryMB: old.memoryMB, ip: fmt.Sprintf("%s.%d", s.network, len(s.machines)+1)}
 	next.folder, next.settings = filepath.Join(s.folder, next.name), filepath.Join(s.folder, next.name+".toml")
 	s.machines = append(s.machines[:index], s.machines[index+1:]...)
 	s.machines = append(s.machines, next)
--- a/review/standin-2/jobbursts.go
+++ b/review/standin-2/jobbursts.go
@@ -20,7 +20,7 @@
 // process ends by itself three times, on two machines or more. More memory than the machine has
 // counts as such an end.
 func jobBursts(ctx context.Context, r *record, trouble bool) (int, error) {
-	s, err := newSite(r, 3, 3, 7)
+	s, err := newSite(r, 3, 3, homeGates(7)...)
 	if err != nil {
 		return failed, err
 	}
