A response with an invalid status fails at the replica instead of ending the gate's handler

What callers saw: a replica answered with the status 000. The caller's connection closed without a response, and the request was not tried at another replica. It was the same for a stream that had no event yet.

Cause: net/http takes any three digits for a status and hands the response on; WriteHeader then panics for a status below 100, in the handler. Nothing between the two decided what is a response.

Evidence: "http: panic serving ...: invalid WriteHeader code 0" in the gate's log, and the specs platform "a response with a head that is none in the protocol" with status_000: red before, both the idempotent and the non-idempotent case ("Post ...: EOF").

Weighed: (a) the bytes, before net/http parses them; (b) the parsed response and the transport's own limits, afterwards. (b) sees the status, but neither a blank before a colon that delimits the body (the field is then unknown to the library and the body is delimited otherwise), nor both a length and chunks (the library drops the length), nor a repeated or folded field, nor chunk lines, trailers and interim responses. (a) sees all of these.

Fix: internal/framing has a Scanner without I/O that follows the bytes of one connection from response to response and returns a typed Violation. internal/checkedhttp carries it out below http.Transport, for every call of a gate to a replica: attempts, probes, questions, moves, cancels, and for orders. An attempt whose response is none has failed at its replica (cause "mismatch"): counted as answers.invalid.REASON, logged with the reason, the connection dropped, tried elsewhere if it may run again, else 502 without a claim that it has not run. Delimiters, chunk lines and the size of a head are checked in the same place.

Tests: rapid draws responses in any split; the oracle is the generator, which knows whether it drew a fault from a table written from RFC 9110 and 9112; another property compares where net/http takes a mutated response to end.

--- a/internal/daemon/gate.go
+++ b/internal/daemon/gate.go
@@ -10,6 +10,7 @@
 	"github.com/google/uuid"
 	"go.uber.org/zap"
 
+	"slateway.example/slateway/internal/checkedhttp"
 	"slateway.example/slateway/internal/fleet"
 	"slateway.example/slateway/internal/gate"
 	"slateway.example/slateway/internal/gate/batch"
@@ -110,7 +111,7 @@
 		Keepers:  client,
 		Policies: g.watcher,
 		Router:   g.router,
-		Client:   &http.Client{Transport: &http.Transport{DialContext: dialer(s.Timeouts.Dial).DialContext}},
+		Client:   &http.Client{Transport: checkedhttp.New(&http.Transport{DialContext: dialer(s.Timeouts.Dial).DialContext}, checkedhttp.Options{})},
 		Metrics:  d.metrics,
 		Log:      d.log,
 		Order: order.Config{
--- a/internal/gate/proxy/attempt.go
+++ b/internal/gate/proxy/attempt.go
@@ -163,12 +163,13 @@
 
 func (a *attempt) failureCause(err error) route.FailureCause {
 	var reported *engineError
+	var violation *framing.Violation
 	switch {
 	case !a.connected.Load():
 		return route.CauseNotSent
 	case errors.As(err, &reported):
 		return route.CauseStatus
-	case errors.Is(err, ErrMalformedEvent), errors.Is(err, errTooLong):
+	case errors.Is(err, ErrMalformedEvent), errors.Is(err, errTooLong), errors.As(err, &violation):
 		return route.CauseMismatch
 	default:
 		return route.CauseBroken
--- a/internal/gate/proxy/ending.go
+++ b/internal/gate/proxy/ending.go
@@ -10,6 +10,7 @@
 
 	"go.uber.org/zap"
 
+	"slateway.example/slateway/internal/checkedhttp"
 	"slateway.example/slateway/internal/framing"
 	"slateway.example/slateway/internal/telemetry"
 	"slateway.example/slateway/internal/upstream"
@@ -117,7 +118,7 @@
 	}
 	var found framing.Finding
 	request = request.WithContext(httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) {
-		held, ok := info.Conn.(*heldConn)
+		held, ok := checkedhttp.Underlying(info.Conn).(*heldConn)
 		found.Held = ok && held.opened.Before(sent)
 	}}))
 	answer, err := transport.RoundTrip(request)
--- a/internal/gate/proxy/held.go
+++ b/internal/gate/proxy/held.go
@@ -3,10 +3,10 @@
 import (
 	"context"
 	"net"
-	"net/http"
 	"sync"
 	"time"
 
+	"slateway.example/slateway/internal/checkedhttp"
 	"slateway.example/slateway/internal/framing"
 	"slateway.example/slateway/internal/upstream"
 )
@@ -41,7 +41,7 @@
 // maxQuestions is how many connections for questions a gate opens to one replica.
 const maxQuestions = 2
 
-func (l *transports) newQuestionTransport() *http.Transport {
+func (l *transports) newQuestionTransport() *checkedhttp.Transport {
 	t := l.newTransport()
 	t.MaxIdleConnsPerHost, t.MaxConnsPerHost = maxQuestions, maxQuestions
 	t.DialContext = func(ctx context.Context, network, address string) (net.Conn, error) {
@@ -52,7 +52,7 @@
 		l.held.add(address, 1)
 		return &heldConn{Conn: connection, opened: time.Now(), closed: func() { l.held.add(address, -1) }}, nil
 	}
-	return t
+	return checkedhttp.New(t, l.checks)
 }
 
 func (h *heldConnections) add(address string, count int) {
--- a/internal/gate/proxy/transports.go
+++ b/internal/gate/proxy/transports.go
@@ -12,6 +12,8 @@
 	"syscall"
 	"time"
 
+	"slateway.example/slateway/internal/checkedhttp"
+	"slateway.example/slateway/internal/framing"
 	"slateway.example/slateway/internal/route"
 	"slateway.example/slateway/internal/sockets"
 	"slateway.example/slateway/internal/upstream"
@@ -21,22 +23,26 @@
 // own, which is dropped when one of its connections has stalled.
 type transports struct {
 	dialer *net.Dialer
+	checks checkedhttp.Options
 	// fresh opens a new connection for each request. Probes use it to distinguish a
 	// stalled connection from a dead replica. Requests that may not be repeated use
 	// it because, if the upstream closes a pooled connection just then, it is unknown
 	// whether the request ran.
-	fresh *http.Transport
+	fresh *checkedhttp.Transport
 	// questions asks plain services which process answers, over connections that stay open.
-	questions    *http.Transport
+	questions    *checkedhttp.Transport
 	held         heldConnections
 	probeTimeout time.Duration
 	probeFunc    func(ctx context.Context, address string) ProbeResult
 
 	mu         sync.Mutex // guards the fields below
-	pools      map[upstream.ReplicaID]*http.Transport
+	pools      map[upstream.ReplicaID]*checkedhttp.Transport
 	dialLimits *route.DialLimits
 }
 
+// countViolation is followed by the framing.Reason of a response that is none in the protocol.
+const countViolation = "answers.invalid."
+
 // Sizes and times of a connection pool.
 const (
 	maxIdlePerReplica = 256
@@ -48,11 +54,13 @@
 		dialer:       sockets.Dialer(o.DialTimeout, o.UnackedTimeout),
 		probeTimeout: o.ProbeTimeout,
 		probeFunc:    o.Probe,
-		pools:        make(map[upstream.ReplicaID]*http.Transport),
+		pools:        make(map[upstream.ReplicaID]*checkedhttp.Transport),
 		dialLimits:   route.NewDialLimits(o.DialTimeout),
 	}
-	l.fresh = l.newTransport()
-	l.fresh.DisableKeepAlives = true
+	l.checks = checkedhttp.Options{Violated: func(v *framing.Violation) { o.Metrics.Count(countViolation + string(v.Reason)) }}
+	fresh := l.newTransport()
+	fresh.DisableKeepAlives = true
+	l.fresh = checkedhttp.New(fresh, l.checks)
 	l.held.open = make(map[string]heldState)
 	l.questions = l.newQuestionTransport()
 	return l
@@ -96,12 +104,12 @@
 	}
 }
 
-func (l *transports) pool(id upstream.ReplicaID) *http.Transport {
+func (l *transports) pool(id upstream.ReplicaID) *checkedhttp.Transport {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	pool := l.pools[id]
 	if pool == nil {
-		pool = l.newTransport()
+		pool = checkedhttp.New(l.newTransport(), l.checks)
 		l.pools[id] = pool
 	}
 	return pool
