A response with an invalid header field fails at the replica

What callers saw: a replica in trouble sent a head in which the name of a field held a blank. The caller got it as a response, with that line passed on; where the blank stood before the colon of Transfer-Encoding, with a body that held the chunk framing.

Cause: net/http accepts a blank in a field's name (net/textproto, for the sake of old servers) and keeps the field under a name that it does not know, so that "Content-Length : 5" or "Transfer-Encoding : chunked" delimits nothing and the body is taken to end with the connection.

Fix: the Scanner refuses a field whose name is no token, a value with a control character other than a tab, a folded field (RFC 9112, 5.2, allows a gateway to discard it) and trailers of that kind.

--- a/internal/framing/response.go
+++ b/internal/framing/response.go
@@ -14,6 +14,9 @@
 const (
 	BadStatusLine    Reason = "status_line"
 	BadStatus        Reason = "status"
+	BadFieldName     Reason = "field_name"
+	BadFieldValue    Reason = "field_value"
+	FoldedField      Reason = "folded_field"
 	BadLength        Reason = "length"
 	BadCoding        Reason = "transfer_coding"
 	TwoDelimiters    Reason = "two_delimiters"
@@ -218,11 +221,24 @@
 	s.state = fieldLine
 }
 
-// checkField checks a field line of the head or the trailer.
+// checkField checks a field line of the head or the trailer. A line that continues the one before
+// it may be discarded with the whole response (RFC 9112, section 5.2).
 func (s *Scanner) checkField(line []byte) {
+	if line[0] == ' ' || line[0] == '\t' {
+		s.fail(FoldedField, "%q", line[:min(len(line), shownBytes)])
+		return
+	}
 	name, value, found := bytes.Cut(line, []byte{':'})
-	if found && s.state == fieldLine {
-		s.readDelimiter(string(name), string(bytes.Trim(value, " \t")))
+	if !found || !isToken(name) {
+		s.fail(BadFieldName, "%q", line[:min(len(line), shownBytes)])
+		return
+	}
+	if value = bytes.Trim(value, " \t"); !isText(value) {
+		s.fail(BadFieldValue, "of %s: %q", name, value[:min(len(value), shownBytes)])
+		return
+	}
+	if s.state == fieldLine {
+		s.readDelimiter(string(name), string(value))
 	}
 }
 
@@ -321,3 +337,13 @@
 	}
 	return true
 }
+
+// isToken reports whether the name of a field is one (RFC 9110, section 5.6.2).
+func isToken(name []byte) bool {
+	for _, c := range name {
+		if !isDigit(c) && (c|0x20 < 'a' || c|0x20 > 'z') && !strings.ContainsRune("!#$%&'*+-.^_`|~", rune(c)) {
+			return false
+		}
+	}
+	return len(name) > 0
+}
--- a/internal/framing/response_test.go
+++ b/internal/framing/response_test.go
@@ -27,7 +27,8 @@
 	badVersions   = []string{"HTTP/2.0", "HTTP/0.9", "HTTP/1.", "http/1.1", "HTTP/1.1 ", "HTPP/1.1", "", "\r\nHTTP/1.1"}
 	soundFields   = []string{"A: 1", "A:1", "x-!#$%&'*+-.^_`|~9: \t v \t", "A:", "A: \xff", "Content-Type: text/event-stream", "Connection: close"}
 	badFields     = []string{
-		"Content-Length: -1", "Content-Length: +5", "Content-Length: 5, 5", "Content-Length: 0x5",
+		"Replica State: 1", "A : 1", " A: 1", "\tA: 1", "A\x00: 1", "A\x7f: 1", "A: 1\x00", "A: 1\x0b2", "A: 1\r2", ": 1", "A", "A\xe9: 1", "A(b): 1",
+		"Content-Length : 5", "Transfer-Encoding : chunked", "Content-Length: -1", "Content-Length: +5", "Content-Length: 5, 5", "Content-Length: 0x5",
 		"Content-Length:", "Content-Length: 99999999999999999999", "Transfer-Encoding: gzip", "Transfer-Encoding: gzip, chunked", "Transfer-Encoding: chunked, chunked",
 		"Transfer-Encoding: identity", "Transfer-Encoding:",
 	}
@@ -94,7 +95,7 @@
 		case "line":
 			spoil(!bodiless, func() { last += ";" + strings.Repeat("a", 200) })
 		case "trailer":
-			spoil(!bodiless, func() { trailer = pick("bad trailer", []string{strings.Repeat("A: 1\r\n", 100)}) })
+			spoil(!bodiless, func() { trailer = pick("bad trailer", []string{"A : 1\r\n", strings.Repeat("A: 1\r\n", 100)}) })
 		}
 		payload += last + "\r\n" + trailer + "\r\n"
 	}
