An answer that ends with its connection is complete only if its request was sent

What callers saw: a long upload (8 MB) whose replica answered at once with a 200 without a length, sent half of the body and reset or closed the connection while the upload was still being written. The caller got that half as a complete answer, on an idempotent and on a non-idempotent route. Beside it, found by the same tests: an answer that was whole by its length or its chunks was lost when the replica closed the connection at once.

Cause: a reset is reported once on a socket, to whoever uses it next. If that is the write of the upload, the read finds a plain end of the connection. The gate asked which process answers, the process still ran, and the answer counted as complete. The lost answers: http.Transport closes the connection at a failed write, and returns that error if it comes before the response.

Weighed: (a) no answer without a length is complete if it ends before the request was sent: throws away what a replica sends in order (a half-close, the request read to its end); (b) the socket's error is remembered by the connection, and the end of the connection waits until the request has been sent, cannot be sent on, or the time of a question is over. The bytes that were sent are counted below http.Transport, whose WroteRequest comes before its last buffer is written.

Fix: internal/checkedhttp's connection follows the request to its last byte, ends a body without length with ErrRequestCut unless that was sent, and holds a failed write back until the response has been returned and read.

--- a/internal/checkedhttp/transport.go
+++ b/internal/checkedhttp/transport.go
@@ -6,9 +6,11 @@
 
 import (
 	"context"
+	"errors"
 	"net"
 	"net/http"
 	"net/http/httptrace"
+	"time"
 
 	"slateway.example/slateway/internal/framing"
 )
@@ -48,18 +50,33 @@
 	return &Transport{transport: t}
 }
 
-// RoundTrip sends a request and returns the response. The error, also one of reading the body, wraps a
-// *framing.Violation if the response is none in the protocol.
+type settleTimeKey struct{}
+
+// WithSettleTime returns a context for requests. After the connection has ended a response's body,
+// the request may be sent on for at most d; see RoundTrip.
+func WithSettleTime(ctx context.Context, d time.Duration) context.Context {
+	return context.WithValue(ctx, settleTimeKey{}, d)
+}
+
+// RoundTrip sends a request, whose body must have a known length, and returns the response. The
+// error, also one of reading the body, wraps a *framing.Violation if the response is none in the
+// protocol. A body that ends with its connection while the request is still being sent ends with
+// ErrRequestCut unless the rest of the request can be sent.
 func (t *Transport) RoundTrip(request *http.Request) (*http.Response, error) {
+	settleTime, _ := request.Context().Value(settleTimeKey{}).(time.Duration)
 	var c *conn
 	trace := &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) {
 		var ok bool
 		if c, ok = info.Conn.(*conn); ok {
-			c.begin(request)
+			c.begin(request, settleTime)
 		}
 	}}
 	response, err := t.transport.RoundTrip(request.WithContext(httptrace.WithClientTrace(request.Context(), trace)))
-	if err != nil && c != nil {
+	if c == nil {
+		return response, err
+	}
+	c.roundTripReturned()
+	if err != nil {
 		if violation := c.violated(); violation != nil {
 			return nil, violation // net/http may have found an error in the bytes before it
 		}
@@ -77,3 +94,8 @@
 	}
 	return c
 }
+
+// ErrRequestCut means that the connection ended the body of a response, and the request could not be
+// sent to its end. The replica has reset the connection or closed it early, so that the body may be
+// a part only.
+var ErrRequestCut = errors.New("the connection ended the response before the request was sent")
--- a/internal/checkedhttp/transport_test.go
+++ b/internal/checkedhttp/transport_test.go
@@ -2,12 +2,14 @@
 
 import (
 	"bufio"
+	"bytes"
 	"errors"
 	"io"
 	"net"
 	"net/http"
 	"sync/atomic"
 	"testing"
+	"time"
 
 	"slateway.example/slateway/internal/checkedhttp"
 	"slateway.example/slateway/internal/framing"
@@ -116,3 +118,74 @@
 		t.Error("no violation is counted")
 	}
 }
+
+// post sends a body of a known length that its receiver does not read at once.
+func post(t *testing.T, transport *checkedhttp.Transport, url string, size int) (string, error) {
+	t.Helper()
+	request, err := http.NewRequest(http.MethodPost, url, bytes.NewReader(make([]byte, size)))
+	if err != nil {
+		t.Fatal(err)
+	}
+	request = request.WithContext(checkedhttp.WithSettleTime(t.Context(), 200*time.Millisecond))
+	return read(transport.RoundTrip(request))
+}
+
+const (
+	upload          = 8 << 20
+	unframedHead    = "HTTP/1.1 200 OK\r\n\r\n"
+	responsePause   = 5 * time.Millisecond
+	earlyExchanges  = 12
+	chunkedResponse = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n"
+)
+
+// Guards against part of a body that passes for all of it, because a reset while the request was being
+// sent was reported to the writer and looks like a plain end to the reader.
+func TestABodyWithoutLengthIsCutWithItsRequest(t *testing.T) {
+	for name, end := range map[string]func(*net.TCPConn){
+		"reset":      func(c *net.TCPConn) { _ = c.SetLinger(0) },
+		"close":      func(*net.TCPConn) {},
+		"half-close": func(c *net.TCPConn) { _ = c.CloseWrite(); time.Sleep(responsePause); _ = c.SetLinger(0) },
+		"silence":    func(c *net.TCPConn) { _ = c.CloseWrite(); time.Sleep(time.Second) },
+	} {
+		url := serve(t, func(conn *net.TCPConn, _ *http.Request) bool {
+			_, _ = io.WriteString(conn, unframedHead+"par")
+			time.Sleep(responsePause)
+			end(conn)
+			return false
+		})
+		var violations atomic.Int32
+		for range earlyExchanges {
+			if body, err := post(t, newTransport(t, &violations), url, upload); err == nil {
+				t.Fatalf("%s: %q passes for a whole body", name, body)
+			}
+		}
+	}
+}
+
+// Guards against a whole response that is lost because its replica has not read the request.
+func TestAResponseMayComeBeforeItsRequestIsRead(t *testing.T) {
+	for name, answer := range map[string]func(*net.TCPConn, *http.Request){
+		"length": func(c *net.TCPConn, _ *http.Request) { _, _ = io.WriteString(c, soundResponse) },
+		"chunks": func(c *net.TCPConn, _ *http.Request) { _, _ = io.WriteString(c, chunkedResponse) },
+		"length, request read": func(c *net.TCPConn, r *http.Request) {
+			_, _ = io.WriteString(c, soundResponse)
+			_, _ = io.Copy(io.Discard, r.Body)
+		},
+		"half-close, request read": func(c *net.TCPConn, r *http.Request) {
+			_, _ = io.WriteString(c, unframedHead+"ok")
+			_ = c.CloseWrite()
+			_, _ = io.Copy(io.Discard, r.Body)
+		},
+	} {
+		url := serve(t, func(conn *net.TCPConn, request *http.Request) bool {
+			answer(conn, request)
+			return false // it closes the connection, with bytes of the request unread
+		})
+		var violations atomic.Int32
+		for range earlyExchanges {
+			if body, err := post(t, newTransport(t, &violations), url, upload); err != nil || body != "ok" {
+				t.Fatalf("%s: %q, %v", name, body, err)
+			}
+		}
+	}
+}
--- a/internal/gate/proxy/attempt.go
+++ b/internal/gate/proxy/attempt.go
@@ -15,6 +15,7 @@
 	"go.uber.org/zap"
 
 	"slateway.example/slateway/internal/apierr"
+	"slateway.example/slateway/internal/checkedhttp"
 	"slateway.example/slateway/internal/framing"
 	"slateway.example/slateway/internal/route"
 	"slateway.example/slateway/internal/telemetry"
@@ -183,7 +184,8 @@
 		return nil, err
 	}
 	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { a.connected.Store(true) }}
-	request = request.WithContext(httptrace.WithClientTrace(a.ctx, trace))
+	ctx := checkedhttp.WithSettleTime(a.ctx, framing.Patience(a.flight.request.Repeatable, a.info.TimeLeft()))
+	request = request.WithContext(httptrace.WithClientTrace(ctx, trace))
 	transport := a.transports().fresh
 	if a.flight.request.Repeatable {
 		transport = a.transports().pool(a.target.Replica)
