A response without an end ends at a bound

What callers saw: nothing yet. A replica in trouble may send bytes without end, in a head or a body.

Cause: both readers of events collect a line with bufio.Reader.ReadBytes and an event by append, without a bound, and the memory account counts an event only once it is whole. Empty lines were skipped for ever. A head was bounded by the library's 10 MB only. An answer to a move was decoded without a bound.

Fix: what a reader of events holds before the end of an event passes through one bounded body, whatever the reader is: limits.max_event_bytes, reserved in the gate's account beyond 8 KiB. limits.max_answer_head_bytes bounds the head with its interim responses, and the trailer; limits.max_answer_bytes, which was fixed, a whole answer. At the bound the attempt ends as one with an answer that is none: elsewhere, or 502.

--- a/internal/daemon/gate.go
+++ b/internal/daemon/gate.go
@@ -77,6 +77,9 @@
 		DialTimeout:      s.Timeouts.Dial,
 		DefaultTimeout:   s.Timeouts.Request,
 		Memory:           g.memory,
+		MaxAnswerBytes:   s.Limits.MaxAnswerBytes,
+		MaxEventBytes:    s.Limits.MaxEventBytes,
+		MaxHeadBytes:     s.Limits.MaxHeadBytes,
 		UnreadBytes:      s.Limits.UnreadBytes,
 		UnreadTimeout:    s.Timeouts.Unread,
 	})
--- a/internal/daemon/sitegate.go
+++ b/internal/daemon/sitegate.go
@@ -126,6 +126,9 @@
 		UnackedTimeout:   s.Timeouts.Unanswered,
 		DefaultTimeout:   s.Timeouts.Request,
 		Memory:           g.memory,
+		MaxAnswerBytes:   s.Limits.MaxAnswerBytes,
+		MaxEventBytes:    s.Limits.MaxEventBytes,
+		MaxHeadBytes:     s.Limits.MaxHeadBytes,
 		UnreadBytes:      s.Limits.UnreadBytes,
 		UnreadTimeout:    s.Timeouts.Unread,
 	})
--- a/internal/gate/proxy/attempt.go
+++ b/internal/gate/proxy/attempt.go
@@ -115,15 +115,19 @@
 	if verdict.Queued {
 		a.step(route.Queued{Attempt: a.id})
 	}
+	body := &streamBody{ReadCloser: response.Body, attempt: a}
+	defer body.release()
+	response.Body = body
 	events := a.flight.protocol.Events(response)
 	switch {
 	case events != nil:
 		a.flight.setHead(a, &Reply{Status: response.StatusCode, Header: response.Header})
-		err = a.readStream(events)
+		err = a.readStream(events, body)
 	case a.flight.streamStarted():
 		a.reportFailure(route.CauseStatus, fmt.Errorf("status %d instead of the continuation of a stream", response.StatusCode))
 		return
 	default:
+		response.Body = body.ReadCloser
 		err = a.readWhole(response)
 	}
 	if err != nil && !errors.Is(err, errAttemptStopped) {
@@ -170,7 +174,7 @@
 		return route.CauseNotSent
 	case errors.As(err, &reported):
 		return route.CauseStatus
-	case errors.Is(err, ErrMalformedEvent), errors.Is(err, errTooLong), errors.As(err, &violation):
+	case errors.Is(err, ErrMalformedEvent), errors.Is(err, errTooLong), errors.Is(err, errEventTooLong), errors.As(err, &violation):
 		return route.CauseMismatch
 	default:
 		return route.CauseBroken
@@ -230,12 +234,13 @@
 
 // readStream forwards events as they arrive. The answer is complete only with its
 // last event; a connection that ends before it is a failure.
-func (a *attempt) readStream(events EventSource) error {
+func (a *attempt) readStream(events EventSource, body *streamBody) error {
 	for {
 		e, err := events.Next()
 		if err != nil {
 			return err
 		}
+		body.eventRead()
 		if e.err != nil {
 			return &engineError{detail: string(e.err)}
 		}
--- a/internal/gate/proxy/event.go
+++ b/internal/gate/proxy/event.go
@@ -101,6 +101,7 @@
 	// connection cannot be trusted.
 	ErrMalformedEvent = errors.New("the stream contains an event that violates the protocol")
 	errTooLong        = errors.New("the answer exceeds the gate's buffer for one answer")
+	errEventTooLong   = errors.New("the stream has more bytes without the end of an event than one may have")
 )
 
 // eventReader reads a stream of server-sent events.
--- a/internal/gate/proxy/options.go
+++ b/internal/gate/proxy/options.go
@@ -10,6 +10,7 @@
 	"go.uber.org/zap"
 
 	"slateway.example/slateway/internal/crash"
+	"slateway.example/slateway/internal/framing"
 	"slateway.example/slateway/internal/gate/buffers"
 	"slateway.example/slateway/internal/route"
 	"slateway.example/slateway/internal/upstream"
@@ -95,6 +96,8 @@
 	UnackedTimeout time.Duration
 	ProbeTimeout   time.Duration
 	MaxAnswerBytes int // limits the buffered part of an answer
+	MaxEventBytes  int // limits one event of a stream, as received
+	MaxHeadBytes   int // limits the head of an upstream's answer
 
 	// Memory accounts for the bytes held for callers and items; nil: without a limit.
 	Memory *buffers.Account
@@ -114,6 +117,7 @@
 	defaultDialTimeout      = time.Second
 	defaultProbeTimeout     = 400 * time.Millisecond
 	defaultMaxAnswerBytes   = 16 << 20
+	defaultMaxEventBytes    = 256 << 10
 	defaultTimeout          = 60 * time.Second
 	defaultUnreadBytes      = 256 << 10
 	defaultUnreadTimeout    = 3 * time.Second
@@ -130,6 +134,8 @@
 	setDefault(&o.DialTimeout, defaultDialTimeout)
 	setDefault(&o.ProbeTimeout, defaultProbeTimeout)
 	setDefault(&o.MaxAnswerBytes, defaultMaxAnswerBytes)
+	setDefault(&o.MaxEventBytes, defaultMaxEventBytes)
+	setDefault(&o.MaxHeadBytes, framing.DefaultLimits().Head)
 	setDefault(&o.DefaultTimeout, defaultTimeout)
 	setDefault(&o.UnreadBytes, defaultUnreadBytes)
 	setDefault(&o.UnreadTimeout, defaultUnreadTimeout)
--- a/internal/gate/proxy/transports.go
+++ b/internal/gate/proxy/transports.go
@@ -57,7 +57,12 @@
 		pools:        make(map[upstream.ReplicaID]*checkedhttp.Transport),
 		dialLimits:   route.NewDialLimits(o.DialTimeout),
 	}
-	l.checks = checkedhttp.Options{Violated: func(v *framing.Violation) { o.Metrics.Count(countViolation + string(v.Reason)) }}
+	limits := framing.DefaultLimits()
+	limits.Head = o.MaxHeadBytes
+	l.checks = checkedhttp.Options{
+		Limits:   limits,
+		Violated: func(v *framing.Violation) { o.Metrics.Count(countViolation + string(v.Reason)) },
+	}
 	fresh := l.newTransport()
 	fresh.DisableKeepAlives = true
 	l.fresh = checkedhttp.New(fresh, l.checks)
--- a/internal/rpc/rpc.go
+++ b/internal/rpc/rpc.go
@@ -68,6 +68,9 @@
 // time of gzip costs more than the saved bytes.
 const compressMinBytes = 4096
 
+// maxResponseBytes bounds a response, which is decoded as a whole.
+const maxResponseBytes = 64 << 20
+
 // Client sends calls to other processes.
 type Client struct {
 	http connect.HTTPClient
@@ -79,7 +82,7 @@
 // Call sends request to the process at address (IP:port) and returns its response. An
 // *apierr.Error returned by the remote handler is returned as such.
 func Call[Req, Res any](ctx context.Context, c *Client, address string, p Procedure[Req, Res], request *Req) (*Res, error) {
-	client := connect.NewClient[Req, Res](c.http, "http://"+address+string(p), connect.WithCodec(cborCodec{}))
+	client := connect.NewClient[Req, Res](c.http, "http://"+address+string(p), connect.WithCodec(cborCodec{}), connect.WithReadMaxBytes(maxResponseBytes))
 	response, err := client.CallUnary(ctx, connect.NewRequest(request))
 	if err != nil {
 		return nil, decodeError(address, p, err)
--- a/internal/settings/check.go
+++ b/internal/settings/check.go
@@ -218,9 +218,16 @@
 		c.add("limits.memory_mb", fmt.Sprint(mb), "more than 16 TB; probably not in megabytes", "set it to the memory of the VM in megabytes")
 		return
 	}
-	if largest := s.MemoryBudget() / 8; int64(s.Limits.UnreadBytes) > largest {
-		c.add("limits.unread_bytes", fmt.Sprint(s.Limits.UnreadBytes), "more than 1/32 of limits.memory_mb, an eighth of what the gate holds for all callers",
-			fmt.Sprintf("set it to at most %d, or raise limits.memory_mb", largest))
+	largest := s.MemoryBudget() / 8
+	for _, entry := range []countEntry{
+		{"limits.unread_bytes", s.Limits.UnreadBytes},
+		{"limits.max_event_bytes", s.Limits.MaxEventBytes},
+		{"limits.max_answer_head_bytes", s.Limits.MaxHeadBytes},
+	} {
+		if int64(entry.value) > largest {
+			c.add(entry.key, fmt.Sprint(entry.value), "more than 1/32 of limits.memory_mb, an eighth of what the gate holds for all callers",
+				fmt.Sprintf("set it to at most %d, or raise limits.memory_mb", largest))
+		}
 	}
 }
 
--- a/internal/settings/numbers.go
+++ b/internal/settings/numbers.go
@@ -66,6 +66,9 @@
 		{"limits.max_queue", s.Limits.MaxQueue},
 		{"limits.max_in_progress", s.Limits.MaxInProgress},
 		{"limits.unread_bytes", s.Limits.UnreadBytes},
+		{"limits.max_answer_bytes", s.Limits.MaxAnswerBytes},
+		{"limits.max_event_bytes", s.Limits.MaxEventBytes},
+		{"limits.max_answer_head_bytes", s.Limits.MaxHeadBytes},
 	}
 }
 
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -159,6 +159,11 @@
 	MemoryMB      int `toml:"memory_mb"`       // memory of the VM; 0: DefaultMemoryMB
 	UnreadBytes   int `toml:"unread_bytes"`    // bytes of a stream that wait for a caller before the gate stops reading from the replica
 
+	// Bounds of what a gate reads of one answer of a replica. Beyond them the attempt ends.
+	MaxAnswerBytes int `toml:"max_answer_bytes"`      // a whole answer, or the text of an item
+	MaxEventBytes  int `toml:"max_event_bytes"`       // one event of a stream
+	MaxHeadBytes   int `toml:"max_answer_head_bytes"` // the status line and header, and the trailer
+
 	// Within any TeamWindow, all gates together may exceed a team's rate and burst by
 	// the fraction TeamOvershoot of them plus TeamSlack requests.
 	TeamWindow    time.Duration `toml:"team_window"`
@@ -251,6 +256,7 @@
 		Limits: Limits{
 			MaxBodyBytes: 8 << 20, MaxPartBytes: 16 << 20, MaxItemBytes: 1 << 20,
 			MaxQueue: 1024, MaxInProgress: 4096, UnreadBytes: 256 << 10,
+			MaxAnswerBytes: 16 << 20, MaxEventBytes: 256 << 10, MaxHeadBytes: 64 << 10,
 			TeamWindow: 5 * time.Second, TeamOvershoot: 0.1, TeamSlack: 20,
 		},
 		Timeouts: Timeouts{
