--- a/internal/origin/order_test.go
+++ b/internal/origin/order_test.go
@@ -67,11 +67,13 @@
 	record  origin.Record
 }
 
-// world is a site with one control VM, which is never down; what gates hear of it may be late.
+// world is a site with one control VM, which starts again from its journal at once; what gates hear of
+// it may be late.
 type world struct {
 	t         *rapid.T
 	now       time.Time
 	control   *roster.Table
+	copies    *origin.Records // of the control VM
 	processes []*process
 	gates     []*gate
 	streams   []*stream
@@ -140,7 +142,7 @@
 
 func newWorld(t *rapid.T) *world {
 	w := &world{t: t, now: time.Unix(1_000_000, 0)}
-	w.control = roster.New(roster.Config{ReplicaLifetime: 20 * time.Second, GateLifetime: time.Second}, w.now)
+	w.control, w.copies = roster.New(controlConfig, w.now), origin.NewRecords(w.now)
 	for i := range 5 {
 		w.gates = append(w.gates, &gate{id: fmt.Sprint("gate-", i), place: fmt.Sprint("place-", i%places)})
 		w.startGate(i)
@@ -152,6 +154,37 @@
 	return w
 }
 
+var controlConfig = roster.Config{ReplicaLifetime: 20 * time.Second, GateLifetime: time.Second}
+
+// restartControl lets the control VM start again with what its journal holds. The copies of records are
+// lost.
+func (w *world) restartControl() {
+	past, _ := w.control.Builds(w.now)
+	reports := w.control.AllReplicaReports(w.now)
+	w.control, w.copies = roster.New(controlConfig, w.now), origin.NewRecords(w.now)
+	for i := range past {
+		past[i].Age, past[i].Known = 0, origin.Memory
+	}
+	w.control.RememberBuilds(w.now, past, origin.Memory)
+	for i := range reports {
+		w.control.Announce(w.now, reports[i].Replica, reports[i].Age)
+	}
+	for _, g := range w.gates {
+		g.version = 0
+	}
+}
+
+// killHerd kills all gates at once. They start again after a time in which replicas come and go.
+func (w *world) killHerd() {
+	for _, g := range w.gates {
+		g.up = false
+	}
+	w.pass(time.Duration(rapid.IntRange(0, 100).Draw(w.t, "downtime")) * tick)
+	for i := range w.gates {
+		w.startGate(i)
+	}
+}
+
 func (w *world) startGate(i int) {
 	g := w.gates[i]
 	config := route.Config{HedgeMin: -1, ProbeAfter: time.Hour, EntryLifetime: time.Hour, Self: g.id, Place: "glas-a"}
@@ -255,8 +288,12 @@
 			w.letters = append(w.letters, letter{at: w.now.Add(w.latency("record")), to: to.ID, request: request, record: record})
 		}
 	}
+	w.letters = append(w.letters, letter{at: w.now.Add(w.latency("record")), to: controlVM, request: request, record: record})
 }
 
+// controlVM is the address of the control VM.
+const controlVM = "control"
+
 func (w *world) known() []origin.Gate {
 	var known []origin.Gate
 	for _, g := range w.gates {
@@ -272,6 +309,9 @@
 			left = append(left, l)
 			continue
 		}
+		if l.to == controlVM {
+			w.copies.Put(w.now, l.request, l.record)
+		}
 		for _, g := range w.gates {
 			if g.id == l.to && g.reachable(w.now) {
 				g.book.Put(w.now, l.request, l.record)
@@ -379,6 +419,11 @@
 				}
 			}
 		}
+		if found, known := w.copies.Get(resumes); known && g.reachable(w.now) {
+			if a := (origin.Answer{Record: found, Known: true}); a.Prefer(&answer) {
+				answer = a
+			}
+		}
 		if own.Doubt == origin.DoubtSeveral {
 			answer.Sole = false
 		}
@@ -429,6 +474,8 @@
 			"cut off":  func(*rapid.T) { w.gates[gateAt()].cutUntil = w.now.Add(3 * time.Second) },
 			"freeze":   func(*rapid.T) { w.gates[gateAt()].frozen = w.now.Add(2 * time.Second) },
 			"kill all": func(t *rapid.T) { w.killAll() },
+			"herd":     func(*rapid.T) { w.killHerd() },
+			"control":  func(*rapid.T) { w.restartControl() },
 		})
 		continued += w.continued
 	})
@@ -462,3 +509,47 @@
 		w.startGate(i)
 	}
 }
+
+// Guards against streams that callers take up after all gates were killed at once, during a release or
+// just after it, and that go on at another build.
+func TestStreamsRejoinedAfterAStopOfAllGatesStayAtTheirBuild(t *testing.T) {
+	continued := 0
+	rapid.Check(t, func(t *rapid.T) {
+		w := newWorld(t)
+		during := func(what string, most int) time.Duration {
+			return time.Duration(rapid.IntRange(0, most).Draw(t, what)) * tick
+		}
+		for range rapid.IntRange(1, 3).Draw(t, "releases") {
+			build := fmt.Sprint("v", rapid.IntRange(1, 3).Draw(t, "version"))
+			for range rapid.IntRange(1, 4).Draw(t, "new replicas") {
+				w.startProcess(build)
+				w.pass(during("between", 40))
+			}
+			for i := range w.gates {
+				w.begin(i)
+				w.event(w.streams[len(w.streams)-1])
+				w.pass(during("between streams", 4))
+			}
+			for _, p := range w.processes[:len(w.processes)-1] {
+				if p.up && rapid.Bool().Draw(t, "leaves") {
+					w.announce(p, true)
+					w.pass(during("until it leaves", 8))
+					p.up = false
+				}
+			}
+			for range rapid.IntRange(1, 2).Draw(t, "stops") {
+				w.killHerd()
+				if rapid.IntRange(0, 3).Draw(t, "control") == 0 {
+					w.restartControl()
+				}
+				for _, s := range w.streams {
+					w.pass(during("until it is taken up", 12))
+					w.takeUp(s, rapid.IntRange(0, len(w.gates)-1).Draw(t, "gate"), rapid.Bool().Draw(t, "named"))
+					w.event(s)
+				}
+			}
+		}
+		continued += w.continued
+	})
+	t.Logf("%d events continued streams that callers took up", continued)
+}
