--- a/test/harness/stall.go
+++ b/test/harness/stall.go
@@ -84,7 +84,7 @@
 	}
 }
 
-// String returns what was measured so far.
+// String describes the longest stalls.
 func (w *StallWatch) String() string {
 	w.mu.Lock()
 	defer w.mu.Unlock()
