--- a/internal/crash/schedule_test.go
+++ b/internal/crash/schedule_test.go
@@ -28,6 +28,10 @@
 // after the fifth of them has ended, from gates in touch.
 const maxAfterFifth = 3
 
+// maxItemsLate is the same for batch items, which are tried again at most every OwedPause: what fits
+// into a schedule after the first five deaths.
+var maxItemsLate = int(25 * time.Second / crash.OwedPause(100))
+
 // Guards against requests that share nothing but a part of their prompts and crash one replica
 // after the other, with sound requests beside them.
 func TestRequestsThatShareAHarmfulPartAreStopped(t *testing.T) {
@@ -111,7 +115,7 @@
 func TestNoScheduleSendsACondemnedPartOn(t *testing.T) {
 	var mu sync.Mutex
 	var verdicts []int
-	most, overGoal, condemned := 0, 0, 0
+	most, mostItems, overGoal, condemned := 0, 0, 0, 0
 	each(t, schedules(t, 60), func(seed uint64) {
 		w := newWorld(drawn(seed))
 		w.run()
@@ -120,6 +124,10 @@
 		if w.afterFifth > maxAfterFifth*len(w.schedule.parts) {
 			t.Errorf("seed %d: %d requests sent after the fifth death and the window, %d processes ended", seed, w.afterFifth, len(w.deaths))
 		}
+		if most := len(w.schedule.parts) * maxItemsLate; w.itemsLate > most {
+			t.Errorf("seed %d: %d batch items sent after the fifth death and the window, %d may be", seed, w.itemsLate, most)
+		}
+		mostItems = max(mostItems, w.itemsLate)
 		verdicts = append(verdicts, w.firstVerdicts()...)
 		for part, deaths := range w.deathsOf {
 			most = max(most, len(deaths))
@@ -131,8 +139,8 @@
 		condemned += w.soundCondemned
 	})
 	slices.Sort(verdicts)
-	t.Logf("verdict after %d, %d, %d deaths (median, nine of ten, most); most replicas ended of one part: %d, over eight in %d; sound parts condemned by gates: %d",
-		verdicts[len(verdicts)/2], verdicts[len(verdicts)*9/10], verdicts[len(verdicts)-1], most, overGoal, condemned)
+	t.Logf("verdict after %d, %d, %d deaths (median, nine of ten, most); most replicas ended of one part: %d, over eight in %d; sound parts condemned by gates: %d; most items late: %d",
+		verdicts[len(verdicts)/2], verdicts[len(verdicts)*9/10], verdicts[len(verdicts)-1], most, overGoal, condemned, mostItems)
 }
 
 // each runs a function for seeds 1 to n, several at a time.
--- a/internal/crash/world_test.go
+++ b/internal/crash/world_test.go
@@ -136,6 +136,7 @@
 	ended      int                // processes that ended by themselves
 	afterFifth int                // harmful requests sent later than the window after the fifth death, by gates in touch
 	sends      int                // harmful requests sent
+	itemsLate  int                // the same as afterFifth, of harmful batch items
 	itemDeaths int                // processes that harmful items ended
 	lastEnd    time.Time          // when a process last ended, of gates too
 	together   []string           // items tried on a replica beside another one
@@ -662,9 +663,13 @@
 	if a.asked.harmful {
 		w.sends++
 		deaths := w.deathsOf[a.asked.harmfulPart(w)]
-		fifth := !a.asked.batch && len(deaths) >= 5 && w.now.Sub(deaths[4]) > contactWindow
+		fifth := len(deaths) >= 5 && w.now.Sub(deaths[4]) > contactWindow
 		w.trace("%v %s sends harmful %s to %s (deaths %d)", w.now.Sub(w.began), a.gate.id, a.asked.id, r.id, len(w.deaths))
-		if fifth && a.gate.inTouch(w.now) {
+		switch {
+		case !fifth || !a.gate.inTouch(w.now):
+		case a.asked.batch:
+			w.itemsLate++
+		default:
 			w.afterFifth++
 		}
 	}
